--- /dev/null
+++ b/src/msg.c
@@ -0,0 +1,218 @@
+#include "msg.h"
+
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+/*
+ * Lines of one message a second before the rest is only counted: a flood of
+ * one fault must not fill a small VM's disk nor hold up the loop.
+ */
+#define MSG_RATE 50
+
+/* A message: its level and its name, which no two share. */
+struct msg_def {
+	enum msg_level level;
+	const char *name;
+};
+
+/* What was logged of one message within the current second. */
+struct msg_rate {
+	time_t second;
+	unsigned int lines;
+	unsigned int dropped;
+};
+
+static const char *msg_layout(const log4c_layout_t *layout,
+			      const log4c_logging_event_t *ev);
+static int msg_append(log4c_appender_t *app, const log4c_logging_event_t *ev);
+static void msg_write(const char *file, int line, enum msg_id id,
+		      const char *text);
+
+static const struct msg_def msg_table[MSG_MAX] = {
+	/* all daemons */
+	[MSG_START] = {MSG_NOTICE, "start"},
+	[MSG_STOP] = {MSG_NOTICE, "stop"},
+	[MSG_SUPPRESSED] = {MSG_WARN, "suppressed"},
+	/* wire: connections between own processes */
+	[MSG_WIRE_UP] = {MSG_INFO, "wire-up"},
+	[MSG_WIRE_DOWN] = {MSG_INFO, "wire-down"},
+	[MSG_WIRE_REFUSED] = {MSG_WARN, "wire-refused"},
+	/* ent, tgt: entry daemon and target table */
+	[MSG_REQ] = {MSG_DEBUG, "request"},
+	[MSG_TGT_JOIN] = {MSG_INFO, "target-join"},
+	[MSG_TGT_LEAVE] = {MSG_INFO, "target-leave"},
+	[MSG_TGT_LAPSE] = {MSG_WARN, "target-lapse"},
+	[MSG_ENT_CONFIG] = {MSG_NOTICE, "config-in-force"},
+	[MSG_ENT_DRAIN] = {MSG_NOTICE, "drain"},
+	/* idm: idempotency keys */
+	/* ctl: control daemon */
+	/* cns, sto: consensus and data folder */
+	/* cfg, fst: configuration and fleet state */
+	/* pln, wav, job: planner, waves, jobs */
+};
+
+static const struct {
+	const char *name;
+	int priority;
+} msg_levels[] = {
+	[MSG_DEBUG] = {"debug", LOG4C_PRIORITY_DEBUG},
+	[MSG_INFO] = {"info", LOG4C_PRIORITY_INFO},
+	[MSG_NOTICE] = {"notice", LOG4C_PRIORITY_NOTICE},
+	[MSG_WARN] = {"warn", LOG4C_PRIORITY_WARN},
+	[MSG_ERROR] = {"error", LOG4C_PRIORITY_ERROR},
+};
+
+static const log4c_layout_type_t msg_layout_type = {
+	.name = "endive-kv",
+	.format = msg_layout,
+};
+
+static const log4c_appender_type_t msg_appender_type = {
+	.name = "endive-stderr",
+	.append = msg_append,
+};
+
+static log4c_category_t *msg_category;
+static enum msg_level msg_lowest = MSG_WARN;
+static char msg_program[32] = "endive";
+static struct msg_rate msg_rates[MSG_MAX];
+
+/*
+ * Starts logging to standard error for a program; messages below lowest are
+ * left out. Before this call only warnings and errors are shown, bare.
+ */
+void msg_init(const char *program, enum msg_level lowest)
+{
+	log4c_appender_t *app;
+	log4c_layout_t *layout;
+
+	g_strlcpy(msg_program, program, sizeof(msg_program));
+	msg_lowest = lowest;
+	if (log4c_init() != 0)
+		return;
+	log4c_layout_type_set(&msg_layout_type);
+	log4c_appender_type_set(&msg_appender_type);
+	layout = log4c_layout_get("endive");
+	log4c_layout_set_type(layout, &msg_layout_type);
+	app = log4c_appender_get("endive");
+	log4c_appender_set_type(app, &msg_appender_type);
+	log4c_appender_set_layout(app, layout);
+	msg_category = log4c_category_get("endive");
+	log4c_category_set_appender(msg_category, app);
+	log4c_category_set_additivity(msg_category, 0);
+	log4c_category_set_priority(msg_category, LOG4C_PRIORITY_DEBUG);
+}
+
+/* Ends logging and frees what log4c holds. */
+void msg_done(void)
+{
+	if (!msg_category)
+		return;
+	msg_category = NULL;
+	log4c_fini();
+}
+
+/* The level of a message. */
+enum msg_level msg_level_of(enum msg_id id)
+{
+	return msg_table[id].level;
+}
+
+/* The name of a message as it stands in the log. */
+const char *msg_name_of(enum msg_id id)
+{
+	return msg_table[id].name;
+}
+
+/* Reads a level's name; FALSE where there is no such level. */
+gboolean msg_level_parse(const char *s, enum msg_level *out)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(msg_levels); i++) {
+		if (strcmp(s, msg_levels[i].name) != 0)
+			continue;
+		*out = (enum msg_level)i;
+		return TRUE;
+	}
+	return FALSE;
+}
+
+/*
+ * Logs message id with key=value text, reported with the place it arose.
+ * Beyond MSG_RATE lines a second it is counted and the count is told later.
+ */
+void msg_at(const char *file, int line, enum msg_id id, const char *fmt, ...)
+{
+	struct msg_rate *rate = &msg_rates[id];
+	time_t now;
+	char text[1024];
+	va_list ap;
+
+	if (msg_table[id].level < msg_lowest)
+		return;
+	now = time(NULL);
+	if (rate->second != now) {
+		if (rate->dropped) {
+			g_snprintf(text, sizeof(text), "of=%s lines=%u",
+				   msg_table[id].name, rate->dropped);
+			msg_write(file, line, MSG_SUPPRESSED, text);
+		}
+		*rate = (struct msg_rate){.second = now};
+	}
+	if (++rate->lines > MSG_RATE) {
+		rate->dropped++;
+		return;
+	}
+	va_start(ap, fmt);
+	g_vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	msg_write(file, line, id, text);
+}
+
+static void msg_write(const char *file, int line, enum msg_id id,
+		      const char *text)
+{
+	const char *slash = strrchr(file, '/');
+	const struct msg_def *def = &msg_table[id];
+
+	if (slash)
+		file = slash + 1;
+	if (!msg_category) {
+		fprintf(stderr, "%s: msg=%s %s\n", msg_program, def->name,
+			text);
+		return;
+	}
+	log4c_category_log(msg_category, msg_levels[def->level].priority,
+			   "msg=%s %s at=%s:%d", def->name, text, file, line);
+}
+
+static const char *msg_layout(const log4c_layout_t *layout,
+			      const log4c_logging_event_t *ev)
+{
+	static char line[1400];
+	struct tm tm;
+	time_t sec = ev->evt_timestamp.tv_sec;
+	const char *level = "info";
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(msg_levels); i++)
+		if (msg_levels[i].priority == ev->evt_priority)
+			level = msg_levels[i].name;
+	gmtime_r(&sec, &tm);
+	g_snprintf(line, sizeof(line),
+		   "time=%04d-%02d-%02dT%02d:%02d:%02d.%03ldZ level=%s "
+		   "program=%s %s\n",
+		   tm.tm_year + 1900, tm.tm_mon + 1, tm.tm_mday, tm.tm_hour,
+		   tm.tm_min, tm.tm_sec, (long)ev->evt_timestamp.tv_usec / 1000,
+		   level, msg_program, ev->evt_msg);
+	return line;
+}
+
+static int msg_append(log4c_appender_t *app, const log4c_logging_event_t *ev)
+{
+	return fputs(ev->evt_rendered_msg, stderr);
+}
--- /dev/null
+++ b/src/msg.h
@@ -0,0 +1,53 @@
+#ifndef MSG_H
+#define MSG_H
+
+#include <glib.h>
+
+enum msg_level {
+	MSG_DEBUG,
+	MSG_INFO,
+	MSG_NOTICE,
+	MSG_WARN,
+	MSG_ERROR,
+};
+
+/*
+ * Every line the programs may log, in the order of the table in msg.c: one
+ * block for each module.
+ */
+enum msg_id {
+	/* all daemons */
+	MSG_START,
+	MSG_STOP,
+	MSG_SUPPRESSED,
+	/* wire: connections between own processes */
+	MSG_WIRE_UP,
+	MSG_WIRE_DOWN,
+	MSG_WIRE_REFUSED,
+	/* ent, tgt: entry daemon and target table */
+	MSG_REQ,
+	MSG_TGT_JOIN,
+	MSG_TGT_LEAVE,
+	MSG_TGT_LAPSE,
+	MSG_ENT_CONFIG,
+	MSG_ENT_DRAIN,
+	/* idm: idempotency keys */
+	/* ctl: control daemon */
+	/* cns, sto: consensus and data folder */
+	/* cfg, fst: configuration and fleet state */
+	/* pln, wav, job: planner, waves, jobs */
+	MSG_MAX
+};
+
+void msg_init(const char *program, enum msg_level lowest);
+void msg_done(void);
+void msg_at(const char *file, int line, enum msg_id id, const char *fmt, ...)
+	G_GNUC_PRINTF(4, 5);
+enum msg_level msg_level_of(enum msg_id id);
+const char *msg_name_of(enum msg_id id);
+gboolean msg_level_parse(const char *s, enum msg_level *out);
+
+/* Logs a message of the table; the rest is key=value text as for printf. */
+#define msg(id, ...) msg_at(__FILE__, __LINE__, (id), __VA_ARGS__)
+
+#endif
