--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 PREFIX ?= /usr/local
 DESTDIR ?=
-VERSION = 0.1.0
+VERSION := $(shell sed -n 's/.*ES_VERSION "\(.*\)"/\1/p' include/endiveslip.h)
 PKGS = libevent libevent_pthreads msgpack glib-2.0 gobject-2.0 \
        json-glib-1.0 libsodium
 PC_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
@@ -12,7 +12,7 @@
 LIBS = $(PC_LIBS) -levhtp -lssl -lcrypto -llog4c -lm
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter
-CPPFLAGS = -D_GNU_SOURCE -DES_VERSION='"$(VERSION)"' -Iinclude -Isrc $(PC_CFLAGS)
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc $(PC_CFLAGS)
 CFLAGS = -std=gnu11 -O2 -g $(WARN)
 CXXFLAGS = -std=c++17 -O1 -g -Wall -Wextra -Werror -Wno-unused-parameter
 SAN = -fsanitize=address,undefined -fno-sanitize-recover=all \
@@ -64,7 +64,7 @@
 
 lint: fmt-check charts-check
 	@printf '%s\n' $(C_FILES) | grep '\.c$$' | xargs -P "$$(nproc)" -n 4 \
-		sh -c 'clang-tidy -quiet "$$@" -- -std=gnu11 $(subst ",\",$(CPPFLAGS)) 2>/dev/null' tidy
+		sh -c 'clang-tidy -quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' tidy
 	@cppcheck -q --enable=warning,portability --inline-suppr -j "$$(nproc)" \
 		--error-exitcode=1 --suppress=missingIncludeSystem \
 		--suppress=nullPointerArithmeticRedundantCheck \
--- a/src/set.c
+++ b/src/set.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "endiveslip.h"
 #include "lstr.h"
 
 #define SET_NAME_MAX 31
