--- /dev/null
+++ b/src/fst.h
@@ -0,0 +1,37 @@
+#ifndef FST_H
+#define FST_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "key.h"
+#include "lstr.h"
+#include "pk.h"
+#include "proto.h"
+
+/*
+ * The replicated fleet state: what the voters agree on. It changes only by
+ * entries applied in order of their index, gives the same bytes on every
+ * voter, and reads no clock, file or socket.
+ */
+struct fst;
+
+struct fst *fst_new(void);
+void fst_free(struct fst *f);
+
+/* A log entry: what the leader adds to a client's command. */
+void fst_entry_pack(struct pk_out *o, int64_t time_ms, struct lstr who,
+		    enum key_role role, struct lstr cmd);
+void fst_apply(struct fst *f, uint64_t index, struct lstr entry,
+	       struct pk_out *result);
+void fst_snapshot(const struct fst *f, struct pk_out *o);
+bool fst_restore(struct fst *f, struct lstr bytes, GError **err);
+void fst_query(const struct fst *f, struct lstr name, struct lstr arg,
+	       struct pk_out *result);
+
+/* What entry daemons work by; the version grows with every change of it. */
+uint64_t fst_version(const struct fst *f);
+void fst_view(const struct fst *f, struct pk_out *o);
+
+#endif
--- /dev/null
+++ b/src/fvw.h
@@ -0,0 +1,47 @@
+#ifndef FVW_H
+#define FVW_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lstr.h"
+#include "pk.h"
+
+/*
+ * The fleet view: the part of the fleet state that an entry daemon works by,
+ * as it travels from voters to entry daemons and between neighbours.
+ */
+struct fvw_pool {
+	char *name;
+	char *service; /* first part of the path of its requests */
+	int slots; /* requests at once a target may run */
+	int conns; /* connections a target allows */
+	int64_t deadline_ms; /* for a request that states none */
+	int64_t max_answer; /* bytes held whole before the first is passed on */
+	int64_t max_body; /* bytes of a request's body */
+	int queue_ms; /* longest wait before a refusal */
+	int priority; /* larger goes first; the duty officer changes it */
+};
+
+struct fvw_vm {
+	char *name;
+	int pool; /* index in pools */
+	uint64_t epoch; /* of its membership; grows with each move */
+	bool drained;
+};
+
+struct fvw {
+	uint64_t version;
+	GArray *pools; /* struct fvw_pool by name */
+	GArray *vms; /* struct fvw_vm by name */
+};
+
+struct fvw *fvw_new(uint64_t version);
+void fvw_free(struct fvw *v);
+void fvw_pack(const struct fvw *v, struct pk_out *o);
+struct fvw *fvw_unpack(struct lstr bytes, GError **err);
+const struct fvw_pool *fvw_service(const struct fvw *v, struct lstr service);
+const struct fvw_vm *fvw_vm(const struct fvw *v, struct lstr name);
+
+#endif
