--- a/src/wire.h
+++ b/src/wire.h
@@ -27,7 +27,7 @@
 	/* the peer has proved its key; messages may be sent from now on */
 	void (*up)(void *arg, struct wire_conn *c);
 	/* a whole message; payload is valid only during the call */
-	void (*msg)(void *arg, struct wire_conn *c, struct lstr payload);
+	void (*recv)(void *arg, struct wire_conn *c, struct lstr payload);
 	/*
 	 * the connection is gone; a dialled one comes up again by itself, an
 	 * accepted one is freed after this call
