View of entry daemons: pack, unpack with full checks, look-ups

Entry daemons need a view they can trust as a whole: one half understood could place work on a VM of another pool. Unpacking checks format, limits, order of names, one pool a service and the pool of each VM; the first fault refuses the view. Look-ups are binary searches; services get their own index since pools stand in order of name. Targets drained by name are a field of their own, since a VM may run several.

--- /dev/null
+++ b/src/fvw.c
@@ -0,0 +1,352 @@
+#include "fvw.h"
+
+#include "err.h"
+
+/*
+ * First field of a packed view. A view of another format is refused as a
+ * whole: half understood, it could place work on a VM of another pool.
+ */
+#define FVW_FORMAT 1
+
+static void fvw_clear_pool(gpointer p);
+static void fvw_clear_vm(gpointer p);
+static void fvw_pack_pool(const struct fvw_pool *p, struct pk_out *o);
+static bool fvw_get(struct pk_in *in, struct fvw *v, GError **err);
+static bool fvw_get_pools(struct pk_in *in, struct fvw *v, GError **err);
+static bool fvw_get_vms(struct pk_in *in, struct fvw *v, GError **err);
+static bool fvw_get_drained(struct pk_in *in, struct fvw *v, GError **err);
+static bool fvw_get_name(struct pk_in *in, char **out);
+static int64_t fvw_get_num(struct pk_in *in, int64_t max);
+static int fvw_by_service(gconstpointer a, gconstpointer b, gpointer arg);
+static bool fvw_services_differ(const struct fvw *v, GError **err);
+static bool fvw_bad(GError **err, const char *what, guint at);
+
+/* An empty view of that version. */
+struct fvw *fvw_new(uint64_t version)
+{
+	struct fvw *v = g_new0(struct fvw, 1);
+
+	v->version = version;
+	v->pools = g_array_new(FALSE, TRUE, sizeof(struct fvw_pool));
+	g_array_set_clear_func(v->pools, fvw_clear_pool);
+	v->vms = g_array_new(FALSE, TRUE, sizeof(struct fvw_vm));
+	g_array_set_clear_func(v->vms, fvw_clear_vm);
+	v->drained = g_ptr_array_new_with_free_func(g_free);
+	v->services = g_array_new(FALSE, TRUE, sizeof(guint));
+	return v;
+}
+
+/* Frees a view and the names in it; NULL is allowed. */
+void fvw_free(struct fvw *v)
+{
+	if (!v)
+		return;
+	g_array_free(v->pools, TRUE);
+	g_array_free(v->vms, TRUE);
+	g_ptr_array_free(v->drained, TRUE);
+	g_array_free(v->services, TRUE);
+	g_free(v);
+}
+
+static void fvw_clear_pool(gpointer p)
+{
+	struct fvw_pool *pool = p;
+
+	g_free(pool->name);
+	g_free(pool->service);
+}
+
+static void fvw_clear_vm(gpointer p)
+{
+	g_free(((struct fvw_vm *)p)->name);
+}
+
+/*
+ * Makes the look-up by service; needed once after the pools of a view were
+ * filled in by hand. fvw_unpack does it by itself.
+ */
+void fvw_index(struct fvw *v)
+{
+	guint i;
+
+	g_array_set_size(v->services, 0);
+	for (i = 0; i < v->pools->len; i++)
+		g_array_append_val(v->services, i);
+	g_array_sort_with_data(v->services, fvw_by_service, v);
+}
+
+static int fvw_by_service(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const struct fvw *v = arg;
+	guint i = *(const guint *)a;
+	guint j = *(const guint *)b;
+
+	return strcmp(g_array_index(v->pools, struct fvw_pool, i).service,
+		      g_array_index(v->pools, struct fvw_pool, j).service);
+}
+
+/* Packs a view, whose pools, VMs and drained targets are in order of name. */
+void fvw_pack(const struct fvw *v, struct pk_out *o)
+{
+	guint i;
+
+	pk_arr(o, 5);
+	pk_u(o, FVW_FORMAT);
+	pk_u(o, v->version);
+	pk_arr(o, v->pools->len);
+	for (i = 0; i < v->pools->len; i++)
+		fvw_pack_pool(&g_array_index(v->pools, struct fvw_pool, i), o);
+	pk_arr(o, v->vms->len);
+	for (i = 0; i < v->vms->len; i++) {
+		const struct fvw_vm *vm =
+			&g_array_index(v->vms, struct fvw_vm, i);
+
+		pk_arr(o, 4);
+		pk_cstr(o, vm->name);
+		pk_i(o, vm->pool);
+		pk_u(o, vm->epoch);
+		pk_bool(o, vm->drained);
+	}
+	pk_arr(o, v->drained->len);
+	for (i = 0; i < v->drained->len; i++)
+		pk_cstr(o, g_ptr_array_index(v->drained, i));
+}
+
+static void fvw_pack_pool(const struct fvw_pool *p, struct pk_out *o)
+{
+	pk_arr(o, 9);
+	pk_cstr(o, p->name);
+	pk_cstr(o, p->service);
+	pk_i(o, p->slots);
+	pk_i(o, p->conns);
+	pk_i(o, p->deadline_ms);
+	pk_i(o, p->max_answer);
+	pk_i(o, p->max_body);
+	pk_i(o, p->queue_ms);
+	pk_i(o, p->priority);
+}
+
+/*
+ * Reads a packed view with every check: format, limits, names in strict
+ * order, one pool a service, each VM in a pool that exists. NULL with
+ * ERR_INPUT; the caller then goes on with the view it has.
+ */
+struct fvw *fvw_unpack(struct lstr bytes, GError **err)
+{
+	struct fvw *v;
+	struct pk_in in;
+	bool ok;
+
+	if (!pk_in_init(&in, bytes)) {
+		err_set(err, ERR_INPUT, "read view", NULL, "not a message");
+		return NULL;
+	}
+	v = fvw_new(0);
+	ok = fvw_get(&in, v, err);
+	pk_in_done(&in);
+	if (ok)
+		return v;
+	fvw_free(v);
+	return NULL;
+}
+
+static bool fvw_get(struct pk_in *in, struct fvw *v, GError **err)
+{
+	uint64_t format = pk_get_u(in);
+
+	v->version = pk_get_u(in);
+	if (!pk_in_ok(in) || format != FVW_FORMAT) {
+		err_set(err, ERR_INPUT, "read view", NULL,
+			"format %llu; allowed: %d", (unsigned long long)format,
+			FVW_FORMAT);
+		return false;
+	}
+	if (!fvw_get_pools(in, v, err) || !fvw_get_vms(in, v, err) ||
+	    !fvw_get_drained(in, v, err))
+		return false;
+	if (!pk_in_ok(in) || pk_in_left(in) != 0)
+		return fvw_bad(err, "fields", 0);
+	fvw_index(v);
+	return fvw_services_differ(v, err);
+}
+
+static bool fvw_get_pools(struct pk_in *in, struct fvw *v, GError **err)
+{
+	struct pk_in list = pk_get_arr(in);
+	const char *last = "";
+	guint i;
+
+	if (!pk_in_ok(&list) || pk_in_left(&list) > FVW_POOLS_MAX)
+		return fvw_bad(err, "pools", 0);
+	for (i = 0; pk_in_left(&list); i++) {
+		struct pk_in one = pk_get_arr(&list);
+		struct fvw_pool p = {0};
+		bool named = fvw_get_name(&one, &p.name) &&
+			     fvw_get_name(&one, &p.service);
+
+		p.slots = (int)fvw_get_num(&one, INT32_MAX);
+		p.conns = (int)fvw_get_num(&one, INT32_MAX);
+		p.deadline_ms = fvw_get_num(&one, INT64_MAX);
+		p.max_answer = fvw_get_num(&one, INT64_MAX);
+		p.max_body = fvw_get_num(&one, INT64_MAX);
+		p.queue_ms = (int)fvw_get_num(&one, INT32_MAX);
+		p.priority = (int)fvw_get_num(&one, INT32_MAX);
+		g_array_append_val(v->pools, p);
+		if (!named || !pk_in_ok(&one) || pk_in_left(&one) ||
+		    strcmp(p.name, last) <= 0 || p.slots == 0 || p.conns == 0)
+			return fvw_bad(err, "pool", i);
+		last = p.name;
+	}
+	return true;
+}
+
+static bool fvw_get_vms(struct pk_in *in, struct fvw *v, GError **err)
+{
+	struct pk_in list = pk_get_arr(in);
+	const char *last = "";
+	guint i;
+
+	if (!pk_in_ok(&list) || pk_in_left(&list) > FVW_VMS_MAX)
+		return fvw_bad(err, "VMs", 0);
+	for (i = 0; pk_in_left(&list); i++) {
+		struct pk_in one = pk_get_arr(&list);
+		struct fvw_vm vm = {0};
+		bool named = fvw_get_name(&one, &vm.name);
+
+		vm.pool = (int)fvw_get_num(&one, INT32_MAX);
+		vm.epoch = pk_get_u(&one);
+		vm.drained = pk_get_bool(&one);
+		g_array_append_val(v->vms, vm);
+		if (!named || !pk_in_ok(&one) || pk_in_left(&one) ||
+		    (guint)vm.pool >= v->pools->len ||
+		    strcmp(vm.name, last) <= 0)
+			return fvw_bad(err, "VM", i);
+		last = vm.name;
+	}
+	return true;
+}
+
+static bool fvw_get_drained(struct pk_in *in, struct fvw *v, GError **err)
+{
+	struct pk_in list = pk_get_arr(in);
+	const char *last = "";
+	char *name;
+	guint i;
+
+	if (!pk_in_ok(&list) || pk_in_left(&list) > FVW_DRAINED_MAX)
+		return fvw_bad(err, "drained targets", 0);
+	for (i = 0; pk_in_left(&list); i++) {
+		if (!fvw_get_name(&list, &name))
+			return fvw_bad(err, "drained target", i);
+		g_ptr_array_add(v->drained, name);
+		if (strcmp(name, last) <= 0)
+			return fvw_bad(err, "drained target", i);
+		last = name;
+	}
+	return true;
+}
+
+/* A name that is not empty and holds printable ASCII without blanks. */
+static bool fvw_get_name(struct pk_in *in, char **out)
+{
+	struct lstr s = pk_get_str(in);
+	size_t i;
+
+	if (s.len == 0 || s.len > FVW_NAME_MAX)
+		return false;
+	for (i = 0; i < s.len; i++)
+		if (!g_ascii_isgraph(s.p[i]))
+			return false;
+	*out = lstr_dup(s);
+	return true;
+}
+
+static int64_t fvw_get_num(struct pk_in *in, int64_t max)
+{
+	int64_t n = pk_get_i(in);
+
+	if (n >= 0 && n <= max)
+		return n;
+	in->bad = true;
+	return 0;
+}
+
+/* Two pools of one service would leave open whose limits a request keeps. */
+static bool fvw_services_differ(const struct fvw *v, GError **err)
+{
+	guint i;
+
+	for (i = 1; i < v->services->len; i++) {
+		guint *at = &g_array_index(v->services, guint, i);
+
+		if (fvw_by_service(at - 1, at, (gpointer)v) == 0)
+			return fvw_bad(err, "service of pool", *at);
+	}
+	return true;
+}
+
+static bool fvw_bad(GError **err, const char *what, guint at)
+{
+	err_set(err, ERR_INPUT, "read view", NULL, "%s %u not allowed", what,
+		at);
+	return false;
+}
+
+/* The pool that serves a service, or NULL. */
+const struct fvw_pool *fvw_service(const struct fvw *v, struct lstr service)
+{
+	guint low = 0;
+	guint high = v->services->len;
+
+	g_assert(v->services->len == v->pools->len);
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		guint at = g_array_index(v->services, guint, mid);
+		const struct fvw_pool *p =
+			&g_array_index(v->pools, struct fvw_pool, at);
+		int c = lstr_cmp(service, lstr_from(p->service));
+
+		if (c == 0)
+			return p;
+		if (c < 0)
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return NULL;
+}
+
+/* The VM of that name, or NULL. */
+const struct fvw_vm *fvw_vm(const struct fvw *v, struct lstr name)
+{
+	guint low = 0;
+	guint high = v->vms->len;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		const struct fvw_vm *vm =
+			&g_array_index(v->vms, struct fvw_vm, mid);
+		int c = lstr_cmp(name, lstr_from(vm->name));
+
+		if (c == 0)
+			return vm;
+		if (c < 0)
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return NULL;
+}
+
+/* Whether an operator drained the target of that name. */
+bool fvw_target_drained(const struct fvw *v, struct lstr target)
+{
+	guint i;
+
+	/* Few are drained by name at any time, so a walk is enough. */
+	for (i = 0; i < v->drained->len; i++)
+		if (lstr_eq(target,
+			    lstr_from(g_ptr_array_index(v->drained, i))))
+			return true;
+	return false;
+}
--- a/src/fvw.h
+++ b/src/fvw.h
@@ -35,13 +35,23 @@
 	uint64_t version;
 	GArray *pools; /* struct fvw_pool by name */
 	GArray *vms; /* struct fvw_vm by name */
+	GPtrArray *drained; /* char *: targets drained by name, in order */
+	GArray *services; /* guint: pools by service; made by fvw_index */
 };
 
+/* Limits that every view keeps; a view beyond them is refused. */
+#define FVW_POOLS_MAX 1024
+#define FVW_VMS_MAX 20000
+#define FVW_DRAINED_MAX 4096
+#define FVW_NAME_MAX 63
+
 struct fvw *fvw_new(uint64_t version);
 void fvw_free(struct fvw *v);
+void fvw_index(struct fvw *v);
 void fvw_pack(const struct fvw *v, struct pk_out *o);
 struct fvw *fvw_unpack(struct lstr bytes, GError **err);
 const struct fvw_pool *fvw_service(const struct fvw *v, struct lstr service);
 const struct fvw_vm *fvw_vm(const struct fvw *v, struct lstr name);
+bool fvw_target_drained(const struct fvw *v, struct lstr target);
 
 #endif
--- /dev/null
+++ b/tests/unit/fvw_test.c
@@ -0,0 +1,99 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "fvw.h"
+
+static struct fvw *sample(void)
+{
+	struct fvw *v = fvw_new(7);
+	struct fvw_pool draft = {
+		.name = g_strdup("a-draft"),
+		.service = g_strdup("z"),
+		.slots = 8,
+		.conns = 64,
+	};
+	struct fvw_pool check = {
+		.name = g_strdup("b-check"),
+		.service = g_strdup("c"),
+		.slots = 8,
+		.conns = 64,
+	};
+	struct fvw_vm vm = {.name = g_strdup("w1"), .pool = 1, .epoch = 3};
+
+	g_array_append_val(v->pools, draft);
+	g_array_append_val(v->pools, check);
+	g_array_append_val(v->vms, vm);
+	g_ptr_array_add(v->drained, g_strdup("w1:8080"));
+	fvw_index(v);
+	return v;
+}
+
+static void what_is_packed_is_found_again(void **state)
+{
+	struct fvw *v = sample();
+	struct fvw *got;
+	struct pk_out o;
+	GError *err = NULL;
+
+	pk_out_init(&o);
+	fvw_pack(v, &o);
+	got = fvw_unpack(pk_out_view(&o), &err);
+	assert_non_null(got);
+	assert_int_equal(got->version, 7);
+	assert_string_equal(fvw_service(got, LSTR("z"))->name, "a-draft");
+	assert_null(fvw_service(got, LSTR("a-draft")));
+	assert_int_equal(fvw_vm(got, LSTR("w1"))->epoch, 3);
+	assert_null(fvw_vm(got, LSTR("w")));
+	assert_true(fvw_target_drained(got, LSTR("w1:8080")));
+	fvw_free(got);
+	fvw_free(v);
+	pk_out_done(&o);
+}
+
+static void assert_refused(const struct fvw *v)
+{
+	struct pk_out o;
+	GError *err = NULL;
+
+	pk_out_init(&o);
+	fvw_pack(v, &o);
+	assert_null(fvw_unpack(pk_out_view(&o), &err));
+	assert_non_null(err);
+	g_clear_error(&err);
+	pk_out_done(&o);
+}
+
+/*
+ * A neighbour of another release sends a view with two pools of one service,
+ * or a VM in a pool that is not there. Taken in, requests would be placed by
+ * another pool's limits; it is refused as a whole and the old view stays.
+ */
+static void views_that_contradict_themselves_are_refused(void **state)
+{
+	struct fvw *v = sample();
+	struct fvw_vm *vm = &g_array_index(v->vms, struct fvw_vm, 0);
+	struct fvw_pool *p = &g_array_index(v->pools, struct fvw_pool, 0);
+
+	vm->pool = 2;
+	assert_refused(v);
+	vm->pool = 1;
+	p->service[0] = 'c';
+	assert_refused(v);
+	p->service[0] = 'z';
+	p->name[0] = 'c';
+	assert_refused(v);
+	fvw_free(v);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(what_is_packed_is_found_again),
+		cmocka_unit_test(views_that_contradict_themselves_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
