--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # endiveslip: make demo, make check, make bench, make soak, make capacity.
 # Every src/*.c but main_*.c goes into the library; every main_X.c is a
-# program of the product; every tools/X.c is a stand-in or measuring tool.
+# program of the product; every tools/endive-X.c is a stand-in or measuring
+# tool, and the other tools/*.c are what these share.
 
 PREFIX ?= /usr/local
 DESTDIR ?=
@@ -21,7 +22,8 @@
 B = build
 LIB_SRC := $(sort $(filter-out src/main_%.c,$(wildcard src/*.c)))
 MAINS := $(sort $(patsubst src/main_%.c,%,$(wildcard src/main_*.c)))
-TOOLS := $(sort $(patsubst tools/%.c,%,$(wildcard tools/*.c)))
+TOOLS := $(sort $(patsubst tools/%.c,%,$(wildcard tools/endive-*.c)))
+TOOL_SRC := $(sort $(filter-out tools/endive-%.c,$(wildcard tools/*.c)))
 UNITS := $(sort $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/*_test.c)))
 PROPS := $(sort $(patsubst tests/prop/%.cc,%,$(wildcard tests/prop/*_prop.cc)))
 FUZZ := $(sort $(patsubst tests/fuzz/%.c,%,$(wildcard tests/fuzz/*_fuzz.c)))
@@ -111,7 +113,8 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(TOOLS:%=$(B)/bin/%): $(B)/bin/%: $(B)/obj/tools/%.o $(LIB)
+$(TOOLS:%=$(B)/bin/%): $(B)/bin/%: $(B)/obj/tools/%.o \
+		$(TOOL_SRC:%.c=$(B)/obj/%.o) $(LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
@@ -121,7 +124,8 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS)
 
-$(TOOLS:%=$(B)/san/bin/%): $(B)/san/bin/%: $(B)/san/obj/tools/%.o $(SAN_LIB)
+$(TOOLS:%=$(B)/san/bin/%): $(B)/san/bin/%: $(B)/san/obj/tools/%.o \
+		$(TOOL_SRC:%.c=$(B)/san/obj/%.o) $(SAN_LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS)
--- /dev/null
+++ b/tools/ctl.h
@@ -0,0 +1,17 @@
+#ifndef CTL_H
+#define CTL_H
+
+#include <evhtp.h>
+#include <glib.h>
+#include <stdbool.h>
+
+/* Control ports of the stand-ins: small HTTP servers for tests and scripts. */
+
+#define CTL_BACKLOG 1024
+
+bool ctl_bind(evhtp_t *htp, const char *program, const char *addr);
+void ctl_reply(evhtp_request_t *req, evhtp_res code, const char *text);
+evhtp_query_t *ctl_form(evhtp_request_t *req);
+int ctl_word(const char *const *words, int n, const char *word);
+
+#endif
--- a/tools/endive-target.c
+++ b/tools/endive-target.c
@@ -4,12 +4,12 @@
 #include <event2/http.h>
 #include <evhtp.h>
 #include <glib.h>
-#include <errno.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 
 #include "addr.h"
+#include "ctl.h"
 #include "lstr.h"
 #include "set.h"
 #include "tmr.h"
@@ -19,7 +19,6 @@
 #define BODY_MAX (64u << 20)
 #define ANSWER_MAX (64u << 20)
 #define WORK_MS_MAX (24 * 3600 * 1000)
-#define BACKLOG 1024
 #define ANNOUNCE_MS 1000
 #define ANNOUNCE_TIMEOUT_S 1
 #define LEAVE_CHECK_MS 20
@@ -186,12 +185,6 @@
 	header_add(req, key, text);
 }
 
-static void reply_text(evhtp_request_t *req, evhtp_res code, const char *text)
-{
-	evbuffer_add_printf(req->buffer_out, "%s", text);
-	evhtp_send_reply(req, code);
-}
-
 /* The identity by which runs are counted. */
 static char *work_identity(struct stand *s, evhtp_request_t *req)
 {
@@ -352,7 +345,7 @@
 
 	count_run(t->stand, id);
 	g_free(id);
-	reply_text(req, EVHTP_RES_SERVERR, "failed\n");
+	ctl_reply(req, EVHTP_RES_SERVERR, "failed\n");
 }
 
 static void refuse(struct target *t, evhtp_request_t *req)
@@ -360,7 +353,7 @@
 	t->stand->refused++;
 	header_add(req, "Retry-After", "1");
 	header_add_number(req, "Endive-Busy", (size_t)t->busy);
-	reply_text(req, EVHTP_RES_SERVUNAVAIL, "no slot\n");
+	ctl_reply(req, EVHTP_RES_SERVUNAVAIL, "no slot\n");
 }
 
 static void serve(evhtp_request_t *req, void *arg)
@@ -373,7 +366,7 @@
 
 	g_free(path);
 	if (!known) {
-		reply_text(req, EVHTP_RES_NOTFOUND, "no such path\n");
+		ctl_reply(req, EVHTP_RES_NOTFOUND, "no such path\n");
 		return;
 	}
 	if (s->fault == FAULT_REFUSE || t->busy >= s->opt.slots) {
@@ -590,35 +583,24 @@
 	evhtp_send_reply(req, EVHTP_RES_OK);
 }
 
-static bool fault_parse(const char *name, enum fault *out)
-{
-	int i;
-
-	for (i = 0; i < FAULTS; i++) {
-		if (strcmp(name, fault_names[i]) != 0)
-			continue;
-		*out = (enum fault)i;
-		return true;
-	}
-	return false;
-}
-
 /* Takes "kind=NAME", "factor=N" or both; nothing of a bad one. */
 static bool fault_set(struct stand *s, evhtp_query_t *form)
 {
 	const char *kind = evhtp_kv_find(form, "kind");
 	const char *factor = evhtp_kv_find(form, "factor");
 	unsigned long long times = (unsigned long long)s->opt.factor;
-	enum fault fault = s->fault;
+	int fault = (int)s->fault;
 
 	if (!kind && !factor)
 		return false;
-	if (kind && !fault_parse(kind, &fault))
+	if (kind)
+		fault = ctl_word(fault_names, FAULTS, kind);
+	if (fault < 0)
 		return false;
 	if (factor && (!lstr_u64(lstr_from(factor), &times) || times < 1 ||
 		       times > FACTOR_MAX))
 		return false;
-	s->fault = fault;
+	s->fault = (enum fault)fault;
 	s->opt.factor = (long long)times;
 	return true;
 }
@@ -626,35 +608,19 @@
 static void control_fault(evhtp_request_t *req, void *arg)
 {
 	struct stand *s = arg;
-	size_t len = evbuffer_get_length(req->buffer_in);
-	const char *text = (const char *)evbuffer_pullup(req->buffer_in, -1);
-	evhtp_query_t *form = len ? evhtp_parse_query(text, len) : NULL;
+	evhtp_query_t *form = ctl_form(req);
 	bool ok = form && fault_set(s, form);
 
 	if (form)
 		evhtp_kvs_free(form);
-	reply_text(req, ok ? EVHTP_RES_OK : EVHTP_RES_BADREQ,
-		   ok ? "ok\n"
-		      : "allowed: kind=" FAULT_WORDS " and factor=N\n");
+	ctl_reply(req, ok ? EVHTP_RES_OK : EVHTP_RES_BADREQ,
+		  ok ? "ok\n" : "allowed: kind=" FAULT_WORDS " and factor=N\n");
 }
 
 static void control_leave(evhtp_request_t *req, void *arg)
 {
 	leave(arg);
-	reply_text(req, EVHTP_RES_OK, "leaving\n");
-}
-
-static bool bind_addr(evhtp_t *htp, const char *addr)
-{
-	uint16_t port;
-	char *ip = addr_split(addr, &port);
-	bool ok = evhtp_bind_socket(htp, ip, port, BACKLOG) == 0;
-
-	if (!ok)
-		fprintf(stderr, PROGRAM ": listen on %s: %s\n", addr,
-			g_strerror(errno));
-	g_free(ip);
-	return ok;
+	ctl_reply(req, EVHTP_RES_OK, "leaving\n");
 }
 
 static char *target_name(const struct options *opt, const char *base, int i)
@@ -683,25 +649,13 @@
 	randombytes_buf(&t->boot, sizeof(t->boot));
 	evhtp_set_max_body_size(t->htp, BODY_MAX);
 	evhtp_set_gencb(t->htp, serve, t);
-	ok = bind_addr(t->htp, addr);
+	ok = ctl_bind(t->htp, PROGRAM, addr);
 	g_free(addr);
 	if (ok && opt->announce)
 		announce(t, 0);
 	return ok;
 }
 
-static void target_stop(struct target *t)
-{
-	if (t->conn)
-		evhttp_connection_free(t->conn);
-	evhtp_unbind_socket(t->htp);
-	evhtp_free(t->htp);
-	g_free(t->home);
-	g_free(t->name);
-	g_free(t->vm);
-	g_free(t->addr);
-}
-
 static bool stand_start(struct stand *s)
 {
 	int i;
@@ -711,7 +665,7 @@
 	evhtp_set_cb(s->control, "/status", control_status, s);
 	evhtp_set_cb(s->control, "/fault", control_fault, s);
 	evhtp_set_cb(s->control, "/leave", control_leave, s);
-	if (!bind_addr(s->control, s->opt.control))
+	if (!ctl_bind(s->control, PROGRAM, s->opt.control))
 		return false;
 	for (i = 0; i < s->opt.count; i++)
 		if (!target_start(s, &s->targets[i], i))
@@ -720,29 +674,14 @@
 }
 
 /*
- * Open connections of callers and work in slots end with the process; only
- * what holds a socket of its own is put down in order.
+ * Static, and not taken apart at the end: the connections that callers keep
+ * open belong to the library, which has no call that ends them all.
  */
-static void stand_stop(struct stand *s)
-{
-	int i;
-
-	for (i = 0; i < s->opt.count; i++)
-		if (s->targets[i].htp)
-			target_stop(&s->targets[i]);
-	evhtp_unbind_socket(s->control);
-	evhtp_free(s->control);
-	g_hash_table_destroy(s->runs);
-	tmr_free(s->tmr);
-	g_free(s->targets);
-}
+static struct stand stand = {.last_work_after_leave = -1};
 
 int main(int argc, char **argv)
 {
-	struct stand s = {.last_work_after_leave = -1};
-	struct event *term;
-	struct event *intr;
-	bool ok;
+	struct stand *s = &stand;
 	int rc = set_parse(PROGRAM,
 			   "Stand-in target: announces itself to entry VMs and "
 			   "answers /SERVICE/work?ms=N&size=N.",
@@ -751,23 +690,18 @@
 	if (rc != -1)
 		return rc;
 	signal(SIGPIPE, SIG_IGN);
-	s.opt = options;
+	s->opt = options;
 	if (options.fault)
-		fault_parse(options.fault, &s.fault);
-	s.base = event_base_new();
-	s.tmr = tmr_new(s.base);
-	s.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	s.targets = g_new0(struct target, (gsize)options.count);
-	term = evsignal_new(s.base, SIGTERM, leave_signal, &s);
-	intr = evsignal_new(s.base, SIGINT, leave_signal, &s);
-	event_add(term, NULL);
-	event_add(intr, NULL);
-	ok = stand_start(&s);
-	if (ok)
-		event_base_dispatch(s.base);
-	event_free(term);
-	event_free(intr);
-	stand_stop(&s);
-	event_base_free(s.base);
-	return ok ? 0 : 1;
+		s->fault = (enum fault)ctl_word(fault_names, FAULTS,
+						options.fault);
+	s->base = event_base_new();
+	s->tmr = tmr_new(s->base);
+	s->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->targets = g_new0(struct target, (gsize)options.count);
+	event_add(evsignal_new(s->base, SIGTERM, leave_signal, s), NULL);
+	event_add(evsignal_new(s->base, SIGINT, leave_signal, s), NULL);
+	if (!stand_start(s))
+		return 1;
+	event_base_dispatch(s->base);
+	return 0;
 }
