--- /dev/null
+++ b/src/ent.c
@@ -0,0 +1,148 @@
+#include "ent_int.h"
+
+#include "msg.h"
+
+/* Largest body of any request; pools may allow less. */
+#define ENT_BODY_MAX (8u << 20)
+
+/* A sender that pauses for longer holds a connection for nothing. */
+#define ENT_SLOW_MS 15000
+
+#define ENT_ADMIN_BODY_MAX 4096
+#define ENT_ADMIN_CONNS_MAX 4096
+
+#define ENT_TICK_MS 100
+
+static void ent_tick(void *arg, int64_t now);
+static void ent_stop_accepting(void *arg, int64_t now);
+static void ent_stop_now(void *arg, int64_t now);
+
+/* Starts the daemon's parts on config->base. NULL with the step that failed. */
+struct ent *ent_new(const struct ent_config *config, GError **err)
+{
+	struct ent *e = g_new0(struct ent, 1);
+
+	e->config = *config;
+	e->tmr = tmr_new(config->base);
+	e->ups = ups_new(config->base, e->tmr);
+	e->adm = adm_new(&(struct adm_config){
+		.seed = g_str_hash(config->node),
+		.entries = 1,
+	});
+	e->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e->peers = g_ptr_array_new_with_free_func(ent_peer_free);
+	e->zones = g_ptr_array_new_with_free_func(g_free);
+	e->requests = g_ptr_array_new();
+	g_ptr_array_add(e->zones, g_strdup(config->zone));
+	e->targets = tgt_table_new(&ent_target_ops, e);
+	e->wire = wire_new(&(struct wire_config){
+		.base = config->base,
+		.tmr = e->tmr,
+		.keys = config->keys,
+		.node = config->node,
+		.zone = config->zone,
+		.silence_ms = config->silence_ms,
+	});
+	e->admin = srv_new(
+		&(struct srv_config){
+			.base = config->base,
+			.tmr = e->tmr,
+			.addr = config->admin,
+			.max_body = ENT_ADMIN_BODY_MAX,
+			.slow_ms = ENT_SLOW_MS,
+			.max_conns = ENT_ADMIN_CONNS_MAX,
+		},
+		&ent_admin_ops, e, err);
+	if (e->admin)
+		e->callers = srv_new(
+			&(struct srv_config){
+				.base = config->base,
+				.tmr = e->tmr,
+				.addr = config->listen,
+				.max_body = ENT_BODY_MAX,
+				.slow_ms = ENT_SLOW_MS,
+				.max_conns = (int)config->max_conns,
+			},
+			&ent_caller_ops, e, err);
+	if (!e->callers || !ent_peer_start(e, err)) {
+		ent_free(e);
+		return NULL;
+	}
+	tmr_every(e->tmr, ENT_TICK_MS, ent_tick, e);
+	msg(MSG_START, "node=%s zone=%s listen=%s admin=%s", config->node,
+	    config->zone, config->listen, config->admin);
+	return e;
+}
+
+/* Ends at once; requests without answers are cut. */
+void ent_free(struct ent *e)
+{
+	if (!e)
+		return;
+	srv_free(e->callers);
+	srv_free(e->admin);
+	ups_free(e->ups);
+	wire_free(e->wire);
+	g_ptr_array_free(e->peers, TRUE);
+	tgt_table_free(e->targets);
+	adm_free(e->adm);
+	g_ptr_array_free(e->requests, TRUE);
+	g_hash_table_destroy(e->pools);
+	g_ptr_array_free(e->zones, TRUE);
+	fvw_free(e->view);
+	g_clear_pointer(&e->view_bytes, g_bytes_unref);
+	tmr_free(e->tmr);
+	g_free(e);
+}
+
+/*
+ * A planned stop. First only the health page fails, so that the balancer
+ * sends nothing new, while everything is still served; then new connections
+ * are refused and each answer closes its own; the loop ends with the last
+ * request in flight.
+ */
+void ent_drain(struct ent *e)
+{
+	if (e->draining)
+		return;
+	e->draining = true;
+	msg(MSG_ENT_DRAIN, "pending=%u", e->requests->len);
+	ent_peer_tell_room(e);
+	tmr_once(e->tmr, e->config.drain_ms, ent_stop_accepting, e);
+}
+
+/* Now, in microseconds of the clock that the admission is given. */
+int64_t ent_now_us(const struct ent *e)
+{
+	return tmr_now(e->tmr) * ENT_US_PER_MS;
+}
+
+static void ent_tick(void *arg, int64_t now)
+{
+	struct ent *e = arg;
+
+	tgt_tick(e->targets, now);
+	ent_pump(e);
+	if (e->stopping && srv_stats(e->callers).pending == 0 &&
+	    srv_stats(e->callers).open == 0)
+		ent_stop_now(e, now);
+}
+
+static void ent_stop_accepting(void *arg, int64_t now)
+{
+	struct ent *e = arg;
+
+	e->stopping = true;
+	srv_stop_accepting(e->callers);
+	srv_drain(e->callers);
+	tmr_once(e->tmr, e->config.stop_ms, ent_stop_now, e);
+}
+
+static void ent_stop_now(void *arg, int64_t now)
+{
+	struct ent *e = arg;
+
+	msg(MSG_STOP, "node=%s pending=%u", e->config.node, e->requests->len);
+	event_base_loopbreak(e->config.base);
+}
--- /dev/null
+++ b/src/ent_req.c
@@ -0,0 +1,527 @@
+#include "ent_int.h"
+
+#include "hdr.h"
+#include "msg.h"
+
+/* Verdicts taken from the admission at once. */
+#define ENT_POLL_MAX 64
+
+/*
+ * A target that does not take a connection in this time gets no request;
+ * zones are about a millisecond apart, and the request is safe to place
+ * elsewhere, as no byte of it was sent.
+ */
+#define ENT_CONNECT_MS 250
+
+#define ENT_ID_MAX 80
+
+/* A caller's request, from its arrival to its answer. */
+struct ent_req {
+	struct ent *e;
+	struct srv_req *srv; /* NULL once the caller has left */
+	struct ups_call *call;
+	adm_ticket ticket;
+	uint64_t target; /* id; 0: sent to another zone, or waiting */
+	const struct ent_pool *pool;
+	enum evhttp_cmd_type method;
+	int64_t deadline_ms; /* moment */
+	int64_t sent_us;
+	bool repeatable;
+	bool may_have_run; /* bytes of some attempt reached a target */
+	bool streaming;
+	char id[ENT_ID_MAX];
+};
+
+/* What a caller is told of a request that was given up. */
+struct ent_refusal {
+	int status;
+	const char *outcome;
+	const char *reason;
+	uint32_t retry_after_ms;
+};
+
+static void ent_request(void *arg, struct srv_req *srv);
+static void ent_gone(void *arg, struct srv_req *srv);
+static void ent_room(void *arg, struct srv_req *srv);
+static void ent_call_start(void *arg, const struct ups_answer *a);
+static bool ent_call_part(void *arg, const struct ups_answer *a);
+static void ent_call_end(void *arg, enum ups_end end,
+			 const struct ups_answer *a);
+static void ent_act(struct ent_req *q, const struct adm_verdict *v);
+static void ent_send(struct ent_req *q, const char *addr, bool hop);
+static void ent_refuse(struct ent_req *q, const struct adm_verdict *v,
+		       int status);
+static void ent_give_up(struct ent_req *q, const struct ent_refusal *why);
+static void ent_deliver(struct ent_req *q, const struct ups_answer *a);
+static void ent_settle(struct ent_req *q, const struct adm_result *res);
+static void ent_req_free(struct ent_req *q);
+static void ent_poll_due(void *arg, int64_t now);
+
+const struct srv_ops ent_caller_ops = {
+	.request = ent_request,
+	.gone = ent_gone,
+	.room = ent_room,
+};
+
+static const struct ups_ops ent_call_ops = {
+	.start = ent_call_start,
+	.part = ent_call_part,
+	.end = ent_call_end,
+};
+
+/* Methods we carry; idempotent ones may be sent again (RFC 9110, 9.2.2). */
+static const struct {
+	const char *name;
+	enum evhttp_cmd_type method;
+	bool idempotent;
+} ent_methods[] = {
+	{"GET", EVHTTP_REQ_GET, true},
+	{"HEAD", EVHTTP_REQ_HEAD, true},
+	{"POST", EVHTTP_REQ_POST, false},
+	{"PUT", EVHTTP_REQ_PUT, true},
+	{"DELETE", EVHTTP_REQ_DELETE, true},
+	{"OPTIONS", EVHTTP_REQ_OPTIONS, true},
+	{"PATCH", EVHTTP_REQ_PATCH, false},
+};
+
+static int ent_method(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ent_methods); i++)
+		if (strcmp(ent_methods[i].name, name) == 0)
+			return (int)i;
+	return -1;
+}
+
+static struct lstr ent_service(const char *path)
+{
+	struct lstr s = lstr_from(path);
+	struct lstr head;
+	struct lstr tail;
+
+	if (s.len && s.p[0] == '/')
+		s = lstr_n(s.p + 1, s.len - 1);
+	lstr_cut(s, '/', &head, &tail);
+	return head;
+}
+
+static int64_t ent_deadline(const struct srv_req *srv,
+			    const struct ent_pool *pool)
+{
+	const char *text = srv_header(srv, HDR_DEADLINE);
+	unsigned long long ms;
+
+	/* No caller may hold a slot for longer than its pool allows. */
+	if (text && lstr_u64(lstr_from(text), &ms) && ms > 0 &&
+	    ms < (unsigned long long)pool->deadline_ms)
+		return (int64_t)ms;
+	return pool->deadline_ms;
+}
+
+static enum adm_class ent_class(const struct srv_req *srv)
+{
+	const char *text = srv_header(srv, HDR_PRIORITY);
+
+	if (text && strcmp(text, "urgent") == 0)
+		return ADM_URGENT;
+	if (text && strcmp(text, "batch") == 0)
+		return ADM_BATCH;
+	return ADM_NORMAL;
+}
+
+static void ent_request(void *arg, struct srv_req *srv)
+{
+	struct ent *e = arg;
+	struct srv_req_info info = srv_info(srv);
+	int m = ent_method(info.method);
+	const char *caller = srv_header(srv, HDR_CALLER);
+	const char *hop = srv_header(srv, HDR_HOP);
+	const struct fvw_pool *vp;
+	struct adm_verdict v;
+	struct ent_req *q;
+
+	e->counts[ENT_REQUESTS]++;
+	q = g_new0(struct ent_req, 1);
+	q->e = e;
+	q->srv = srv;
+	g_snprintf(q->id, sizeof(q->id), "%s-%" G_GUINT64_FORMAT,
+		   e->config.node, ++e->next_request);
+	srv_set_user(srv, q);
+	g_ptr_array_add(e->requests, q);
+	if (m < 0) {
+		ent_give_up(q,
+			    &(struct ent_refusal){501, "not-run", "method", 0});
+		return;
+	}
+	q->method = ent_methods[m].method;
+	q->repeatable = ent_methods[m].idempotent;
+	if (!e->view) {
+		ent_give_up(q, &(struct ent_refusal){503, "not-run",
+						     "no-configuration", 1000});
+		return;
+	}
+	q->pool = ent_pool_of(e, ent_service(info.path), &vp);
+	if (!q->pool) {
+		ent_give_up(q, &(struct ent_refusal){404, "not-run",
+						     "unknown-service", 0});
+		return;
+	}
+	if ((int64_t)evbuffer_get_length(srv_body(srv)) > vp->max_body) {
+		ent_give_up(q, &(struct ent_refusal){413, "not-run",
+						     "body-too-large", 0});
+		return;
+	}
+	if (hop)
+		e->counts[ENT_SHIFTED_IN]++;
+	q->deadline_ms = tmr_now(e->tmr) + ent_deadline(srv, q->pool);
+	v = adm_offer(e->adm, ent_now_us(e),
+		      &(struct adm_request){
+			      .pool = q->pool->id,
+			      .caller =
+				      lstr_from(caller ? caller : info.peer_ip),
+			      .class = ent_class(srv),
+			      .deadline_us = q->deadline_ms * ENT_US_PER_MS,
+			      .repeatable = q->repeatable,
+			      .shifted = hop != NULL,
+		      },
+		      q);
+	ent_act(q, &v);
+	ent_pump(e);
+}
+
+/* Does what the admission has decided for a request. */
+static void ent_act(struct ent_req *q, const struct adm_verdict *v)
+{
+	struct ent *e = q->e;
+	const struct tgt *t;
+	const char *addr;
+
+	q->ticket = v->ticket;
+	q->target = 0;
+	switch (v->kind) {
+	case ADM_RUN:
+		t = tgt_by_id(e->targets, v->target);
+		q->target = v->target;
+		ent_send(q, t->info.addr, false);
+		break;
+	case ADM_QUEUED:
+		break;
+	case ADM_SHIFT:
+		addr = ent_peer_in_zone(e, v->zone);
+		if (!addr) {
+			ent_settle(q, &(struct adm_result){
+					      .outcome = ADM_DONE_UNSENT,
+					      .busy = -1});
+			break;
+		}
+		e->counts[ENT_SHIFTED_OUT]++;
+		ent_send(q, addr, true);
+		break;
+	case ADM_REFUSE:
+		q->ticket = 0;
+		ent_refuse(q, v, 503);
+		break;
+	}
+}
+
+/*
+ * The final answer, at once. It says "not-run" only if no byte of any attempt
+ * reached a target: a caller who sends again something that did run would
+ * have it run twice.
+ */
+static void ent_refuse(struct ent_req *q, const struct adm_verdict *v,
+		       int status)
+{
+	ent_give_up(q, &(struct ent_refusal){
+			       status, q->may_have_run ? "unknown" : "not-run",
+			       adm_reason_name(v->reason), v->retry_after_ms});
+}
+
+/* Starts what can start now, ends what has waited too long. */
+void ent_pump(struct ent *e)
+{
+	struct adm_verdict v[ENT_POLL_MAX];
+	int64_t next = ADM_NEVER;
+	int64_t now;
+	size_t n;
+	size_t i;
+
+	do {
+		now = ent_now_us(e);
+		n = adm_poll(e->adm, now, v, ENT_POLL_MAX, &next);
+		for (i = 0; i < n; i++)
+			ent_act(v[i].user, &v[i]);
+	} while (n == ENT_POLL_MAX);
+	tmr_cancel(e->tmr, e->poll_timer);
+	e->poll_timer = 0;
+	if (next != ADM_NEVER)
+		e->poll_timer = tmr_once(e->tmr,
+					 MAX(1, (next - now + ENT_US_PER_MS -
+						 1) / ENT_US_PER_MS),
+					 ent_poll_due, e);
+}
+
+static void ent_poll_due(void *arg, int64_t now)
+{
+	struct ent *e = arg;
+
+	e->poll_timer = 0;
+	ent_pump(e);
+}
+
+static void ent_add_header(GArray *out, const char *name, const char *value)
+{
+	struct ups_header h = {(char *)name, (char *)value};
+
+	g_array_append_val(out, h);
+}
+
+/* Headers that go on from one side to the other. */
+static GArray *ent_pass_headers(const struct ups_header *in, size_t n)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!hdr_is_hop(in[i].name) && !hdr_is_ours(in[i].name))
+			g_array_append_val(out, in[i]);
+	return out;
+}
+
+static void ent_send(struct ent_req *q, const char *addr, bool hop)
+{
+	struct ent *e = q->e;
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
+	struct srv_req_info info = srv_info(q->srv);
+	int64_t left = q->deadline_ms - tmr_now(e->tmr);
+	char ms[24];
+	GArray *headers;
+
+	srv_headers(q->srv, all);
+	headers = ent_pass_headers((void *)all->data, all->len);
+	ent_add_header(headers, HDR_REQUEST_ID, q->id);
+	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT, MAX(left, 1));
+	if (hop) {
+		ent_add_header(headers, HDR_HOP, e->config.zone);
+		ent_add_header(headers, HDR_DEADLINE, ms);
+	}
+	q->sent_us = ent_now_us(e);
+	q->call = ups_start(e->ups,
+			    &(struct ups_request){
+				    .addr = addr,
+				    .method = q->method,
+				    .uri = info.uri,
+				    .headers = (void *)headers->data,
+				    .n_headers = headers->len,
+				    .body = srv_body(q->srv),
+				    .timeout_ms = MAX(left, 1),
+				    .connect_ms =
+					    MIN(MAX(left, 1), ENT_CONNECT_MS),
+				    .max_answer = q->pool->max_answer,
+			    },
+			    &ent_call_ops, q);
+	g_array_free(headers, TRUE);
+	g_array_free(all, TRUE);
+}
+
+static void ent_call_start(void *arg, const struct ups_answer *a)
+{
+	struct ent_req *q = arg;
+	GArray *headers = ent_pass_headers(a->headers, a->n_headers);
+
+	ent_add_header(headers, HDR_REQUEST_ID, q->id);
+	ent_add_header(headers, HDR_OUTCOME, "ran");
+	q->streaming =
+		q->srv && srv_part_start(q->srv, a->status,
+					 (void *)headers->data, headers->len);
+	g_array_free(headers, TRUE);
+}
+
+static bool ent_call_part(void *arg, const struct ups_answer *a)
+{
+	struct ent_req *q = arg;
+
+	if (q->streaming && q->srv)
+		return srv_part(q->srv, a->body);
+	/* Nobody can take it: read on, so that the connection stays usable. */
+	evbuffer_drain(a->body, evbuffer_get_length(a->body));
+	return true;
+}
+
+static enum adm_outcome ent_outcome(enum ups_end end,
+				    const struct ups_answer *a)
+{
+	static const enum adm_outcome failed[] = {
+		[UPS_NOT_SENT] = ADM_DONE_UNSENT,
+		[UPS_CUT] = ADM_DONE_FAILED,
+		[UPS_BAD] = ADM_DONE_FAILED,
+		[UPS_TIMEOUT] = ADM_DONE_TIMEOUT,
+	};
+	const char *outcome;
+
+	if (end != UPS_WHOLE)
+		return failed[end];
+	outcome = ups_header_find(a, HDR_OUTCOME);
+	if (a->status == 503 && outcome && strcmp(outcome, "not-run") == 0)
+		return ADM_DONE_BUSY;
+	return a->status >= 500 ? ADM_DONE_FAILED : ADM_DONE_OK;
+}
+
+static void ent_call_end(void *arg, enum ups_end end,
+			 const struct ups_answer *a)
+{
+	struct ent_req *q = arg;
+	struct ent *e = q->e;
+	const char *busy = ups_header_find(a, HDR_BUSY);
+	unsigned long long n;
+	struct adm_result res = {
+		.outcome = ent_outcome(end, a),
+		.service_us = ent_now_us(e) - q->sent_us,
+		.busy = -1,
+	};
+
+	q->call = NULL;
+	if (res.outcome == ADM_DONE_FAILED || res.outcome == ADM_DONE_TIMEOUT)
+		q->may_have_run = true;
+	if (busy && lstr_u64(lstr_from(busy), &n) && n < G_MAXINT)
+		res.busy = (int)n;
+	if (!q->srv || q->streaming || res.outcome == ADM_DONE_OK ||
+	    (end == UPS_WHOLE && res.outcome == ADM_DONE_FAILED &&
+	     !q->repeatable)) {
+		adm_done(e->adm, ent_now_us(e), q->ticket, &res);
+		q->ticket = 0;
+		if (end == UPS_WHOLE)
+			ent_deliver(q, a);
+		else if (q->srv && q->streaming) {
+			e->counts[ENT_CUT]++;
+			srv_abort(q->srv);
+			ent_req_free(q);
+		} else
+			ent_req_free(q);
+		ent_pump(e);
+		return;
+	}
+	if (end == UPS_WHOLE && res.outcome == ADM_DONE_FAILED) {
+		/* A whole answer that blames the target: better than none. */
+		struct adm_verdict v =
+			adm_retry(e->adm, ent_now_us(e), q->ticket, &res);
+
+		if (v.kind == ADM_REFUSE) {
+			q->ticket = 0;
+			ent_deliver(q, a);
+		} else {
+			e->counts[ENT_RETRIES]++;
+			ent_act(q, &v);
+		}
+	} else {
+		ent_settle(q, &res);
+	}
+	ent_pump(e);
+}
+
+/*
+ * An attempt gave no answer to pass on. The admission says whether and where
+ * to try again; if not, the caller gets the final answer.
+ */
+static void ent_settle(struct ent_req *q, const struct adm_result *res)
+{
+	struct ent *e = q->e;
+	struct adm_verdict v = adm_retry(e->adm, ent_now_us(e), q->ticket, res);
+
+	if (v.kind != ADM_REFUSE) {
+		e->counts[ENT_RETRIES]++;
+		ent_act(q, &v);
+		return;
+	}
+	q->ticket = 0;
+	if (!q->may_have_run)
+		ent_refuse(q, &v, 503);
+	else
+		ent_refuse(q, &v, res->outcome == ADM_DONE_TIMEOUT ? 504 : 502);
+}
+
+static void ent_deliver(struct ent_req *q, const struct ups_answer *a)
+{
+	GArray *headers;
+
+	q->e->counts[ENT_RAN]++;
+	if (q->srv && q->streaming) {
+		srv_part(q->srv, a->body);
+		srv_part_end(q->srv);
+	} else if (q->srv) {
+		headers = ent_pass_headers(a->headers, a->n_headers);
+		ent_add_header(headers, HDR_REQUEST_ID, q->id);
+		ent_add_header(headers, HDR_OUTCOME, "ran");
+		srv_reply(q->srv, a->status, (void *)headers->data,
+			  headers->len, a->body);
+		g_array_free(headers, TRUE);
+	}
+	ent_req_free(q);
+}
+
+static void ent_give_up(struct ent_req *q, const struct ent_refusal *why)
+{
+	struct ent *e = q->e;
+	bool unknown = strcmp(why->outcome, "unknown") == 0;
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
+	struct evbuffer *body = evbuffer_new();
+	char after[24];
+
+	e->counts[unknown ? ENT_UNKNOWN : ENT_NOT_RUN]++;
+	msg(MSG_REQ, "id=%s status=%d outcome=%s reason=%s", q->id, why->status,
+	    why->outcome, why->reason);
+	ent_add_header(headers, HDR_REQUEST_ID, q->id);
+	ent_add_header(headers, HDR_OUTCOME, why->outcome);
+	ent_add_header(headers, "Content-Type", "text/plain; charset=utf-8");
+	/* Whole seconds, never zero: a caller must not come back at once. */
+	g_snprintf(after, sizeof(after), "%u",
+		   MAX(1u, (why->retry_after_ms + 999) / 1000));
+	if (why->status == 503 || unknown)
+		ent_add_header(headers, "Retry-After", after);
+	evbuffer_add_printf(body, "%s: %s\n", why->outcome, why->reason);
+	if (q->srv)
+		srv_reply(q->srv, why->status, (void *)headers->data,
+			  headers->len, body);
+	evbuffer_free(body);
+	g_array_free(headers, TRUE);
+	ent_req_free(q);
+}
+
+/*
+ * The caller left. What waits or may be repeated is given up; what may not be
+ * runs to its end, since nobody can tell how much of it was done.
+ */
+static void ent_gone(void *arg, struct srv_req *srv)
+{
+	struct ent *e = arg;
+	struct ent_req *q = srv_user(srv);
+
+	q->srv = NULL;
+	e->counts[ENT_LEFT]++;
+	if (q->call && !q->repeatable)
+		return;
+	if (q->call) {
+		ups_cancel(q->call);
+		adm_done(e->adm, ent_now_us(e), q->ticket,
+			 &(struct adm_result){.outcome = ADM_DONE_LEFT,
+					      .busy = -1});
+	} else if (q->ticket) {
+		adm_cancel(e->adm, ent_now_us(e), q->ticket);
+	}
+	ent_req_free(q);
+}
+
+static void ent_room(void *arg, struct srv_req *srv)
+{
+	struct ent_req *q = srv_user(srv);
+
+	if (q->call)
+		ups_more(q->call);
+}
+
+static void ent_req_free(struct ent_req *q)
+{
+	g_ptr_array_remove_fast(q->e->requests, q);
+	g_free(q);
+}
--- /dev/null
+++ b/src/ent_view.c
@@ -0,0 +1,102 @@
+#include "ent_int.h"
+
+#include "msg.h"
+
+static void ent_view_pools(struct ent *e);
+static void ent_view_pool(struct ent *e, const struct fvw_pool *p);
+
+/*
+ * Works by a view from now on if it is newer than ours; from names who told.
+ * False: not newer, or not a view. A view never goes back: an older one may
+ * come late from a neighbour that was cut off.
+ */
+bool ent_view_take(struct ent *e, struct lstr bytes, const char *from)
+{
+	GError *err = NULL;
+	struct fvw *view = fvw_unpack(bytes, &err);
+
+	if (!view) {
+		msg(MSG_ENT_CONFIG_BAD, "from=%s why=\"%s\"", from,
+		    err->message);
+		g_clear_error(&err);
+		return false;
+	}
+	if (e->view && view->version <= e->view->version) {
+		fvw_free(view);
+		return false;
+	}
+	fvw_free(e->view);
+	g_clear_pointer(&e->view_bytes, g_bytes_unref);
+	e->view = view;
+	e->view_bytes = g_bytes_new(bytes.p, bytes.len);
+	e->view_since = tmr_now(e->tmr);
+	ent_view_pools(e);
+	tgt_review(e->targets);
+	msg(MSG_ENT_CONFIG, "version=%" G_GUINT64_FORMAT " from=%s",
+	    view->version, from);
+	ent_peer_tell_view(e);
+	ent_pump(e);
+	return true;
+}
+
+/* The pool that serves a service, or NULL; *pool is its part of the view. */
+const struct ent_pool *ent_pool_of(struct ent *e, struct lstr service,
+				   const struct fvw_pool **pool)
+{
+	*pool = e->view ? fvw_service(e->view, service) : NULL;
+	if (!*pool)
+		return NULL;
+	return g_hash_table_lookup(e->pools, (*pool)->name);
+}
+
+/* Counts entry VMs again: each takes its share of slots and of others' room. */
+void ent_entries_changed(struct ent *e)
+{
+	int ours = 1;
+	int away = 0;
+	guint i;
+
+	for (i = 0; i < e->peers->len; i++) {
+		const struct ent_peer *p = g_ptr_array_index(e->peers, i);
+
+		if (!p->http || !wire_is_up(p->conn))
+			continue;
+		if (strcmp(p->zone, e->config.zone) == 0)
+			ours++;
+		else
+			away++;
+	}
+	adm_set_entries(e->adm, ours, away);
+}
+
+static void ent_view_pools(struct ent *e)
+{
+	guint i;
+
+	for (i = 0; i < e->view->pools->len; i++)
+		ent_view_pool(e, &g_array_index(e->view->pools, struct fvw_pool,
+						i));
+}
+
+static void ent_view_pool(struct ent *e, const struct fvw_pool *p)
+{
+	struct ent_pool *pool = g_hash_table_lookup(e->pools, p->name);
+
+	if (!pool) {
+		if (g_hash_table_size(e->pools) >= ADM_POOLS_MAX)
+			return;
+		pool = g_new0(struct ent_pool, 1);
+		pool->id = g_hash_table_size(e->pools);
+		g_hash_table_insert(e->pools, g_strdup(p->name), pool);
+	}
+	pool->deadline_ms = p->deadline_ms;
+	pool->max_answer = p->max_answer;
+	adm_pool_set(e->adm, pool->id,
+		     &(struct adm_pool_spec){
+			     .slots = p->slots,
+			     .conns = p->conns,
+			     .queue_us = (int64_t)p->queue_ms * ENT_US_PER_MS,
+			     .deadline_us = p->deadline_ms * ENT_US_PER_MS,
+			     .priority = p->priority,
+		     });
+}
--- a/src/hdr.c
+++ b/src/hdr.c
@@ -11,6 +11,13 @@
 	"Host",	      "Expect",
 };
 
+static const char *const hdr_ours[] = {
+	HDR_REQUEST_ID,
+	HDR_OUTCOME,
+	HDR_HOP,
+	HDR_BUSY,
+};
+
 /*
  * Takes one header into account. Two lengths, a length beside an encoding, or
  * an encoding other than "chunked" make the message bad: two readers would
@@ -47,8 +54,13 @@
 	return false;
 }
 
-/* Whether a header is this system's own; nobody else's is believed. */
+/* Whether a header is this system's own: what others say there is dropped. */
 bool hdr_is_ours(const char *name)
 {
-	return g_ascii_strncasecmp(name, "Endive-", 7) == 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(hdr_ours); i++)
+		if (g_ascii_strcasecmp(name, hdr_ours[i]) == 0)
+			return true;
+	return false;
 }
--- a/src/hdr.h
+++ b/src/hdr.h
@@ -9,6 +9,19 @@
  * libraries take some messages that say two things at once.
  */
 
+/* Of a request: names it in every log, the caller's own copy included. */
+#define HDR_REQUEST_ID "Endive-Request-Id"
+/* Of an answer: "ran", "not-run" or "unknown". */
+#define HDR_OUTCOME "Endive-Outcome"
+/* Of a request between zones: the zone it was first received in. */
+#define HDR_HOP "Endive-Hop"
+/* Of a target's answer: slots busy there, without this request. */
+#define HDR_BUSY "Endive-Busy"
+/* Of a caller's request. */
+#define HDR_CALLER "Endive-Caller"
+#define HDR_DEADLINE "Endive-Deadline-Ms"
+#define HDR_PRIORITY "Endive-Priority"
+
 /* What a message's headers say about where its body ends. */
 struct hdr_framing {
 	bool has_length;
--- a/src/msg.c
+++ b/src/msg.c
@@ -46,6 +46,7 @@
 	[MSG_TGT_LEAVE] = {MSG_INFO, "target-leave"},
 	[MSG_TGT_LAPSE] = {MSG_WARN, "target-lapse"},
 	[MSG_ENT_CONFIG] = {MSG_NOTICE, "config-in-force"},
+	[MSG_ENT_CONFIG_BAD] = {MSG_ERROR, "config-not-a-view"},
 	[MSG_ENT_DRAIN] = {MSG_NOTICE, "drain"},
 	/* idm: idempotency keys */
 	/* ctl: control daemon */
