Decisions of an entry VM under load: interface and first working piece

Cause: the entry daemon needs typed decisions (run, wait, shift, refuse) that can be tested without sockets, before its own code is written.

--- /dev/null
+++ b/src/adm.c
@@ -0,0 +1,489 @@
+#include "adm_int.h"
+
+#include <string.h>
+
+/* Requests held in all queues where the settings give no number. */
+#define ADM_QUEUE_MAX 20000
+
+/* Targets compared for a placement where the settings give no number. */
+#define ADM_CHOICES 2
+
+/* A refusal asks to come back after that at least and at most. */
+#define ADM_AFTER_MIN_MS 50
+#define ADM_AFTER_MAX_MS 30000
+
+static const char *const adm_reason_names[ADM_REASONS] = {
+	[ADM_OK] = "ok",
+	[ADM_NO_POOL] = "no-pool",
+	[ADM_NO_TARGETS] = "no-targets",
+	[ADM_DEADLINE_SHORT] = "deadline-short",
+	[ADM_DEADLINE_LOAD] = "deadline-load",
+	[ADM_QUEUE_WAIT] = "queue-wait",
+	[ADM_QUEUE_FULL] = "queue-full",
+	[ADM_ZONE_FULL] = "zone-full",
+	[ADM_MAY_HAVE_RUN] = "may-have-run",
+	[ADM_RETRY_BUDGET] = "retry-budget",
+	[ADM_RETRY_COUNT] = "retry-count",
+};
+
+static void adm_pool_free(gpointer pool);
+static void adm_req_destroy(gpointer req);
+static struct adm_pool *adm_pool_new(void);
+static struct adm_target *adm_target_new(struct adm_pool *p, uint64_t handle,
+					 uint32_t pool);
+static void adm_target_forget(struct adm *a, struct adm_target *t);
+static void adm_target_end(struct adm_pool *p, struct adm_target *t);
+static uint64_t adm_hash(struct lstr s);
+static void adm_free_slot(struct adm *a, struct adm_pool *p, struct adm_req *r,
+			  const struct adm_result *res, int64_t now);
+static uint32_t adm_after_ms(struct adm *a, enum adm_reason reason,
+			     int64_t wait_us);
+
+/* An instance without pools and targets. */
+struct adm *adm_new(const struct adm_config *config)
+{
+	struct adm *a = g_new0(struct adm, 1);
+
+	a->conf = *config;
+	if (!a->conf.queue_max)
+		a->conf.queue_max = ADM_QUEUE_MAX;
+	if (!a->conf.choices)
+		a->conf.choices = ADM_CHOICES;
+	a->rng = config->seed * 2 + 1;
+	a->pools = g_ptr_array_new_with_free_func(adm_pool_free);
+	a->targets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	a->reqs = g_ptr_array_new_with_free_func(adm_req_destroy);
+	a->free_reqs = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	a->waiting = g_ptr_array_new();
+	return a;
+}
+
+/* Frees the instance; requests it holds end without a verdict. */
+void adm_free(struct adm *a)
+{
+	if (!a)
+		return;
+	g_ptr_array_free(a->pools, TRUE);
+	g_hash_table_destroy(a->targets);
+	g_ptr_array_free(a->reqs, TRUE);
+	g_array_free(a->free_reqs, TRUE);
+	g_ptr_array_free(a->waiting, TRUE);
+	g_free(a);
+}
+
+/* Changes how many entry VMs there are, in our zone and in all others. */
+void adm_set_entries(struct adm *a, int entries, int entries_away)
+{
+	a->conf.entries = entries;
+	a->conf.entries_away = entries_away;
+}
+
+static struct adm_pool *adm_pool_new(void)
+{
+	struct adm_pool *p = g_new0(struct adm_pool, 1);
+	int i;
+
+	for (i = 0; i < ADM_LISTS; i++)
+		p->lists[i] = g_ptr_array_new();
+	p->targets = g_ptr_array_new();
+	p->flows = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 g_free);
+	return p;
+}
+
+static void adm_pool_free(gpointer pool)
+{
+	struct adm_pool *p = pool;
+	int i;
+
+	if (!p)
+		return;
+	g_ptr_array_foreach(p->targets, (GFunc)(void (*)(void))g_free, NULL);
+	g_ptr_array_free(p->targets, TRUE);
+	for (i = 0; i < ADM_LISTS; i++)
+		g_ptr_array_free(p->lists[i], TRUE);
+	for (i = 0; i < ADM_CLASSES; i++)
+		adm_heap_done(&p->ready[i]);
+	adm_heap_done(&p->wake);
+	adm_heap_done(&p->expiry);
+	g_hash_table_destroy(p->flows);
+	g_free(p);
+}
+
+/* Sets or changes a pool; false for a number or a limit out of range. */
+bool adm_pool_set(struct adm *a, uint32_t pool,
+		  const struct adm_pool_spec *spec)
+{
+	struct adm_pool *p;
+
+	if (pool >= ADM_POOLS_MAX || spec->slots < 1 || spec->conns < 1 ||
+	    spec->queue_us < 0 || spec->deadline_us < 1)
+		return false;
+	if (pool >= a->pools->len)
+		g_ptr_array_set_size(a->pools, (gint)pool + 1);
+	p = a->pools->pdata[pool];
+	if (!p) {
+		p = adm_pool_new();
+		p->tokens = ADM_BUDGET_MAX;
+		a->pools->pdata[pool] = p;
+		a->top_priority = MAX(a->top_priority, spec->priority);
+	}
+	p->spec = *spec;
+	a->top_priority = MAX(a->top_priority, spec->priority);
+	return true;
+}
+
+/* The pool of a number, or NULL. */
+struct adm_pool *adm_pool_of(const struct adm *a, uint32_t pool)
+{
+	return pool < a->pools->len ? a->pools->pdata[pool] : NULL;
+}
+
+static struct adm_target *adm_target_new(struct adm_pool *p, uint64_t handle,
+					 uint32_t pool)
+{
+	struct adm_target *t = g_new0(struct adm_target, 1);
+
+	t->handle = handle;
+	t->pool = pool;
+	t->speed = 1;
+	t->counted = -1;
+	t->list = ADM_SHUT;
+	t->wake.at = -1;
+	t->at_all = (int)p->targets->len;
+	g_ptr_array_add(p->targets, t);
+	return t;
+}
+
+static void adm_target_end(struct adm_pool *p, struct adm_target *t)
+{
+	adm_unfile(p, t);
+	g_ptr_array_remove_index_fast(p->targets, (guint)t->at_all);
+	if (t->at_all < (int)p->targets->len)
+		((struct adm_target *)p->targets->pdata[t->at_all])->at_all =
+			t->at_all;
+	g_free(t);
+}
+
+/* Takes a target off its handle; its record stays while work runs there. */
+static void adm_target_forget(struct adm *a, struct adm_target *t)
+{
+	struct adm_pool *p = adm_pool_of(a, t->pool);
+
+	t->state = ADM_GONE;
+	g_hash_table_remove(a->targets, &t->handle);
+	adm_unfile(p, t);
+	if (!t->mine)
+		adm_target_end(p, t);
+}
+
+/*
+ * A target has come, changed or gone. From this call on nothing is placed on
+ * one that takes no new work. A handle that comes back after ADM_GONE, or in
+ * another pool, is a new target. False for an unknown pool.
+ */
+bool adm_target_set(struct adm *a, int64_t now, uint64_t handle,
+		    const struct adm_target_spec *spec)
+{
+	struct adm_pool *p = adm_pool_of(a, spec->pool);
+	struct adm_target *t = g_hash_table_lookup(a->targets, &handle);
+
+	if (!p)
+		return false;
+	if (t && (spec->state == ADM_GONE || t->pool != spec->pool)) {
+		adm_target_forget(a, t);
+		t = NULL;
+	}
+	if (spec->state == ADM_GONE)
+		return true;
+	if (!t) {
+		t = adm_target_new(p, handle, spec->pool);
+		g_hash_table_insert(a->targets, &t->handle, t);
+	}
+	t->state = spec->state;
+	t->lease_until = spec->lease_until_us;
+	adm_file(a, p, t, now);
+	return true;
+}
+
+/* A target has told, outside of an answer, how many of its slots are busy. */
+void adm_target_busy(struct adm *a, int64_t now, uint64_t handle, int busy)
+{
+	struct adm_target *t = g_hash_table_lookup(a->targets, &handle);
+	struct adm_pool *p;
+
+	if (!t || busy < 0)
+		return;
+	p = adm_pool_of(a, t->pool);
+	adm_share_heard(p, t, now, busy);
+	adm_file(a, p, t, now);
+}
+
+/* An even draw from 0 to below - 1, by xorshift of the given seed. */
+uint32_t adm_random(struct adm *a, uint32_t below)
+{
+	a->rng ^= a->rng << 13;
+	a->rng ^= a->rng >> 7;
+	a->rng ^= a->rng << 17;
+	return below ? (uint32_t)((a->rng >> 32) * below >> 32) : 0;
+}
+
+/* FNV-1a; callers are told apart by it, and two that meet share a turn. */
+static uint64_t adm_hash(struct lstr s)
+{
+	uint64_t h = UINT64_C(0xcbf29ce484222325);
+	size_t i;
+
+	for (i = 0; i < s.len; i++)
+		h = (h ^ (unsigned char)s.p[i]) * UINT64_C(0x100000001b3);
+	return h;
+}
+
+struct adm_req *adm_req_new(struct adm *a)
+{
+	struct adm_req *r;
+	uint32_t index = a->reqs->len;
+	uint32_t gen;
+
+	if (a->free_reqs->len) {
+		index = g_array_index(a->free_reqs, uint32_t,
+				      a->free_reqs->len - 1);
+		g_array_set_size(a->free_reqs, a->free_reqs->len - 1);
+		r = a->reqs->pdata[index];
+		gen = r->gen;
+		memset(r, 0, sizeof(*r));
+		r->gen = gen;
+	} else {
+		r = g_new0(struct adm_req, 1);
+		g_ptr_array_add(a->reqs, r);
+	}
+	r->index = index;
+	r->expiry.at = -1;
+	return r;
+}
+
+/* Ends a request; its ticket names nothing from now on. */
+void adm_req_free(struct adm *a, struct adm_req *r)
+{
+	r->state = ADM_REQ_FREE;
+	r->target = NULL;
+	r->gen++;
+	g_array_append_val(a->free_reqs, r->index);
+}
+
+static void adm_req_destroy(gpointer req)
+{
+	g_free(req);
+}
+
+adm_ticket adm_ticket_of(const struct adm_req *r)
+{
+	return (uint64_t)r->gen << 32 | (r->index + 1);
+}
+
+/* The request a ticket names, or NULL once it is over. */
+struct adm_req *adm_req_of(const struct adm *a, adm_ticket ticket)
+{
+	uint32_t index = (uint32_t)ticket - 1;
+	struct adm_req *r;
+
+	if (index >= a->reqs->len)
+		return NULL;
+	r = a->reqs->pdata[index];
+	if (r->state == ADM_REQ_FREE || r->gen != ticket >> 32)
+		return NULL;
+	return r;
+}
+
+/*
+ * Decides about a new request. user comes back in every verdict about it. A
+ * verdict other than ADM_QUEUED is to be carried out at once.
+ */
+struct adm_verdict adm_offer(struct adm *a, int64_t now,
+			     const struct adm_request *request, void *user)
+{
+	struct adm_pool *p = adm_pool_of(a, request->pool);
+	struct adm_req *r = adm_req_new(a);
+	struct adm_verdict v;
+
+	a->stats.offered++;
+	r->pool = request->pool;
+	r->user = user;
+	if (!p)
+		return adm_give_up(a, p, r, ADM_NO_POOL, 0);
+	r->caller = adm_hash(request->caller);
+	r->class = request->class;
+	r->since = now;
+	r->deadline = request->deadline_us ? request->deadline_us
+					   : now + p->spec.deadline_us;
+	r->repeatable = request->repeatable;
+	r->shifted = request->shifted;
+	r->from_away = request->shifted;
+	r->size = adm_size_group(request->size_hint);
+	v = adm_admit(a, p, r, now, false);
+	if (v.kind != ADM_REFUSE)
+		adm_budget_earn(p);
+	return v;
+}
+
+/* Starts a request on a target; it holds a slot until adm_done. */
+struct adm_verdict adm_run(struct adm *a, int64_t now, struct adm_req *r,
+			   struct adm_target *t)
+{
+	struct adm_pool *p = adm_pool_of(a, r->pool);
+
+	r->state = ADM_REQ_RUNNING;
+	r->target = t;
+	t->mine++;
+	p->in_flight++;
+	p->starts_since++;
+	a->stats.in_flight++;
+	a->stats.run++;
+	a->stats.probes += r->probe;
+	adm_flow_charge(p, r);
+	adm_file(a, p, t, now);
+	return (struct adm_verdict){.kind = ADM_RUN,
+				    .ticket = adm_ticket_of(r),
+				    .target = t->handle,
+				    .user = r->user};
+}
+
+/*
+ * When a refused caller is to come back: when the present queue will have run,
+ * and up to half as long again by lot, so that those refused together don't
+ * come together.
+ */
+static uint32_t adm_after_ms(struct adm *a, enum adm_reason reason,
+			     int64_t wait_us)
+{
+	int64_t ms = wait_us / ADM_MS;
+
+	if (reason == ADM_DEADLINE_SHORT || reason == ADM_MAY_HAVE_RUN ||
+	    reason == ADM_NO_POOL)
+		return 0;
+	ms = CLAMP(ms, ADM_AFTER_MIN_MS, ADM_AFTER_MAX_MS);
+	return (uint32_t)ms + adm_random(a, (uint32_t)ms / 2);
+}
+
+/* Refuses a request for good, and ends it. */
+struct adm_verdict adm_give_up(struct adm *a, struct adm_pool *p,
+			       struct adm_req *r, enum adm_reason reason,
+			       int64_t wait_us)
+{
+	struct adm_verdict v = {.kind = ADM_REFUSE,
+				.reason = reason,
+				.ticket = adm_ticket_of(r),
+				.user = r->user};
+
+	v.retry_after_ms = adm_after_ms(a, reason, wait_us);
+	a->stats.refused[reason]++;
+	if (p)
+		adm_leave_flow(p, r);
+	adm_req_free(a, r);
+	return v;
+}
+
+static void adm_free_slot(struct adm *a, struct adm_pool *p, struct adm_req *r,
+			  const struct adm_result *res, int64_t now)
+{
+	struct adm_target *t = r->target;
+	bool ok = res->outcome == ADM_DONE_OK;
+
+	t->mine--;
+	p->in_flight--;
+	a->stats.in_flight--;
+	adm_health_note(a, p, t, r, res, now);
+	if (ok)
+		adm_est_add(p, r->size, res->service_us);
+	if (res->outcome == ADM_DONE_BUSY)
+		adm_share_refused(p, t, now);
+	else if (res->outcome == ADM_DONE_LEFT)
+		adm_share_left(p, t, now);
+	else if (res->busy >= 0)
+		adm_share_heard(p, t, now, res->busy);
+	adm_flow_settle(p, r, MAX(res->service_us, 0));
+	if (t->state != ADM_GONE)
+		adm_file(a, p, t, now);
+	else if (!t->mine)
+		adm_target_end(p, t);
+	r->target = NULL;
+	r->probe = false;
+}
+
+/* Ends an attempt: gives its slot back and learns from how it ended. */
+void adm_finish(struct adm *a, int64_t now, struct adm_req *r,
+		const struct adm_result *res)
+{
+	struct adm_pool *p = adm_pool_of(a, r->pool);
+
+	if (r->state == ADM_REQ_SHIFTED)
+		adm_shift_done(a, p, r, res->outcome);
+	else
+		adm_free_slot(a, p, r, res, now);
+	adm_leave_flow(p, r);
+	switch (res->outcome) {
+	case ADM_DONE_OK:
+		a->stats.done_ok++;
+		break;
+	case ADM_DONE_BUSY:
+		a->stats.done_busy++;
+		break;
+	case ADM_DONE_LEFT:
+		a->stats.left++;
+		break;
+	case ADM_DONE_UNSENT:
+	case ADM_DONE_FAILED:
+	case ADM_DONE_TIMEOUT:
+		a->stats.done_failed++;
+		break;
+	}
+}
+
+/* Ends a request that ran or was shifted; false for a ticket that is over. */
+bool adm_done(struct adm *a, int64_t now, adm_ticket ticket,
+	      const struct adm_result *result)
+{
+	struct adm_req *r = adm_req_of(a, ticket);
+
+	if (!r || r->state == ADM_REQ_QUEUED)
+		return false;
+	adm_finish(a, now, r, result);
+	adm_req_free(a, r);
+	return true;
+}
+
+/*
+ * The caller has left. A waiting request goes at once, so that a flood of
+ * cancellations leaves no dead work behind; a running one gives its slot back.
+ * False for a ticket that is over.
+ */
+bool adm_cancel(struct adm *a, int64_t now, adm_ticket ticket)
+{
+	const struct adm_result left = {.outcome = ADM_DONE_LEFT, .busy = -1};
+	struct adm_req *r = adm_req_of(a, ticket);
+	struct adm_pool *p;
+
+	if (!r)
+		return false;
+	if (r->state != ADM_REQ_QUEUED)
+		return adm_done(a, now, ticket, &left);
+	p = adm_pool_of(a, r->pool);
+	adm_queue_drop(a, p, r);
+	adm_leave_flow(p, r);
+	adm_req_free(a, r);
+	a->stats.left++;
+	return true;
+}
+
+/* Counters and gauges. */
+struct adm_stats adm_stats(const struct adm *a)
+{
+	return a->stats;
+}
+
+/* The word for a reason, for logs, metrics and answers. */
+const char *adm_reason_name(enum adm_reason reason)
+{
+	return reason >= 0 && reason < ADM_REASONS ? adm_reason_names[reason]
+						   : "unknown";
+}
--- /dev/null
+++ b/src/adm_limit.c
@@ -0,0 +1,107 @@
+#include "adm_int.h"
+
+/*
+ * Measured service time, and what it allows. Declared sizes may be wrong by
+ * 10x, so a size only says with which other requests one is measured together;
+ * the times themselves are all measured.
+ */
+
+/* Below that many samples a group says less than all requests together. */
+#define ADM_EST_MIN 16
+
+/*
+ * Weight of a sample: 1/64 follows a change of the load within about a
+ * hundred answers, some seconds at one pool's rate on one entry VM, and one
+ * odd answer moves the mean by 1.6 % of its excess only.
+ */
+#define ADM_EST_WEIGHT (1.0 / 64)
+
+/* Step of a quantile; 5 % reaches a value twice as high in 16 answers. */
+#define ADM_EST_STEP 0.05
+
+/* Share of requests that are faster than low, and slower than high. */
+#define ADM_EST_TAIL 0.1
+
+static void adm_est_sample(struct adm_est *e, double x);
+
+/* The group a declared size falls into; 0 where none is declared. */
+int adm_size_group(uint64_t hint)
+{
+	int bits = 0;
+
+	while (hint) {
+		hint >>= 2;
+		bits++;
+	}
+	return MIN(bits, ADM_SIZES - 1);
+}
+
+/* The estimate to use for a group: its own, or that of all requests. */
+const struct adm_est *adm_est_for(const struct adm_pool *p, int size)
+{
+	if (size && p->est[size].n >= ADM_EST_MIN)
+		return &p->est[size];
+	return &p->est[0];
+}
+
+static void adm_est_sample(struct adm_est *e, double x)
+{
+	double weight;
+
+	if (e->n++ == 0) {
+		e->mean = e->low = e->high = x;
+		return;
+	}
+	weight = MAX(ADM_EST_WEIGHT, 1.0 / e->n);
+	e->mean += weight * (x - e->mean);
+	if (x < e->low)
+		e->low *= 1 - ADM_EST_STEP * (1 - ADM_EST_TAIL);
+	else
+		e->low *= 1 + ADM_EST_STEP * ADM_EST_TAIL;
+	if (x > e->high)
+		e->high *= 1 + ADM_EST_STEP * (1 - ADM_EST_TAIL);
+	else
+		e->high *= 1 - ADM_EST_STEP * ADM_EST_TAIL;
+}
+
+/* Learns from an answer that a target gave in full. */
+void adm_est_add(struct adm_pool *p, int size, int64_t service_us)
+{
+	double x = (double)MAX(service_us, 1);
+
+	adm_est_sample(&p->est[0], x);
+	if (size)
+		adm_est_sample(&p->est[size], x);
+}
+
+/* Mean service time of the pool in us; 0 before the first answer. */
+int64_t adm_mean(const struct adm_pool *p)
+{
+	return (int64_t)p->est[0].mean;
+}
+
+/*
+ * Last moment at which a queued request may start.
+ * Load: saturation, where the queue is as long as it may be. Harm: a slot
+ * spent on an answer that comes after its deadline helps nobody and makes the
+ * next one late too. Limit: the deadline less the mean time of its group;
+ * below that most would be late.
+ */
+int64_t adm_latest_start(const struct adm_pool *p, const struct adm_req *r)
+{
+	int64_t mean = (int64_t)adm_est_for(p, r->size)->mean;
+	int64_t by_queue = r->since + p->spec.queue_us;
+
+	return MIN(by_queue, r->deadline - mean);
+}
+
+/*
+ * Whether a request can't be done in time even by an idle target. Only nine
+ * in ten of its group being slower is proof enough: on an idle slot a try
+ * costs nobody anything.
+ */
+bool adm_too_short(const struct adm_pool *p, const struct adm_req *r,
+		   int64_t now)
+{
+	return now + (int64_t)adm_est_for(p, r->size)->low > r->deadline;
+}
--- /dev/null
+++ b/src/adm_place.c
@@ -0,0 +1,273 @@
+#include "adm_int.h"
+
+/*
+ * Which target gets a request: the best of a few taken at random from those
+ * that have a free slot as far as we know. Targets are kept in lists by what
+ * they may get, so that a decision costs the same with 50 and with 575.
+ *
+ * Load: several entry VMs that place at once on the same targets. Harm: if all
+ * took the single best one they would meet there (herding). Limit: two choices
+ * take off most of the load that pure chance would pile up; more bring little
+ * and herd again when knowledge is old.
+ */
+
+/* A slot of a target that batch work leaves free, from so many slots on. */
+#define ADM_RESERVE_FROM 4
+
+/*
+ * A slow target is tried now and then, else we would never see it recover:
+ * each about once a second, at most one in 200 starts (0.5 % stays out of the
+ * 99th percentile of callers' waits), but after ten seconds anyhow.
+ */
+#define ADM_SLOW_PROBE_US ADM_SEC
+#define ADM_SLOW_PROBE_STARTS 200
+#define ADM_SLOW_PROBE_LATEST (10 * ADM_SEC)
+
+/*
+ * A probe of an ejected target may fail, so that it is made with a request
+ * that may be repeated; a pool that has none is probed after this time.
+ */
+#define ADM_PROBE_ANY_US (10 * ADM_SEC)
+
+static void adm_count_health(struct adm_pool *p, struct adm_target *t,
+			     bool takes);
+static void adm_move(struct adm_pool *p, struct adm_target *t,
+		     enum adm_list to);
+static bool adm_fits(const struct adm_pool *p, const struct adm_target *t,
+		     const struct adm_req *r, int64_t now);
+static struct adm_target *adm_best(struct adm *a, const struct adm_pool *p,
+				   const struct adm_req *r, enum adm_list l,
+				   int64_t now);
+static struct adm_target *adm_probe(struct adm *a, const struct adm_pool *p,
+				    const struct adm_req *r, int64_t now);
+static struct adm_target *adm_slow_probe(struct adm *a,
+					 const struct adm_pool *p,
+					 const struct adm_req *r, int64_t now);
+static bool adm_slow_worth(const struct adm_pool *p, const struct adm_target *t,
+			   const struct adm_req *r, int64_t now);
+
+/* Targets that take work and are not ejected. */
+int adm_targets_ok(const struct adm_pool *p)
+{
+	return p->n_health[ADM_HEALTHY] + p->n_health[ADM_SLUGGISH];
+}
+
+static void adm_count_health(struct adm_pool *p, struct adm_target *t,
+			     bool takes)
+{
+	if (t->counted >= 0)
+		p->n_health[t->counted]--;
+	t->counted = takes ? (int)t->health : -1;
+	if (takes)
+		p->n_health[t->health]++;
+}
+
+static void adm_move(struct adm_pool *p, struct adm_target *t, enum adm_list to)
+{
+	GPtrArray *from;
+
+	if (t->list == to)
+		return;
+	if (t->list != ADM_SHUT) {
+		from = p->lists[t->list];
+		g_ptr_array_remove_index_fast(from, (guint)t->at);
+		if (t->at < (int)from->len)
+			((struct adm_target *)from->pdata[t->at])->at = t->at;
+	}
+	t->list = to;
+	if (to == ADM_SHUT)
+		return;
+	t->at = (int)p->lists[to]->len;
+	g_ptr_array_add(p->lists[to], t);
+}
+
+/*
+ * Puts a target where it belongs now, and sets when to look again. A target
+ * that leaves, is drained or whose lease lapsed is in no list from this call
+ * on; the lease needs no message, so that it also ends work on a VM that is
+ * cut off from control and neighbours.
+ */
+void adm_file(struct adm *a, struct adm_pool *p, struct adm_target *t,
+	      int64_t now)
+{
+	bool takes = t->state == ADM_SERVING && now < t->lease_until;
+	enum adm_list to = ADM_SHUT;
+	int64_t again = t->lease_until;
+
+	adm_count_health(p, t, takes);
+	if (!takes) {
+		again = ADM_NEVER;
+	} else if (t->health == ADM_EJECTED) {
+		if (now < t->ejected_until)
+			again = MIN(again, t->ejected_until);
+		else if (!t->mine)
+			to = ADM_PROBE;
+	} else if (t->mine < adm_slots_mine(a, p)) {
+		if (adm_slot_free(p, t, now))
+			to = t->health == ADM_SLUGGISH ? ADM_SLOW : ADM_FAST;
+		else
+			again = MIN(again, adm_slot_free_at(p, t, now));
+	}
+	adm_move(p, t, to);
+	if (again == ADM_NEVER)
+		adm_heap_drop(&p->wake, &t->wake);
+	else
+		adm_heap_put(&p->wake, &t->wake, MAX(again, now + 1));
+}
+
+/* Takes a target out of all lists. */
+void adm_unfile(struct adm_pool *p, struct adm_target *t)
+{
+	adm_count_health(p, t, false);
+	adm_move(p, t, ADM_SHUT);
+	adm_heap_drop(&p->wake, &t->wake);
+}
+
+/* Files anew the targets whose time has come. */
+void adm_wake(struct adm *a, struct adm_pool *p, int64_t now)
+{
+	struct adm_node *n;
+
+	while (p->wake.n && p->wake.v[0]->key <= now) {
+		n = p->wake.v[0];
+		adm_file(
+			a, p,
+			(struct adm_target *)((char *)n -
+					      G_STRUCT_OFFSET(struct adm_target,
+							      wake)),
+			now);
+	}
+}
+
+/*
+ * Whether a target suits this very request: not the one that has just failed
+ * it, and for batch work not the last free slot. Load: archive reprocessing
+ * that runs for minutes, then a storm. Harm: urgent work would wait until the
+ * first of it ends. Limit: one slot of a target, an eighth; when batch work
+ * has been passed as often as allowed it may have that too.
+ */
+static bool adm_fits(const struct adm_pool *p, const struct adm_target *t,
+		     const struct adm_req *r, int64_t now)
+{
+	if (r->has_tried && t->handle == r->tried && p->targets->len > 1)
+		return false;
+	if (r->class != ADM_BATCH || adm_queue_due(p, ADM_BATCH))
+		return true;
+	if (p->spec.slots < ADM_RESERVE_FROM)
+		return true;
+	return t->mine + adm_others(t, now) + 2 <= p->spec.slots;
+}
+
+/* The better of some taken at random; NULL where none of them suits. */
+static struct adm_target *adm_best(struct adm *a, const struct adm_pool *p,
+				   const struct adm_req *r, enum adm_list l,
+				   int64_t now)
+{
+	const GPtrArray *list = p->lists[l];
+	struct adm_target *best = NULL;
+	double best_score = 0;
+	int looks = MAX(a->conf.choices, 4);
+	int left = a->conf.choices;
+
+	while (list->len && left > 0 && looks-- > 0) {
+		struct adm_target *t = list->pdata[adm_random(a, list->len)];
+		double score;
+
+		if (t == best)
+			continue;
+		if (!adm_fits(p, t, r, now))
+			continue;
+		left--;
+		score = (t->mine + adm_others(t, now) + 1) *
+			adm_health_score(t);
+		if (best && score >= best_score)
+			continue;
+		best = t;
+		best_score = score;
+	}
+	return best;
+}
+
+/* An ejected target whose time is over, if this request may try it. */
+static struct adm_target *adm_probe(struct adm *a, const struct adm_pool *p,
+				    const struct adm_req *r, int64_t now)
+{
+	const GPtrArray *list = p->lists[ADM_PROBE];
+	struct adm_target *t;
+
+	if (!list->len || r->class == ADM_URGENT || r->has_tried)
+		return NULL;
+	t = list->pdata[adm_random(a, list->len)];
+	if (!r->repeatable && now < t->ejected_until + ADM_PROBE_ANY_US)
+		return NULL;
+	return t;
+}
+
+/* A slow target to be tried again, if this request has the time for it. */
+static struct adm_target *adm_slow_probe(struct adm *a,
+					 const struct adm_pool *p,
+					 const struct adm_req *r, int64_t now)
+{
+	const GPtrArray *list = p->lists[ADM_SLOW];
+	int64_t since = now - p->slow_probed_at;
+	double need = adm_est_for(p, r->size)->mean;
+	struct adm_target *t;
+
+	if (!list->len || r->class == ADM_URGENT)
+		return NULL;
+	if (since < ADM_SLOW_PROBE_US / (int64_t)list->len)
+		return NULL;
+	if (p->starts_since < ADM_SLOW_PROBE_STARTS &&
+	    since < ADM_SLOW_PROBE_LATEST)
+		return NULL;
+	t = list->pdata[adm_random(a, list->len)];
+	if (t->mine || now + (int64_t)(2 * need * t->speed) > r->deadline)
+		return NULL;
+	return t;
+}
+
+/*
+ * Whether a slow target is better than waiting. Load: saturation with some
+ * targets slow. Harm: given work as soon as the others are full, a target ten
+ * times slower holds its share of all callers up for ten times as long.
+ * Limit: no more extra time there than a request would now wait in the queue;
+ * so one that is a little slow still carries load when that is needed.
+ */
+static bool adm_slow_worth(const struct adm_pool *p, const struct adm_target *t,
+			   const struct adm_req *r, int64_t now)
+{
+	double usual = adm_est_for(p, r->size)->mean;
+	double wait;
+
+	if (!p->n_health[ADM_HEALTHY])
+		return true;
+	if (now + (int64_t)(usual * t->speed) > r->deadline)
+		return false;
+	wait = p->est[0].mean * (adm_queue_len(p) + 1) / MAX(p->in_flight, 1);
+	return usual * (t->speed - 1) < wait;
+}
+
+/*
+ * The target to send a request to now, or NULL where it must wait. Sets probe
+ * where the target is tried after an ejection.
+ */
+struct adm_target *adm_place(struct adm *a, struct adm_pool *p,
+			     const struct adm_req *r, int64_t now, bool *probe)
+{
+	struct adm_target *t = adm_probe(a, p, r, now);
+
+	*probe = t != NULL;
+	if (t)
+		return t;
+	t = adm_slow_probe(a, p, r, now);
+	if (t) {
+		p->slow_probed_at = now;
+		p->starts_since = 0;
+		return t;
+	}
+	t = adm_best(a, p, r, ADM_FAST, now);
+	if (t)
+		return t;
+	t = adm_best(a, p, r, ADM_SLOW, now);
+	return t && adm_slow_worth(p, t, r, now) ? t : NULL;
+}
--- /dev/null
+++ b/src/adm_retry.c
@@ -0,0 +1,129 @@
+#include "adm_int.h"
+
+/*
+ * Second attempts. Load: targets failing or slow while the pool is busy. Harm:
+ * each failure sent again doubles the load just when there is least room, and
+ * the pool stays down after its cause is gone; or work that did run, runs
+ * twice.
+ */
+
+/* What one request taken in adds to the budget. */
+#define ADM_BUDGET_EARN 0.1
+
+/* Attempts of one request that failed. */
+#define ADM_TRIES_MAX 2
+
+/*
+ * Attempts that a target refused for load. They did not run, cost no slot and
+ * draw on no budget, yet one that is sent back all the time must end.
+ */
+#define ADM_BOUNCES_MAX 8
+
+/* When to come back after the budget was spent. */
+#define ADM_RETRY_LATER ADM_SEC
+
+static enum adm_reason adm_may_retry(struct adm_pool *p, struct adm_req *r,
+				     enum adm_outcome outcome);
+static bool adm_budget_spend(struct adm_pool *p);
+
+/* A request was taken in. */
+void adm_budget_earn(struct adm_pool *p)
+{
+	p->tokens = MIN(p->tokens + ADM_BUDGET_EARN, ADM_BUDGET_MAX);
+}
+
+static bool adm_budget_spend(struct adm_pool *p)
+{
+	if (p->tokens < 1)
+		return false;
+	p->tokens -= 1;
+	return true;
+}
+
+/*
+ * What forbids another attempt; ADM_OK: nothing. What may have reached a
+ * target goes again only where twice is the same as once.
+ */
+static enum adm_reason adm_may_retry(struct adm_pool *p, struct adm_req *r,
+				     enum adm_outcome outcome)
+{
+	if (outcome == ADM_DONE_BUSY)
+		return ++r->bounces > ADM_BOUNCES_MAX ? ADM_RETRY_COUNT
+						      : ADM_OK;
+	if (outcome != ADM_DONE_UNSENT && !r->repeatable)
+		return ADM_MAY_HAVE_RUN;
+	if (++r->tries > ADM_TRIES_MAX)
+		return ADM_RETRY_COUNT;
+	return adm_budget_spend(p) ? ADM_OK : ADM_RETRY_BUDGET;
+}
+
+/*
+ * Ends an attempt as adm_done does, and asks for another one in place of it.
+ * The verdict is as for adm_offer; the ticket changes only by a refusal.
+ */
+struct adm_verdict adm_retry(struct adm *a, int64_t now, adm_ticket ticket,
+			     const struct adm_result *result)
+{
+	struct adm_req *r = adm_req_of(a, ticket);
+	struct adm_pool *p;
+	enum adm_reason why;
+
+	if (!r || r->state == ADM_REQ_QUEUED)
+		return (struct adm_verdict){.kind = ADM_REFUSE,
+					    .reason = ADM_RETRY_COUNT};
+	p = adm_pool_of(a, r->pool);
+	r->has_tried = r->target != NULL;
+	r->tried = r->target ? r->target->handle : 0;
+	adm_finish(a, now, r, result);
+	why = adm_may_retry(p, r, result->outcome);
+	if (why != ADM_OK)
+		return adm_give_up(a, p, r, why, ADM_RETRY_LATER);
+	if (result->outcome != ADM_DONE_BUSY)
+		a->stats.retries++;
+	return adm_admit(a, p, r, now, true);
+}
+
+/*
+ * A second attempt beside a running one, for a caller who has waited long. It
+ * has a ticket of its own; the first answer counts, the other attempt ends
+ * with ADM_DONE_LEFT. Refused when requests wait: a slot is worth more to
+ * them.
+ */
+struct adm_verdict adm_hedge(struct adm *a, int64_t now, adm_ticket ticket)
+{
+	struct adm_req *first = adm_req_of(a, ticket);
+	struct adm_target *t = NULL;
+	struct adm_pool *p;
+	struct adm_req *r;
+	bool probe;
+
+	if (!first || first->state != ADM_REQ_RUNNING)
+		return (struct adm_verdict){.kind = ADM_REFUSE,
+					    .reason = ADM_RETRY_COUNT};
+	p = adm_pool_of(a, first->pool);
+	adm_wake(a, p, now);
+	r = adm_req_new(a);
+	r->pool = first->pool;
+	r->caller = first->caller;
+	r->class = first->class;
+	r->deadline = first->deadline;
+	r->since = now;
+	r->repeatable = first->repeatable;
+	r->shifted = true;
+	r->size = first->size;
+	r->user = first->user;
+	r->has_tried = true;
+	r->tried = first->target->handle;
+	if (!r->repeatable)
+		return adm_give_up(a, p, r, ADM_MAY_HAVE_RUN, 0);
+	if (!adm_queue_len(p))
+		t = adm_place(a, p, r, now, &probe);
+	if (!t || t == first->target)
+		return adm_give_up(a, p, r, ADM_QUEUE_WAIT, ADM_RETRY_LATER);
+	if (!adm_budget_spend(p))
+		return adm_give_up(a, p, r, ADM_RETRY_BUDGET, ADM_RETRY_LATER);
+	a->stats.hedges++;
+	r->flow = adm_flow_of(p, r->caller, r->class);
+	r->probe = probe;
+	return adm_run(a, now, r, t);
+}
--- /dev/null
+++ b/src/adm_share.c
@@ -0,0 +1,101 @@
+#include "adm_int.h"
+
+/*
+ * Slots of a target shared with other entry VMs, by what the target's own
+ * answers tell: busy slots, and refusals for load. What is not ours is others'
+ * and fades with time, since we hear nothing when they finish. A slot that our
+ * own request has freed is known to be free: under saturation each VM goes on
+ * with the slots it has, and asks for more only as knowledge fades.
+ */
+
+/* Fading starts at two mean service times: by then most of it has ended. */
+#define ADM_FADE_MEANS 2
+
+/* Before anything is measured. */
+#define ADM_FADE_UNKNOWN (200 * ADM_MS)
+
+/*
+ * Each refusal for load in a row doubles the time until we ask again, up to
+ * 8 times: at saturation every VM asks every target, and each ask costs the
+ * target an answer and the request a round trip.
+ */
+#define ADM_STREAK_MAX 3
+
+static void adm_share_set(const struct adm_pool *p, struct adm_target *t,
+			  int64_t now, double others);
+
+/* Slots that others' requests hold, as well as we know. */
+double adm_others(const struct adm_target *t, int64_t now)
+{
+	int64_t age = now - t->others_at;
+
+	if (age >= t->others_fade)
+		return 0;
+	return t->others * (1.0 - (double)age / (double)t->others_fade);
+}
+
+/*
+ * The most of a target's slots that one VM may hold: all of them, but for the
+ * connections: 64 divided by 30 entry VMs are 2 for each, and a connection
+ * too many would be refused after its caller's body was sent.
+ */
+int adm_slots_mine(const struct adm *a, const struct adm_pool *p)
+{
+	int conns = p->spec.conns / MAX(a->conf.entries, 1);
+
+	return MIN(p->spec.slots, MAX(conns, 1));
+}
+
+/* Whether one more request of ours fits, as well as we know. */
+bool adm_slot_free(const struct adm_pool *p, const struct adm_target *t,
+		   int64_t now)
+{
+	return t->mine + adm_others(t, now) + 1 <= p->spec.slots;
+}
+
+/* When a slot will be free if we hear nothing more; ADM_NEVER: not so. */
+int64_t adm_slot_free_at(const struct adm_pool *p, const struct adm_target *t,
+			 int64_t now)
+{
+	int spare = p->spec.slots - 1 - t->mine;
+
+	if (spare < 0)
+		return ADM_NEVER;
+	if (t->others <= spare)
+		return now;
+	/* one more, as the division rounds down */
+	return t->others_at + 1 +
+	       (int64_t)((double)t->others_fade * (1.0 - spare / t->others));
+}
+
+static void adm_share_set(const struct adm_pool *p, struct adm_target *t,
+			  int64_t now, double others)
+{
+	int64_t fade = ADM_FADE_MEANS * adm_mean(p);
+
+	t->others = MAX(others, 0);
+	t->others_at = now;
+	t->others_fade = (fade ? fade : ADM_FADE_UNKNOWN) << t->busy_streak;
+}
+
+/* A target has told how many slots are busy, ours among them. */
+void adm_share_heard(const struct adm_pool *p, struct adm_target *t,
+		     int64_t now, int busy)
+{
+	t->busy_streak = 0;
+	adm_share_set(p, t, now, busy - t->mine);
+}
+
+/* A target has refused for load: all that is not ours is others'. */
+void adm_share_refused(const struct adm_pool *p, struct adm_target *t,
+		       int64_t now)
+{
+	t->busy_streak = MIN(t->busy_streak + 1, ADM_STREAK_MAX);
+	adm_share_set(p, t, now, p->spec.slots - t->mine);
+}
+
+/* Our caller left; the target may go on with that work a while. */
+void adm_share_left(const struct adm_pool *p, struct adm_target *t, int64_t now)
+{
+	adm_share_set(p, t, now, adm_others(t, now) + 1);
+}
