Show the rounding of a rank by a case that needs it

Cause: with the slack taken out on a scratch copy the test still passed: 99.9 % of 5000 comes out exact in the form that is in use.

Change: 1.1 % of 6000 doesn't; without the slack the test fails there.

--- a/tests/unit/hst_test.c
+++ b/tests/unit/hst_test.c
@@ -10,7 +10,7 @@
 #include "hst.h"
 
 #define SEED 20261202
-#define VALUES 5000
+#define VALUES 6000
 
 static int order(const void *a, const void *b)
 {
@@ -30,7 +30,7 @@
 
 static void percentiles_stay_within_the_stated_error(void **state)
 {
-	static const size_t permille[] = {0, 10, 250, 500, 900, 990, 999, 1000};
+	static const size_t permille[] = {0, 11, 250, 500, 900, 990, 999, 1000};
 	static const unsigned bits[] = {1, 4, HST_BITS, HST_BITS_MAX};
 	GRand *rand = g_rand_new_with_seed(SEED);
 	uint64_t values[VALUES];
