Test the rounding of a rank where it shows

Change: a test with 6000 values that all differ. Shown failing with the slack taken out on a scratch copy, passing with it.

--- a/tests/unit/hst_test.c
+++ b/tests/unit/hst_test.c
@@ -90,6 +90,18 @@
 	g_rand_free(rand);
 }
 
+/* 1.1 * 6000 / 100 comes out above 66; no value more may be asked for. */
+static void a_rank_is_not_rounded_up_by_its_own_error(void **state)
+{
+	struct hst *h = hst_new(HST_BITS_MAX);
+	uint64_t v;
+
+	for (v = 1; v <= VALUES; v++)
+		hst_add(h, v);
+	assert_int_equal(hst_percentile(h, 1.1), 66);
+	hst_free(h);
+}
+
 static void the_ends_of_the_range_hold(void **state)
 {
 	struct hst *h = hst_new(HST_BITS);
@@ -115,6 +127,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(percentiles_stay_within_the_stated_error),
 		cmocka_unit_test(merged_is_as_if_counted_together),
+		cmocka_unit_test(a_rank_is_not_rounded_up_by_its_own_error),
 		cmocka_unit_test(the_ends_of_the_range_hold),
 	};
 
