--- a/src/ent.c
+++ b/src/ent.c
@@ -91,7 +91,8 @@
 	g_hash_table_destroy(e->pools);
 	g_ptr_array_free(e->zones, TRUE);
 	fvw_free(e->view);
-	g_clear_pointer(&e->view_bytes, g_bytes_unref);
+	if (e->view_bytes)
+		g_bytes_unref(e->view_bytes);
 	tmr_free(e->tmr);
 	g_free(e);
 }
--- a/src/ent_view.c
+++ b/src/ent_view.c
@@ -26,7 +26,8 @@
 		return false;
 	}
 	fvw_free(e->view);
-	g_clear_pointer(&e->view_bytes, g_bytes_unref);
+	if (e->view_bytes)
+		g_bytes_unref(e->view_bytes);
 	e->view = view;
 	e->view_bytes = g_bytes_new(bytes.p, bytes.len);
 	e->view_since = tmr_now(e->tmr);
