--- a/Makefile
+++ b/Makefile
@@ -136,7 +136,8 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(UNITS:%=$(B)/san/tests/%): $(B)/san/tests/%: $(B)/san/obj/tests/unit/%.o $(SAN_LIB)
+$(UNITS:%=$(B)/san/tests/%): $(B)/san/tests/%: $(B)/san/obj/tests/unit/%.o \
+		$(B)/san/obj/tests/unit/net.o $(SAN_LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS) -lcmocka
--- a/src/hdr.c
+++ b/src/hdr.c
@@ -43,6 +43,20 @@
 	}
 }
 
+/*
+ * Whether a name has only the bytes that names may have. "Length :" is a
+ * length to one reader and nothing to another.
+ */
+bool hdr_name_ok(const char *name)
+{
+	const char *p;
+
+	for (p = name; *p; p++)
+		if (!g_ascii_isalnum(*p) && !strchr("!#$%&'*+-.^_`|~", *p))
+			return false;
+	return p != name;
+}
+
 /* Whether a header concerns one connection only and is not passed on. */
 bool hdr_is_hop(const char *name)
 {
--- a/src/hdr.h
+++ b/src/hdr.h
@@ -32,6 +32,7 @@
 
 void hdr_framing_add(struct hdr_framing *f, const char *name,
 		     const char *value);
+bool hdr_name_ok(const char *name);
 bool hdr_is_hop(const char *name);
 bool hdr_is_ours(const char *name);
 
--- a/src/srv.c
+++ b/src/srv.c
@@ -18,6 +18,9 @@
 
 #define SRV_LISTEN_BACKLOG 1024
 
+/* How often waiting callers are looked after, ms. */
+#define SRV_LOOK_MS 200
+
 struct srv {
 	struct srv_config config;
 	const struct srv_ops *ops;
@@ -27,6 +30,7 @@
 	struct srv_stats stats;
 	bool draining;
 	bool accepting;
+	uint64_t look;
 };
 
 /* A caller's connection. */
@@ -61,6 +65,8 @@
 static void srv_on_request(evhtp_request_t *ev, void *arg);
 static evhtp_res srv_turn_away(struct srv_conn *c, int status, const char *why);
 static const char *srv_fault(evhtp_request_t *ev, int *status);
+static void srv_look(void *arg, int64_t now);
+static bool srv_has_left(const struct srv_conn *c);
 static void srv_req_end(struct srv_req *r);
 static void srv_put_headers(struct srv_req *r, const struct ups_header *headers,
 			    size_t n);
@@ -83,6 +89,7 @@
 	s->arg = arg;
 	s->accepting = true;
 	s->conns = g_hash_table_new(NULL, NULL);
+	s->look = tmr_every(config->tmr, SRV_LOOK_MS, srv_look, s);
 	s->htp = evhtp_new(config->base, NULL);
 	evhtp_enable_flag(s->htp, EVHTP_FLAG_ENABLE_NODELAY);
 	evhtp_set_max_body_size(s->htp, config->max_body);
@@ -107,6 +114,7 @@
 
 	if (!s)
 		return;
+	tmr_cancel(s->config.tmr, s->look);
 	srv_stop_accepting(s);
 	conns = g_hash_table_get_keys(s->conns);
 	for (i = conns; i; i = i->next)
@@ -215,7 +223,8 @@
 	bool paused = r->paused;
 
 	srv_put_headers(r, headers, n);
-	if (body)
+	/* libevhtp would send the body of an answer to HEAD. */
+	if (body && ev->method != htp_method_HEAD)
 		evbuffer_add_buffer(ev->buffer_out, body);
 	srv_req_end(r);
 	evhtp_send_reply(ev, (evhtp_res)status);
@@ -367,19 +376,25 @@
 {
 	struct hdr_framing f = {0};
 	unsigned int hosts = 0;
+	bool odd = false;
 	evhtp_kv_t *kv;
 
 	TAILQ_FOREACH(kv, ev->headers_in, next) {
 		hdr_framing_add(&f, kv->key, kv->val);
 		hosts += g_ascii_strcasecmp(kv->key, "Host") == 0;
+		odd |= !hdr_name_ok(kv->key);
 	}
 	if (f.bad)
 		return "conflicting or malformed length";
+	if (odd)
+		return "a header's name has bytes that no name has";
 	if (f.chunked && ev->proto != EVHTP_PROTO_11)
 		return "chunks in HTTP/1.0";
 	if (hosts > 1 || (hosts == 0 && ev->proto == EVHTP_PROTO_11))
 		return "one Host is wanted";
-	if (ev->proto != EVHTP_PROTO_11 && ev->proto != EVHTP_PROTO_10) {
+	/* libevhtp takes HTTP/3.0 for 1.0. */
+	if (htparser_get_major(ev->conn->parser) != 1 ||
+	    htparser_get_minor(ev->conn->parser) > 1) {
 		*status = 505;
 		return "HTTP/1.1 or HTTP/1.0 is wanted";
 	}
@@ -424,6 +439,8 @@
 		c->s->ops->gone(c->s->arg, r);
 		srv_req_end(r);
 	}
+	/* libevhtp ends the request after the connection. */
+	evhtp_connection_unset_hook(ev, evhtp_hook_on_request_fini);
 	g_hash_table_remove(c->s->conns, c);
 	g_free(c);
 	return EVHTP_RES_OK;
@@ -479,6 +496,35 @@
 	}
 }
 
+/*
+ * libevhtp does not read a connection whose request waits, so it does not see
+ * a caller leave: its request would keep its place in the queue, and work
+ * would be done for nobody.
+ */
+static void srv_look(void *arg, int64_t now)
+{
+	struct srv *s = arg;
+	GList *conns = g_hash_table_get_keys(s->conns);
+	GList *i;
+
+	for (i = conns; i; i = i->next) {
+		struct srv_conn *c = i->data;
+
+		if (c->req && srv_has_left(c))
+			evhtp_connection_free(c->ev);
+	}
+	g_list_free(conns);
+}
+
+static bool srv_has_left(const struct srv_conn *c)
+{
+	char byte;
+	ssize_t n = recv(bufferevent_getfd(c->ev->bev), &byte, 1,
+			 MSG_PEEK | MSG_DONTWAIT);
+
+	return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 static void srv_req_end(struct srv_req *r)
 {
 	r->conn->req = NULL;
--- a/src/ups.c
+++ b/src/ups.c
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <errno.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -93,6 +94,7 @@
 };
 
 static struct ups_conn *ups_conn_take(struct ups *u, const char *addr);
+static bool ups_conn_quiet(const struct ups_conn *c);
 static struct ups_conn *ups_conn_open(struct ups *u, const char *addr);
 static void ups_conn_free(struct ups_conn *c);
 static void ups_conn_close(struct ups_conn *c);
@@ -262,22 +264,42 @@
 	return NULL;
 }
 
-/* The youngest idle connection, if it is young enough. */
+/* The youngest idle connection, if it is young enough and still quiet. */
 static struct ups_conn *ups_conn_take(struct ups *u, const char *addr)
 {
 	GPtrArray *idle = g_hash_table_lookup(u->hosts, addr);
 	int64_t now = tmr_now(u->tmr);
 	struct ups_conn *c;
 
-	if (!idle || idle->len == 0)
-		return NULL;
-	c = g_ptr_array_index(idle, idle->len - 1);
-	if (now - c->last > UPS_REUSE_MS)
-		return NULL;
-	g_ptr_array_set_size(idle, (gint)idle->len - 1);
-	ups_conn_event(c, UPS_EV_REUSE);
-	u->stats.reuses++;
-	return c;
+	while (idle && idle->len) {
+		c = g_ptr_array_index(idle, idle->len - 1);
+		if (now - c->last > UPS_REUSE_MS)
+			return NULL;
+		g_ptr_array_set_size(idle, (gint)idle->len - 1);
+		if (ups_conn_quiet(c)) {
+			ups_conn_event(c, UPS_EV_REUSE);
+			u->stats.reuses++;
+			return c;
+		}
+		ups_conn_event(c, UPS_EV_FAILED);
+		ups_conn_close(c);
+	}
+	return NULL;
+}
+
+/*
+ * Whether nothing waits on an idle connection, neither bytes nor its end. The
+ * target may have closed it and the loop not have come to it yet: a request
+ * sent then would fail with an outcome nobody knows.
+ */
+static bool ups_conn_quiet(const struct ups_conn *c)
+{
+	char byte;
+	ssize_t n = recv(
+		bufferevent_getfd(evhttp_connection_get_bufferevent(c->ev)),
+		&byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 static struct ups_conn *ups_conn_open(struct ups *u, const char *addr)
--- /dev/null
+++ b/tests/unit/srv_test.c
@@ -0,0 +1,382 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net.h"
+#include "srv.h"
+
+#define READ_MS 3000
+#define QUIET_MS 150
+#define BODY_MAX 1000
+
+/* A server that echoes method, uri and body, or holds requests back. */
+struct bed {
+	struct event_base *base;
+	struct tmr *tmr;
+	struct srv *srv;
+	struct srv_req *held;
+	bool hold;
+	int requests;
+	int gone;
+	int port;
+};
+
+static void echo(struct srv_req *r)
+{
+	struct srv_req_info info = srv_info(r);
+	struct evbuffer *body = evbuffer_new();
+
+	evbuffer_add_printf(body, "<%s %s ", info.method, info.uri);
+	evbuffer_add_buffer(body, srv_body(r));
+	evbuffer_add(body, ">", 1);
+	srv_reply(r, 200, NULL, 0, body);
+	evbuffer_free(body);
+}
+
+static void bed_request(void *arg, struct srv_req *r)
+{
+	struct bed *b = arg;
+
+	b->requests++;
+	if (b->hold)
+		b->held = r;
+	else
+		echo(r);
+}
+
+static void bed_gone(void *arg, struct srv_req *r)
+{
+	struct bed *b = arg;
+
+	b->gone++;
+	b->held = NULL;
+}
+
+static const struct srv_ops bed_ops = {
+	.request = bed_request,
+	.gone = bed_gone,
+};
+
+static int setup(void **state)
+{
+	struct bed *b = g_new0(struct bed, 1);
+	char addr[32];
+	int fd = net_listen(&b->port);
+
+	close(fd);
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", b->port);
+	b->base = event_base_new();
+	b->tmr = tmr_new(b->base);
+	b->srv = srv_new(
+		&(struct srv_config){
+			.base = b->base,
+			.tmr = b->tmr,
+			.addr = addr,
+			.max_body = BODY_MAX,
+			.slow_ms = 300,
+			.max_conns = 10,
+		},
+		&bed_ops, b, NULL);
+	assert_non_null(b->srv);
+	*state = b;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct bed *b = *state;
+
+	srv_free(b->srv);
+	tmr_free(b->tmr);
+	event_base_free(b->base);
+	g_free(b);
+	return 0;
+}
+
+static char *ask(struct bed *b, const char *bytes, const char *until,
+		 bool *closed)
+{
+	int fd = net_dial(b->port);
+	GString *got;
+
+	net_send(fd, bytes, -1);
+	got = net_read(b->base, fd, until, READ_MS, closed);
+	close(fd);
+	net_run(b->base, 5);
+	return g_string_free(got, FALSE);
+}
+
+static void a_request_gets_its_answer(void **state)
+{
+	struct bed *b = *state;
+	bool closed;
+	char *got = ask(b,
+			"POST /a/b?c=%20d HTTP/1.1\r\nHost: x\r\n"
+			"Content-Length: 4\r\n\r\nbody",
+			">", &closed);
+
+	assert_non_null(strstr(got, "HTTP/1.1 200"));
+	assert_non_null(strstr(got, "<POST /a/b?c=%20d body>"));
+	g_free(got);
+}
+
+static void chunks_make_one_body(void **state)
+{
+	struct bed *b = *state;
+	bool closed;
+	char *got = ask(b,
+			"POST /a HTTP/1.1\r\nHost: x\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n"
+			"2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n",
+			">", &closed);
+
+	assert_non_null(strstr(got, "<POST /a abcde>"));
+	g_free(got);
+}
+
+/*
+ * A request that two readers could end at different places: the bytes behind
+ * it would be another caller's request. It gets a 4xx or a close, it is not
+ * run, and nothing behind it on the connection is run either.
+ */
+static void two_ways_to_read_are_refused(void **state)
+{
+	static const char *const bad[] = {
+		/* length beside encoding */
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+		"Content-Length: 4\r\n\r\n0\r\n\r\n",
+		/* two lengths */
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+		"Content-Length: 5\r\n\r\nabcde",
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+		"Content-Length: 4\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4, 4\r\n"
+		"\r\nabcd",
+		/* malformed lengths */
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +4\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -4\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: "
+		"0x4\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4 "
+		"4\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\nHost: x\r\n"
+		"Content-Length: 99999999999999999999\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length:\r\n\r\nabcd",
+		/* other encodings */
+		"POST /a HTTP/1.1\r\nHost: x\r\n"
+		"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\n"
+		"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.0\r\nHost: x\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		/* chunks that are none */
+		"POST /a HTTP/1.1\r\nHost: x\r\n"
+		"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+		"\r\nffffffffffffffff1\r\nab\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n2\r\nabcd\r\n0\r\n\r\n",
+		/* no Host, two Hosts */
+		"GET /a HTTP/1.1\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+		/* a blank before the colon, a folded line */
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\nHost: x\r\nX: y\r\n Content-Length: 4\r\n"
+		"\r\nabcd",
+		/* not a request */
+		"\r\n\r\n\x01\x02\x03\r\n\r\n",
+		"GET /a HTTP/3.0\r\nHost: x\r\n\r\n",
+		"GET /a\r\n\r\n",
+	};
+	struct bed *b = *state;
+	bool closed;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char *all =
+			g_strconcat(bad[i],
+				    "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n",
+				    NULL);
+		char *got = ask(b, all, NULL, &closed);
+
+		if (!closed || b->requests || strstr(got, " 200 ")) {
+			print_error("case %zu: closed=%d requests=%d got=%s\n",
+				    i, closed, b->requests, got);
+			fail();
+		}
+		if (*got)
+			assert_non_null(strstr(got, "not-run"));
+		g_free(got);
+		g_free(all);
+	}
+}
+
+static void too_large_is_refused(void **state)
+{
+	struct bed *b = *state;
+	GString *big = g_string_new("GET /a HTTP/1.1\r\nHost: x\r\n");
+	bool closed;
+	char *got;
+	int i;
+
+	got = ask(b,
+		  "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1001\r\n\r\n",
+		  NULL, &closed);
+	assert_non_null(strstr(got, "413"));
+	assert_true(closed);
+	g_free(got);
+	for (i = 0; i < 1000; i++)
+		g_string_append_printf(big, "X-%d: 0123456789012345678\r\n", i);
+	g_string_append(big, "\r\n");
+	got = ask(b, big->str, NULL, &closed);
+	assert_true(closed);
+	g_free(got);
+	/* chunks that add up to more than is allowed */
+	g_string_assign(big, "POST /a HTTP/1.1\r\nHost: x\r\n"
+			     "Transfer-Encoding: chunked\r\n\r\n");
+	for (i = 0; i < 101; i++)
+		g_string_append(big, "a\r\n0123456789\r\n");
+	g_string_append(big, "0\r\n\r\n");
+	got = ask(b, big->str, NULL, &closed);
+	assert_true(closed);
+	assert_int_equal(b->requests, 0);
+	g_free(got);
+	g_string_free(big, TRUE);
+}
+
+/* Two requests in one packet: each gets its own answer, in order. */
+static void pipelined_requests_keep_their_order(void **state)
+{
+	struct bed *b = *state;
+	int fd = net_dial(b->port);
+	bool closed;
+	GString *got;
+
+	b->hold = true;
+	net_send(fd,
+		 "GET /one HTTP/1.1\r\nHost: x\r\n\r\n"
+		 "GET /two HTTP/1.1\r\nHost: x\r\n\r\n",
+		 -1);
+	net_run(b->base, QUIET_MS);
+	assert_int_equal(b->requests, 1);
+	b->hold = false;
+	echo(b->held);
+	got = net_read(b->base, fd, "/two >", READ_MS, &closed);
+	assert_non_null(strstr(got->str, "<GET /one >"));
+	assert_true(strstr(got->str, "/one") < strstr(got->str, "/two"));
+	assert_int_equal(b->requests, 2);
+	g_string_free(got, TRUE);
+	close(fd);
+}
+
+static void head_has_no_body(void **state)
+{
+	struct bed *b = *state;
+	bool closed;
+	char *got = ask(b,
+			"HEAD /h HTTP/1.1\r\nHost: x\r\n"
+			"Connection: close\r\n\r\n",
+			NULL, &closed);
+
+	assert_non_null(strstr(got, " 200 "));
+	assert_null(strstr(got, "<HEAD"));
+	g_free(got);
+}
+
+/* A sender that stops half-way holds its connection for slow_ms at most. */
+static void a_slow_sender_is_cut(void **state)
+{
+	struct bed *b = *state;
+	bool closed;
+	char *got = ask(b,
+			"POST /a HTTP/1.1\r\nHost: x\r\n"
+			"Content-Length: 10\r\n\r\nabc",
+			NULL, &closed);
+
+	assert_true(closed);
+	assert_int_equal(b->requests, 0);
+	g_free(got);
+}
+
+/*
+ * A planned stop. An idle connection is closed at once; an upload in progress
+ * is read to its end and answered; the answer closes its connection.
+ */
+static void a_drain_finishes_uploads(void **state)
+{
+	struct bed *b = *state;
+	int idle = net_dial(b->port);
+	int busy = net_dial(b->port);
+	bool closed;
+	GString *got;
+
+	net_send(idle, "GET /i HTTP/1.1\r\nHost: x\r\n\r\n", -1);
+	got = net_read(b->base, idle, "/i >", READ_MS, &closed);
+	g_string_free(got, TRUE);
+	net_send(busy,
+		 "POST /up HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc",
+		 -1);
+	net_run(b->base, 50);
+	srv_stop_accepting(b->srv);
+	srv_drain(b->srv);
+	got = net_read(b->base, idle, NULL, READ_MS, &closed);
+	assert_true(closed);
+	g_string_free(got, TRUE);
+	net_send(busy, "def", -1);
+	got = net_read(b->base, busy, NULL, READ_MS, &closed);
+	assert_non_null(strstr(got->str, "<POST /up abcdef>"));
+	assert_true(closed);
+	g_string_free(got, TRUE);
+	close(idle);
+	close(busy);
+}
+
+/* The caller leaves while its request waits: the owner is told once. */
+static void a_caller_who_leaves_is_told(void **state)
+{
+	struct bed *b = *state;
+	int fd = net_dial(b->port);
+
+	b->hold = true;
+	net_send(fd, "GET /one HTTP/1.1\r\nHost: x\r\n\r\n", -1);
+	net_run(b->base, 50);
+	assert_non_null(b->held);
+	close(fd);
+	net_run(b->base, 500);
+	assert_int_equal(b->gone, 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(a_request_gets_its_answer,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(chunks_make_one_body, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(two_ways_to_read_are_refused,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(too_large_is_refused, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(
+			pipelined_requests_keep_their_order, setup, teardown),
+		cmocka_unit_test_setup_teardown(head_has_no_body, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(a_slow_sender_is_cut, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(a_drain_finishes_uploads, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(a_caller_who_leaves_is_told,
+						setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
