Configuration, commands and the replicated fleet state

Moves go begin, released, moved, each fenced by the VM's epoch; a VM on its way is shown as drained in its old pool.

--- /dev/null
+++ b/src/fcm_codec.c
@@ -0,0 +1,254 @@
+#include "fcm.h"
+
+static void fcm_put_apply(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_drain(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_move(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_step(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_priority(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_get_apply(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_get_move(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_get_step(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_get_priority(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_get_note(struct fcm_cmd *c, struct pk_in *in);
+static struct lstr fcm_get_text(struct pk_in *in, size_t max);
+static struct lstr fcm_get_name(struct pk_in *in);
+
+const struct fcm_def fcm_defs[FCM_KINDS] = {
+	[FCM_APPLY] = {"apply", KEY_OPERATE, fcm_put_apply, fcm_get_apply},
+	[FCM_DRAIN] = {"drain", KEY_OPERATE, fcm_put_drain, fcm_get_drain},
+	[FCM_UNDRAIN] = {"undrain", KEY_OPERATE, fcm_put_drain, fcm_get_drain},
+	[FCM_MOVE] = {"move", KEY_OPERATE, fcm_put_move, fcm_get_move},
+	[FCM_RELEASED] = {"released", KEY_PEER, fcm_put_step, fcm_get_step},
+	[FCM_MOVED] = {"moved", KEY_PEER, fcm_put_step, fcm_get_step},
+	[FCM_PRIORITY] = {"priority", KEY_DUTY, fcm_put_priority,
+			  fcm_get_priority},
+	[FCM_NOTE] = {"note", KEY_PEER, fcm_put_note, fcm_get_note},
+};
+
+static const char *const fcm_outcomes[] = {
+	[PROTO_OK] = "accepted",	 [PROTO_REFUSED] = "refused",
+	[PROTO_CONFLICT] = "conflict",	 [PROTO_NOT_LEADER] = "not leader",
+	[PROTO_NO_QUORUM] = "no quorum", [PROTO_OUTCOME_UNKNOWN] = "unknown",
+	[PROTO_FORBIDDEN] = "forbidden",
+};
+
+/* How a command ended, as operators read it. */
+const char *fcm_outcome_name(enum proto_result code)
+{
+	return fcm_outcomes[code];
+}
+
+/* Packs a command: [kind, identity, made, [fields of the kind]]. */
+void fcm_encode(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 4);
+	pk_u(o, c->kind);
+	pk_str(o, c->id);
+	pk_i(o, c->made_ms);
+	fcm_defs[c->kind].encode(c, o);
+}
+
+/*
+ * Reads a command with every check of form. Its strings live until
+ * pk_in_done(in), which the caller calls in both cases.
+ */
+bool fcm_decode(struct fcm_cmd *c, struct pk_in *in, struct lstr bytes)
+{
+	struct pk_in body;
+	uint64_t kind;
+
+	*c = (struct fcm_cmd){0};
+	if (!pk_in_init(in, bytes))
+		return false;
+	kind = pk_get_u(in);
+	c->id = fcm_get_text(in, FCM_ID_MAX);
+	c->made_ms = pk_get_i(in);
+	body = pk_get_arr(in);
+	if (!pk_in_ok(in) || pk_in_left(in) || kind >= FCM_KINDS ||
+	    c->id.len == 0 || c->made_ms < 0 || c->made_ms > INT64_MAX / 2)
+		return false;
+	c->kind = (enum fcm_kind)kind;
+	fcm_defs[kind].decode(c, &body);
+	return pk_in_ok(&body) && pk_in_left(&body) == 0;
+}
+
+static void fcm_put_apply(const struct fcm_cmd *c, struct pk_out *o)
+{
+	guint i;
+
+	pk_arr(o, 3);
+	pk_u(o, c->apply.base);
+	pk_str(o, c->apply.reason);
+	pk_arr(o, 2 * (size_t)c->apply.n_files);
+	for (i = 0; i < c->apply.n_files; i++) {
+		pk_str(o, c->apply.files[i].name);
+		pk_str(o, c->apply.files[i].text);
+	}
+}
+
+static void fcm_get_apply(struct fcm_cmd *c, struct pk_in *in)
+{
+	struct fcm_apply *a = &c->apply;
+	struct pk_in files;
+	guint i;
+
+	a->base = pk_get_u(in);
+	a->reason = fcm_get_text(in, FCM_REASON_MAX);
+	files = pk_get_arr(in);
+	a->n_files = pk_in_left(&files) / 2;
+	if (!pk_in_ok(&files) || pk_in_left(&files) % 2 || a->n_files == 0 ||
+	    a->n_files > FCM_FILES_MAX) {
+		in->bad = true;
+		return;
+	}
+	for (i = 0; i < a->n_files; i++) {
+		a->files[i].name = fcm_get_name(&files);
+		a->files[i].text = pk_get_str(&files);
+	}
+	in->bad = in->bad || files.bad;
+}
+
+static void fcm_put_drain(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 3);
+	pk_str(o, c->drain.name);
+	pk_u(o, c->drain.base);
+	pk_str(o, c->drain.reason);
+}
+
+static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->drain.name = fcm_get_name(in);
+	c->drain.base = pk_get_u(in);
+	c->drain.reason = fcm_get_text(in, FCM_REASON_MAX);
+}
+
+static void fcm_put_move(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 4);
+	pk_str(o, c->move.vm);
+	pk_str(o, c->move.pool);
+	pk_u(o, c->move.base);
+	pk_str(o, c->move.reason);
+}
+
+static void fcm_get_move(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->move.vm = fcm_get_name(in);
+	c->move.pool = fcm_get_name(in);
+	c->move.base = pk_get_u(in);
+	c->move.reason = fcm_get_text(in, FCM_REASON_MAX);
+}
+
+static void fcm_put_step(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 3);
+	pk_str(o, c->step.vm);
+	pk_u(o, c->step.epoch);
+	pk_str(o, c->step.reason);
+}
+
+static void fcm_get_step(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->step.vm = fcm_get_name(in);
+	c->step.epoch = pk_get_u(in);
+	c->step.reason = fcm_get_text(in, FCM_REASON_MAX);
+}
+
+static void fcm_put_priority(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 4);
+	pk_str(o, c->priority.pool);
+	pk_i(o, c->priority.priority);
+	pk_u(o, c->priority.base);
+	pk_str(o, c->priority.reason);
+}
+
+static void fcm_get_priority(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->priority.pool = fcm_get_name(in);
+	c->priority.priority = pk_get_i(in);
+	c->priority.base = pk_get_u(in);
+	c->priority.reason = fcm_get_text(in, FCM_REASON_MAX);
+}
+
+static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 1);
+	pk_str(o, c->note.text);
+}
+
+static void fcm_get_note(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->note.text = fcm_get_text(in, FCM_REASON_MAX);
+}
+
+/* Text that goes into the audit trail: UTF-8 without control characters. */
+static struct lstr fcm_get_text(struct pk_in *in, size_t max)
+{
+	struct lstr s = pk_get_str(in);
+	size_t i;
+
+	if (s.len > max || !g_utf8_validate_len(s.p, s.len, NULL))
+		in->bad = true;
+	for (i = 0; i < s.len; i++)
+		if (g_ascii_iscntrl(s.p[i]))
+			in->bad = true;
+	return in->bad ? LSTR("") : s;
+}
+
+/* A name of a VM, target, pool or file; ":" parts a VM from its port. */
+static struct lstr fcm_get_name(struct pk_in *in)
+{
+	struct lstr s = pk_get_str(in);
+	size_t i;
+
+	if (s.len == 0 || s.len > CFG_NAME_MAX)
+		in->bad = true;
+	for (i = 0; i < s.len; i++)
+		if (!g_ascii_isalnum(s.p[i]) && !strchr("._:-", s.p[i]))
+			in->bad = true;
+	return in->bad ? LSTR("") : s;
+}
+
+/* Packs a result: [code, index, version, number, text]. */
+void fcm_result_pack(const struct fcm_result *r, struct pk_out *o)
+{
+	pk_arr(o, 5);
+	pk_u(o, r->code);
+	pk_u(o, r->index);
+	pk_u(o, r->version);
+	pk_u(o, r->number);
+	pk_cstr(o, r->text);
+}
+
+/* Reads a result; text is then freed by fcm_result_clear. */
+bool fcm_result_unpack(struct fcm_result *r, struct lstr bytes)
+{
+	struct pk_in in;
+	bool ok;
+
+	*r = (struct fcm_result){0};
+	if (!pk_in_init(&in, bytes))
+		return false;
+	r->code = (enum proto_result)pk_get_u(&in);
+	r->index = pk_get_u(&in);
+	r->version = pk_get_u(&in);
+	r->number = pk_get_u(&in);
+	r->text = lstr_dup(pk_get_str(&in));
+	ok = pk_in_ok(&in) && pk_in_left(&in) == 0 &&
+	     (unsigned int)r->code <= PROTO_FORBIDDEN;
+	pk_in_done(&in);
+	if (!ok)
+		fcm_result_clear(r);
+	return ok;
+}
+
+/* Frees what a result holds. */
+void fcm_result_clear(struct fcm_result *r)
+{
+	g_free(r->text);
+	r->text = NULL;
+}
--- a/src/fst.h
+++ b/src/fst.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cfg.h"
 #include "key.h"
 #include "lstr.h"
 #include "pk.h"
@@ -33,5 +34,30 @@
 /* What entry daemons work by; the version grows with every change of it. */
 uint64_t fst_version(const struct fst *f);
 void fst_view(const struct fst *f, struct pk_out *o);
+void fst_view_zone(const struct fst *f, struct lstr zone, struct pk_out *o);
+
+/* Where a VM stands on its way between pools. */
+enum fst_phase {
+	FST_SETTLED,
+	FST_RELEASING, /* entry daemons let go of it; no new work */
+	FST_RELEASED, /* none can place there any more */
+};
+
+/* The membership of a VM; strings live until the next fst_apply. */
+struct fst_member {
+	const char *vm;
+	const char *pool;
+	const char *to; /* pool it moves to, or NULL */
+	enum fst_phase phase;
+	uint64_t epoch;
+	uint64_t since; /* view version that first showed this */
+	bool drained;
+};
+
+uint64_t fst_index(const struct fst *f);
+const struct cfg *fst_config(const struct fst *f);
+guint fst_members(const struct fst *f);
+void fst_member(const struct fst *f, guint i, struct fst_member *out);
+int fst_priority(const struct fst *f, const char *pool);
 
 #endif
--- a/src/fvw.c
+++ b/src/fvw.c
@@ -1,5 +1,7 @@
 #include "fvw.h"
 
+#include <stdlib.h>
+
 #include "err.h"
 
 /*
@@ -20,6 +22,7 @@
 static int fvw_by_service(gconstpointer a, gconstpointer b, gpointer arg);
 static bool fvw_services_differ(const struct fvw *v, GError **err);
 static bool fvw_bad(GError **err, const char *what, guint at);
+static int fvw_vm_named(const void *name, const void *vm);
 
 /* An empty view of that version. */
 struct fvw *fvw_new(uint64_t version)
@@ -319,23 +322,17 @@
 /* The VM of that name, or NULL. */
 const struct fvw_vm *fvw_vm(const struct fvw *v, struct lstr name)
 {
-	guint low = 0;
-	guint high = v->vms->len;
+	if (v->vms->len == 0)
+		return NULL;
+	return bsearch(&name, v->vms->data, v->vms->len, sizeof(struct fvw_vm),
+		       fvw_vm_named);
+}
 
-	while (low < high) {
-		guint mid = low + (high - low) / 2;
-		const struct fvw_vm *vm =
-			&g_array_index(v->vms, struct fvw_vm, mid);
-		int c = lstr_cmp(name, lstr_from(vm->name));
+static int fvw_vm_named(const void *name, const void *vm)
+{
+	const struct lstr *want = name;
 
-		if (c == 0)
-			return vm;
-		if (c < 0)
-			high = mid;
-		else
-			low = mid + 1;
-	}
-	return NULL;
+	return lstr_cmp(*want, lstr_from(((const struct fvw_vm *)vm)->name));
 }
 
 /* Whether an operator drained the target of that name. */
