--- a/src/cht_data.c
+++ b/src/cht_data.c
@@ -59,6 +59,29 @@
 	 "*       undrain  ignore\n"
 	 "*       restart  ignore\n"
 	},
+	{"vm",
+	 "# A VM as the planner and the waves see it.\n"
+	 "start up\n"
+	 "final up\n"
+	 "up        take      -> draining\n"
+	 "# Its work is still running there, so it may go back to work at once.\n"
+	 "draining  give-back -> up\n"
+	 "draining  emptied   -> rebooting\n"
+	 "rebooting booted    -> checking\n"
+	 "checking  healthy   -> up\n"
+	 "up        hold      -> held\n"
+	 "held      give-back -> up\n"
+	 "# A VM that was lost proves its health as after a planned reboot.\n"
+	 "down      booted    -> checking\n"
+	 "down      fail      ignore\n"
+	 "*         fail      -> down\n"
+	 "*         take      reject\n"
+	 "*         hold      reject\n"
+	 "*         give-back reject\n"
+	 "*         emptied   ignore\n"
+	 "*         booted    ignore\n"
+	 "*         healthy   ignore\n"
+	},
 };
 
 const int cht_files_len = sizeof(cht_files) / sizeof(cht_files[0]);
--- /dev/null
+++ b/src/flt.c
@@ -0,0 +1,729 @@
+#include "flt.h"
+
+#include "cht.h"
+#include "err.h"
+
+static const char *const flt_states[FLT_STATES] = {
+	[FLT_UP] = "up",
+	[FLT_DRAINING] = "draining",
+	[FLT_REBOOTING] = "rebooting",
+	[FLT_CHECKING] = "checking",
+	[FLT_HELD] = "held",
+	[FLT_DOWN] = "down",
+};
+
+static const char *const flt_events[FLT_EVENTS] = {
+	[FLT_TAKE] = "take",	   [FLT_GIVE_BACK] = "give-back",
+	[FLT_EMPTIED] = "emptied", [FLT_BOOTED] = "booted",
+	[FLT_HEALTHY] = "healthy", [FLT_HOLD] = "hold",
+	[FLT_FAIL] = "fail",
+};
+
+static const char *const flt_whys[FLT_WHYS] = {
+	[FLT_OK] = "allowed",
+	[FLT_NOT_UP] = "VM is not up",
+	[FLT_CUT_OFF] = "zone is cut off",
+	[FLT_TAKEN] = "taken by another wave",
+	[FLT_BUDGET] = "budget would not survive the declared failure",
+	[FLT_RACK_BUDGET] = "too many of the pool missing behind one switch",
+	[FLT_ZONE_BUDGET] = "too many of the pool missing in one zone",
+	[FLT_UNFIT] = "kind or site that the pool can't use",
+};
+
+static const struct cht *flt_chart(void);
+static bool flt_serves(const struct flt *f, int vm);
+static void flt_count(struct flt *f, int vm, int size, int serving);
+static void flt_count_sw(struct flt_pool *p, int sw, int size, int serving);
+static void flt_pool_grow(const struct flt *f, struct flt_pool *p);
+static struct flt_pool flt_pool_copy(const struct flt_pool *p);
+static void flt_pool_clear(struct flt_pool *p);
+static int flt_most(const GArray *tallies);
+static void flt_pack_budget(const struct flt_budget *b, struct pk_out *o);
+static struct flt_budget flt_unpack_budget(struct pk_in *in);
+static bool flt_unpack_places(struct flt *f, struct pk_in *in);
+static bool flt_unpack_pools(struct flt *f, struct pk_in *in);
+static bool flt_unpack_vms(struct flt *f, struct pk_in *in);
+static int flt_find(const GArray *a, size_t stride, struct lstr name);
+
+/* A fleet with the spare pool and nothing else. */
+struct flt *flt_new(void)
+{
+	struct flt *f = g_new0(struct flt, 1);
+	struct flt_budget none = {.site = FLT_ANY_SITE};
+
+	f->zones = g_array_new(FALSE, TRUE, sizeof(struct flt_zone));
+	f->racks = g_array_new(FALSE, TRUE, sizeof(struct flt_rack));
+	f->vms = g_array_new(FALSE, TRUE, sizeof(struct flt_vm));
+	f->pools = g_array_new(FALSE, TRUE, sizeof(struct flt_pool));
+	flt_add_pool(f, LSTR("spare"), &none);
+	return f;
+}
+
+/* A copy that a plan may try its moves on. */
+struct flt *flt_clone(const struct flt *f)
+{
+	struct flt *c = g_new0(struct flt, 1);
+	guint i;
+
+	c->n_switches = f->n_switches;
+	c->zones = g_array_copy(f->zones);
+	c->racks = g_array_copy(f->racks);
+	c->vms = g_array_copy(f->vms);
+	c->pools = g_array_copy(f->pools);
+	for (i = 0; i < c->zones->len; i++) {
+		struct flt_zone *z =
+			&g_array_index(c->zones, struct flt_zone, i);
+
+		z->name = g_strdup(z->name);
+	}
+	for (i = 0; i < c->racks->len; i++) {
+		struct flt_rack *r =
+			&g_array_index(c->racks, struct flt_rack, i);
+
+		r->name = g_strdup(r->name);
+	}
+	for (i = 0; i < c->vms->len; i++) {
+		struct flt_vm *v = flt_vm(c, (int)i);
+
+		v->name = g_strdup(v->name);
+	}
+	for (i = 0; i < c->pools->len; i++)
+		*flt_pool(c, (int)i) = flt_pool_copy(flt_pool(f, (int)i));
+	return c;
+}
+
+/* Frees a fleet. */
+void flt_free(struct flt *f)
+{
+	guint i;
+
+	if (!f)
+		return;
+	for (i = 0; i < f->zones->len; i++)
+		g_free(g_array_index(f->zones, struct flt_zone, i).name);
+	for (i = 0; i < f->racks->len; i++)
+		g_free(g_array_index(f->racks, struct flt_rack, i).name);
+	for (i = 0; i < f->vms->len; i++)
+		g_free(flt_vm(f, (int)i)->name);
+	for (i = 0; i < f->pools->len; i++)
+		flt_pool_clear(flt_pool(f, (int)i));
+	g_array_free(f->zones, TRUE);
+	g_array_free(f->racks, TRUE);
+	g_array_free(f->vms, TRUE);
+	g_array_free(f->pools, TRUE);
+	g_free(f);
+}
+
+/* Adds a zone; its index. */
+int flt_add_zone(struct flt *f, struct lstr name, int site)
+{
+	struct flt_zone z = {.name = lstr_dup(name), .site = site};
+	guint i;
+
+	g_array_append_val(f->zones, z);
+	for (i = 0; i < f->pools->len; i++)
+		flt_pool_grow(f, flt_pool(f, (int)i));
+	return (int)f->zones->len - 1;
+}
+
+/* Adds a rack behind switch sw (numbered from 0 over the fleet). */
+int flt_add_rack(struct flt *f, struct lstr name, int zone, int sw)
+{
+	struct flt_rack r = {.name = lstr_dup(name), .zone = zone, .sw = sw};
+	guint i;
+
+	g_assert(zone >= 0 && zone < (int)f->zones->len && sw >= 0);
+	g_array_append_val(f->racks, r);
+	f->n_switches = MAX(f->n_switches, sw + 1);
+	for (i = 0; i < f->pools->len; i++)
+		flt_pool_grow(f, flt_pool(f, (int)i));
+	return (int)f->racks->len - 1;
+}
+
+/* Adds a VM that is up, in the spare pool. */
+int flt_add_vm(struct flt *f, struct lstr name, int rack, int kind)
+{
+	struct flt_vm v = {
+		.name = lstr_dup(name),
+		.rack = rack,
+		.kind = kind,
+		.pool = FLT_SPARE,
+		.epoch = 1,
+	};
+
+	g_assert(rack >= 0 && rack < (int)f->racks->len);
+	g_array_append_val(f->vms, v);
+	flt_count(f, (int)f->vms->len - 1, 1,
+		  flt_serves(f, (int)f->vms->len - 1));
+	return (int)f->vms->len - 1;
+}
+
+/* Adds a pool without VMs; its index. */
+int flt_add_pool(struct flt *f, struct lstr name,
+		 const struct flt_budget *budget)
+{
+	struct flt_pool p = {.name = lstr_dup(name), .budget = *budget};
+
+	p.by_sw = g_array_new(FALSE, TRUE, sizeof(struct flt_tally));
+	p.by_zone = g_array_new(FALSE, TRUE, sizeof(struct flt_tally));
+	p.sw_having = g_array_new(FALSE, TRUE, sizeof(int));
+	flt_pool_grow(f, &p);
+	g_array_append_val(f->pools, p);
+	return (int)f->pools->len - 1;
+}
+
+/* Changes what is declared of a pool. */
+void flt_set_budget(struct flt *f, int pool, const struct flt_budget *budget)
+{
+	flt_pool(f, pool)->budget = *budget;
+}
+
+/* The VM at an index. */
+struct flt_vm *flt_vm(const struct flt *f, int vm)
+{
+	g_assert(vm >= 0 && vm < (int)f->vms->len);
+	return &g_array_index(f->vms, struct flt_vm, vm);
+}
+
+/* The rack a VM is in. */
+struct flt_rack *flt_rack_of(const struct flt *f, int vm)
+{
+	return &g_array_index(f->racks, struct flt_rack, flt_vm(f, vm)->rack);
+}
+
+/* The zone a VM is in. */
+struct flt_zone *flt_zone_of(const struct flt *f, int vm)
+{
+	return &g_array_index(f->zones, struct flt_zone,
+			      flt_rack_of(f, vm)->zone);
+}
+
+/* The pool at an index. */
+struct flt_pool *flt_pool(const struct flt *f, int pool)
+{
+	g_assert(pool >= 0 && pool < (int)f->pools->len);
+	return &g_array_index(f->pools, struct flt_pool, pool);
+}
+
+/* What a pool has behind a switch. */
+struct flt_tally *flt_at_sw(const struct flt_pool *p, int sw)
+{
+	return &g_array_index(p->by_sw, struct flt_tally, sw);
+}
+
+/* What a pool has in a zone. */
+struct flt_tally *flt_at_zone(const struct flt_pool *p, int zone)
+{
+	return &g_array_index(p->by_zone, struct flt_tally, zone);
+}
+
+/* Index of the VM of that name, or -1. */
+int flt_find_vm(const struct flt *f, struct lstr name)
+{
+	return flt_find(f->vms, sizeof(struct flt_vm), name);
+}
+
+/* Index of the pool of that name, or -1. */
+int flt_find_pool(const struct flt *f, struct lstr name)
+{
+	return flt_find(f->pools, sizeof(struct flt_pool), name);
+}
+
+/* Fewest VMs that must serve in a pool at any time. */
+int flt_floor(const struct flt_pool *p)
+{
+	return MAX(0, p->budget.wanted - p->budget.missing);
+}
+
+/* Serving VMs that the largest single failure the pool declared would take. */
+int flt_largest_loss(const struct flt_pool *p)
+{
+	if (!p->budget.survive_zone)
+		return p->worst_sw;
+	return MAX(p->worst_sw, flt_most(p->by_zone));
+}
+
+/*
+ * How many VMs the pool has above its floor once its largest declared
+ * failure has happened. Negative: that failure would break the budget, so
+ * nothing may be taken from the pool.
+ */
+int flt_margin(const struct flt_pool *p)
+{
+	return p->serving - flt_largest_loss(p) - flt_floor(p);
+}
+
+/*
+ * Whether the pool keeps its budget, without this VM, through the largest
+ * failure it declared. Made for waves and moves that run beside failures: a
+ * check against the present count alone lets a rack that is lost one minute
+ * later break the budget, and by then the taken VMs are rebooting.
+ */
+enum flt_why flt_can_lose(struct flt *f, int vm)
+{
+	const struct flt_vm *v = flt_vm(f, vm);
+	struct flt_pool *p = flt_pool(f, v->pool);
+	const struct flt_rack *r = flt_rack_of(f, vm);
+	const struct flt_budget *b = &p->budget;
+	const struct flt_tally *sw = flt_at_sw(p, r->sw);
+	const struct flt_tally *zone = flt_at_zone(p, r->zone);
+	int margin;
+
+	if (!flt_serves(f, vm))
+		return FLT_OK;
+	if (b->missing_rack && sw->size - sw->serving + 1 > b->missing_rack)
+		return FLT_RACK_BUDGET;
+	if (b->missing_zone && zone->size - zone->serving + 1 > b->missing_zone)
+		return FLT_ZONE_BUDGET;
+	flt_count(f, vm, 0, -1);
+	margin = flt_margin(p);
+	flt_count(f, vm, 0, 1);
+	return margin >= 0 || v->pool == FLT_SPARE ? FLT_OK : FLT_BUDGET;
+}
+
+/* Whether a pool can use a VM at all. */
+bool flt_fits(const struct flt *f, int vm, int pool)
+{
+	const struct flt_budget *b = &flt_pool(f, pool)->budget;
+
+	if (pool == FLT_SPARE)
+		return true;
+	return flt_vm(f, vm)->kind == b->kind &&
+	       (b->site == FLT_ANY_SITE || b->site == flt_zone_of(f, vm)->site);
+}
+
+/*
+ * Something happened to a VM; the counts follow at once. False: the chart
+ * rejects it in the state that the VM is in.
+ */
+bool flt_vm_event(struct flt *f, int vm, enum flt_event ev)
+{
+	struct flt_vm *v = flt_vm(f, vm);
+	bool served = flt_serves(f, vm);
+	struct cht_step step;
+
+	if (!cht_step(flt_chart(), (int)v->state, (int)ev, &step))
+		return false;
+	v->state = (enum flt_state)step.next;
+	/* A hold outlives a failure: the operator's reason is still there. */
+	if (v->state == FLT_UP && v->hold)
+		v->state = FLT_HELD;
+	flt_count(f, vm, 0, (int)flt_serves(f, vm) - (int)served);
+	return true;
+}
+
+/* Takes a VM for a wave if its pool can do without it. */
+enum flt_why flt_take(struct flt *f, int vm, uint64_t wave)
+{
+	struct flt_vm *v = flt_vm(f, vm);
+	enum flt_why why;
+
+	if (v->wave != FLT_NO_WAVE && v->wave != wave)
+		return FLT_TAKEN;
+	if (v->state != FLT_UP)
+		return FLT_NOT_UP;
+	if (flt_zone_of(f, vm)->cut)
+		return FLT_CUT_OFF;
+	why = flt_can_lose(f, vm);
+	if (why != FLT_OK)
+		return why;
+	v->wave = wave;
+	flt_vm_event(f, vm, FLT_TAKE);
+	return FLT_OK;
+}
+
+/* An operator drains a VM; force goes before the budget, not the chart. */
+enum flt_why flt_hold(struct flt *f, int vm, bool force)
+{
+	struct flt_vm *v = flt_vm(f, vm);
+	enum flt_why why = FLT_OK;
+
+	if (v->wave != FLT_NO_WAVE)
+		return FLT_TAKEN;
+	if (v->state == FLT_UP && !force)
+		why = flt_can_lose(f, vm);
+	if (why != FLT_OK)
+		return why;
+	v->hold = true;
+	if (v->state == FLT_UP)
+		flt_vm_event(f, vm, FLT_HOLD);
+	return FLT_OK;
+}
+
+/* An operator lets a drained VM serve again. */
+void flt_unhold(struct flt *f, int vm)
+{
+	struct flt_vm *v = flt_vm(f, vm);
+
+	v->hold = false;
+	if (v->state == FLT_HELD)
+		flt_vm_event(f, vm, FLT_GIVE_BACK);
+}
+
+/*
+ * Moves a VM to another pool. Checked here again, not only while planning: a
+ * VM may fail, be taken or be cut off between plan and act.
+ */
+enum flt_why flt_move(struct flt *f, int vm, int to)
+{
+	struct flt_vm *v = flt_vm(f, vm);
+	enum flt_why why;
+
+	if (!flt_fits(f, vm, to))
+		return FLT_UNFIT;
+	if (v->wave != FLT_NO_WAVE)
+		return FLT_TAKEN;
+	if (v->state != FLT_UP && v->state != FLT_HELD)
+		return FLT_NOT_UP;
+	if (flt_zone_of(f, vm)->cut)
+		return FLT_CUT_OFF;
+	why = flt_can_lose(f, vm);
+	if (why != FLT_OK)
+		return why;
+	flt_put(f, vm, to);
+	return FLT_OK;
+}
+
+/*
+ * Changes a VM's pool without a check: for first assignments, and for a trial
+ * copy that takes a move back.
+ */
+void flt_put(struct flt *f, int vm, int to)
+{
+	struct flt_vm *v = flt_vm(f, vm);
+	int serving = flt_serves(f, vm);
+
+	flt_count(f, vm, -1, -serving);
+	v->pool = to;
+	v->epoch++;
+	flt_count(f, vm, 1, serving);
+}
+
+/* A rack is lost: all of its VMs are down. */
+void flt_fail_rack(struct flt *f, int rack)
+{
+	guint i;
+
+	for (i = 0; i < f->vms->len; i++)
+		if (flt_vm(f, (int)i)->rack == rack)
+			flt_vm_event(f, (int)i, FLT_FAIL);
+}
+
+/* A zone is lost: all of its VMs are down. */
+void flt_fail_zone(struct flt *f, int zone)
+{
+	guint i;
+
+	for (i = 0; i < f->vms->len; i++)
+		if (flt_rack_of(f, (int)i)->zone == zone)
+			flt_vm_event(f, (int)i, FLT_FAIL);
+}
+
+/*
+ * A zone is cut off or can be reached again. What it holds counts as missing
+ * meanwhile: whether it serves can't be known from here, and the reachable
+ * part must not be taken down on the strength of it.
+ */
+void flt_cut(struct flt *f, int zone, bool cut)
+{
+	struct flt_zone *z = &g_array_index(f->zones, struct flt_zone, zone);
+	bool served;
+	guint i;
+
+	if (z->cut == cut)
+		return;
+	for (i = 0; i < f->vms->len; i++) {
+		if (flt_rack_of(f, (int)i)->zone != zone)
+			continue;
+		z->cut = !cut;
+		served = flt_serves(f, (int)i);
+		z->cut = cut;
+		flt_count(f, (int)i, 0,
+			  (int)flt_serves(f, (int)i) - (int)served);
+	}
+	z->cut = cut;
+}
+
+/* The reason in words, for audit texts and operators. */
+const char *flt_why_text(enum flt_why why)
+{
+	return flt_whys[why];
+}
+
+/* The state's name as in the chart. */
+const char *flt_state_name(enum flt_state state)
+{
+	return flt_states[state];
+}
+
+/* Packs the whole fleet. */
+void flt_pack(const struct flt *f, struct pk_out *o)
+{
+	guint i;
+
+	pk_arr(o, 4);
+	pk_arr(o, (size_t)f->zones->len * 3);
+	for (i = 0; i < f->zones->len; i++) {
+		const struct flt_zone *z =
+			&g_array_index(f->zones, struct flt_zone, i);
+
+		pk_cstr(o, z->name);
+		pk_i(o, z->site);
+		pk_bool(o, z->cut);
+	}
+	pk_arr(o, (size_t)f->racks->len * 3);
+	for (i = 0; i < f->racks->len; i++) {
+		const struct flt_rack *r =
+			&g_array_index(f->racks, struct flt_rack, i);
+
+		pk_cstr(o, r->name);
+		pk_i(o, r->zone);
+		pk_i(o, r->sw);
+	}
+	pk_arr(o, (size_t)(f->pools->len - 1) * 2);
+	for (i = 1; i < f->pools->len; i++) {
+		pk_cstr(o, flt_pool(f, (int)i)->name);
+		flt_pack_budget(&flt_pool(f, (int)i)->budget, o);
+	}
+	pk_arr(o, (size_t)f->vms->len * 9);
+	for (i = 0; i < f->vms->len; i++) {
+		const struct flt_vm *v = flt_vm(f, (int)i);
+
+		pk_cstr(o, v->name);
+		pk_i(o, v->rack);
+		pk_i(o, v->kind);
+		pk_i(o, v->pool);
+		pk_i(o, v->state);
+		pk_bool(o, v->hold);
+		pk_u(o, v->wave);
+		pk_u(o, v->epoch);
+		pk_i(o, v->maintained_ms);
+	}
+}
+
+/* The fleet that flt_pack wrote, or NULL with ERR_CORRUPT. */
+struct flt *flt_unpack(struct lstr bytes, GError **err)
+{
+	struct flt *f = flt_new();
+	struct pk_in in;
+	bool ok = pk_in_init(&in, bytes);
+
+	if (ok) {
+		ok = flt_unpack_places(f, &in) && flt_unpack_pools(f, &in) &&
+		     flt_unpack_vms(f, &in);
+		pk_in_done(&in);
+	}
+	if (ok)
+		return f;
+	flt_free(f);
+	err_set(err, ERR_CORRUPT, "read fleet", NULL, "not a fleet");
+	return NULL;
+}
+
+/* Read once; the table never changes after that. */
+static const struct cht *flt_chart(void)
+{
+	static struct cht *chart;
+	const struct cht_names names = {
+		.states = flt_states,
+		.n_states = FLT_STATES,
+		.events = flt_events,
+		.n_events = FLT_EVENTS,
+	};
+
+	if (!chart)
+		chart = cht_builtin("vm", &names);
+	return chart;
+}
+
+static bool flt_serves(const struct flt *f, int vm)
+{
+	return flt_vm(f, vm)->state == FLT_UP && !flt_zone_of(f, vm)->cut;
+}
+
+static void flt_count(struct flt *f, int vm, int size, int serving)
+{
+	struct flt_pool *p = flt_pool(f, flt_vm(f, vm)->pool);
+	const struct flt_rack *r = flt_rack_of(f, vm);
+	struct flt_tally *zone = flt_at_zone(p, r->zone);
+
+	if (size == 0 && serving == 0)
+		return;
+	p->size += size;
+	p->serving += serving;
+	zone->size = (uint16_t)(zone->size + size);
+	zone->serving = (uint16_t)(zone->serving + serving);
+	flt_count_sw(p, r->sw, size, serving);
+}
+
+/* Counts of the serving behind each switch keep the largest in O(1). */
+static void flt_count_sw(struct flt_pool *p, int sw, int size, int serving)
+{
+	struct flt_tally *t = flt_at_sw(p, sw);
+	int *having;
+
+	t->size = (uint16_t)(t->size + size);
+	if (serving == 0)
+		return;
+	if (p->sw_having->len < (guint)t->serving + 2)
+		g_array_set_size(p->sw_having, (guint)t->serving + 2);
+	having = (int *)(void *)p->sw_having->data;
+	having[t->serving]--;
+	t->serving = (uint16_t)(t->serving + serving);
+	having[t->serving]++;
+	p->worst_sw = MAX(p->worst_sw, (int)t->serving);
+	while (p->worst_sw > 0 && having[p->worst_sw] == 0)
+		p->worst_sw--;
+}
+
+static void flt_pool_grow(const struct flt *f, struct flt_pool *p)
+{
+	g_array_set_size(p->by_sw, (guint)f->n_switches);
+	g_array_set_size(p->by_zone, f->zones->len);
+}
+
+static struct flt_pool flt_pool_copy(const struct flt_pool *p)
+{
+	struct flt_pool c = *p;
+
+	c.name = g_strdup(p->name);
+	c.by_sw = g_array_copy(p->by_sw);
+	c.by_zone = g_array_copy(p->by_zone);
+	c.sw_having = g_array_copy(p->sw_having);
+	return c;
+}
+
+static void flt_pool_clear(struct flt_pool *p)
+{
+	g_free(p->name);
+	g_array_free(p->by_sw, TRUE);
+	g_array_free(p->by_zone, TRUE);
+	g_array_free(p->sw_having, TRUE);
+}
+
+static int flt_most(const GArray *tallies)
+{
+	int most = 0;
+	guint i;
+
+	for (i = 0; i < tallies->len; i++)
+		most = MAX(most,
+			   g_array_index(tallies, struct flt_tally, i).serving);
+	return most;
+}
+
+static void flt_pack_budget(const struct flt_budget *b, struct pk_out *o)
+{
+	pk_arr(o, 8);
+	pk_i(o, b->kind);
+	pk_i(o, b->site);
+	pk_i(o, b->wanted);
+	pk_i(o, b->missing);
+	pk_i(o, b->missing_rack);
+	pk_i(o, b->missing_zone);
+	pk_bool(o, b->survive_zone);
+	pk_i(o, b->priority);
+}
+
+static struct flt_budget flt_unpack_budget(struct pk_in *in)
+{
+	struct pk_in a = pk_get_arr(in);
+	struct flt_budget b;
+
+	b.kind = (int)pk_get_i(&a);
+	b.site = (int)pk_get_i(&a);
+	b.wanted = (int)pk_get_i(&a);
+	b.missing = (int)pk_get_i(&a);
+	b.missing_rack = (int)pk_get_i(&a);
+	b.missing_zone = (int)pk_get_i(&a);
+	b.survive_zone = pk_get_bool(&a);
+	b.priority = (int)pk_get_i(&a);
+	in->bad |= !pk_in_ok(&a);
+	return b;
+}
+
+static bool flt_unpack_places(struct flt *f, struct pk_in *in)
+{
+	struct pk_in zones = pk_get_arr(in);
+	struct pk_in racks = pk_get_arr(in);
+	struct lstr name;
+	int place;
+	int at;
+
+	while (pk_in_ok(&zones) && pk_in_left(&zones)) {
+		name = pk_get_str(&zones);
+		at = flt_add_zone(f, name, (int)pk_get_i(&zones));
+		g_array_index(f->zones, struct flt_zone, at).cut =
+			pk_get_bool(&zones);
+	}
+	while (pk_in_ok(&racks) && pk_in_left(&racks)) {
+		name = pk_get_str(&racks);
+		place = (int)pk_get_i(&racks);
+		at = (int)pk_get_i(&racks);
+		/* Switches are numbered densely, so a larger one is damage. */
+		if (place < 0 || place >= (int)f->zones->len || at < 0 ||
+		    at > UINT16_MAX)
+			return false;
+		flt_add_rack(f, name, place, at);
+	}
+	return pk_in_ok(&zones) && pk_in_ok(&racks);
+}
+
+static bool flt_unpack_pools(struct flt *f, struct pk_in *in)
+{
+	struct pk_in pools = pk_get_arr(in);
+	struct flt_budget budget;
+	struct lstr name;
+
+	while (pk_in_ok(&pools) && pk_in_left(&pools)) {
+		name = pk_get_str(&pools);
+		budget = flt_unpack_budget(&pools);
+		flt_add_pool(f, name, &budget);
+	}
+	return pk_in_ok(&pools);
+}
+
+static bool flt_unpack_vms(struct flt *f, struct pk_in *in)
+{
+	struct pk_in vms = pk_get_arr(in);
+	struct flt_vm v;
+	int state;
+
+	while (pk_in_ok(&vms) && pk_in_left(&vms)) {
+		v.name = lstr_dup(pk_get_str(&vms));
+		v.rack = (int)pk_get_i(&vms);
+		v.kind = (int)pk_get_i(&vms);
+		v.pool = (int)pk_get_i(&vms);
+		state = (int)pk_get_i(&vms);
+		v.state = (enum flt_state)state;
+		v.hold = pk_get_bool(&vms);
+		v.wave = pk_get_u(&vms);
+		v.epoch = pk_get_u(&vms);
+		v.maintained_ms = pk_get_i(&vms);
+		if (!pk_in_ok(&vms) || v.rack < 0 ||
+		    v.rack >= (int)f->racks->len || v.pool < 0 ||
+		    v.pool >= (int)f->pools->len || state < 0 ||
+		    state >= FLT_STATES) {
+			g_free(v.name);
+			return false;
+		}
+		g_array_append_val(f->vms, v);
+		flt_count(f, (int)f->vms->len - 1, 1,
+			  flt_serves(f, (int)f->vms->len - 1));
+	}
+	return pk_in_ok(&vms);
+}
+
+/* Every named thing of the fleet begins with its name. */
+static int flt_find(const GArray *a, size_t stride, struct lstr name)
+{
+	char *const *at;
+	guint i;
+
+	for (i = 0; i < a->len; i++) {
+		at = (char *const *)(const void *)(a->data + i * stride);
+		if (lstr_eq(lstr_from(*at), name))
+			return (int)i;
+	}
+	return -1;
+}
--- /dev/null
+++ b/tests/prop/pln_prop.cc
@@ -0,0 +1,180 @@
+#include <glib.h>
+#include <msgpack.h>
+#include <rapidcheck.h>
+
+extern "C" {
+#include "../unit/fleet_make.h"
+}
+
+namespace
+{
+
+struct Fleet {
+	struct flt *f;
+	~Fleet()
+	{
+		flt_free(f);
+	}
+};
+
+int roll(int from, int to)
+{
+	return *rc::gen::inRange(from, to);
+}
+
+struct flt *randomFleet()
+{
+	int zones = roll(1, 5);
+	int racks = roll(zones, 16);
+	int perRack = roll(1, 6);
+	struct flt *f = fleet_make(zones, racks, perRack);
+	int pools = roll(1, 5);
+	int share = (int)f->vms->len / (pools + 1);
+
+	for (int i = 0; i < pools; i++) {
+		int wanted = roll(0, share + 2);
+		int pool = fleet_pool(f, wanted, roll(0, wanted / 2 + 1),
+				      roll(0, 2));
+		struct flt_budget b = flt_pool(f, pool)->budget;
+
+		b.priority = roll(0, 3);
+		b.missing_zone = roll(0, 4);
+		flt_set_budget(f, pool, &b);
+	}
+	return f;
+}
+
+/* The world acts: failures, repairs, cuts, operators. */
+void randomEvent(struct flt *f)
+{
+	int vm = roll(0, (int)f->vms->len);
+	int zone = roll(0, (int)f->zones->len);
+
+	switch (roll(0, 9)) {
+	case 0:
+		flt_fail_rack(f, roll(0, (int)f->racks->len));
+		break;
+	case 1:
+		flt_cut(f, zone, true);
+		break;
+	case 2:
+		flt_cut(f, zone, false);
+		break;
+	case 3:
+		flt_hold(f, vm, false);
+		break;
+	case 4:
+		flt_unhold(f, vm);
+		break;
+	case 5:
+		flt_fail_zone(f, zone);
+		break;
+	default:
+		flt_vm_event(f, vm,
+			     *rc::gen::element(FLT_FAIL, FLT_BOOTED,
+					       FLT_HEALTHY));
+	}
+}
+
+/* Counts from scratch, to hold against those kept on the way. */
+void countsAgree(const struct flt *f)
+{
+	int total = 0;
+
+	for (int p = 0; p < (int)f->pools->len; p++) {
+		const struct flt_pool *pool = flt_pool(f, p);
+		std::vector<int> bySw(f->n_switches);
+		int size = 0;
+		int serving = 0;
+
+		for (int v = 0; v < (int)f->vms->len; v++) {
+			if (flt_vm(f, v)->pool != p)
+				continue;
+			size++;
+			if (flt_vm(f, v)->state != FLT_UP ||
+			    flt_zone_of(f, v)->cut)
+				continue;
+			serving++;
+			bySw[flt_rack_of(f, v)->sw]++;
+		}
+		RC_ASSERT(pool->size == size);
+		RC_ASSERT(pool->serving == serving);
+		RC_ASSERT(pool->worst_sw ==
+			  *std::max_element(bySw.begin(), bySw.end()));
+		total += size;
+	}
+	RC_ASSERT(total == (int)f->vms->len);
+}
+
+/*
+ * A plan is carried out move by move: no pool that gives a VM is brought
+ * below its floor, or below it once its declared failure happens.
+ */
+void carryOut(struct flt *f, const struct pln *p)
+{
+	const GArray *moves = pln_moves(p);
+
+	for (guint i = 0; i < moves->len; i++) {
+		const struct pln_move *m =
+			&g_array_index(moves, struct pln_move, i);
+		const struct flt_pool *from = flt_pool(f, m->from);
+
+		RC_ASSERT(flt_move(f, m->vm, m->to) == FLT_OK);
+		RC_ASSERT(flt_vm(f, m->vm)->pool == m->to);
+		if (m->from != FLT_SPARE)
+			RC_ASSERT(flt_margin(from) >= 0);
+	}
+}
+
+/* A need that the plan didn't meet is told, and none is told for nothing. */
+void shortagesAreTold(const struct flt *f, const struct pln *p)
+{
+	std::vector<bool> told(f->pools->len);
+	const GArray *s = pln_shortages(p);
+
+	for (guint i = 0; i < s->len; i++)
+		told[g_array_index(s, struct pln_shortage, i).pool] = true;
+	for (int i = 1; i < (int)f->pools->len; i++) {
+		const struct flt_pool *pool = flt_pool(f, i);
+
+		if (!told[i])
+			RC_ASSERT(pool->serving >= flt_floor(pool));
+		else
+			RC_ASSERT(pool->serving < pool->budget.wanted ||
+				  flt_margin(pool) < 1);
+	}
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = rc::check("plans keep budgets beside failures", [] {
+		Fleet fleet{randomFleet()};
+		struct pln_config c = fleet_harrowgate();
+		int rounds = roll(1, 12);
+
+		for (int i = 0; i < rounds; i++) {
+			struct pln *p = fleet_plan(fleet.f, &c, NULL);
+
+			carryOut(fleet.f, p);
+			countsAgree(fleet.f);
+			shortagesAreTold(fleet.f, p);
+			pln_free(p);
+			for (int e = roll(0, 5); e > 0; e--)
+				randomEvent(fleet.f);
+			countsAgree(fleet.f);
+		}
+	});
+
+	ok &= rc::check("a second plan moves nothing", [] {
+		Fleet fleet{randomFleet()};
+		struct pln_config c = fleet_harrowgate();
+
+		for (int e = roll(0, 9); e > 0; e--)
+			randomEvent(fleet.f);
+		fleet_replan(fleet.f, &c);
+		RC_ASSERT(fleet_replan(fleet.f, &c) == 0);
+	});
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/tests/unit/fleet_make.h
@@ -0,0 +1,102 @@
+#ifndef FLEET_MAKE_H
+#define FLEET_MAKE_H
+
+#include "flt.h"
+#include "pln.h"
+
+/* Fleets for tests and benches; both C and C++ read this. */
+
+/* Racks of per_rack VMs, each with its own switch, dealt over the zones. */
+static inline struct flt *fleet_make(int zones, int racks, int per_rack)
+{
+	struct flt *f = flt_new();
+	char name[32];
+	int rack;
+	int i;
+
+	for (i = 0; i < zones; i++) {
+		g_snprintf(name, sizeof(name), "zone%d", i);
+		flt_add_zone(f, lstr_from(name), 0);
+	}
+	for (rack = 0; rack < racks; rack++) {
+		g_snprintf(name, sizeof(name), "rack%d", rack);
+		flt_add_rack(f, lstr_from(name), rack % zones, rack);
+		for (i = 0; i < per_rack; i++) {
+			g_snprintf(name, sizeof(name), "vm%d",
+				   (int)f->vms->len);
+			flt_add_vm(f, lstr_from(name), rack, 0);
+		}
+	}
+	return f;
+}
+
+static inline int fleet_pool(struct flt *f, int wanted, int missing,
+			     bool survive_zone)
+{
+	struct flt_budget b = {};
+	char name[32];
+
+	b.site = FLT_ANY_SITE;
+	b.wanted = wanted;
+	b.missing = missing;
+	b.survive_zone = survive_zone;
+	g_snprintf(name, sizeof(name), "pool%d", (int)f->pools->len);
+	return flt_add_pool(f, lstr_from(name), &b);
+}
+
+/* The weights of a user who pays for buffer and moves. */
+static inline struct pln_config fleet_harrowgate(void)
+{
+	struct pln_config c = {};
+
+	c.weights.buffer = 4;
+	c.weights.rollout = 1;
+	c.weights.moves = 4;
+	c.slack = 1;
+	return c;
+}
+
+/* The weights of a user who pays for roll-out time. */
+static inline struct pln_config fleet_jadranski(void)
+{
+	struct pln_config c = {};
+
+	c.weights.buffer = 1;
+	c.weights.rollout = 8;
+	c.weights.moves = 1;
+	c.slack = 1;
+	return c;
+}
+
+#define FLEET_STEP 500
+
+/* Plans to the end in small steps; the plan is the caller's. */
+static inline struct pln *fleet_plan(const struct flt *f,
+				     const struct pln_config *config,
+				     const int *lend)
+{
+	struct pln *p = pln_new(f, config, lend);
+
+	while (!pln_step(p, FLEET_STEP))
+		;
+	return p;
+}
+
+/* Plans and carries out; moves done. */
+static inline int fleet_replan(struct flt *f, const struct pln_config *config)
+{
+	struct pln *p = fleet_plan(f, config, NULL);
+	const GArray *moves = pln_moves(p);
+	int done = 0;
+	guint i;
+
+	for (i = 0; i < moves->len; i++) {
+		struct pln_move *m = &g_array_index(moves, struct pln_move, i);
+
+		done += flt_move(f, m->vm, m->to) == FLT_OK;
+	}
+	pln_free(p);
+	return done;
+}
+
+#endif
