--- a/src/srv.c
+++ b/src/srv.c
@@ -167,8 +167,10 @@
 /* The request line and where it came from. */
 struct srv_req_info srv_info(const struct srv_req *r)
 {
+	const char *method = htparser_get_methodstr_m(r->ev->method);
+
 	return (struct srv_req_info){
-		.method = htparser_get_methodstr_m(r->ev->method),
+		.method = method ? method : "",
 		.uri = r->uri,
 		.path = r->ev->uri->path->full,
 		.peer_ip = r->conn->ip,
