Memory of idempotency keys, kept by a zone's entry daemons

Cause: callers resend a non-idempotent request to another entry VM after an answer was lost; most entry VMs have no disk. Ruled out: the voters' log for each request (a quorum's fsync a request, and a zone cut off refuses its own work); a majority of diskless copies (with two entry VMs a zone one loss stops all; a restarted copy breaks the majority); leaving it to targets. Change: idm: all keepers of an agreed view hold a claim before it is granted; a key names its zone, memory and minute, so what was forgotten is never taken for new.

--- /dev/null
+++ b/src/idm_key.c
@@ -0,0 +1,69 @@
+#include "idm.h"
+
+#define IDM_MINUTE_MS 60000
+
+static bool idm_hex(struct lstr s, uint64_t *out);
+
+/*
+ * What a caller puts before its own part to make a key of this zone's memory:
+ * "ZONE.EPOCH.MINUTE", freed with g_free. wall_ms: time since 1970.
+ */
+char *idm_key_prefix(const char *zone, uint64_t epoch, int64_t wall_ms)
+{
+	return g_strdup_printf("%s.%" G_GINT64_MODIFIER "x.%" G_GINT64_MODIFIER
+			       "x",
+			       zone, epoch,
+			       (uint64_t)(wall_ms / IDM_MINUTE_MS));
+}
+
+/* Reads a key; false for anything else. Views live as long as text. */
+bool idm_key_parse(struct lstr text, struct idm_key *out)
+{
+	struct lstr epoch;
+	struct lstr minute;
+	size_t i;
+
+	if (text.len > IDM_KEY_MAX)
+		return false;
+	for (i = 0; i < text.len; i++)
+		if (!g_ascii_isgraph(text.p[i]))
+			return false;
+	return lstr_cut(text, '.', &out->zone, &text) && out->zone.len &&
+	       lstr_cut(text, '.', &epoch, &text) &&
+	       idm_hex(epoch, &out->epoch) &&
+	       lstr_cut(text, '.', &minute, &out->rest) &&
+	       idm_hex(minute, &out->minute) && out->rest.len;
+}
+
+/*
+ * Whether a key may still be claimed. An older one may have been claimed and
+ * forgotten since: taking it for new would run its request twice.
+ */
+enum idm_age idm_key_age(const struct idm_key *key, int64_t wall_ms)
+{
+	uint64_t now = (uint64_t)(wall_ms / IDM_MINUTE_MS);
+
+	if (key->minute > now + IDM_SKEW_MIN)
+		return IDM_AGE_FUTURE;
+	if (key->minute + IDM_VALID_MIN < now)
+		return IDM_AGE_OLD;
+	return IDM_AGE_OK;
+}
+
+static bool idm_hex(struct lstr s, uint64_t *out)
+{
+	uint64_t v = 0;
+	size_t i;
+
+	if (s.len == 0 || s.len > 16)
+		return false;
+	for (i = 0; i < s.len; i++) {
+		int digit = g_ascii_xdigit_value(s.p[i]);
+
+		if (digit < 0)
+			return false;
+		v = v << 4 | (uint64_t)digit;
+	}
+	*out = v;
+	return true;
+}
