--- a/src/cfg.h
+++ b/src/cfg.h
@@ -169,6 +169,8 @@
 extern const struct cfg_kind_def cfg_kinds[CFG_KINDS];
 
 bool cfg_is_name(struct lstr s);
+bool cfg_same(enum cfg_key key, const struct cfg_val *a,
+	      const struct cfg_val *b);
 struct cfg *cfg_load(const struct cfg_text *files, guint n, GPtrArray *faults);
 void cfg_free(struct cfg *c);
 
--- a/src/cfg_fault.c
+++ b/src/cfg_fault.c
@@ -99,7 +99,8 @@
 	if (*f->key)
 		g_string_append_printf(s, " %s", f->key);
 	if (*f->value)
-		g_string_append_printf(s, " = %s", f->value);
+		g_string_append_printf(s, "%s%s", *f->key ? " = " : "",
+				       f->value);
 	if (*f->group || *f->key || *f->value)
 		g_string_append(s, ": ");
 	g_string_append(s, f->allowed);
--- a/src/cfg_in.h
+++ b/src/cfg_in.h
@@ -29,8 +29,6 @@
 		...) G_GNUC_PRINTF(3, 4);
 bool cfg_parse(enum cfg_key key, const char *text, int64_t *num);
 char *cfg_allowed(enum cfg_key key);
-bool cfg_same(enum cfg_key key, const struct cfg_val *a,
-	      const struct cfg_val *b);
 const struct cfg_val *cfg_default(enum cfg_key key);
 struct cfg_obj *cfg_obj_new(enum cfg_kind kind, const char *name);
 void cfg_obj_free(gpointer p);
--- a/src/cfg_load.c
+++ b/src/cfg_load.c
@@ -15,6 +15,7 @@
 
 static void cfg_overlay_free(gpointer p);
 static void cfg_vm_clear(gpointer p);
+static void cfg_add_file(struct cfg_reader *r, const struct cfg_text *t);
 static void cfg_read_file(struct cfg_reader *r, const struct cfg_text *t);
 static void cfg_read_group(struct cfg_reader *r, const struct cfg_item *it,
 			   const struct cfg_place *at);
@@ -29,6 +30,7 @@
 static void cfg_end_overlay(struct cfg_reader *r);
 static void cfg_sort(struct cfg *c);
 static int cfg_vm_order(gconstpointer a, gconstpointer b);
+static int cfg_fault_order(gconstpointer a, gconstpointer b, gpointer files);
 static bool cfg_too_large(const struct cfg_text *files, guint n,
 			  GPtrArray *faults);
 
@@ -56,7 +58,7 @@
 	r.c = c;
 	r.byname = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (r.file = 0; r.file < n; r.file++) {
-		g_ptr_array_add(c->files, lstr_dup(files[r.file].name));
+		cfg_add_file(&r, &files[r.file]);
 		cfg_read_file(&r, &files[r.file]);
 	}
 	g_hash_table_destroy(r.byname);
@@ -64,6 +66,7 @@
 	/* Faults that follow from earlier ones would only confuse. */
 	if (cfg_faults_hard(faults) == 0)
 		cfg_check_whole(c, faults);
+	g_ptr_array_sort_with_data(faults, cfg_fault_order, c->files);
 	if (cfg_faults_hard(faults) == 0)
 		return c;
 	cfg_free(c);
@@ -95,6 +98,21 @@
 	return true;
 }
 
+/* In the order in which an editor meets them. */
+static int cfg_fault_order(gconstpointer a, gconstpointer b, gpointer files)
+{
+	const struct cfg_fault *x = *(const struct cfg_fault *const *)a;
+	const struct cfg_fault *y = *(const struct cfg_fault *const *)b;
+	guint i = 0;
+	guint j = 0;
+
+	g_ptr_array_find_with_equal_func(files, x->file, g_str_equal, &i);
+	g_ptr_array_find_with_equal_func(files, y->file, g_str_equal, &j);
+	if (i != j)
+		return i < j ? -1 : 1;
+	return x->line - y->line;
+}
+
 /* Frees a configuration; NULL is allowed. */
 void cfg_free(struct cfg *c)
 {
@@ -152,6 +170,23 @@
 	g_free(o);
 }
 
+/* Faults and origins name files, so no two may share a name. */
+static void cfg_add_file(struct cfg_reader *r, const struct cfg_text *t)
+{
+	char *name = lstr_dup(t->name);
+	struct cfg_place at = {.file = name};
+
+	if (g_ptr_array_find_with_equal_func(r->c->files, name, g_str_equal,
+					     NULL))
+		cfg_fault(r->faults, &at, "two files have this name");
+	else if (!cfg_is_name(t->name))
+		cfg_fault(r->faults, &at,
+			  "allowed in a file's name: letters, digits, \".\", "
+			  "\"_\", \"-\", up to %d characters",
+			  CFG_NAME_MAX);
+	g_ptr_array_add(r->c->files, name);
+}
+
 static void cfg_read_file(struct cfg_reader *r, const struct cfg_text *t)
 {
 	const char *file = g_ptr_array_index(r->c->files, r->file);
@@ -284,6 +319,8 @@
 		return;
 	}
 	v = &r->obj->vals[key - (int)kind->first];
+	v->file = r->file;
+	v->line = it->line;
 	if (!cfg_parse((enum cfg_key)key, it->value, &v->num)) {
 		allowed = cfg_allowed((enum cfg_key)key);
 		cfg_fault(r->faults, at, "%s", allowed);
@@ -291,8 +328,6 @@
 		return;
 	}
 	v->text = g_strdup(it->value);
-	v->file = r->file;
-	v->line = it->line;
 }
 
 /* "vm.NAME = POOL SIZE"; both are looked up once the whole file is read. */
@@ -347,8 +382,9 @@
 				       .group = o->group};
 
 		for (key = (int)kind->first; key <= (int)kind->last; key++) {
+			/* Given, though perhaps not as it must be. */
 			if (cfg_keys[key].dflt ||
-			    o->vals[key - (int)kind->first].text)
+			    o->vals[key - (int)kind->first].line)
 				continue;
 			at.key = cfg_keys[key].name;
 			cfg_fault(r->faults, &at, "must be given");
--- /dev/null
+++ b/src/cli_cmd.c
@@ -0,0 +1,81 @@
+#include "cli.h"
+
+#include <stdio.h>
+
+/* Every command of the client; a new one is an entry here. */
+const struct cli_cmd cli_cmds[] = {
+	{"check", "BASE [OVERLAY...]",
+	 "Check a configuration as a whole, without asking anybody", 1, -1,
+	 false, KEY_READ, NULL, cli_do_check},
+	{"diff", "BASE [OVERLAY...]",
+	 "Show what it would change at each site, against what is in force", 1,
+	 -1, true, KEY_READ, NULL, cli_do_diff},
+	{"apply", "BASE [OVERLAY...]",
+	 "Put it in force; --base N says what it was made from", 1, -1, true,
+	 KEY_OPERATE, NULL, cli_do_apply},
+	{"config", "[NUMBER]", "Print the files in force, or those of a number",
+	 0, 1, true, KEY_READ, "config", cli_do_config},
+	{"history", "", "List accepted configurations", 0, 0, true, KEY_READ,
+	 "history", cli_do_query},
+	{"show", "[SITE]", "Show effective values and where each comes from", 0,
+	 1, true, KEY_READ, "show", cli_do_query},
+	{"audit", "", "Show the audit trail; --after N pages, --json exports",
+	 0, 0, true, KEY_READ, "audit", cli_do_audit},
+	{"verify", "FILE", "Check the chain of an exported audit trail", 1, 1,
+	 false, KEY_READ, NULL, cli_do_verify},
+	{"status", "ID", "Tell what became of a command", 1, 1, true, KEY_READ,
+	 "status", cli_do_status},
+	{"drain", "VM", "Give a VM (--target: a target) no new work", 1, 1,
+	 true, KEY_OPERATE, NULL, cli_do_drain},
+	{"undrain", "VM", "Let a drained VM or target get work again", 1, 1,
+	 true, KEY_OPERATE, NULL, cli_do_drain},
+	{"move", "VM POOL", "Move a VM; to its own pool: call that off", 2, 2,
+	 true, KEY_OPERATE, NULL, cli_do_move},
+	{"priority", "POOL N|clear", "Set a pool's priority over the file's", 2,
+	 2, true, KEY_DUTY, NULL, cli_do_priority},
+	{"pools", "[SITE|POOL]", "List pools with capacity, VMs and budget", 0,
+	 1, true, KEY_READ, "pools", cli_do_query},
+	{"vms", "[VM|POOL|ZONE|SITE]", "List VMs and their pools", 0, 1, true,
+	 KEY_READ, "vms", cli_do_query},
+	{"moves", "", "List VMs on their way between pools", 0, 0, true,
+	 KEY_READ, "moves", cli_do_query},
+	{"drains", "", "List targets drained by name", 0, 0, true, KEY_READ,
+	 "drains", cli_do_query},
+	{"nodes", "", "List entry daemons and the version each works by", 0, 0,
+	 true, KEY_READ, "nodes", cli_do_query},
+	{"voters", "", "List voters and which one leads", 0, 0, true, KEY_READ,
+	 "voters", cli_do_query},
+	{"completion", "", "Print a completion script for bash", 0, 0, false,
+	 KEY_READ, NULL, cli_do_completion},
+};
+
+const guint cli_cmds_len = G_N_ELEMENTS(cli_cmds);
+
+/* Prints shell completion made of the tables above and the settings'. */
+int cli_do_completion(struct cli *c, const struct cli_cmd *cmd, char **args,
+		      int n)
+{
+	guint i;
+
+	printf("# bash completion of endivectl; made by \"endivectl "
+	       "completion\"\n"
+	       "_endivectl()\n{\n"
+	       "\tlocal cur=${COMP_WORDS[COMP_CWORD]} w cmd=\n"
+	       "\tfor w in \"${COMP_WORDS[@]:1:COMP_CWORD-1}\"; do\n"
+	       "\t\t[ \"${w#-}\" = \"$w\" ] && cmd=$w && break\n"
+	       "\tdone\n"
+	       "\tcase $cur in\n"
+	       "\t-*) COMPREPLY=($(compgen -W \"");
+	for (i = 0; cli_flags[i]; i++)
+		printf("%s--%s", i ? " " : "", cli_flags[i]);
+	printf("\" -- \"$cur\"));;\n"
+	       "\t*) if [ -n \"$cmd\" ]; then COMPREPLY=($(compgen -f -- "
+	       "\"$cur\"))\n"
+	       "\t   else COMPREPLY=($(compgen -W \"");
+	for (i = 0; i < cli_cmds_len; i++)
+		printf("%s%s", i ? " " : "", cli_cmds[i].name);
+	printf("\" -- \"$cur\")); fi;;\n"
+	       "\tesac\n}\n"
+	       "complete -F _endivectl endivectl\n");
+	return CLI_OK;
+}
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -47,6 +47,7 @@
  * the log index of its last change, 0 where there was none.
  */
 struct fcm_drain {
+	bool target; /* the name is a target's, not a VM's */
 	struct lstr name;
 	uint64_t base;
 	struct lstr reason;
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -112,7 +112,8 @@
 
 static void fcm_put_drain(const struct fcm_cmd *c, struct pk_out *o)
 {
-	pk_arr(o, 3);
+	pk_arr(o, 4);
+	pk_bool(o, c->drain.target);
 	pk_str(o, c->drain.name);
 	pk_u(o, c->drain.base);
 	pk_str(o, c->drain.reason);
@@ -120,6 +121,7 @@
 
 static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in)
 {
+	c->drain.target = pk_get_bool(in);
 	c->drain.name = fcm_get_name(in);
 	c->drain.base = pk_get_u(in);
 	c->drain.reason = fcm_get_text(in, FCM_REASON_MAX);
@@ -199,17 +201,13 @@
 	return in->bad ? LSTR("") : s;
 }
 
-/* A name of a VM, target, pool or file; ":" parts a VM from its port. */
+/* A name of a VM, target, pool or file. */
 static struct lstr fcm_get_name(struct pk_in *in)
 {
 	struct lstr s = pk_get_str(in);
-	size_t i;
 
-	if (s.len == 0 || s.len > CFG_NAME_MAX)
+	if (!cfg_is_name(s))
 		in->bad = true;
-	for (i = 0; i < s.len; i++)
-		if (!g_ascii_isalnum(s.p[i]) && !strchr("._:-", s.p[i]))
-			in->bad = true;
 	return in->bad ? LSTR("") : s;
 }
 
--- a/src/fst.c
+++ b/src/fst.c
@@ -328,7 +328,8 @@
 		.role = lstr_from(role),
 		.kind = lstr_from(kind),
 		.what = lstr_n(r->what->str, r->what->len),
-		.from = r->from,
+		/* A base that means "any", or garbage, still reads back. */
+		.from = r->from <= INT64_MAX ? r->from : 0,
 		.outcome = lstr_from(fcm_outcome_name(r->code)),
 		.text = lstr_n(r->text->str, r->text->len),
 	};
--- a/src/fst_cfg.c
+++ b/src/fst_cfg.c
@@ -17,7 +17,6 @@
 	uint64_t number = last ? last->number : 0;
 	char *when;
 	struct cfg *next;
-	guint i;
 
 	r->from = a->base;
 	fst_run_what(r, a->reason,
@@ -48,11 +47,6 @@
 		g_free(when);
 		return;
 	}
-	for (i = 0; i < a->n_files; i++)
-		if (!cfg_is_name(a->files[i].name)) {
-			fst_run_end(r, PROTO_REFUSED, "file name not allowed");
-			return;
-		}
 	next = fst_load(r);
 	if (!next)
 		return;
--- a/src/fst_vm.c
+++ b/src/fst_vm.c
@@ -29,7 +29,10 @@
 				     const struct cfg_vm *line);
 static void fst_member_remove(struct fst_run *r, struct fst_vm *vm);
 static struct fst_vm *fst_gone_take(struct fst *f, const char *name);
+static void fst_vm_set_drained(struct fst_run *r, struct fst_vm *vm,
+			       bool drained);
 static void fst_drain_target(struct fst_run *r);
+static void fst_undrain_target(struct fst_run *r);
 static int fst_drain_order(gconstpointer a, gconstpointer b);
 
 static const char *const fst_phases[] = {
@@ -126,41 +129,65 @@
 	return vm;
 }
 
-/* A VM (or, with its port, one of its targets) gets no new work. */
+/* A VM, or one target by its name, gets no new work. */
 void fst_do_drain(struct fst_run *r)
 {
 	const struct fcm_drain *d = &r->cmd->drain;
 	struct fst_vm *vm;
 
-	fst_run_what(r, d->reason, "drain " LSTR_FMT, LSTR_ARG(d->name));
-	if (memchr(d->name.p, ':', d->name.len)) {
+	fst_run_what(r, d->reason, "drain %s" LSTR_FMT,
+		     d->target ? "target " : "", LSTR_ARG(d->name));
+	if (d->target) {
 		fst_drain_target(r);
 		return;
 	}
 	vm = fst_vm_wanted(r, d->name);
 	if (!vm || fst_run_conflicts(r, &vm->stamp, d->base))
 		return;
-	if (vm->drained) {
+	if (vm->drained)
 		fst_run_end(r, PROTO_OK, "was drained already");
+	else
+		fst_vm_set_drained(r, vm, true);
+}
+
+/* A drained VM or target may get work again. */
+void fst_do_undrain(struct fst_run *r)
+{
+	const struct fcm_drain *d = &r->cmd->drain;
+	struct fst_vm *vm;
+
+	fst_run_what(r, d->reason, "undrain %s" LSTR_FMT,
+		     d->target ? "target " : "", LSTR_ARG(d->name));
+	if (d->target) {
+		fst_undrain_target(r);
 		return;
 	}
-	vm->drained = true;
+	vm = fst_vm_wanted(r, d->name);
+	if (!vm || fst_run_conflicts(r, &vm->stamp, d->base))
+		return;
+	if (vm->drained)
+		fst_vm_set_drained(r, vm, false);
+	else
+		fst_run_end(r, PROTO_OK, "was not drained");
+}
+
+static void fst_vm_set_drained(struct fst_run *r, struct fst_vm *vm,
+			       bool drained)
+{
+	vm->drained = drained;
 	fst_touch(r->f);
 	vm->since = r->f->version;
 	fst_stamp_set(&vm->stamp, r);
-	fst_run_end(r, PROTO_OK, "%s drains", vm->name);
+	fst_run_end(r, PROTO_OK, "%s %s", vm->name,
+		    drained ? "gets no new work" : "may get work again");
 }
 
+/* Targets announce themselves, so there is no list to look the name up in. */
 static void fst_drain_target(struct fst_run *r)
 {
 	const struct fcm_drain *d = &r->cmd->drain;
 	struct fst_drain *drain;
-	struct lstr vm;
-	struct lstr port;
 
-	lstr_cut(d->name, ':', &vm, &port);
-	if (!fst_vm_wanted(r, vm))
-		return;
 	if (fst_drain_find(r->f, d->name)) {
 		fst_run_end(r, PROTO_OK, "was drained already");
 		return;
@@ -177,40 +204,22 @@
 	g_ptr_array_add(r->f->drains, drain);
 	g_ptr_array_sort(r->f->drains, fst_drain_order);
 	fst_touch(r->f);
-	fst_run_end(r, PROTO_OK, "%s drains", drain->name);
+	fst_run_end(r, PROTO_OK, "target %s gets no new work", drain->name);
 }
 
-/* A drained VM or target may get work again. */
-void fst_do_undrain(struct fst_run *r)
+static void fst_undrain_target(struct fst_run *r)
 {
-	const struct fcm_drain *d = &r->cmd->drain;
-	struct fst_drain *drain = fst_drain_find(r->f, d->name);
-	struct fst_vm *vm;
+	struct lstr name = r->cmd->drain.name;
+	struct fst_drain *drain = fst_drain_find(r->f, name);
 
-	fst_run_what(r, d->reason, "undrain " LSTR_FMT, LSTR_ARG(d->name));
-	if (drain) {
-		g_ptr_array_remove(r->f->drains, drain);
-		fst_touch(r->f);
-		fst_run_end(r, PROTO_OK, LSTR_FMT " serves again",
-			    LSTR_ARG(d->name));
-		return;
-	}
-	if (memchr(d->name.p, ':', d->name.len)) {
+	if (!drain) {
 		fst_run_end(r, PROTO_OK, "was not drained");
 		return;
 	}
-	vm = fst_vm_wanted(r, d->name);
-	if (!vm || fst_run_conflicts(r, &vm->stamp, d->base))
-		return;
-	if (!vm->drained) {
-		fst_run_end(r, PROTO_OK, "was not drained");
-		return;
-	}
-	vm->drained = false;
+	g_ptr_array_remove(r->f->drains, drain);
 	fst_touch(r->f);
-	vm->since = r->f->version;
-	fst_stamp_set(&vm->stamp, r);
-	fst_run_end(r, PROTO_OK, "%s serves again", vm->name);
+	fst_run_end(r, PROTO_OK, "target " LSTR_FMT " may get work again",
+		    LSTR_ARG(name));
 }
 
 /* The drained target of that name, or NULL. */
