--- a/src/cli_act.c
+++ b/src/cli_act.c
@@ -174,3 +174,23 @@
 		.reason = lstr_from(c->set.reason)};
 	return cli_finish(c, &act);
 }
+
+/*
+ * Takes an entry daemon out of those a move waits for. One that still runs,
+ * cut off, could place work on a VM that has moved: so it needs --yes.
+ */
+int cli_do_forget(struct cli *c, const struct cli_cmd *cmd, char **args, int n)
+{
+	struct fcm_cmd act = {.kind = FCM_FORGET,
+			      .node = {.node = lstr_from(args[0]),
+				       .reason = lstr_from(c->set.reason)}};
+
+	if (c->set.yes)
+		return cli_finish(c, &act);
+	fprintf(stderr,
+		"endivectl: %s must have stopped for good: if it runs on, cut "
+		"off, it may place work on VMs that have moved. Not done; give "
+		"--yes to do it\n",
+		args[0]);
+	return CLI_USAGE;
+}
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -23,6 +23,8 @@
 	FCM_RELEASED, /* every entry daemon has let go of a VM */
 	FCM_MOVED, /* a released VM joins its new pool */
 	FCM_PRIORITY, /* of a pool, set or cleared by the duty officer */
+	FCM_JOIN, /* an entry daemon that is about to get views */
+	FCM_FORGET, /* an entry daemon that never places again */
 	FCM_NOTE, /* an automatic act, into the audit trail */
 	FCM_KINDS
 };
@@ -73,6 +75,12 @@
 	struct lstr reason;
 };
 
+struct fcm_node {
+	struct lstr node;
+	struct lstr zone; /* empty in FCM_FORGET */
+	struct lstr reason;
+};
+
 struct fcm_note {
 	struct lstr text;
 };
@@ -87,6 +95,7 @@
 		struct fcm_move move;
 		struct fcm_step step; /* released, moved */
 		struct fcm_priority priority;
+		struct fcm_node node; /* join, forget */
 		struct fcm_note note;
 	};
 };
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -5,6 +5,8 @@
 static void fcm_put_move(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_put_step(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_put_priority(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_node(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_get_node(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_get_apply(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in);
@@ -24,6 +26,8 @@
 	[FCM_MOVED] = {"moved", KEY_PEER, fcm_put_step, fcm_get_step},
 	[FCM_PRIORITY] = {"priority", KEY_DUTY, fcm_put_priority,
 			  fcm_get_priority},
+	[FCM_JOIN] = {"join", KEY_PEER, fcm_put_node, fcm_get_node},
+	[FCM_FORGET] = {"forget", KEY_DUTY, fcm_put_node, fcm_get_node},
 	[FCM_NOTE] = {"note", KEY_PEER, fcm_put_note, fcm_get_note},
 };
 
@@ -176,6 +180,22 @@
 	c->priority.reason = fcm_get_text(in, FCM_REASON_MAX);
 }
 
+static void fcm_put_node(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 3);
+	pk_str(o, c->node.node);
+	pk_str(o, c->node.zone);
+	pk_str(o, c->node.reason);
+}
+
+static void fcm_get_node(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->node.node = fcm_get_name(in);
+	c->node.zone =
+		c->kind == FCM_JOIN ? fcm_get_name(in) : fcm_get_text(in, 0);
+	c->node.reason = fcm_get_text(in, FCM_REASON_MAX);
+}
+
 static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o)
 {
 	pk_arr(o, 1);
--- a/src/fst.h
+++ b/src/fst.h
@@ -58,6 +58,10 @@
 const struct cfg *fst_config(const struct fst *f);
 guint fst_members(const struct fst *f);
 void fst_member(const struct fst *f, guint i, struct fst_member *out);
+guint fst_nodes(const struct fst *f);
+void fst_node(const struct fst *f, guint i, const char **name,
+	      const char **zone);
+bool fst_node_known(const struct fst *f, struct lstr node, struct lstr zone);
 int fst_priority(const struct fst *f, const char *pool);
 
 #endif
--- a/src/fst_in.h
+++ b/src/fst_in.h
@@ -22,6 +22,7 @@
 #define FST_HISTORY_BYTES (2u << 20) /* of their texts beside the newest */
 #define FST_GONE_MAX 10000 /* VMs remembered after their removal */
 #define FST_DRAINS_MAX 4096 /* targets drained by name at once */
+#define FST_NODES_MAX 1024 /* entry daemons */
 #define FST_TEXT_MAX 4000 /* bytes of a result's text */
 #define FST_DIGEST 16
 
@@ -50,6 +51,13 @@
 	struct fst_stamp stamp;
 };
 
+/* An entry daemon that may place work in its zone. */
+struct fst_node {
+	char *name;
+	char *zone;
+	struct fst_stamp stamp;
+};
+
 /* A priority the duty officer set over the configuration's. */
 struct fst_prio {
 	char *pool;
@@ -87,6 +95,7 @@
 	GPtrArray *gone; /* struct fst_vm in order of removal */
 	GPtrArray *drains; /* struct fst_drain by name */
 	GPtrArray *prios; /* struct fst_prio by pool */
+	GPtrArray *nodes; /* struct fst_node by name */
 	GHashTable *ids; /* key -> struct fst_id */
 	GSequence *ids_by_made;
 	struct fau *audit;
@@ -125,6 +134,8 @@
 void fst_drain_free(gpointer p);
 struct fst_prio *fst_prio_find(const struct fst *f, struct lstr pool);
 void fst_prio_free(gpointer p);
+struct fst_node *fst_node_find(const struct fst *f, struct lstr name);
+void fst_node_free(gpointer p);
 void fst_config_free(gpointer p);
 const struct fst_config *fst_config_last(const struct fst *f);
 const char *fst_phase_name(enum fst_phase phase);
@@ -136,6 +147,8 @@
 void fst_do_released(struct fst_run *r);
 void fst_do_moved(struct fst_run *r);
 void fst_do_priority(struct fst_run *r);
+void fst_do_join(struct fst_run *r);
+void fst_do_forget(struct fst_run *r);
 void fst_do_note(struct fst_run *r);
 bool fst_members_fit(struct fst_run *r, const struct cfg *next);
 void fst_members_take(struct fst_run *r, const struct cfg *next);
--- a/src/fst_query.c
+++ b/src/fst_query.c
@@ -26,6 +26,8 @@
 			struct pk_out *result);
 static void fst_q_drains(const struct fst *f, struct lstr arg,
 			 struct pk_out *result);
+static void fst_q_entries(const struct fst *f, struct lstr arg,
+			  struct pk_out *result);
 static void fst_put_time(struct pk_out *o, int64_t time_ms);
 
 static const struct {
@@ -37,7 +39,7 @@
 	{"show", fst_q_show},	  {"audit", fst_q_audit},
 	{"status", fst_q_status}, {"vms", fst_q_vms},
 	{"moves", fst_q_moves},	  {"pools", fst_q_pools},
-	{"drains", fst_q_drains},
+	{"drains", fst_q_drains}, {"entries", fst_q_entries},
 };
 
 /*
@@ -457,3 +459,24 @@
 	}
 	qtb_finish(&t, result);
 }
+
+/* Entry daemons a move waits for, by their zone. */
+static void fst_q_entries(const struct fst *f, struct lstr arg,
+			  struct pk_out *result)
+{
+	static const char *const cols[] = {"node", "zone", "time", "what"};
+	struct qtb t;
+	guint i;
+
+	qtb_init(&t, cols, G_N_ELEMENTS(cols));
+	for (i = 0; i < f->nodes->len; i++) {
+		const struct fst_node *n = g_ptr_array_index(f->nodes, i);
+		struct pk_out *o = qtb_row(&t);
+
+		pk_cstr(o, n->name);
+		pk_cstr(o, n->zone);
+		fst_put_time(o, n->stamp.time_ms);
+		pk_cstr(o, n->stamp.what);
+	}
+	qtb_finish(&t, result);
+}
--- a/src/fst_snap.c
+++ b/src/fst_snap.c
@@ -26,6 +26,8 @@
 static bool fst_unpack_drains(struct fst *f, struct pk_in *in);
 static void fst_pack_prios(const struct fst *f, struct pk_out *o);
 static bool fst_unpack_prios(struct fst *f, struct pk_in *in);
+static void fst_pack_nodes(const struct fst *f, struct pk_out *o);
+static bool fst_unpack_nodes(struct fst *f, struct pk_in *in);
 static void fst_pack_ids(const struct fst *f, struct pk_out *o);
 static bool fst_unpack_ids(struct fst *f, struct pk_in *in);
 static void fst_pack_audit(const struct fst *f, struct pk_out *o);
@@ -42,6 +44,7 @@
 	{fst_pack_gone, fst_unpack_gone},
 	{fst_pack_drains, fst_unpack_drains},
 	{fst_pack_prios, fst_unpack_prios},
+	{fst_pack_nodes, fst_unpack_nodes},
 	{fst_pack_ids, fst_unpack_ids},
 	{fst_pack_audit, fst_unpack_audit},
 };
@@ -378,6 +381,39 @@
 	return pk_in_ok(&list);
 }
 
+static void fst_pack_nodes(const struct fst *f, struct pk_out *o)
+{
+	guint i;
+
+	pk_arr(o, f->nodes->len);
+	for (i = 0; i < f->nodes->len; i++) {
+		const struct fst_node *n = g_ptr_array_index(f->nodes, i);
+
+		pk_arr(o, 6);
+		pk_cstr(o, n->name);
+		pk_cstr(o, n->zone);
+		fst_pack_stamp(&n->stamp, o);
+	}
+}
+
+static bool fst_unpack_nodes(struct fst *f, struct pk_in *in)
+{
+	struct pk_in list = pk_get_arr(in);
+
+	while (pk_in_left(&list)) {
+		struct pk_in one = pk_get_arr(&list);
+		struct fst_node *n = g_new0(struct fst_node, 1);
+
+		g_ptr_array_add(f->nodes, n);
+		n->name = lstr_dup(pk_get_str(&one));
+		n->zone = lstr_dup(pk_get_str(&one));
+		fst_unpack_stamp(&n->stamp, &one);
+		if (!pk_in_ok(&one) || pk_in_left(&one))
+			return false;
+	}
+	return pk_in_ok(&list);
+}
+
 static void fst_pack_ids(const struct fst *f, struct pk_out *o)
 {
 	GSequenceIter *it = g_sequence_get_begin_iter(f->ids_by_made);
