--- a/src/fst.c
+++ b/src/fst.c
@@ -143,7 +143,8 @@
 	role = pk_get_u(in);
 	*cmd = pk_get_str(in);
 	if (!pk_in_ok(in) || pk_in_left(in) || role >= KEY_ROLES ||
-	    r->who.len > KEY_NAME_MAX || time_ms > INT64_MAX / 2) {
+	    r->who.len > KEY_NAME_MAX || time_ms < 0 ||
+	    time_ms > FST_TIME_MAX) {
 		pk_in_done(in);
 		return false;
 	}
--- a/src/fst_in.h
+++ b/src/fst_in.h
@@ -18,6 +18,9 @@
 /* How far a client's clock may be ahead of the leader's. */
 #define FST_CLOCK_AHEAD_MS ((int64_t)300 * 1000)
 
+/* No clock says more; sums with a time then never overflow. */
+#define FST_TIME_MAX (INT64_MAX / 4)
+
 #define FST_HISTORY_MAX 64 /* accepted configurations listed */
 #define FST_HISTORY_BYTES (2u << 20) /* of their texts beside the newest */
 #define FST_GONE_MAX 10000 /* VMs remembered after their removal */
--- a/src/fst_snap.c
+++ b/src/fst_snap.c
@@ -111,7 +111,9 @@
 	f->version = pk_get_u(&head);
 	f->epoch_floor = pk_get_u(&head);
 	f->id_floor_ms = pk_get_i(&head);
-	return pk_in_ok(&head) && pk_in_left(&head) == 0;
+	return pk_in_ok(&head) && pk_in_left(&head) == 0 && f->time_ms >= 0 &&
+	       f->time_ms <= FST_TIME_MAX &&
+	       f->id_floor_ms <= f->time_ms + FST_CLOCK_AHEAD_MS;
 }
 
 static void fst_pack_stamp(const struct fst_stamp *s, struct pk_out *o)
