--- a/tools/endive-load.c
+++ b/tools/endive-load.c
@@ -64,6 +64,7 @@
 	char prefix[16]; /* of our request identities, one for each run */
 	size_t open; /* requests that are not over */
 	bool issued_all;
+	GPtrArray *collectors; /* connections to targets, freed at the end */
 	int collecting; /* targets that have not told their runs yet */
 };
 
@@ -352,7 +353,7 @@
 
 	g_free(ip);
 	evhttp_connection_set_timeout(conn, COLLECT_TIMEOUT_S);
-	evhttp_connection_free_on_completion(conn);
+	g_ptr_array_add(l->collectors, conn);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host",
 			  "target");
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
@@ -371,6 +372,8 @@
 		return;
 	}
 	l->tally.targets = g_strv_length(options.targets);
+	l->collectors = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)evhttp_connection_free);
 	for (i = 0; options.targets[i]; i++)
 		runs_ask(l, options.targets[i]);
 }
@@ -479,8 +482,11 @@
 	event_base_dispatch(l.base);
 	ok = load_report(&l);
 	held = tally_promises_held(&l.tally, l.body == NULL);
+	if (l.collectors)
+		g_ptr_array_free(l.collectors, TRUE);
 	bal_free(l.bal);
 	tally_free(&l.tally);
+	g_free(l.body);
 	event_free(l.due_ev);
 	tmr_free(l.tmr);
 	event_base_free(l.base);
--- a/tools/endive-target.c
+++ b/tools/endive-target.c
@@ -31,10 +31,13 @@
 	FAULT_FAIL, /* 500 at once */
 	FAULT_CUT, /* half of the answer, then closed */
 	FAULT_NO_LENGTH, /* neither length nor chunks: ended by the close */
+	FAULT_NO_LENGTH_CUT, /* the same, closed half-way: nobody can tell */
 	FAULT_WRONG_LENGTH, /* states half its length on a connection kept */
 	FAULT_SILENT, /* never answers */
 	FAULT_REFUSE, /* 503 at once */
 	FAULT_SWAP, /* answers with the id of another request */
+	FAULT_LIE, /* runs it and says 503: a check must find that */
+	FAULT_UNCOUNTED, /* answers without a run: a check must find that */
 	FAULTS
 };
 
@@ -43,12 +46,17 @@
 	[FAULT_FAIL] = "fail",
 	[FAULT_CUT] = "cut",
 	[FAULT_NO_LENGTH] = "no-length",
+	[FAULT_NO_LENGTH_CUT] = "no-length-cut",
 	[FAULT_WRONG_LENGTH] = "wrong-length",
 	[FAULT_SILENT] = "silent",
 	[FAULT_REFUSE] = "refuse",
 	[FAULT_SWAP] = "swap",
+	[FAULT_LIE] = "lie",
+	[FAULT_UNCOUNTED] = "uncounted",
 };
-#define FAULT_WORDS "none|fail|cut|no-length|wrong-length|silent|refuse|swap"
+#define FAULT_WORDS                                                         \
+	"none|fail|cut|no-length|no-length-cut|wrong-length|silent|refuse|" \
+	"swap|lie|uncounted"
 
 struct options {
 	char *name;
@@ -152,6 +160,7 @@
 static void announce_elsewhere(struct target *t);
 static void announce_answered(struct evhttp_request *req, void *arg);
 static void reply_raw(struct work *w, const GString *head, struct lstr body);
+static void refuse(struct target *t, evhtp_request_t *req);
 
 static const char *query_get(const evhtp_request_t *req, const char *key)
 {
@@ -237,13 +246,13 @@
 	GString *head = g_string_new("HTTP/1.1 200 OK\r\n");
 	size_t send = body->len;
 
-	if (w->fault == FAULT_CUT) {
+	if (w->fault == FAULT_CUT)
 		g_string_append_printf(head, "Content-Length: %zu\r\n",
 				       body->len);
-		send /= 2;
-	} else {
+	else
 		g_string_append(head, "Connection: close\r\n");
-	}
+	if (w->fault != FAULT_NO_LENGTH)
+		send /= 2;
 	g_string_append(head, "\r\n");
 	reply_raw(w, head, lstr_n(body->str, send));
 	g_string_free(head, TRUE);
@@ -274,6 +283,23 @@
 	evbuffer_add(bufferevent_get_output(bev), body.p, body.len);
 }
 
+static void reply(struct work *w, const GString *body)
+{
+	switch (w->fault) {
+	case FAULT_CUT:
+	case FAULT_NO_LENGTH:
+	case FAULT_NO_LENGTH_CUT:
+		reply_broken(w, body);
+		break;
+	case FAULT_LIE:
+		refuse(w->target, w->req);
+		break;
+	default:
+		reply_whole(w, body);
+		break;
+	}
+}
+
 static void work_done(void *arg, int64_t now)
 {
 	struct work *w = arg;
@@ -284,10 +310,7 @@
 	if (w->req) {
 		body = g_string_new(NULL);
 		work_make(body, id, w->digest, w->size);
-		if (w->fault == FAULT_CUT || w->fault == FAULT_NO_LENGTH)
-			reply_broken(w, body);
-		else
-			reply_whole(w, body);
+		reply(w, body);
 		g_string_free(body, TRUE);
 	}
 	work_free(w);
@@ -326,13 +349,15 @@
 		.size = query_number(req, "size", ANSWER_MAX),
 		.fault = s->fault,
 	};
-	count_run(s, w->id);
+	if (s->fault != FAULT_UNCOUNTED)
+		count_run(s, w->id);
 	t->busy++;
 	evhtp_request_set_hook(req, evhtp_hook_on_request_fini,
 			       (evhtp_hook)work_abandoned, w);
 	if (s->fault == FAULT_SILENT)
 		return;
-	if (ms == 0)
+	/* A broken answer frees its connection, which its callback still uses. */
+	if (ms == 0 && s->fault == FAULT_NONE)
 		work_done(w, 0);
 	else
 		tmr_once(s->tmr, (int64_t)ms * s->opt.factor, work_done, w);
