--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 		--error-exitcode=1 --suppress=missingIncludeSystem \
 		--suppress=nullPointerArithmeticRedundantCheck \
 		"-DG_DEFINE_EXTENDED_ERROR(a,b)=" \
+		"-DTAILQ_FOREACH(v,h,f)=while((v=(h)->tqh_first))" \
 		-D_GNU_SOURCE -Iinclude -Isrc src tools
 	@for m in man/*.[1-8]; do [ ! -f "$$m" ] || mandoc -T lint -W warning "$$m" || exit 1; done
 	@echo lint clean
@@ -135,7 +136,8 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(UNITS:%=$(B)/san/tests/%): $(B)/san/tests/%: $(B)/san/obj/tests/unit/%.o $(SAN_LIB)
+$(UNITS:%=$(B)/san/tests/%): $(B)/san/tests/%: $(B)/san/obj/tests/unit/%.o \
+		$(B)/san/obj/tests/unit/net.o $(SAN_LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS) -lcmocka
