--- a/Makefile
+++ b/Makefile
@@ -154,8 +154,10 @@
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
-		$(DESTDIR)$(PREFIX)/include $(DESTDIR)$(PREFIX)/share/man
-	install $(MAINS:%=$(B)/bin/%) $(DESTDIR)$(PREFIX)/bin
+		$(DESTDIR)$(PREFIX)/include $(DESTDIR)$(PREFIX)/share/man \
+		$(DESTDIR)$(PREFIX)/share/doc/endiveslip
+	install $(PROGS) $(DESTDIR)$(PREFIX)/bin
+	cp -R examples $(DESTDIR)$(PREFIX)/share/doc/endiveslip
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
 	install -m 644 include/*.h $(DESTDIR)$(PREFIX)/include
 	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' \
