--- a/src/pk.c
+++ b/src/pk.c
@@ -79,7 +79,8 @@
 
 	*in = (struct pk_in){.own = g_new(msgpack_unpacked, 1)};
 	msgpack_unpacked_init(in->own);
-	if (msgpack_unpack_next(in->own, bytes.p, bytes.len, &off) ==
+	if (pk_scan(bytes) &&
+	    msgpack_unpack_next(in->own, bytes.p, bytes.len, &off) ==
 		    MSGPACK_UNPACK_SUCCESS &&
 	    off == bytes.len && in->own->data.type == MSGPACK_OBJECT_ARRAY) {
 		in->arr = in->own->data.via.array;
--- a/src/pk.h
+++ b/src/pk.h
@@ -40,6 +40,7 @@
 void pk_str(struct pk_out *o, struct lstr s);
 void pk_cstr(struct pk_out *o, const char *s);
 
+bool pk_scan(struct lstr bytes);
 bool pk_in_init(struct pk_in *in, struct lstr bytes);
 void pk_in_done(struct pk_in *in);
 uint32_t pk_in_left(const struct pk_in *in);
