Long queues for bursts only; slots in use aren't divided by entry VMs

Change: overload is judged by what is asked for over what the held slots can do; when it has lasted for the longest wait, the queue is cut to two service times. Only idle connections are divided among entry VMs.

--- a/src/adm.c
+++ b/src/adm.c
@@ -202,7 +202,7 @@
 	}
 	t->state = spec->state;
 	t->lease_until = spec->lease_until_us;
-	adm_file(a, p, t, now);
+	adm_file(p, t, now);
 	return true;
 }
 
@@ -216,7 +216,7 @@
 		return;
 	p = adm_pool_of(a, t->pool);
 	adm_share_heard(p, t, now, busy);
-	adm_file(a, p, t, now);
+	adm_file(p, t, now);
 }
 
 /* An even draw from 0 to below - 1, by xorshift of the given seed. */
@@ -320,6 +320,7 @@
 	r->shifted = request->shifted;
 	r->from_away = request->shifted;
 	r->size = adm_size_group(request->size_hint);
+	adm_demand_note(p, now);
 	v = adm_admit(a, p, r, now, false);
 	if (v.kind != ADM_REFUSE)
 		adm_budget_earn(p);
@@ -341,7 +342,7 @@
 	a->stats.run++;
 	a->stats.probes += r->probe;
 	adm_flow_charge(p, r);
-	adm_file(a, p, t, now);
+	adm_file(p, t, now);
 	return (struct adm_verdict){.kind = ADM_RUN,
 				    .ticket = adm_ticket_of(r),
 				    .target = t->handle,
@@ -403,7 +404,7 @@
 		adm_share_heard(p, t, now, res->busy);
 	adm_flow_settle(p, r, MAX(res->service_us, 0));
 	if (t->state != ADM_GONE)
-		adm_file(a, p, t, now);
+		adm_file(p, t, now);
 	else if (!t->mine)
 		adm_target_end(p, t);
 	r->target = NULL;
--- a/src/adm.h
+++ b/src/adm.h
@@ -161,6 +161,8 @@
 		    const struct adm_target_spec *spec);
 void adm_target_busy(struct adm *a, int64_t now, uint64_t handle, int busy);
 
+int adm_idle_conns(const struct adm *a, uint32_t pool);
+
 struct adm_verdict adm_offer(struct adm *a, int64_t now,
 			     const struct adm_request *request, void *user);
 bool adm_done(struct adm *a, int64_t now, adm_ticket ticket,
--- a/src/adm_admit.c
+++ b/src/adm_admit.c
@@ -56,12 +56,15 @@
 					    bool again)
 {
 	int64_t wait = adm_queue_wait(a, p, r->flow);
-	int64_t by_queue = r->since + p->spec.queue_us - now;
 	int64_t by_deadline =
 		r->deadline - (int64_t)adm_est_for(p, r->size)->high - now;
-	bool late = wait > MIN(by_queue, by_deadline);
+	int64_t by_queue;
+	bool late;
 	int zone = -1;
 
+	by_queue = r->since + adm_longest_wait(p, now) - now;
+	late = wait > MIN(by_queue, by_deadline);
+
 	adm_shift_note(p, now, wait);
 	if (p->hot || late)
 		zone = adm_shift_zone(a, p, r, now);
@@ -89,11 +92,11 @@
 {
 	struct adm_target *t = NULL;
 
-	adm_wake(a, p, now);
+	adm_wake(p, now);
+	if (again && now >= adm_latest_start(p, r))
+		return adm_expire(a, p, r, now);
 	if (adm_too_short(p, r, now))
-		return adm_give_up(
-			a, p, r, again ? ADM_DEADLINE_LOAD : ADM_DEADLINE_SHORT,
-			adm_mean(p));
+		return adm_give_up(a, p, r, ADM_DEADLINE_SHORT, 0);
 	if (!adm_targets_ok(p))
 		return adm_no_targets(a, p, r, now);
 	if (r->from_away && !again && !adm_room_take(a, p, now))
@@ -148,7 +151,7 @@
 	struct adm_req *r;
 	size_t n = 0;
 
-	adm_wake(a, p, now);
+	adm_wake(p, now);
 	while (n < max && (r = adm_queue_expired(p, now))) {
 		adm_queue_drop(a, p, r);
 		out[n++] = adm_expire(a, p, r, now);
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -113,7 +113,7 @@
 	int size; /* group in est */
 	int64_t cost; /* slot time charged to its caller in advance */
 	int tries; /* failed attempts */
-	int bounces; /* attempts refused for load */
+
 	uint64_t tried; /* target of the last attempt */
 	bool has_tried;
 	void *user;
@@ -153,6 +153,10 @@
 	struct adm_heap expiry;
 	/* adm_limit */
 	struct adm_est est[ADM_SIZES];
+	int64_t demand_from;
+	int demand_n; /* offered since then */
+	double demand; /* asked for over what could run; 0: nothing waits */
+	int64_t over_since; /* demand is above 1; 0: it isn't */
 	/* adm_retry */
 	double tokens;
 	/* adm_shift */
@@ -196,6 +200,8 @@
 void adm_est_add(struct adm_pool *p, int size, int64_t service_us);
 int64_t adm_mean(const struct adm_pool *p);
 int64_t adm_latest_start(const struct adm_pool *p, const struct adm_req *r);
+void adm_demand_note(struct adm_pool *p, int64_t now);
+int64_t adm_longest_wait(const struct adm_pool *p, int64_t now);
 bool adm_too_short(const struct adm_pool *p, const struct adm_req *r,
 		   int64_t now);
 
@@ -220,17 +226,15 @@
 		       const struct adm_flow *f);
 
 /* adm_place.c */
-void adm_file(struct adm *a, struct adm_pool *p, struct adm_target *t,
-	      int64_t now);
+void adm_file(struct adm_pool *p, struct adm_target *t, int64_t now);
 void adm_unfile(struct adm_pool *p, struct adm_target *t);
-void adm_wake(struct adm *a, struct adm_pool *p, int64_t now);
+void adm_wake(struct adm_pool *p, int64_t now);
 struct adm_target *adm_place(struct adm *a, struct adm_pool *p,
 			     const struct adm_req *r, int64_t now, bool *probe);
 int adm_targets_ok(const struct adm_pool *p);
 
 /* adm_share.c */
 double adm_others(const struct adm_target *t, int64_t now);
-int adm_slots_mine(const struct adm *a, const struct adm_pool *p);
 bool adm_slot_free(const struct adm_pool *p, const struct adm_target *t,
 		   int64_t now);
 int64_t adm_slot_free_at(const struct adm_pool *p, const struct adm_target *t,
--- a/src/adm_limit.c
+++ b/src/adm_limit.c
@@ -19,6 +19,19 @@
 /* Step of a quantile; 5 % reaches a value twice as high in 16 answers. */
 #define ADM_EST_STEP 0.05
 
+/*
+ * What is asked for is looked at eight times in the longest wait, and the last
+ * four looks weigh most: half a longest wait tells a burst from overload that
+ * stays. It is over once demand is 5 % below what can run, as one look at a
+ * few dozen requests is off by that much.
+ */
+#define ADM_DEMAND_PARTS 8
+#define ADM_DEMAND_WEIGHT 0.25
+#define ADM_DEMAND_UNDER 0.95
+
+/* Longest wait under lasting overload, in mean service times. */
+#define ADM_STANDING_MEANS 2
+
 /* Share of requests that are faster than low, and slower than high. */
 #define ADM_EST_TAIL 0.1
 
@@ -95,6 +108,47 @@
 	return MIN(by_queue, r->deadline - mean);
 }
 
+/*
+ * Notes a request that is offered, and compares what is asked for with what
+ * the slots we hold can do. Only while requests wait: with slots free, what
+ * runs is what is asked for, and says nothing about what could run.
+ */
+void adm_demand_note(struct adm_pool *p, int64_t now)
+{
+	int64_t elapsed = now - p->demand_from;
+	double could;
+	double ratio = 0;
+
+	p->demand_n++;
+	if (elapsed < p->spec.queue_us / ADM_DEMAND_PARTS)
+		return;
+	could = (double)elapsed * MAX(p->in_flight, 1);
+	if (adm_queue_len(p))
+		ratio = p->demand_n * p->est[0].mean / could;
+	p->demand += ADM_DEMAND_WEIGHT * (ratio - p->demand);
+	p->demand_from = now;
+	p->demand_n = 0;
+	if (p->demand < ADM_DEMAND_UNDER)
+		p->over_since = 0;
+	else if (p->demand > 1 && !p->over_since)
+		p->over_since = now;
+}
+
+/*
+ * How long a request may be let wait for a slot, apart from its deadline.
+ * Load: bursts, and overload that stays. A burst that ends is worth waiting
+ * for, as long as the pool allows. Harm: when more than can run has come for
+ * that long already, all a long queue does is make every caller wait for the
+ * longest time. Limit then: two mean service times, a queue of twice the slots
+ * held, which still keeps each of them busy.
+ */
+int64_t adm_longest_wait(const struct adm_pool *p, int64_t now)
+{
+	if (!p->over_since || now - p->over_since <= p->spec.queue_us)
+		return p->spec.queue_us;
+	return MIN(p->spec.queue_us, ADM_STANDING_MEANS * adm_mean(p));
+}
+
 /*
  * Whether a request can't be done in time even by an idle target. Only nine
  * in ten of its group being slower is proof enough: on an idle slot a try
--- a/src/adm_place.c
+++ b/src/adm_place.c
@@ -29,6 +29,10 @@
  */
 #define ADM_PROBE_ANY_US (10 * ADM_SEC)
 
+#define ADM_TARGET_OF_NODE(n)                                                 \
+	((struct adm_target *)((char *)(n)-G_STRUCT_OFFSET(struct adm_target, \
+							   wake)))
+
 static void adm_count_health(struct adm_pool *p, struct adm_target *t,
 			     bool takes);
 static void adm_move(struct adm_pool *p, struct adm_target *t,
@@ -87,8 +91,7 @@
  * on; the lease needs no message, so that it also ends work on a VM that is
  * cut off from control and neighbours.
  */
-void adm_file(struct adm *a, struct adm_pool *p, struct adm_target *t,
-	      int64_t now)
+void adm_file(struct adm_pool *p, struct adm_target *t, int64_t now)
 {
 	bool takes = t->state == ADM_SERVING && now < t->lease_until;
 	enum adm_list to = ADM_SHUT;
@@ -102,11 +105,10 @@
 			again = MIN(again, t->ejected_until);
 		else if (!t->mine)
 			to = ADM_PROBE;
-	} else if (t->mine < adm_slots_mine(a, p)) {
-		if (adm_slot_free(p, t, now))
-			to = t->health == ADM_SLUGGISH ? ADM_SLOW : ADM_FAST;
-		else
-			again = MIN(again, adm_slot_free_at(p, t, now));
+	} else if (adm_slot_free(p, t, now)) {
+		to = t->health == ADM_SLUGGISH ? ADM_SLOW : ADM_FAST;
+	} else {
+		again = MIN(again, adm_slot_free_at(p, t, now));
 	}
 	adm_move(p, t, to);
 	if (again == ADM_NEVER)
@@ -124,18 +126,13 @@
 }
 
 /* Files anew the targets whose time has come. */
-void adm_wake(struct adm *a, struct adm_pool *p, int64_t now)
+void adm_wake(struct adm_pool *p, int64_t now)
 {
 	struct adm_node *n;
 
 	while (p->wake.n && p->wake.v[0]->key <= now) {
 		n = p->wake.v[0];
-		adm_file(
-			a, p,
-			(struct adm_target *)((char *)n -
-					      G_STRUCT_OFFSET(struct adm_target,
-							      wake)),
-			now);
+		adm_file(p, ADM_TARGET_OF_NODE(n), now);
 	}
 }
 
--- a/src/adm_retry.c
+++ b/src/adm_retry.c
@@ -13,12 +13,6 @@
 /* Attempts of one request that failed. */
 #define ADM_TRIES_MAX 2
 
-/*
- * Attempts that a target refused for load. They did not run, cost no slot and
- * draw on no budget, yet one that is sent back all the time must end.
- */
-#define ADM_BOUNCES_MAX 8
-
 /* When to come back after the budget was spent. */
 #define ADM_RETRY_LATER ADM_SEC
 
@@ -42,14 +36,15 @@
 
 /*
  * What forbids another attempt; ADM_OK: nothing. What may have reached a
- * target goes again only where twice is the same as once.
+ * target goes again only where twice is the same as once. What a target
+ * refused for load did not run and held no slot; it draws on no budget, and
+ * ends like any waiting request by its longest wait or deadline.
  */
 static enum adm_reason adm_may_retry(struct adm_pool *p, struct adm_req *r,
 				     enum adm_outcome outcome)
 {
 	if (outcome == ADM_DONE_BUSY)
-		return ++r->bounces > ADM_BOUNCES_MAX ? ADM_RETRY_COUNT
-						      : ADM_OK;
+		return ADM_OK;
 	if (outcome != ADM_DONE_UNSENT && !r->repeatable)
 		return ADM_MAY_HAVE_RUN;
 	if (++r->tries > ADM_TRIES_MAX)
@@ -101,7 +96,7 @@
 		return (struct adm_verdict){.kind = ADM_REFUSE,
 					    .reason = ADM_RETRY_COUNT};
 	p = adm_pool_of(a, first->pool);
-	adm_wake(a, p, now);
+	adm_wake(p, now);
 	r = adm_req_new(a);
 	r->pool = first->pool;
 	r->caller = first->caller;
--- a/src/adm_share.c
+++ b/src/adm_share.c
@@ -16,10 +16,10 @@
 
 /*
  * Each refusal for load in a row doubles the time until we ask again, up to
- * 8 times: at saturation every VM asks every target, and each ask costs the
+ * 32 times: at saturation every VM asks every target, and each ask costs the
  * target an answer and the request a round trip.
  */
-#define ADM_STREAK_MAX 3
+#define ADM_STREAK_MAX 5
 
 static void adm_share_set(const struct adm_pool *p, struct adm_target *t,
 			  int64_t now, double others);
@@ -35,15 +35,18 @@
 }
 
 /*
- * The most of a target's slots that one VM may hold: all of them, but for the
- * connections: 64 divided by 30 entry VMs are 2 for each, and a connection
- * too many would be refused after its caller's body was sent.
+ * Idle connections that an entry VM may keep to each target of a pool. All VMs
+ * of the zone share a target's connections, and those in use are bounded by
+ * its slots; what is left is divided, so that together they never fill it.
+ * Dividing those in use too (64 by 30 VMs are 2 for each) would keep a VM that
+ * the balancer favours from slots that are free.
  */
-int adm_slots_mine(const struct adm *a, const struct adm_pool *p)
+int adm_idle_conns(const struct adm *a, uint32_t pool)
 {
-	int conns = p->spec.conns / MAX(a->conf.entries, 1);
+	const struct adm_pool *p = adm_pool_of(a, pool);
+	int spare = p ? p->spec.conns - p->spec.slots : 0;
 
-	return MIN(p->spec.slots, MAX(conns, 1));
+	return MAX(spare, 0) / MAX(a->conf.entries, 1);
 }
 
 /* Whether one more request of ours fits, as well as we know. */
--- a/src/adm_shift.c
+++ b/src/adm_shift.c
@@ -183,7 +183,7 @@
 
 	if (!p)
 		return (struct adm_room){0};
-	adm_wake(a, p, now);
+	adm_wake(p, now);
 	room = adm_room_sum(a, p, now, &slots);
 	if (p->hot || adm_queue_len(p))
 		room = 0;
