--- a/tests/unit/adm_fake.h
+++ b/tests/unit/adm_fake.h
@@ -1,6 +1,8 @@
 #ifndef ADM_FAKE_H
 #define ADM_FAKE_H
 
+#include <glib.h>
+
 #include "adm.h"
 
 /* Small pieces that the tests of adm share: one pool, a zone, requests. */
--- /dev/null
+++ b/tests/unit/adm_place_test.c
@@ -0,0 +1,269 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "adm_fake.h"
+
+/* What each of some targets got of a hundred requests, one after another. */
+static void spread(struct adm *a, int64_t *now, const int64_t *service,
+		   bool failing, int *got)
+{
+	int i;
+
+	for (i = 0; i < 100; i++) {
+		struct adm_verdict v = fake_offer(a, *now, "a", ADM_NORMAL);
+		bool bad = failing && v.target == 1;
+
+		if (v.kind != ADM_RUN)
+			continue;
+		got[v.target]++;
+		*now += service[v.target];
+		fake_done(a, *now, v.ticket,
+			  bad ? ADM_DONE_FAILED : ADM_DONE_OK,
+			  service[v.target]);
+	}
+}
+
+/*
+ * A target announces that it leaves, is drained, or its lease lapses while
+ * this VM is cut off from everyone. From that moment on it gets nothing more,
+ * and its running request still ends well.
+ */
+static void leaving_targets_get_no_new_work(void **state)
+{
+	const struct adm_target_spec lapsing = {.state = ADM_SERVING,
+						.lease_until_us = 3 * SEC};
+	struct adm *a = fake_zone(2, 1);
+	struct adm_verdict v = fake_offer(a, 0, "a", ADM_NORMAL);
+	uint64_t other = 3 - v.target;
+	int i;
+
+	fake_state(a, 1, v.target, ADM_NO_NEW_WORK);
+	for (i = 0; i < SLOTS; i++)
+		assert_true(fake_offer(a, 1, "a", ADM_NORMAL).target == other);
+	assert_int_equal(fake_offer(a, 1, "a", ADM_NORMAL).kind, ADM_QUEUED);
+	fake_done(a, 2, v.ticket, ADM_DONE_OK, 1);
+	adm_target_set(a, 2, v.target, &lapsing);
+	assert_true(fake_offer(a, 2, "b", ADM_NORMAL).kind == ADM_QUEUED);
+	adm_free(a);
+
+	a = fake_zone(0, 1);
+	adm_target_set(a, 0, 1, &lapsing);
+	assert_int_equal(fake_offer(a, 3 * SEC - 1, "a", ADM_NORMAL).kind,
+			 ADM_RUN);
+	v = fake_offer(a, 3 * SEC, "a", ADM_NORMAL);
+	assert_int_equal(v.kind, ADM_REFUSE);
+	assert_int_equal(v.reason, ADM_NO_TARGETS);
+	adm_free(a);
+}
+
+/*
+ * Requests wait, and the last target leaves. They are refused at once, not
+ * when their wait is over.
+ */
+static void waiting_ends_when_the_last_target_leaves(void **state)
+{
+	struct adm *a = fake_zone(1, 1);
+	int64_t now = fake_learn(a, 0, 20, 100 * MS);
+	struct adm_verdict out[4];
+	adm_ticket held[SLOTS];
+	int64_t next;
+
+	fake_fill(a, now, held, SLOTS);
+	fake_offer(a, now, "b", ADM_NORMAL);
+	fake_offer(a, now, "c", ADM_NORMAL);
+	fake_state(a, now, 1, ADM_GONE);
+	assert_int_equal(adm_poll(a, now, out, 4, &next), 2);
+	assert_int_equal(out[0].reason, ADM_NO_TARGETS);
+	fake_done(a, now, held[0], ADM_DONE_OK, 100 * MS);
+	fake_state(a, now, 1, ADM_SERVING);
+	assert_int_equal(fake_fill(a, now, held + 1, SLOTS - 1), SLOTS - 1);
+	adm_free(a);
+}
+
+/*
+ * One of four targets fails everything within a millisecond and so is always
+ * idle. It gets a few requests until that is seen, then single probes.
+ */
+static void a_fast_failing_target_attracts_no_work(void **state)
+{
+	const int64_t service[5] = {0, 1 * MS, 100 * MS, 100 * MS, 100 * MS};
+	struct adm *a = fake_zone(4, 1);
+	int got[5] = {0};
+	int64_t now = 0;
+	int i;
+
+	for (i = 0; i < 10; i++)
+		spread(a, &now, service, true, got);
+	assert_in_range(got[1], 5, 30);
+	assert_in_range(got[2] + got[3] + got[4], 970, 995);
+	assert_true(adm_stats(a).ejected > 1);
+	adm_free(a);
+}
+
+/* A failed target is mended. After good probes it gets its part again. */
+static void a_mended_target_comes_back(void **state)
+{
+	const int64_t service[3] = {0, 10 * MS, 10 * MS};
+	struct adm *a = fake_zone(2, 1);
+	int got[3] = {0};
+	int64_t now = 0;
+	int i;
+
+	spread(a, &now, service, true, got);
+	assert_true(adm_stats(a).ejected >= 1);
+	now += 60 * SEC;
+	got[1] = 0;
+	for (i = 0; i < 5; i++)
+		spread(a, &now, service, false, got);
+	assert_int_equal(adm_stats(a).restored, 1);
+	assert_in_range(got[1], 100, 400);
+	adm_free(a);
+}
+
+/*
+ * A broken dependency makes every target fail. Ejecting one after the other
+ * would crowd all work onto the last; half of them stay in use.
+ */
+static void half_of_the_targets_are_never_ejected(void **state)
+{
+	struct adm *a = fake_zone(8, 1);
+	int seen = 0;
+	int64_t now = 0;
+	int i;
+
+	for (i = 0; i < 400; i++) {
+		struct adm_verdict v = fake_offer(a, now, "a", ADM_URGENT);
+
+		fake_done(a, now, v.ticket, ADM_DONE_FAILED, MS);
+	}
+	for (i = 0; i < 200; i++) {
+		struct adm_verdict v = fake_offer(a, now, "a", ADM_URGENT);
+
+		seen |= 1 << v.target;
+		fake_done(a, now, v.ticket, ADM_DONE_FAILED, MS);
+	}
+	assert_true(__builtin_popcount((unsigned)seen) >= 4);
+	adm_free(a);
+}
+
+/*
+ * One of ten targets is ten times slower, at half of the pool's load. It isn't
+ * ejected, since it answers, yet fewer than one caller in a hundred is held up
+ * by it; and it is tried now and then, so that its recovery would be seen.
+ */
+static void a_slow_target_gets_less(void **state)
+{
+	struct adm *a = fake_zone(10, 1);
+	struct running {
+		adm_ticket ticket;
+		int64_t until;
+		int64_t service;
+	} r[10 * SLOTS] = {{0}};
+	int got = 0;
+	int64_t now;
+	size_t i;
+
+	for (now = 0; now < 20 * SEC; now += 2500) {
+		struct adm_verdict v;
+
+		for (i = 0; i < G_N_ELEMENTS(r); i++) {
+			if (!r[i].ticket || r[i].until > now)
+				continue;
+			fake_done(a, now, r[i].ticket, ADM_DONE_OK,
+				  r[i].service);
+			r[i].ticket = 0;
+		}
+		v = fake_offer(a, now, "a", ADM_NORMAL);
+		assert_int_equal(v.kind, ADM_RUN);
+		for (i = 0; r[i].ticket; i++)
+			;
+		r[i].ticket = v.ticket;
+		r[i].service = (v.target == 1 ? 1000 : 100) * MS;
+		r[i].until = now + r[i].service;
+		got += v.target == 1 && now > 2 * SEC;
+	}
+	assert_in_range(got, 5, 72);
+	assert_int_equal(adm_stats(a).ejected, 0);
+	adm_free(a);
+}
+
+/*
+ * All targets but a slow one are lost. Slow is better than nothing: the
+ * callers get their answers from it.
+ */
+static void a_slow_target_is_used_where_there_is_no_other(void **state)
+{
+	const int64_t service[3] = {0, 600 * MS, 100 * MS};
+	struct adm *a = fake_zone(2, 1);
+	int got[3] = {0};
+	int64_t now = 0;
+
+	spread(a, &now, service, false, got);
+	fake_state(a, now, 2, ADM_GONE);
+	assert_int_equal(fake_offer(a, now, "a", ADM_NORMAL).target, 1);
+	adm_free(a);
+}
+
+/*
+ * Other entry VMs have filled a target. It says so in its answer or refuses;
+ * we hold back, and ask again once that knowledge has faded.
+ */
+static void slots_held_by_others_are_respected(void **state)
+{
+	const struct adm_result full = {.outcome = ADM_DONE_BUSY, .busy = -1};
+	struct adm *a = fake_zone(1, 3);
+	int64_t now = fake_learn(a, 0, 20, 100 * MS);
+	struct adm_verdict out[2];
+	struct adm_verdict v;
+	int64_t next;
+	int i;
+
+	adm_target_busy(a, now, 1, SLOTS - 2);
+	for (i = 0; i < 2; i++)
+		assert_int_equal(fake_offer(a, now, "a", ADM_NORMAL).kind,
+				 ADM_RUN);
+	v = fake_offer(a, now, "a", ADM_NORMAL);
+	assert_int_equal(v.kind, ADM_QUEUED);
+	assert_int_equal(adm_poll(a, now, out, 2, &next), 0);
+	for (i = 0; i < 20 && !adm_poll(a, now, out, 2, &next); i++)
+		now = next;
+	assert_int_equal(out[0].kind, ADM_RUN);
+	assert_true(out[0].ticket == v.ticket);
+	v = adm_retry(a, now, v.ticket, &full);
+	assert_int_equal(v.kind, ADM_QUEUED);
+	assert_int_equal(adm_poll(a, now, out, 2, &next), 0);
+	adm_free(a);
+}
+
+/* 64 connections of a target, 30 entry VMs: those in use come first. */
+static void idle_connections_are_divided(void **state)
+{
+	struct adm *a = fake_zone(1, 3);
+
+	assert_int_equal(adm_idle_conns(a, 0), 18);
+	adm_set_entries(a, 30, 60);
+	assert_int_equal(adm_idle_conns(a, 0), 1);
+	adm_set_entries(a, 60, 60);
+	assert_int_equal(adm_idle_conns(a, 0), 0);
+	adm_free(a);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(leaving_targets_get_no_new_work),
+		cmocka_unit_test(waiting_ends_when_the_last_target_leaves),
+		cmocka_unit_test(a_fast_failing_target_attracts_no_work),
+		cmocka_unit_test(a_mended_target_comes_back),
+		cmocka_unit_test(half_of_the_targets_are_never_ejected),
+		cmocka_unit_test(a_slow_target_gets_less),
+		cmocka_unit_test(a_slow_target_is_used_where_there_is_no_other),
+		cmocka_unit_test(slots_held_by_others_are_respected),
+		cmocka_unit_test(idle_connections_are_divided),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/adm_retry_test.c
@@ -0,0 +1,140 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "adm_fake.h"
+
+static const struct adm_result failed = {.outcome = ADM_DONE_FAILED,
+					 .busy = -1};
+static const struct adm_result unsent = {.outcome = ADM_DONE_UNSENT,
+					 .busy = -1};
+
+/*
+ * A valuation is being issued when its connection breaks. It may have run:
+ * sending it again could issue it twice, so the caller is told instead. One
+ * that never left us goes to another target.
+ */
+static void what_may_have_run_is_not_sent_again(void **state)
+{
+	const struct adm_request r = {.caller = LSTR("a")};
+	struct adm *a = fake_zone(2, 1);
+	struct adm_verdict v = adm_offer(a, 0, &r, NULL);
+	struct adm_verdict again;
+
+	again = adm_retry(a, MS, v.ticket, &failed);
+	assert_int_equal(again.kind, ADM_REFUSE);
+	assert_int_equal(again.reason, ADM_MAY_HAVE_RUN);
+	assert_int_equal(again.retry_after_ms, 0);
+	assert_int_equal(adm_stats(a).in_flight, 0);
+
+	v = adm_offer(a, 0, &r, NULL);
+	again = adm_retry(a, MS, v.ticket, &unsent);
+	assert_int_equal(again.kind, ADM_RUN);
+	assert_true(again.target != v.target);
+	adm_free(a);
+}
+
+/* Each target fails a request: after three attempts its caller is told. */
+static void a_request_is_tried_three_times(void **state)
+{
+	struct adm *a = fake_zone(3, 1);
+	struct adm_verdict v = fake_offer(a, 0, "a", ADM_NORMAL);
+	int tries = 1;
+
+	while ((v = adm_retry(a, 0, v.ticket, &failed)).kind == ADM_RUN)
+		tries++;
+	assert_int_equal(tries, 3);
+	assert_int_equal(v.reason, ADM_RETRY_COUNT);
+	adm_free(a);
+}
+
+/*
+ * A fault makes half of all attempts fail. If each were sent again, the load
+ * would grow by half just then; retries and hedges together stay under a tenth
+ * of what is taken in, and ten.
+ */
+static void retries_and_hedges_share_a_budget(void **state)
+{
+	struct adm *a = fake_zone(8, 1);
+	struct adm_stats s;
+	bool spent = false;
+	int i;
+
+	for (i = 0; i < 1000; i++) {
+		struct adm_verdict v = fake_offer(a, i, "a", ADM_NORMAL);
+		struct adm_verdict h = {0};
+
+		if (i % 4 == 0)
+			h = adm_hedge(a, i, v.ticket);
+		if (h.kind == ADM_RUN)
+			adm_cancel(a, i, h.ticket);
+		if (i % 2) {
+			fake_done(a, i, v.ticket, ADM_DONE_OK, 1);
+			continue;
+		}
+		v = adm_retry(a, i, v.ticket, &failed);
+		spent |= v.reason == ADM_RETRY_BUDGET;
+		fake_done(a, i, v.ticket, ADM_DONE_OK, 1);
+	}
+	s = adm_stats(a);
+	assert_true(spent);
+	assert_in_range(s.retries + s.hedges, 100, 110);
+	assert_true(s.hedges > 10);
+	adm_free(a);
+}
+
+/*
+ * A caller has waited long; a second attempt goes to another target. Work that
+ * isn't repeatable gets none, and neither does anyone while others wait.
+ */
+static void hedges_go_elsewhere_and_only_with_slots_free(void **state)
+{
+	const struct adm_request once = {.caller = LSTR("a")};
+	struct adm *a = fake_zone(2, 1);
+	struct adm_verdict v = fake_offer(a, 0, "a", ADM_NORMAL);
+	struct adm_verdict h = adm_hedge(a, MS, v.ticket);
+	adm_ticket held[2 * SLOTS];
+
+	assert_int_equal(h.kind, ADM_RUN);
+	assert_true(h.target != v.target);
+	assert_true(h.ticket != v.ticket);
+	assert_int_equal(
+		adm_hedge(a, 0, adm_offer(a, 0, &once, NULL).ticket).reason,
+		ADM_MAY_HAVE_RUN);
+	fake_fill(a, MS, held, 2 * SLOTS);
+	assert_int_equal(adm_hedge(a, MS, v.ticket).kind, ADM_REFUSE);
+	adm_free(a);
+}
+
+/* Late and doubled reports about a ticket that is over change nothing. */
+static void a_ticket_is_over_once(void **state)
+{
+	const struct adm_result ok = {.outcome = ADM_DONE_OK, .busy = -1};
+	struct adm *a = fake_zone(1, 1);
+	struct adm_verdict v = fake_offer(a, 0, "a", ADM_NORMAL);
+
+	assert_true(adm_done(a, 0, v.ticket, &ok));
+	assert_false(adm_done(a, 0, v.ticket, &ok));
+	assert_false(adm_cancel(a, 0, v.ticket));
+	assert_int_equal(adm_retry(a, 0, v.ticket, &failed).kind, ADM_REFUSE);
+	assert_int_equal(adm_hedge(a, 0, v.ticket).kind, ADM_REFUSE);
+	assert_int_equal(fake_offer(a, 0, "b", ADM_NORMAL).kind, ADM_RUN);
+	assert_false(adm_done(a, 0, v.ticket, &ok));
+	assert_int_equal(adm_stats(a).in_flight, 1);
+	adm_free(a);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(what_may_have_run_is_not_sent_again),
+		cmocka_unit_test(a_request_is_tried_three_times),
+		cmocka_unit_test(retries_and_hedges_share_a_budget),
+		cmocka_unit_test(hedges_go_elsewhere_and_only_with_slots_free),
+		cmocka_unit_test(a_ticket_is_over_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
