--- a/src/adm_shift.c
+++ b/src/adm_shift.c
@@ -121,7 +121,7 @@
 	a->stats.in_shift--;
 	if (outcome != ADM_DONE_BUSY && outcome != ADM_DONE_UNSENT)
 		return;
-	w->base = w->in_flight;
+	w->base = 0;
 	w->fresh = 0;
 }
 
