--- a/tests/unit/adm_admit_test.c
+++ b/tests/unit/adm_admit_test.c
@@ -61,7 +61,7 @@
 	struct adm *a = fake_zone(1, 1);
 	int64_t now = fake_learn(a, 0, 20, 100 * MS);
 	struct adm_verdict out[4];
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	struct adm_verdict v;
 	int64_t next;
 
@@ -114,7 +114,7 @@
 	struct adm *a = fake_zone(1, 1);
 	int64_t now = fake_learn(a, 0, 20, 100 * MS);
 	struct adm_verdict out[8];
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	adm_ticket waiting[20];
 	int64_t next;
 	int i;
@@ -145,7 +145,7 @@
 					   .queue_us = 500 * MS,
 					   .deadline_us = 2 * SEC};
 	struct adm *a = adm_new(&conf);
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	struct adm_verdict v;
 	int waiting = 0;
 	int i;
--- a/tests/unit/adm_place_test.c
+++ b/tests/unit/adm_place_test.c
@@ -68,7 +68,7 @@
 	struct adm *a = fake_zone(1, 1);
 	int64_t now = fake_learn(a, 0, 20, 100 * MS);
 	struct adm_verdict out[4];
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	int64_t next;
 
 	fake_fill(a, now, held, SLOTS);
--- a/tests/unit/adm_queue_test.c
+++ b/tests/unit/adm_queue_test.c
@@ -27,7 +27,7 @@
 {
 	struct adm *a = fake_zone(1, 1);
 	int64_t now = fake_learn(a, 0, 20, 10 * MS);
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	adm_ticket quiet[3];
 	int order[3] = {0};
 	int i;
@@ -67,7 +67,7 @@
 					  .deadline_us = 100 * SEC};
 	static int long_user;
 	int64_t now = fake_learn(a, 0, 20, 10 * MS);
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	struct adm_verdict out[1];
 	bool is_long = false;
 	int64_t next;
@@ -102,7 +102,7 @@
 	struct adm_request r = {.caller = LSTR("a"), .deadline_us = 100 * SEC};
 	int64_t now = fake_learn(a, 0, 20, 10 * MS);
 	int starts[ADM_CLASSES] = {0};
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	struct adm_verdict v;
 	int i;
 
@@ -156,7 +156,7 @@
 {
 	struct adm *a = fake_zone(1, 1);
 	int64_t now = fake_learn(a, 0, 20, 10 * MS);
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	uint32_t longest = 0;
 	int i;
 	int k;
--- a/tests/unit/adm_retry_test.c
+++ b/tests/unit/adm_retry_test.c
@@ -95,7 +95,7 @@
 	struct adm *a = fake_zone(2, 1);
 	struct adm_verdict v = fake_offer(a, 0, "a", ADM_NORMAL);
 	struct adm_verdict h = adm_hedge(a, MS, v.ticket);
-	adm_ticket held[2 * SLOTS];
+	adm_ticket held[2 * SLOTS] = {0};
 
 	assert_int_equal(h.kind, ADM_RUN);
 	assert_true(h.target != v.target);
--- a/tests/unit/adm_shift_test.c
+++ b/tests/unit/adm_shift_test.c
@@ -151,7 +151,7 @@
 	struct adm *a = fake_zone(1, 1);
 	int64_t now = fake_learn(a, 0, 20, 100 * MS);
 	struct adm_verdict out[16];
-	adm_ticket held[SLOTS];
+	adm_ticket held[SLOTS] = {0};
 	struct adm_verdict v;
 	int64_t next;
 	int i;
