--- a/src/flt.c
+++ b/src/flt.c
@@ -261,24 +261,35 @@
  */
 enum flt_why flt_can_lose(struct flt *f, int vm)
 {
-	const struct flt_vm *v = flt_vm(f, vm);
-	struct flt_pool *p = flt_pool(f, v->pool);
+	enum flt_why why;
+
+	if (!flt_serves(f, vm))
+		return FLT_OK;
+	flt_count(f, vm, 0, -1);
+	why = flt_kept(f, vm);
+	flt_count(f, vm, 0, 1);
+	return why;
+}
+
+/*
+ * What of its budget the pool of a VM, with all that is out now, no longer
+ * keeps through its declared failure; FLT_OK: nothing.
+ */
+enum flt_why flt_kept(const struct flt *f, int vm)
+{
+	const struct flt_pool *p = flt_pool(f, flt_vm(f, vm)->pool);
 	const struct flt_rack *r = flt_rack_of(f, vm);
 	const struct flt_budget *b = &p->budget;
 	const struct flt_tally *sw = flt_at_sw(p, r->sw);
 	const struct flt_tally *zone = flt_at_zone(p, r->zone);
-	int margin;
 
-	if (!flt_serves(f, vm))
-		return FLT_OK;
-	if (b->missing_rack && sw->size - sw->serving + 1 > b->missing_rack)
+	if (b->missing_rack && sw->size - sw->serving > b->missing_rack)
 		return FLT_RACK_BUDGET;
-	if (b->missing_zone && zone->size - zone->serving + 1 > b->missing_zone)
+	if (b->missing_zone && zone->size - zone->serving > b->missing_zone)
 		return FLT_ZONE_BUDGET;
-	flt_count(f, vm, 0, -1);
-	margin = flt_margin(p);
-	flt_count(f, vm, 0, 1);
-	return margin >= 0 || v->pool == FLT_SPARE ? FLT_OK : FLT_BUDGET;
+	if (flt_vm(f, vm)->pool != FLT_SPARE && flt_margin(p) < 0)
+		return FLT_BUDGET;
+	return FLT_OK;
 }
 
 /* Whether a pool can use a VM at all. */
--- a/src/flt.h
+++ b/src/flt.h
@@ -139,6 +139,7 @@
 int flt_largest_loss(const struct flt_pool *p);
 int flt_margin(const struct flt_pool *p);
 enum flt_why flt_can_lose(struct flt *f, int vm);
+enum flt_why flt_kept(const struct flt *f, int vm);
 bool flt_fits(const struct flt *f, int vm, int pool);
 
 bool flt_vm_event(struct flt *f, int vm, enum flt_event ev);
