--- a/tests/system/tools_test.sh
+++ b/tests/system/tools_test.sh
@@ -199,6 +199,18 @@
 load settings --entry "$target" --resend 1
 expect_status 2
 
+# The line through points, exact and bent; points that have none.
+name=fit
+printf '# x y\n1 3\n2 5\n4 9\n' | "$bin/endive-fit" --at=10 >"$tmp/tsv"
+expect points=3 slope=2 intercept=1 r2=1.00000 worst=0.0000 at=21
+printf '1 1\n2 4\n3 9\n4 16\n' | "$bin/endive-fit" >"$tmp/tsv"
+expect slope=5 intercept=-5 r2=0.96899 power=2.000
+for points in '1 1' '1 1\n1 2' '1 a\n2 2' '1 1\n2 nan'; do
+	printf "$points\n" | "$bin/endive-fit" >"$tmp/tsv" 2>"$tmp/table"
+	status=$?
+	expect_status 2
+done
+
 kill "$target_pid" "$relay_pid"
 for p in $target_pid $relay_pid; do
 	wait "$p" || {
