Neighbours learn of targets again: read each count once

Cause: MIN(pk_get_u(&rec), G_MAXINT) takes two fields of the record, since the macro evaluates the smaller argument twice. Every record of a target ran out of fields and was dropped, so that an entry daemon knew only the targets that announced themselves to it. Found by make capacity: the memory of a neighbour did not grow with the targets, and its endive_targets stayed 0 with 50 at its home.

Ruled out: the wire (the message arrived), the fleet view (targets were serving at their home), pk_scan (the message was opened).

Change: the count is read into a variable.

--- a/src/tgt_info.c
+++ b/src/tgt_info.c
@@ -121,6 +121,14 @@
 	pk_bool(o, gone);
 }
 
+static int tgt_get_count(struct pk_in *in)
+{
+	/* Read once: MIN evaluates the smaller of its arguments twice. */
+	uint64_t n = pk_get_u(in);
+
+	return (int)MIN(n, G_MAXINT);
+}
+
 /* Reads what tgt_pack wrote; false leaves info empty. */
 bool tgt_unpack(struct pk_in *in, struct tgt_info *info, bool *gone)
 {
@@ -132,9 +140,9 @@
 	info->addr = lstr_dup(pk_get_str(&rec));
 	info->zone = lstr_dup(pk_get_str(&rec));
 	info->vm = lstr_dup(pk_get_str(&rec));
-	info->slots = (int)MIN(pk_get_u(&rec), G_MAXINT);
-	info->conns = (int)MIN(pk_get_u(&rec), G_MAXINT);
-	info->busy = (int)MIN(pk_get_u(&rec), G_MAXINT);
+	info->slots = tgt_get_count(&rec);
+	info->conns = tgt_get_count(&rec);
+	info->busy = tgt_get_count(&rec);
 	info->leaving = pk_get_bool(&rec);
 	info->boot = pk_get_u(&rec);
 	info->seq = pk_get_u(&rec);
