--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 soak: build-tests
 	@sh tests/soak.sh
 
-capacity: all
+capacity: all $(B)/bench/capacity_probe $(B)/bench/capacity_feed
 	@sh bench/capacity.sh
 
 lint: fmt-check charts-check
--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,221 @@
+#!/bin/sh
+# make capacity: measures the slopes of docs/CAPACITY.md again, fits lines,
+# draws docs/plots/ and rewrites the figures in the page. Processes are our
+# own on loopback, each measure has at least four sizes, and all of it takes
+# under four minutes. What is not built yet is told as not measured.
+set -u
+cd "$(dirname "$0")/.." || exit 2
+bin=$PWD/build/bin
+port=${CAPACITY_PORT:-21340}
+seconds=${CAPACITY_SECONDS:-5}
+settle=3
+points=bench/results/capacity.tsv
+fits=bench/results/capacity-fits.tsv
+# Raw points go to a place of their own until all of them are there.
+tmp=$(mktemp -d)
+pids=
+
+stop_all() {
+	for p in $pids; do
+		kill -KILL "$p" 2>/dev/null
+	done
+	for p in $pids; do
+		wait "$p" 2>/dev/null
+	done
+	pids=
+}
+trap 'stop_all; rm -rf "$tmp"' EXIT
+
+start() {
+	"$@" >>"$tmp/log" 2>&1 &
+	last=$!
+	pids="$pids $last"
+}
+
+voter=127.0.21.200:$((port + 2))
+printf 'peer peer %064d\n' 1 >"$tmp/keys"
+chmod 600 "$tmp/keys"
+
+ip() {
+	echo "127.0.21.$1"
+}
+
+# entry NO ZONE PEERS: starts entry daemon NO on its own IP number.
+entry() {
+	start "$bin/endive-entryd" --node "entry-$1" --zone "$2" \
+		--listen "$(ip "$1"):$port" --admin "$(ip "$1"):$((port + 1))" \
+		--wire "$(ip "$1"):$((port + 2))" --peers "$3" \
+		--voters "$voter" \
+		--keys "$tmp/keys" --log-level warn
+}
+
+# feed VMS CHANGES: a stand-in voter with a view of so many VMs, changed so
+# many times a minute; without it entry daemons place no work and tell none.
+feed() {
+	start "$PWD/build/bench/capacity_feed" --wire "$voter" \
+		--keys "$tmp/keys" --vms "$1" --per-minute "$2"
+}
+
+wires() {
+	for i in $(seq "$1"); do
+		printf '%s%s:%s' "$([ "$i" = 1 ] || echo ,)" "$(ip "$i")" \
+			$((port + 2))
+	done
+}
+
+# sample PID: processor ns, memory KB, bytes read and written so far.
+sample() {
+	awk '{ print $1 }' "/proc/$1/schedstat"
+	awk '/^VmRSS/ { print $2 }' "/proc/$1/status"
+	awk '/^rchar/ { r = $2 } /^wchar/ { w = $2 } END { print r, w }' \
+		"/proc/$1/io"
+}
+
+# point MEASURE X Y: one measured point.
+point() {
+	printf '%s\t%s\t%s\n' "$1" "$2" "$3" >>"$tmp/points"
+}
+
+# rates NAME X PID BEFORE AFTER: the points of a process between two samples.
+rates() {
+	echo "$4 $5" | tr '\n' ' ' | awk -v s="$seconds" -v name="$1" -v x="$2" '{
+		printf "%s_cpu_percent\t%s\t%.4f\n", name, x, ($5 - $1) / s / 1e7
+		printf "%s_rss_kb\t%s\t%s\n", name, x, $6
+		printf "%s_bytes_per_s\t%s\t%.1f\n", name, x,
+			($7 - $3 + $8 - $4) / s
+	}' >>"$tmp/points"
+}
+
+# Entry daemons 1 and 2 of a zone; all targets announce themselves to 1.
+measure_targets() {
+	feed 575 0
+	entry 1 zone-1 "$(wires 2)"
+	home=$last
+	entry 2 zone-1 "$(wires 2)"
+	other=$last
+	sleep 0.5
+	if [ "$1" -gt 0 ]; then
+		start "$bin/endive-target" --name t --service drafts \
+			--zone zone-1 --listen 127.21.0.1:"$port" \
+			--control 127.21.200.1:$((port + 1)) --count "$1" \
+			--announce "$(ip 1):$((port + 1))"
+	fi
+	sleep "$settle"
+	h=$(sample "$home")
+	o=$(sample "$other")
+	sleep "$seconds"
+	rates entry_home "$1" "$home" "$h" "$(sample "$home")"
+	rates entry_other "$1" "$other" "$o" "$(sample "$other")"
+	stop_all
+}
+
+# One entry daemon among so many neighbours of its zone, or of another.
+measure_neighbours() {
+	all=$(wires $(($2 + 1)))
+	feed 575 0
+	entry 1 zone-1 "$all"
+	us=$last
+	for i in $(seq 2 $(($2 + 1))); do
+		entry "$i" "$3" "$all"
+	done
+	sleep "$settle"
+	u=$(sample "$us")
+	sleep "$seconds"
+	rates "$1" "$2" "$us" "$u" "$(sample "$us")"
+	stop_all
+}
+
+# One entry daemon of a number that all get a changed view of so many VMs
+# twice a second: what a change costs it, by the VMs and by the neighbours.
+measure_changes() {
+	all=$(wires $(($3 + 1)))
+	feed "$2" 120
+	entry 1 zone-1 "$all"
+	us=$last
+	for i in $(seq 2 $(($3 + 1))); do
+		entry "$i" zone-1 "$all"
+	done
+	sleep "$settle"
+	u=$(sample "$us")
+	sleep "$seconds"
+	rates "$1" "$([ "$1" = entry_view ] && echo "$2" || echo "$3")" "$us" \
+		"$u" "$(sample "$us")"
+	stop_all
+}
+
+# fit_all: a line for each measure, in the order of the points.
+fit_all() {
+	printf 'measure\tpoints\tslope\tintercept\tr2\tworst\tpower\n'
+	cut -f 1 "$points" | tail -n +2 | awk '!seen[$0]++' | while read -r m; do
+		awk -F '\t' -v m="$m" '$1 == m { print $2, $3 }' "$points" |
+			"$bin/endive-fit" | tail -n 1 | sed "s/^/$m	/"
+	done
+}
+
+# plot FILE TITLE XLABEL YLABEL MEASURE...: points and their fitted lines.
+plot() {
+	file=$1
+	{
+		echo "set terminal svg size 640,400 background rgb 'white'"
+		echo "set output 'docs/plots/$file.svg'"
+		echo "set title '$2'; set xlabel '$3'; set ylabel '$4'"
+		echo "set grid; set key left top; set xrange [0:*]; set yrange [0:*]"
+		shift 4
+		comma="plot "
+		for m in "$@"; do
+			awk -F '\t' -v m="$m" '$1 == m { print $2, $3 }' \
+				"$points" >"$tmp/$m.dat"
+			line=$(awk -F '\t' -v m="$m" '$1 == m {
+				print $4 " + " $3 " * x" }' "$fits")
+			printf "%s'%s' with points pt 7 title '%s', %s title ''" \
+				"$comma" "$tmp/$m.dat" "$(echo "$m" | tr _ ' ')" \
+				"${line:-0}"
+			comma=", "
+		done
+		echo
+	} >"$tmp/plot.gp"
+	gnuplot "$tmp/plot.gp" 2>>"$tmp/log" || echo "no plot of $file"
+}
+
+: >"$tmp/points"
+"$PWD/build/bench/capacity_probe" >>"$tmp/points" || exit 1
+for n in 0 50 100 200 575; do
+	measure_targets "$n"
+done
+for n in 1 4 12 29; do
+	measure_neighbours entry_mesh "$n" zone-1
+done
+for n in 1 4 12 29; do
+	measure_neighbours entry_away "$n" zone-2
+done
+for n in 250 575 1150 2300; do
+	measure_changes entry_view "$n" 0
+done
+for n in 1 2 4 8; do
+	measure_changes entry_gossip 575 "$n"
+done
+
+mkdir -p bench/results docs/plots
+{
+	printf 'measure\tx\ty\n'
+	cat "$tmp/points"
+} >"$points"
+fit_all >"$fits"
+plot entry-targets-bytes 'Entry daemon, idle: bytes by targets' targets \
+	'bytes a second' entry_home_bytes_per_s entry_other_bytes_per_s
+plot entry-targets-cpu 'Entry daemon, idle: processor by targets' targets \
+	'% of a core' entry_home_cpu_percent entry_other_cpu_percent
+plot entry-neighbours-bytes 'Entry daemon, idle: bytes by neighbours' \
+	'neighbours' 'bytes a second' entry_mesh_bytes_per_s \
+	entry_away_bytes_per_s
+plot entry-neighbours-cpu 'Entry daemon, idle: processor by neighbours' \
+	'neighbours' '% of a core' entry_mesh_cpu_percent entry_away_cpu_percent
+plot views 'View of one of 16 zones, by VMs of the fleet' VMs bytes \
+	view_zone_bytes view_whole_bytes
+plot changes 'Entry daemon, two changes a second: by VMs in the view' VMs \
+	'bytes a second' entry_view_bytes_per_s
+plot gossip 'Entry daemon, two changes a second of 575 VMs' neighbours \
+	'bytes a second' entry_gossip_bytes_per_s
+plot state 'Fleet state and its snapshot' VMs bytes state_heap_bytes \
+	snapshot_bytes
+sh bench/capacity_page.sh "$fits" docs/CAPACITY.md
