--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -8,7 +8,7 @@
 bin=$PWD/build/bin
 port=${CAPACITY_PORT:-21340}
 seconds=${CAPACITY_SECONDS:-5}
-settle=3
+settle=2
 points=bench/results/capacity.tsv
 fits=bench/results/capacity-fits.tsv
 # Raw points go to a place of their own until all of them are there.
@@ -100,7 +100,8 @@
 			--control 127.21.200.1:$((port + 1)) --count "$1" \
 			--announce "$(ip 1):$((port + 1))"
 	fi
-	sleep "$settle"
+	# Targets that found the backlog full try again within a second.
+	sleep $((settle + 1))
 	h=$(sample "$home")
 	o=$(sample "$other")
 	sleep "$seconds"
