--- a/src/adm_shift.c
+++ b/src/adm_shift.c
@@ -121,7 +121,7 @@
 	a->stats.in_shift--;
 	if (outcome != ADM_DONE_BUSY && outcome != ADM_DONE_UNSENT)
 		return;
-	w->base = w->in_flight;
+	w->base = 0;
 	w->fresh = 0;
 }
 
@@ -183,7 +183,7 @@
 
 	if (!p)
 		return (struct adm_room){0};
-	adm_wake(a, p, now);
+	adm_wake(p, now);
 	room = adm_room_sum(a, p, now, &slots);
 	if (p->hot || adm_queue_len(p))
 		room = 0;
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -23,6 +23,8 @@
 	FCM_RELEASED, /* every entry daemon has let go of a VM */
 	FCM_MOVED, /* a released VM joins its new pool */
 	FCM_PRIORITY, /* of a pool, set or cleared by the duty officer */
+	FCM_JOIN, /* an entry daemon that is about to get views */
+	FCM_FORGET, /* an entry daemon that never places again */
 	FCM_NOTE, /* an automatic act, into the audit trail */
 	FCM_KINDS
 };
@@ -47,6 +49,7 @@
  * the log index of its last change, 0 where there was none.
  */
 struct fcm_drain {
+	bool target; /* the name is a target's, not a VM's */
 	struct lstr name;
 	uint64_t base;
 	struct lstr reason;
@@ -72,6 +75,12 @@
 	struct lstr reason;
 };
 
+struct fcm_node {
+	struct lstr node;
+	struct lstr zone; /* empty in FCM_FORGET */
+	struct lstr reason;
+};
+
 struct fcm_note {
 	struct lstr text;
 };
@@ -86,6 +95,7 @@
 		struct fcm_move move;
 		struct fcm_step step; /* released, moved */
 		struct fcm_priority priority;
+		struct fcm_node node; /* join, forget */
 		struct fcm_note note;
 	};
 };
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -5,6 +5,8 @@
 static void fcm_put_move(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_put_step(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_put_priority(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_node(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_get_node(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_get_apply(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in);
@@ -24,6 +26,8 @@
 	[FCM_MOVED] = {"moved", KEY_PEER, fcm_put_step, fcm_get_step},
 	[FCM_PRIORITY] = {"priority", KEY_DUTY, fcm_put_priority,
 			  fcm_get_priority},
+	[FCM_JOIN] = {"join", KEY_PEER, fcm_put_node, fcm_get_node},
+	[FCM_FORGET] = {"forget", KEY_DUTY, fcm_put_node, fcm_get_node},
 	[FCM_NOTE] = {"note", KEY_PEER, fcm_put_note, fcm_get_note},
 };
 
@@ -112,7 +116,8 @@
 
 static void fcm_put_drain(const struct fcm_cmd *c, struct pk_out *o)
 {
-	pk_arr(o, 3);
+	pk_arr(o, 4);
+	pk_bool(o, c->drain.target);
 	pk_str(o, c->drain.name);
 	pk_u(o, c->drain.base);
 	pk_str(o, c->drain.reason);
@@ -120,6 +125,7 @@
 
 static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in)
 {
+	c->drain.target = pk_get_bool(in);
 	c->drain.name = fcm_get_name(in);
 	c->drain.base = pk_get_u(in);
 	c->drain.reason = fcm_get_text(in, FCM_REASON_MAX);
@@ -174,6 +180,22 @@
 	c->priority.reason = fcm_get_text(in, FCM_REASON_MAX);
 }
 
+static void fcm_put_node(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 3);
+	pk_str(o, c->node.node);
+	pk_str(o, c->node.zone);
+	pk_str(o, c->node.reason);
+}
+
+static void fcm_get_node(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->node.node = fcm_get_name(in);
+	c->node.zone =
+		c->kind == FCM_JOIN ? fcm_get_name(in) : fcm_get_text(in, 0);
+	c->node.reason = fcm_get_text(in, FCM_REASON_MAX);
+}
+
 static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o)
 {
 	pk_arr(o, 1);
@@ -199,17 +221,13 @@
 	return in->bad ? LSTR("") : s;
 }
 
-/* A name of a VM, target, pool or file; ":" parts a VM from its port. */
+/* A name of a VM, target, pool or file. */
 static struct lstr fcm_get_name(struct pk_in *in)
 {
 	struct lstr s = pk_get_str(in);
-	size_t i;
 
-	if (s.len == 0 || s.len > CFG_NAME_MAX)
+	if (!cfg_is_name(s))
 		in->bad = true;
-	for (i = 0; i < s.len; i++)
-		if (!g_ascii_isalnum(s.p[i]) && !strchr("._:-", s.p[i]))
-			in->bad = true;
 	return in->bad ? LSTR("") : s;
 }
 
