Data folder that keeps a voter's promises

Cause: a voter answers others on what its disk holds; after a crash that can be any prefix of unsynced writes, a torn record or a flipped bit.

Ruled out: cutting every bad tail (a flipped bit in the last record would lose what was promised), and refusing every bad tail (a power cut would stop a whole site).

Bytes missing at the end were never synced and are cut; bytes that are there and wrong set the folder aside, and the voter comes back as a new member. A failed write or sync is final. File operations are a table.

Found by the properties on the way: a log file could vanish unseen where the next held only its head (heads now tell the last entry before them); and a crash while old files were removed after an install looked like a loss.

--- /dev/null
+++ b/src/sto_folder.c
@@ -0,0 +1,162 @@
+#include "sto.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "err.h"
+
+/* A folder of the machine. */
+struct sto_folder {
+	struct sto_io io;
+	char *path;
+	int fd;
+};
+
+static int sto_folder_create(void *arg, const char *name);
+static ssize_t sto_folder_write(void *arg, int fd, const void *p, size_t len);
+static int sto_folder_sync(void *arg, int fd);
+static int sto_folder_close(void *arg, int fd);
+static GBytes *sto_folder_read(void *arg, const char *name);
+static int sto_folder_cut(void *arg, const char *name, off_t len);
+static char **sto_folder_list(void *arg);
+static int sto_folder_rename(void *arg, const char *from, const char *to);
+static int sto_folder_remove(void *arg, const char *name);
+static int sto_folder_sync_folder(void *arg);
+
+static const struct sto_io sto_folder_io = {
+	.create = sto_folder_create,
+	.write = sto_folder_write,
+	.sync = sto_folder_sync,
+	.close = sto_folder_close,
+	.read = sto_folder_read,
+	.cut = sto_folder_cut,
+	.list = sto_folder_list,
+	.rename = sto_folder_rename,
+	.remove = sto_folder_remove,
+	.sync_folder = sto_folder_sync_folder,
+};
+
+/*
+ * A folder that no other process holds: two voters that share one would each
+ * promise what the other overwrites. NULL with ERR_IO.
+ */
+struct sto_io *sto_folder_new(const char *path, GError **err)
+{
+	struct sto_folder *f = g_new0(struct sto_folder, 1);
+
+	f->io = sto_folder_io;
+	f->io.arg = f;
+	f->path = g_strdup(path);
+	f->fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (f->fd >= 0 && flock(f->fd, LOCK_EX | LOCK_NB) == 0)
+		return &f->io;
+	err_set(err, ERR_IO, "open data folder", NULL, "%s: %s", path,
+		errno == EWOULDBLOCK ? "another process holds it"
+				     : g_strerror(errno));
+	sto_folder_free(&f->io);
+	return NULL;
+}
+
+/* Lets a folder go. */
+void sto_folder_free(struct sto_io *io)
+{
+	struct sto_folder *f;
+
+	if (!io)
+		return;
+	f = io->arg;
+	if (f->fd >= 0)
+		close(f->fd);
+	g_free(f->path);
+	g_free(f);
+}
+
+static int sto_folder_create(void *arg, const char *name)
+{
+	struct sto_folder *f = arg;
+
+	return openat(f->fd, name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+		      0600);
+}
+
+static ssize_t sto_folder_write(void *arg, int fd, const void *p, size_t len)
+{
+	return write(fd, p, len);
+}
+
+static int sto_folder_sync(void *arg, int fd)
+{
+	return fdatasync(fd);
+}
+
+static int sto_folder_close(void *arg, int fd)
+{
+	return close(fd);
+}
+
+static GBytes *sto_folder_read(void *arg, const char *name)
+{
+	struct sto_folder *f = arg;
+	char *path = g_build_filename(f->path, name, NULL);
+	char *text = NULL;
+	gsize len = 0;
+	bool ok = g_file_get_contents(path, &text, &len, NULL);
+
+	g_free(path);
+	return ok ? g_bytes_new_take(text, len) : NULL;
+}
+
+static int sto_folder_cut(void *arg, const char *name, off_t len)
+{
+	struct sto_folder *f = arg;
+	int fd = openat(f->fd, name, O_WRONLY | O_CLOEXEC);
+	int rc;
+
+	if (fd < 0)
+		return -1;
+	rc = ftruncate(fd, len);
+	if (rc == 0)
+		rc = fsync(fd);
+	close(fd);
+	return rc;
+}
+
+static char **sto_folder_list(void *arg)
+{
+	struct sto_folder *f = arg;
+	GPtrArray *names = g_ptr_array_new();
+	GDir *dir = g_dir_open(f->path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir)))
+		g_ptr_array_add(names, g_strdup(name));
+	if (dir)
+		g_dir_close(dir);
+	g_ptr_array_add(names, NULL);
+	return (char **)g_ptr_array_free(names, FALSE);
+}
+
+static int sto_folder_rename(void *arg, const char *from, const char *to)
+{
+	struct sto_folder *f = arg;
+
+	return renameat(f->fd, from, f->fd, to);
+}
+
+static int sto_folder_remove(void *arg, const char *name)
+{
+	struct sto_folder *f = arg;
+
+	return unlinkat(f->fd, name, 0);
+}
+
+static int sto_folder_sync_folder(void *arg)
+{
+	struct sto_folder *f = arg;
+
+	return fsync(f->fd);
+}
--- /dev/null
+++ b/src/sto_int.h
@@ -0,0 +1,42 @@
+#ifndef STO_INT_H
+#define STO_INT_H
+
+#include "pk.h"
+#include "sto.h"
+#include "sto_rec.h"
+
+#define STO_NAME_IDENTITY "identity"
+#define STO_NAME_TMP "tmp"
+#define STO_PREFIX_LOG "log-"
+#define STO_PREFIX_SNAP "snap-"
+#define STO_PREFIX_DAMAGED "damaged-"
+
+/* A file of the log. */
+struct sto_seg {
+	uint64_t no;
+	uint64_t max_index; /* of its entries; 0: none */
+};
+
+struct sto {
+	struct sto_io io;
+	uint64_t id;
+	uint64_t term;
+	uint64_t vote;
+	uint64_t last; /* index of the last entry written */
+	GArray *segs; /* struct sto_seg, oldest first; the last is written */
+	int fd; /* of the last; -1: none */
+	uint64_t size; /* of the last, synced */
+	GByteArray *pending;
+	uint64_t snap_index; /* 0: none */
+	bool failed;
+};
+
+/* sto_load */
+bool sto_load(struct sto *s, const char *node, struct sto_loaded *out,
+	      char **damage, GError **err);
+/* sto */
+char *sto_name(const char *prefix, uint64_t no);
+bool sto_number(const char *name, const char *prefix, uint64_t *no);
+bool sto_fail(struct sto *s, const char *step, const char *name, GError **err);
+
+#endif
