Control daemon: voters over wire and the data folder

Change: ctl and endive-controld. Commands are answered after commit and apply, or as unknown when leadership is lost; queries are confirmed by a quorum; the view goes to entry daemons as soon as it is applied. A node that lost its folder comes back as a new member, and is let in before the old one is let out. SET_NODES reads NODE=IP:PORT lists.

--- a/src/cns.h
+++ b/src/cns.h
@@ -32,6 +32,12 @@
 };
 
 struct cns_members {
+	/*
+	 * Of the fleet's state: drawn when it is begun and again when it is
+	 * recovered without a majority; folders of another lineage hold other
+	 * entries at the same places.
+	 */
+	uint64_t lineage;
 	int n;
 	struct cns_member m[CNS_MEMBERS_MAX];
 };
--- a/src/cns_msg.c
+++ b/src/cns_msg.c
@@ -146,7 +146,8 @@
 {
 	int i;
 
-	pk_arr(o, s->n);
+	pk_arr(o, s->n + 1);
+	pk_u(o, s->lineage);
 	for (i = 0; i < s->n; i++) {
 		pk_arr(o, CNS_MEMBER_FIELDS);
 		pk_u(o, s->m[i].id);
@@ -158,9 +159,9 @@
 
 static bool cns_members_get(struct pk_in *in, struct cns_members *out)
 {
-	bool ok = pk_in_left(in) <= CNS_MEMBERS_MAX;
+	bool ok = pk_in_left(in) <= CNS_MEMBERS_MAX + 1;
 
-	*out = (struct cns_members){0};
+	*out = (struct cns_members){.lineage = pk_get_u(in)};
 	while (ok && pk_in_left(in)) {
 		struct pk_in one = pk_get_arr(in);
 		struct cns_member *m = &out->m[out->n++];
--- /dev/null
+++ b/src/ctl.c
@@ -0,0 +1,245 @@
+#include "ctl_int.h"
+
+#include "err.h"
+#include "msg.h"
+
+/* How finely the consensus' time runs. */
+#define CTL_TICK_MS 20
+/* How often members and entry daemons are looked after. */
+#define CTL_UPKEEP_MS 250
+/* Longest wait for another voter to take leadership over at a stop. */
+#define CTL_DRAIN_MS 1000
+
+static void ctl_in_up(void *arg, struct wire_conn *conn);
+static void ctl_in_recv(void *arg, struct wire_conn *conn, struct lstr payload);
+static void ctl_in_down(void *arg, struct wire_conn *conn, const GError *why);
+static void ctl_out_up(void *arg, struct wire_conn *conn);
+static void ctl_out_recv(void *arg, struct wire_conn *conn,
+			 struct lstr payload);
+static void ctl_out_down(void *arg, struct wire_conn *conn, const GError *why);
+static void ctl_take(struct ctl *c, struct ctl_conn *cc, struct lstr payload,
+		     struct pk_in *in);
+static void ctl_take_cns(struct ctl *c, const struct ctl_conn *cc,
+			 struct lstr payload);
+static void ctl_tick(void *arg, int64_t now);
+static void ctl_upkeep(void *arg, int64_t now);
+
+/* Connections that come in: voters that send to us, daemons, clients. */
+static const struct wire_ops ctl_in_ops = {
+	.up = ctl_in_up,
+	.recv = ctl_in_recv,
+	.down = ctl_in_down,
+};
+
+/* Connections to the other voters, for what we send to them. */
+static const struct wire_ops ctl_out_ops = {
+	.up = ctl_out_up,
+	.recv = ctl_out_recv,
+	.down = ctl_out_down,
+};
+
+/*
+ * Starts a voter on config's loop; config's parts must outlive it. NULL with
+ * the step that failed.
+ */
+struct ctl *ctl_new(const struct ctl_config *config, GError **err)
+{
+	struct ctl *c = g_new0(struct ctl, 1);
+	guint i;
+
+	c->config = *config;
+	c->peers = g_ptr_array_new_with_free_func(ctl_peer_free);
+	c->conns = g_ptr_array_new_with_free_func(g_free);
+	c->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 ctl_node_free);
+	c->commands = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    ctl_open_free);
+	c->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   ctl_open_free);
+	c->tmr = tmr_new(config->base);
+	c->fst = fst_new();
+	c->wire = wire_new(&(struct wire_config){
+		.base = config->base,
+		.tmr = c->tmr,
+		.keys = config->keys,
+		.node = config->node,
+		.zone = config->zone,
+		.silence_ms = config->silence_ms,
+	});
+	if (!ctl_peers_read(c, err) || !ctl_voter_open(c, err) ||
+	    !ctl_http_open(c, err) ||
+	    wire_listen(c->wire, config->listen, &ctl_in_ops, c, err) != 0) {
+		ctl_free(c);
+		return NULL;
+	}
+	for (i = 0; i < c->peers->len; i++) {
+		struct ctl_peer *p = g_ptr_array_index(c->peers, i);
+
+		p->conn = wire_dial(c->wire, p->addr, &ctl_out_ops, p);
+	}
+	tmr_every(c->tmr, CTL_TICK_MS, ctl_tick, c);
+	tmr_every(c->tmr, CTL_UPKEEP_MS, ctl_upkeep, c);
+	msg(MSG_START, "node=%s zone=%s listen=%s", config->node, config->zone,
+	    config->listen);
+	return c;
+}
+
+/* Ends a voter at once; what it promised is on its disk. */
+void ctl_free(struct ctl *c)
+{
+	if (!c)
+		return;
+	if (c->srv)
+		srv_free(c->srv);
+	wire_free(c->wire);
+	cns_free(c->cns);
+	sto_free(c->sto);
+	sto_folder_free(c->io);
+	fst_free(c->fst);
+	g_hash_table_destroy(c->commands);
+	g_hash_table_destroy(c->queries);
+	g_hash_table_destroy(c->nodes);
+	g_ptr_array_free(c->conns, TRUE);
+	g_ptr_array_free(c->peers, TRUE);
+	tmr_free(c->tmr);
+	g_free(c);
+}
+
+/* Planned stop: hands leadership over, then ends the loop. */
+void ctl_drain(struct ctl *c)
+{
+	if (c->drain_until)
+		return;
+	c->drain_until = tmr_now(c->tmr) + CTL_DRAIN_MS;
+	cns_hand_over(c->cns);
+	ctl_pump(c);
+}
+
+/* Whether the loop ended because the folder failed. */
+bool ctl_failed(const struct ctl *c)
+{
+	return c->failed;
+}
+
+static void ctl_tick(void *arg, int64_t now)
+{
+	struct ctl *c = arg;
+
+	cns_tick(c->cns, now);
+	ctl_pump(c);
+	if (c->drain_until &&
+	    (c->role != CNS_LEADER || now >= c->drain_until)) {
+		msg(MSG_STOP, "node=%s", c->config.node);
+		event_base_loopbreak(c->config.base);
+	}
+}
+
+static void ctl_upkeep(void *arg, int64_t now)
+{
+	struct ctl *c = arg;
+
+	ctl_members_tick(c);
+	ctl_nodes_tick(c, now);
+	ctl_pump(c);
+}
+
+static void ctl_in_up(void *arg, struct wire_conn *conn)
+{
+	struct ctl *c = arg;
+	struct ctl_conn *cc = g_new0(struct ctl_conn, 1);
+
+	cc->conn = conn;
+	wire_set_user(conn, cc);
+	g_ptr_array_add(c->conns, cc);
+}
+
+static void ctl_in_recv(void *arg, struct wire_conn *conn, struct lstr payload)
+{
+	struct ctl_conn *cc = wire_user(conn);
+	struct pk_in in;
+
+	if (!pk_in_init(&in, payload))
+		return;
+	ctl_take(arg, cc, payload, &in);
+	pk_in_done(&in);
+}
+
+static void ctl_in_down(void *arg, struct wire_conn *conn, const GError *why)
+{
+	struct ctl *c = arg;
+	struct ctl_conn *cc = wire_user(conn);
+
+	if (!cc)
+		return;
+	if (cc->node && cc->node->conn == conn)
+		cc->node->conn = NULL;
+	ctl_client_gone(c, conn);
+	wire_set_user(conn, NULL);
+	g_ptr_array_remove_fast(c->conns, cc);
+}
+
+static void ctl_out_up(void *arg, struct wire_conn *conn)
+{
+	struct ctl_peer *p = arg;
+
+	ctl_send_voter(p->ctl, conn);
+}
+
+static void ctl_out_recv(void *arg, struct wire_conn *conn, struct lstr payload)
+{
+	/* Voters answer on the connections that they dial themselves. */
+}
+
+static void ctl_out_down(void *arg, struct wire_conn *conn, const GError *why)
+{
+	/* Dialled again by itself; what was lost is sent again by cns. */
+}
+
+static void ctl_take(struct ctl *c, struct ctl_conn *cc, struct lstr payload,
+		     struct pk_in *in)
+{
+	bool peer = wire_role(cc->conn) == KEY_PEER;
+
+	switch (pk_get_u(in)) {
+	case PROTO_CNS:
+		if (peer && cc->peer)
+			ctl_take_cns(c, cc, payload);
+		break;
+	case PROTO_VOTER:
+		if (peer)
+			ctl_on_voter(c, cc, in);
+		break;
+	case PROTO_FOLLOW:
+		if (peer)
+			ctl_on_follow(c, cc, in);
+		break;
+	case PROTO_SUBMIT:
+		ctl_on_submit(c, cc->conn, in);
+		break;
+	case PROTO_QUERY:
+		ctl_on_query(c, cc->conn, in);
+		break;
+	default:
+		break;
+	}
+}
+
+/*
+ * A voter whose fleet was recovered without it, or that belongs to another
+ * fleet, holds other entries at our places; nothing it says may count.
+ */
+static void ctl_take_cns(struct ctl *c, const struct ctl_conn *cc,
+			 struct lstr payload)
+{
+	struct cns_msg *m;
+
+	if (!ctl_same_lineage(c, cc->peer))
+		return;
+	m = cns_msg_unpack(payload);
+	if (!m)
+		return;
+	if (m->from == cc->peer->id)
+		cns_step(c->cns, m);
+	cns_msg_free(m);
+	ctl_kick(c);
+}
--- /dev/null
+++ b/src/ctl_voter.c
@@ -0,0 +1,360 @@
+#include "ctl_int.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "err.h"
+#include "msg.h"
+
+/* Between heartbeats; five a second keep a node far below 3 KB a second. */
+#define CTL_BEAT_MS 200
+/* Shortest patience with a silent leader; a killed one is replaced in 2 s. */
+#define CTL_ELECTION_MS 600
+/*
+ * Applied entries, or bytes of them, between snapshots: a restart reads at
+ * most so much, and at 34,000 changes a day there are a few snapshots.
+ */
+#define CTL_SNAP_ENTRIES 10000
+#define CTL_SNAP_BYTES (4u << 20)
+
+static void ctl_pump_timer(void *arg, int64_t now);
+static bool ctl_write(struct ctl *c, const struct cns_ready *rd, GError **err);
+static void ctl_send_all(struct ctl *c, const GPtrArray *msgs);
+static bool ctl_restore(struct ctl *c, const struct cns_snap *snap,
+			GError **err);
+static void ctl_apply(struct ctl *c, const struct cns_entry *e);
+static void ctl_snapshot(struct ctl *c);
+static void ctl_watch_role(struct ctl *c);
+static void ctl_fail(struct ctl *c, GError *why);
+static uint64_t ctl_random_id(void);
+static const char *ctl_own_addr(const struct ctl_config *config);
+static bool ctl_recover_write(const struct ctl_config *config, struct sto *s,
+			      const struct sto_loaded *l, GError **err);
+static void ctl_recover_entry(struct sto *s, struct cns_entry *e,
+			      struct pk_out *o);
+
+/* Opens the folder and goes on from what it holds. */
+bool ctl_voter_open(struct ctl *c, GError **err)
+{
+	struct sto_loaded l;
+	struct cns_stored stored;
+	struct cns_config config = {
+		.seed = randombytes_random(),
+		.now_ms = tmr_now(c->tmr),
+		.beat_ms = CTL_BEAT_MS,
+		.election_ms = CTL_ELECTION_MS,
+	};
+	bool ok = true;
+
+	c->io = sto_folder_new(c->config.data, err);
+	if (!c->io)
+		return false;
+	c->sto = sto_open(c->io, c->config.node, ctl_random_id(), &l, err);
+	if (!c->sto)
+		return false;
+	c->id = l.id;
+	config.id = l.id;
+	if (l.damage)
+		msg(MSG_STO_DAMAGED,
+		    "why=\"%s\" does=\"set aside; back as a new member once "
+		    "caught up\"",
+		    l.damage);
+	msg(MSG_STO_OPEN,
+	    "folder=%016" G_GINT64_MODIFIER "x fresh=%d cut=%" G_GUINT64_FORMAT
+	    " entries=%u",
+	    l.id, l.fresh, l.cut, l.entries->len);
+	stored = (struct cns_stored){
+		.term = l.term,
+		.vote = l.vote,
+		.snap = l.snap,
+		.entries = l.entries,
+	};
+	if (l.snap)
+		ok = ctl_restore(c, l.snap, err);
+	if (ok)
+		c->cns = cns_new(&config, &stored);
+	sto_loaded_clear(&l);
+	return ok;
+}
+
+/*
+ * Does the rest soon: what comes in within one turn of the loop shares a sync,
+ * so that a burst of commands costs few of them.
+ */
+void ctl_kick(struct ctl *c)
+{
+	if (!c->pump_timer)
+		c->pump_timer = tmr_once(c->tmr, 0, ctl_pump_timer, c);
+}
+
+/* Does all that consensus asks for, in its order. */
+void ctl_pump(struct ctl *c)
+{
+	struct cns_ready rd;
+	GError *err = NULL;
+	guint i;
+
+	while (!c->failed && cns_ready(c->cns, &rd)) {
+		ctl_send_all(c, rd.early);
+		if (!ctl_write(c, &rd, &err)) {
+			/* Nothing that rests on the writes may leave. */
+			g_array_free(rd.entries, TRUE);
+			g_array_free(rd.committed, TRUE);
+			ctl_fail(c, err);
+			return;
+		}
+		ctl_send_all(c, rd.late);
+		for (i = 0; i < rd.committed->len; i++)
+			ctl_apply(c, &g_array_index(rd.committed,
+						    struct cns_entry, i));
+		for (i = 0; i < rd.reads->len; i++)
+			ctl_read_done(c, &g_array_index(rd.reads,
+							struct cns_read, i));
+		cns_advance(c->cns, &rd);
+	}
+	ctl_watch_role(c);
+	if (c->role == CNS_LEADER)
+		ctl_push(c);
+	ctl_snapshot(c);
+}
+
+static void ctl_pump_timer(void *arg, int64_t now)
+{
+	struct ctl *c = arg;
+
+	c->pump_timer = 0;
+	ctl_pump(c);
+}
+
+static bool ctl_write(struct ctl *c, const struct cns_ready *rd, GError **err)
+{
+	guint i;
+
+	if (rd->vote_changed)
+		sto_vote(c->sto, rd->term, rd->vote);
+	if (rd->install && (!sto_install(c->sto, rd->install, err) ||
+			    !ctl_restore(c, rd->install, err)))
+		return false;
+	for (i = 0; i < rd->entries->len; i++)
+		sto_entry(c->sto,
+			  &g_array_index(rd->entries, struct cns_entry, i));
+	if (!rd->vote_changed && !rd->entries->len)
+		return true;
+	c->counts[CTL_SYNCS]++;
+	return sto_sync(c->sto, err);
+}
+
+static void ctl_send_all(struct ctl *c, const GPtrArray *msgs)
+{
+	guint i;
+
+	for (i = 0; i < msgs->len; i++) {
+		const struct cns_msg *m = g_ptr_array_index(msgs, i);
+		const struct ctl_peer *p = ctl_peer_of(c, m->to);
+		struct pk_out o;
+
+		if (!p || !wire_is_up(p->conn) || !ctl_same_lineage(c, p))
+			continue;
+		pk_out_init(&o);
+		cns_msg_pack(m, &o);
+		/* One command can be nearly as large as a frame may be. */
+		if (pk_out_view(&o).len <= WIRE_PAYLOAD_MAX)
+			wire_send(p->conn, pk_out_view(&o));
+		pk_out_done(&o);
+	}
+}
+
+static bool ctl_restore(struct ctl *c, const struct cns_snap *snap,
+			GError **err)
+{
+	gsize len;
+	const char *p = g_bytes_get_data(snap->data, &len);
+
+	if (!fst_restore(c->fst, lstr_n(p, len), err))
+		return false;
+	c->applied = snap->index;
+	c->snap_index = snap->index;
+	c->snap_bytes = len;
+	c->log_bytes = 0;
+	return true;
+}
+
+static void ctl_apply(struct ctl *c, const struct cns_entry *e)
+{
+	struct pk_out result;
+	gsize len;
+	const char *p = g_bytes_get_data(e->data, &len);
+
+	c->applied = e->index;
+	c->log_bytes += len;
+	if (e->kind != CNS_COMMAND)
+		return;
+	pk_out_init(&result);
+	fst_apply(c->fst, e->index, lstr_n(p, len), &result);
+	ctl_applied(c, e, pk_out_view(&result));
+	pk_out_done(&result);
+}
+
+static void ctl_snapshot(struct ctl *c)
+{
+	GError *err = NULL;
+	struct pk_out o;
+	struct lstr view;
+	GBytes *data;
+
+	if (c->failed || c->applied == c->snap_index ||
+	    (c->applied - c->snap_index < CTL_SNAP_ENTRIES &&
+	     c->log_bytes < MAX(CTL_SNAP_BYTES, 2 * c->snap_bytes)))
+		return;
+	pk_out_init(&o);
+	fst_snapshot(c->fst, &o);
+	view = pk_out_view(&o);
+	data = g_bytes_new(view.p, view.len);
+	c->snap_bytes = view.len;
+	pk_out_done(&o);
+	c->snap_index = c->applied;
+	c->log_bytes = 0;
+	c->counts[CTL_SNAPSHOTS]++;
+	if (!sto_snapshot(c->sto, cns_compact(c->cns, c->applied, data), &err))
+		ctl_fail(c, err);
+	g_bytes_unref(data);
+}
+
+static void ctl_watch_role(struct ctl *c)
+{
+	enum cns_role role = cns_role(c->cns);
+	uint64_t term = cns_term(c->cns);
+	const struct cns_member *leader =
+		cns_find(cns_members(c->cns), cns_leader(c->cns));
+
+	if (role == c->role && term == c->term)
+		return;
+	if (role != CNS_LEADER || term != c->term)
+		ctl_open_lost(c);
+	if (role == CNS_LEADER)
+		c->counts[CTL_ELECTIONS]++;
+	msg(MSG_CTL_ROLE, "role=%s term=%" G_GUINT64_FORMAT " leader=%s",
+	    cns_role_name(role), term, leader ? leader->name : "");
+	c->role = role;
+	c->term = term;
+}
+
+/*
+ * The folder failed: what it holds is not known any more, so this process
+ * must answer nobody. It ends with one line that says why, and the next start
+ * looks at what there is.
+ */
+static void ctl_fail(struct ctl *c, GError *why)
+{
+	c->failed = true;
+	msg(MSG_STO_FAILED, "node=%s why=\"%s\" does=\"stop\"", c->config.node,
+	    why->message);
+	g_error_free(why);
+	event_base_loopbreak(c->config.base);
+}
+
+/* The address by which clients reach this voter, as its peers know it. */
+static const char *ctl_own_addr(const struct ctl_config *config)
+{
+	size_t len = strlen(config->node);
+	char **p;
+
+	for (p = config->peers; *p; p++)
+		if (strncmp(*p, config->node, len) == 0 && (*p)[len] == '=')
+			return *p + len + 1;
+	return config->listen;
+}
+
+static uint64_t ctl_random_id(void)
+{
+	uint64_t id = 0;
+
+	while (id == 0)
+		randombytes_buf(&id, sizeof(id));
+	return id;
+}
+
+static bool ctl_recover_write(const struct ctl_config *config, struct sto *s,
+			      const struct sto_loaded *l, GError **err)
+{
+	struct cns_members members = {.lineage = ctl_random_id(), .n = 1};
+	struct cns_entry e = {.term = l->term + 1, .kind = CNS_MEMBERS};
+	struct pk_out note;
+	struct pk_out o;
+	char *text;
+	char *id;
+	bool ok;
+
+	members.m[0] = (struct cns_member){.id = l->id, .voter = true};
+	g_strlcpy(members.m[0].name, config->node, sizeof(members.m[0].name));
+	g_strlcpy(members.m[0].addr, ctl_own_addr(config),
+		  sizeof(members.m[0].addr));
+	e.index = 1 + (l->snap ? l->snap->index : 0) + l->entries->len;
+	text = g_strdup_printf(
+		"recovered without a majority from the folder of %s: changes "
+		"accepted after entry %" G_GUINT64_FORMAT " may be lost",
+		config->node, e.index - 1);
+	id = g_strdup_printf("recover-%016" G_GINT64_MODIFIER "x",
+			     members.lineage);
+	sto_vote(s, e.term, l->id);
+	pk_out_init(&o);
+	cns_members_pack(&members, &o);
+	ctl_recover_entry(s, &e, &o);
+	e.index++;
+	e.kind = CNS_COMMAND;
+	pk_out_init(&note);
+	ctl_note_pack(&note, id, text);
+	pk_out_init(&o);
+	fst_entry_pack(&o, (int64_t)time(NULL) * 1000, lstr_from(config->node),
+		       KEY_DUTY, pk_out_view(&note));
+	ctl_recover_entry(s, &e, &o);
+	pk_out_done(&note);
+	ok = sto_sync(s, err);
+	if (ok)
+		msg(MSG_CTL_RECOVERED, "why=\"%s\"", text);
+	g_free(text);
+	g_free(id);
+	return ok;
+}
+
+/* Notes an entry with the bytes of o, which it takes over. */
+static void ctl_recover_entry(struct sto *s, struct cns_entry *e,
+			      struct pk_out *o)
+{
+	struct lstr view = pk_out_view(o);
+
+	e->data = g_bytes_new(view.p, view.len);
+	sto_entry(s, e);
+	g_bytes_unref(e->data);
+	pk_out_done(o);
+}
+
+/*
+ * Makes the voter of this folder the only one, after the others are lost for
+ * good: what only they had accepted is lost with them, and the audit trail
+ * says so. Other folders of the old fleet are never listened to again. The
+ * daemon must not be running.
+ */
+bool ctl_recover(const struct ctl_config *config, GError **err)
+{
+	struct sto_io *io = sto_folder_new(config->data, err);
+	struct sto_loaded l;
+	struct sto *s;
+	bool ok = false;
+
+	if (!io)
+		return false;
+	s = sto_open(io, config->node, ctl_random_id(), &l, err);
+	if (s && l.fresh)
+		err_set(err, ERR_REFUSED, "recover", NULL,
+			"%s: there is nothing to recover from%s%s",
+			config->data, l.damage ? ": " : "",
+			l.damage ? l.damage : "");
+	else if (s)
+		ok = ctl_recover_write(config, s, &l, err);
+	sto_loaded_clear(&l);
+	sto_free(s);
+	sto_folder_free(io);
+	return ok;
+}
--- /dev/null
+++ b/src/main_endive-controld.c
@@ -0,0 +1,118 @@
+#include <event2/event.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "ctl.h"
+#include "msg.h"
+#include "set.h"
+
+static void controld_on_term(evutil_socket_t sig, short what, void *arg);
+static int controld_run(struct ctl_config *cfg);
+static int controld_recover(const struct ctl_config *cfg);
+
+static void controld_on_term(evutil_socket_t sig, short what, void *arg)
+{
+	ctl_drain(arg);
+}
+
+static int controld_run(struct ctl_config *cfg)
+{
+	struct event *term;
+	struct event *intr;
+	GError *err = NULL;
+	struct ctl *c;
+	int rc;
+
+	cfg->base = event_base_new();
+	c = ctl_new(cfg, &err);
+	if (!c) {
+		fprintf(stderr, "endive-controld: %s\n", err->message);
+		g_clear_error(&err);
+		event_base_free(cfg->base);
+		return 1;
+	}
+	term = evsignal_new(cfg->base, SIGTERM, controld_on_term, c);
+	intr = evsignal_new(cfg->base, SIGINT, controld_on_term, c);
+	evsignal_add(term, NULL);
+	evsignal_add(intr, NULL);
+	event_base_dispatch(cfg->base);
+	rc = ctl_failed(c) ? 1 : 0;
+	event_free(term);
+	event_free(intr);
+	ctl_free(c);
+	event_base_free(cfg->base);
+	return rc;
+}
+
+static int controld_recover(const struct ctl_config *cfg)
+{
+	GError *err = NULL;
+
+	if (ctl_recover(cfg, &err)) {
+		printf("This voter is the only one now. Changes that only the "
+		       "lost voters had\naccepted are LOST; the audit trail "
+		       "says so. Start it without --recover-alone,\nand the "
+		       "others with empty data folders.\n");
+		return 0;
+	}
+	fprintf(stderr, "endive-controld: %s\n", err->message);
+	g_clear_error(&err);
+	return 1;
+}
+
+int main(int argc, char **argv)
+{
+	struct ctl_config cfg = {0};
+	char *key_path = NULL;
+	char *level = NULL;
+	char *recover = NULL;
+	const struct set_def defs[] = {
+		{"node", SET_NAME, &cfg.node, NULL, 0, 0, NULL,
+		 "Name of this process, one in the fleet"},
+		{"zone", SET_NAME, &cfg.zone, NULL, 0, 0, NULL,
+		 "Availability zone it is in"},
+		{"listen", SET_ADDR, &cfg.listen, NULL, 0, 0, NULL,
+		 "Where voters, entry daemons and clients reach it"},
+		{"http", SET_ADDR, &cfg.http, NULL, 0, 0, NULL,
+		 "Health page and metrics"},
+		{"peers", SET_NODES, &cfg.peers, NULL, 0, 0, NULL,
+		 "All voters, this one too"},
+		{"keys", SET_FILE, &key_path, NULL, 0, 0, NULL,
+		 "Key file; its first key is this process's own"},
+		{"data", SET_DIR, &cfg.data, NULL, 0, 0, NULL,
+		 "Data folder, of this voter alone"},
+		{"initial", SET_FLAG, &cfg.initial, "0", 0, 0, NULL,
+		 "Begin a new fleet if no voter has anything yet"},
+		{"recover-alone", SET_WORD, &recover, "", 0, 0, "accept-loss",
+		 "Make this the only voter, then end: the others are gone for "
+		 "good, with what only they had accepted"},
+		{"silence-ms", SET_INT, &cfg.silence_ms, "2000", 100, 60000,
+		 NULL, "A peer not heard for so long is taken as gone"},
+		{"log-level", SET_WORD, &level, "notice", 0, 0,
+		 "debug|info|notice|warn|error", "Least level that is logged"},
+	};
+	enum msg_level lowest = MSG_NOTICE;
+	GError *err = NULL;
+	int rc;
+
+	rc = set_parse("endive-controld",
+		       "Agrees with the other voters on the fleet's state.",
+		       defs, G_N_ELEMENTS(defs), &argc, &argv);
+	if (rc >= 0)
+		return rc;
+	signal(SIGPIPE, SIG_IGN);
+	/* A full disk by file-size limit must come back as a failed write. */
+	signal(SIGXFSZ, SIG_IGN);
+	msg_level_parse(level, &lowest);
+	msg_init("endive-controld", lowest);
+	cfg.keys = keyring_load(key_path, &err);
+	if (!cfg.keys) {
+		fprintf(stderr, "endive-controld: %s\n", err->message);
+		g_clear_error(&err);
+		return SET_EXIT_USAGE;
+	}
+	rc = recover ? controld_recover(&cfg) : controld_run(&cfg);
+	keyring_free(cfg.keys);
+	msg_done();
+	return rc;
+}
--- a/src/msg.c
+++ b/src/msg.c
@@ -50,7 +50,14 @@
 	[MSG_ENT_DRAIN] = {MSG_NOTICE, "drain"},
 	/* idm: idempotency keys */
 	/* ctl: control daemon */
+	[MSG_CTL_ROLE] = {MSG_NOTICE, "voter-role"},
+	[MSG_CTL_MEMBER] = {MSG_NOTICE, "voter-member"},
+	[MSG_CTL_FOREIGN] = {MSG_ERROR, "voter-foreign"},
+	[MSG_CTL_RECOVERED] = {MSG_WARN, "voter-recovered"},
 	/* cns, sto: consensus and data folder */
+	[MSG_STO_OPEN] = {MSG_NOTICE, "folder-open"},
+	[MSG_STO_DAMAGED] = {MSG_ERROR, "folder-damaged"},
+	[MSG_STO_FAILED] = {MSG_ERROR, "folder-failed"},
 	/* cfg, fst: configuration and fleet state */
 	/* pln, wav, job: planner, waves, jobs */
 };
--- a/src/msg.h
+++ b/src/msg.h
@@ -34,7 +34,14 @@
 	MSG_ENT_DRAIN,
 	/* idm: idempotency keys */
 	/* ctl: control daemon */
+	MSG_CTL_ROLE,
+	MSG_CTL_MEMBER,
+	MSG_CTL_FOREIGN,
+	MSG_CTL_RECOVERED,
 	/* cns, sto: consensus and data folder */
+	MSG_STO_OPEN,
+	MSG_STO_DAMAGED,
+	MSG_STO_FAILED,
 	/* cfg, fst: configuration and fleet state */
 	/* pln, wav, job: planner, waves, jobs */
 	MSG_MAX
--- a/src/proto.h
+++ b/src/proto.h
@@ -8,6 +8,11 @@
 enum proto_kind {
 	/* cnv: between voters (consensus) */
 	PROTO_CNS = 1,
+	/*
+	 * voter to voter, on coming up: [kind, node, folder, lineage of its
+	 * state or 0, address for clients]
+	 */
+	PROTO_VOTER,
 	/* client to voter: [kind, request no, command bytes] */
 	PROTO_SUBMIT = 10,
 	/* client to voter: [kind, request no, query name, argument] */
--- a/src/set.c
+++ b/src/set.c
@@ -18,6 +18,7 @@
 static gboolean set_check_int(const struct set_def *def, const char *value);
 static gboolean set_check_addr(const struct set_def *def, const char *value);
 static gboolean set_check_addrs(const struct set_def *def, const char *value);
+static gboolean set_check_nodes(const struct set_def *def, const char *value);
 static gboolean set_check_word(const struct set_def *def, const char *value);
 static gboolean set_check_name(const struct set_def *def, const char *value);
 static gboolean set_check_file(const struct set_def *def, const char *value);
@@ -35,6 +36,8 @@
 	[SET_ADDR] = {set_check_addr, "IP:PORT, the IP in numbers", "IP:PORT"},
 	[SET_ADDRS] = {set_check_addrs, "IP:PORT with commas between",
 		       "IP:PORT,..."},
+	[SET_NODES] = {set_check_nodes, "NODE=IP:PORT with commas between",
+		       "NODE=IP:PORT,..."},
 	[SET_WORD] = {set_check_word, NULL, "WORD"},
 	[SET_NAME] = {set_check_name,
 		      "letters, digits and \"-\", at most 31 characters",
@@ -210,14 +213,34 @@
 	return set_is_addr(value) && set_keep(def, value);
 }
 
-static gboolean set_check_addrs(const struct set_def *def, const char *value)
+static gboolean set_is_name(const char *value, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		if (!g_ascii_isalnum(value[i]) && value[i] != '-')
+			return FALSE;
+	return len > 0 && len <= SET_NAME_MAX;
+}
+
+static gboolean set_is_node(const char *value)
+{
+	const char *eq = strchr(value, '=');
+
+	return eq && set_is_name(value, (size_t)(eq - value)) &&
+	       set_is_addr(eq + 1);
+}
+
+/* A list with commas between, each part of which must be right. */
+static gboolean set_check_list(const struct set_def *def, const char *value,
+			       gboolean (*is_right)(const char *value))
 {
 	char ***dest = def->dest;
 	char **list = g_strsplit(value, ",", -1);
 	size_t i;
 
 	for (i = 0; list[i]; i++) {
-		if (set_is_addr(list[i]))
+		if (is_right(list[i]))
 			continue;
 		g_strfreev(list);
 		return FALSE;
@@ -226,6 +249,16 @@
 	return TRUE;
 }
 
+static gboolean set_check_addrs(const struct set_def *def, const char *value)
+{
+	return set_check_list(def, value, set_is_addr);
+}
+
+static gboolean set_check_nodes(const struct set_def *def, const char *value)
+{
+	return set_check_list(def, value, set_is_node);
+}
+
 static gboolean set_check_word(const struct set_def *def, const char *value)
 {
 	char **words = g_strsplit(def->words, "|", -1);
@@ -237,14 +270,7 @@
 
 static gboolean set_check_name(const struct set_def *def, const char *value)
 {
-	const char *p;
-
-	for (p = value; *p; p++)
-		if (!g_ascii_isalnum(*p) && *p != '-')
-			return FALSE;
-	if (p == value || p - value > SET_NAME_MAX)
-		return FALSE;
-	return set_keep(def, value);
+	return set_is_name(value, strlen(value)) && set_keep(def, value);
 }
 
 static gboolean set_check_file(const struct set_def *def, const char *value)
--- a/src/set.h
+++ b/src/set.h
@@ -13,6 +13,7 @@
 	SET_INT, /* long long *: whole number from min to max */
 	SET_ADDR, /* char **: IP:PORT */
 	SET_ADDRS, /* char ***: IP:PORT with commas between, NULL at the end */
+	SET_NODES, /* char ***: NODE=IP:PORT with commas between, NULL at end */
 	SET_WORD, /* char **: one of words */
 	SET_NAME, /* char **: letters, digits, "-", up to 31 characters */
 	SET_FILE, /* char **: a file that can be read */
