Idempotency keys through the entry daemons

Cause: a non-idempotent request sent again to another entry VM, or another zone, must run at most once and get the first sending's answer. Change: keepers of a zone in the replicated state and the view; entry daemons claim a key before offering its request, keep the answer, pass keys of other zones on to them; /endive/key gives keys; request code split by job.

--- a/src/ent.c
+++ b/src/ent.c
@@ -36,6 +36,7 @@
 	e->requests = g_ptr_array_new();
 	g_ptr_array_add(e->zones, g_strdup(config->zone));
 	e->targets = tgt_table_new(&ent_target_ops, e);
+	ent_key_start(e);
 	e->wire = wire_new(&(struct wire_config){
 		.base = config->base,
 		.tmr = e->tmr,
@@ -86,6 +87,7 @@
 	wire_free(e->wire);
 	g_ptr_array_free(e->peers, TRUE);
 	tgt_table_free(e->targets);
+	idm_free(e->keys);
 	adm_free(e->adm);
 	g_ptr_array_free(e->requests, TRUE);
 	g_hash_table_destroy(e->pools);
@@ -124,6 +126,7 @@
 	struct ent *e = arg;
 
 	tgt_tick(e->targets, now);
+	idm_tick(e->keys, now);
 	ent_pump(e);
 	if (e->stopping && srv_stats(e->callers).pending == 0 &&
 	    srv_stats(e->callers).open == 0)
--- a/src/ent_admin.c
+++ b/src/ent_admin.c
@@ -46,6 +46,8 @@
 			     "Requests sent to another zone."},
 	[ENT_SHIFTED_IN] = {"endive_shifted_in_total", "counter",
 			    "Requests taken from another zone."},
+	[ENT_REPLAYED] = {"endive_answers_replayed_total", "counter",
+			  "Answers given again for an idempotency key."},
 	[ENT_ANNOUNCED] = {"endive_announcements_total", "counter",
 			   "Targets' announcements taken."},
 	[ENT_ANNOUNCE_BAD] = {"endive_announcements_refused_total", "counter",
--- a/src/ent_int.h
+++ b/src/ent_int.h
@@ -8,6 +8,7 @@
 #include "adm.h"
 #include "ent.h"
 #include "fvw.h"
+#include "idm.h"
 #include "srv.h"
 #include "tgt.h"
 #include "tmr.h"
@@ -45,6 +46,7 @@
 	ENT_RETRIES,
 	ENT_SHIFTED_OUT,
 	ENT_SHIFTED_IN,
+	ENT_REPLAYED,
 	ENT_ANNOUNCED,
 	ENT_ANNOUNCE_BAD,
 	ENT_COUNTS
@@ -59,6 +61,9 @@
 	struct ups *ups;
 	struct adm *adm;
 	struct tgt_table *targets;
+	struct idm *keys;
+	uint64_t boot;
+	uint64_t submits; /* commands sent to voters */
 	struct fvw *view; /* NULL until one is known */
 	GBytes *view_bytes; /* as it came, to pass on */
 	int64_t view_since; /* when it was taken, ms */
@@ -77,9 +82,61 @@
 
 int64_t ent_now_us(const struct ent *e);
 
+#define ENT_ID_MAX 80
+
+/* A caller's request, from its arrival to its answer. */
+struct ent_req {
+	struct ent *e;
+	struct srv_req *srv; /* NULL once the caller has left */
+	struct ups_call *call;
+	adm_ticket ticket;
+	uint64_t target; /* id; 0: sent to another zone, or waiting */
+	const struct ent_pool *pool;
+	enum evhttp_cmd_type method;
+	int64_t deadline_ms; /* moment */
+	int64_t sent_us;
+	bool repeatable;
+	bool may_have_run; /* bytes of some attempt reached a target */
+	bool streaming;
+	bool home; /* sent to the zone that holds its key's memory */
+	uint64_t ask; /* claim of its key; 0: none, or ended */
+	uint64_t ask_timer;
+	char id[ENT_ID_MAX];
+};
+
+/* What a caller is told of a request that was given up. */
+struct ent_refusal {
+	int status;
+	const char *outcome;
+	const char *reason;
+	uint32_t retry_after_ms;
+};
+
 /* ent_req.c: callers' requests */
 extern const struct srv_ops ent_caller_ops;
 void ent_pump(struct ent *e);
+void ent_offer(struct ent_req *q);
+void ent_send(struct ent_req *q, const char *addr, bool hop);
+void ent_req_free(struct ent_req *q);
+
+/* ent_answer.c: what callers are told */
+void ent_add_header(GArray *out, const char *name, const char *value);
+GArray *ent_pass_headers(const struct ups_header *in, size_t n);
+void ent_deliver(struct ent_req *q, const struct ups_answer *a);
+void ent_give_up(struct ent_req *q, const struct ent_refusal *why);
+
+/* ent_key.c: idempotency keys */
+void ent_key_start(struct ent *e);
+void ent_key_view(struct ent *e);
+bool ent_key_wanted(const struct ent_req *q);
+void ent_key_begin(struct ent_req *q);
+void ent_key_end(struct ent_req *q, enum idm_state state,
+		 const struct ups_answer *a);
+void ent_key_home_end(struct ent_req *q, enum ups_end end,
+		      const struct ups_answer *a);
+void ent_key_page(struct ent *e, struct srv_req *srv);
+void ent_key_peer_up(struct ent *e, struct wire_conn *c);
+void ent_key_recv(struct ent *e, struct wire_conn *c, struct pk_in *in);
 
 /* ent_view.c: the fleet view */
 bool ent_view_take(struct ent *e, struct lstr bytes, const char *from);
@@ -96,6 +153,7 @@
 void ent_peer_tell_view(struct ent *e);
 void ent_peer_tell_room(struct ent *e);
 const char *ent_peer_in_zone(struct ent *e, int zone);
+int ent_zone_known(struct ent *e, const char *zone);
 int ent_zone_index(struct ent *e, const char *zone);
 void ent_peer_free(gpointer p);
 
--- /dev/null
+++ b/src/ent_key.c
@@ -0,0 +1,460 @@
+#include "ent_int.h"
+
+#include <sodium.h>
+#include <time.h>
+
+#include "fcm.h"
+#include "hdr.h"
+#include "msg.h"
+
+/* Bytes of an answer kept for callers who send again. */
+#define ENT_KEEP_ANSWER_MAX (64 << 10)
+
+/* Bytes of records a daemon may hold, of the 64 MB it may take in all. */
+#define ENT_KEEP_MAX (24 << 20)
+
+/* Kinds of PROTO_KEY messages. */
+enum {
+	ENT_KEY_BOOT,
+	ENT_KEY_MEMORY
+};
+
+static void ent_key_send(void *arg, const char *node, struct lstr bytes);
+static void ent_key_propose(void *arg, const struct idm_view *want);
+static void ent_key_verdict(void *arg, void *user, enum idm_verdict v,
+			    struct lstr bytes);
+static void ent_key_late(void *arg, int64_t now);
+static void ent_key_home(struct ent_req *q, struct lstr zone);
+static void ent_key_replay(struct ent_req *q, struct lstr bytes);
+static void ent_key_digest(struct ent_req *q, uint8_t digest[IDM_DIGEST]);
+static int64_t ent_wall_ms(void);
+
+static const struct idm_ops ent_key_ops = {
+	.send = ent_key_send,
+	.propose = ent_key_propose,
+	.verdict = ent_key_verdict,
+};
+
+/* What a caller is told where no claim was granted; "not-run" only if no
+ * sending of the key can have run. */
+static const struct ent_refusal ent_key_refusals[] = {
+	[IDM_LOST] = {409, "unknown", "may-have-run", 0},
+	[IDM_MISMATCH] = {422, "not-run", "key-of-another-request", 0},
+	[IDM_REFUSED] = {503, "unknown", "key-memory-out-of-reach", 1000},
+};
+
+/* Starts this daemon's part of the zone's memory of keys. */
+void ent_key_start(struct ent *e)
+{
+	randombytes_buf(&e->boot, sizeof(e->boot));
+	e->keys = idm_new(
+		&(struct idm_config){
+			.node = e->config.node,
+			.boot = e->boot,
+			.max_bytes = ENT_KEEP_MAX,
+			.keep_ms = IDM_KEEP_MS,
+		},
+		&ent_key_ops, e);
+}
+
+/* The fleet view has changed: the keepers of our zone may have, too. */
+void ent_key_view(struct ent *e)
+{
+	guint i;
+
+	for (i = 0; i < e->view->keepers->len; i++) {
+		const struct fvw_keepers *k =
+			g_ptr_array_index(e->view->keepers, i);
+		struct idm_view v = {
+			.epoch = k->epoch,
+			.number = k->number,
+			.keepers = k->names,
+		};
+
+		if (strcmp(k->zone, e->config.zone) == 0)
+			idm_set_view(e->keys, tmr_now(e->tmr), &v);
+	}
+}
+
+/* Whether a request is to be claimed by its key before it may run. */
+bool ent_key_wanted(const struct ent_req *q)
+{
+	return !q->repeatable && srv_header(q->srv, HDR_KEY);
+}
+
+/*
+ * Claims a request's key, here or at the zone whose memory it belongs to. What
+ * is too old for any memory, or belongs to one that is lost, may have run: it
+ * is never taken for new.
+ */
+void ent_key_begin(struct ent_req *q)
+{
+	struct ent *e = q->e;
+	struct lstr text = lstr_from(srv_header(q->srv, HDR_KEY));
+	uint64_t epoch = idm_epoch(e->keys);
+	uint8_t digest[IDM_DIGEST];
+	struct idm_key key;
+	enum idm_age age;
+
+	if (!idm_key_parse(text, &key)) {
+		ent_give_up(q, &(struct ent_refusal){
+				       400, "not-run",
+				       "key-form: ask /endive/key for one", 0});
+		return;
+	}
+	age = idm_key_age(&key, ent_wall_ms());
+	if (age != IDM_AGE_OK) {
+		ent_give_up(q, age == IDM_AGE_OLD
+				       ? &(struct ent_refusal){410, "unknown",
+							       "key-expired", 0}
+				       : &(struct ent_refusal){
+						 400, "not-run",
+						 "key-from-the-future", 0});
+		return;
+	}
+	if (!lstr_eq(key.zone, lstr_from(e->config.zone))) {
+		ent_key_home(q, key.zone);
+		return;
+	}
+	if (epoch != key.epoch) {
+		ent_give_up(q, epoch ? &(struct ent_refusal){409, "unknown",
+							     "memory-lost", 0}
+				     : &(struct ent_refusal){503, "unknown",
+							     "no-key-memory",
+							     1000});
+		return;
+	}
+	ent_key_digest(q, digest);
+	q->ask_timer =
+		tmr_once(e->tmr, MAX(1, q->deadline_ms - tmr_now(e->tmr)),
+			 ent_key_late, q);
+	q->ask = idm_ask(e->keys, tmr_now(e->tmr), text, digest, q);
+	/* From here on q may be over. */
+	idm_go(e->keys, tmr_now(e->tmr), q->ask);
+}
+
+/*
+ * Ends a request's claim. A whole answer is kept if it is not too large; of a
+ * larger one callers are told that it ran and that the answer is gone.
+ */
+void ent_key_end(struct ent_req *q, enum idm_state state,
+		 const struct ups_answer *a)
+{
+	struct ent *e = q->e;
+	uint64_t ask = q->ask;
+	GArray *headers;
+	struct pk_out o;
+	size_t len;
+	guint i;
+
+	q->ask = 0;
+	if (state != IDM_DONE || !a) {
+		idm_finish(e->keys, tmr_now(e->tmr), ask, state, LSTR(""));
+		return;
+	}
+	len = evbuffer_get_length(a->body);
+	headers = ent_pass_headers(a->headers, a->n_headers);
+	if (q->streaming || len > ENT_KEEP_ANSWER_MAX)
+		len = 0;
+	pk_out_init(&o);
+	pk_arr(&o, 4);
+	pk_u(&o, (uint64_t)a->status);
+	pk_bool(&o, !q->streaming && len == evbuffer_get_length(a->body));
+	pk_arr(&o, 2 * headers->len);
+	for (i = 0; i < headers->len; i++) {
+		const struct ups_header *h =
+			&g_array_index(headers, struct ups_header, i);
+
+		pk_cstr(&o, h->name);
+		pk_cstr(&o, h->value);
+	}
+	pk_str(&o, lstr_n(len ? evbuffer_pullup(a->body, -1) : NULL, len));
+	idm_finish(e->keys, tmr_now(e->tmr), ask, IDM_DONE, pk_out_view(&o));
+	pk_out_done(&o);
+	g_array_free(headers, TRUE);
+}
+
+/* The answer of the zone that holds the key's memory, or none. */
+void ent_key_home_end(struct ent_req *q, enum ups_end end,
+		      const struct ups_answer *a)
+{
+	const char *outcome = ups_header_find(a, HDR_OUTCOME);
+	const char *replayed = ups_header_find(a, HDR_REPLAYED);
+	GArray *headers;
+
+	if (!q->srv || (end == UPS_WHOLE && q->streaming)) {
+		ent_deliver(q, a);
+		return;
+	}
+	if (end != UPS_WHOLE) {
+		if (q->streaming)
+			srv_abort(q->srv);
+		/* An earlier sending may have run there, whatever this did. */
+		if (q->streaming)
+			ent_req_free(q);
+		else
+			ent_give_up(q, &(struct ent_refusal){
+					       end == UPS_TIMEOUT ? 504 : 503,
+					       "unknown",
+					       "key-zone-out-of-reach", 1000});
+		return;
+	}
+	headers = ent_pass_headers(a->headers, a->n_headers);
+	ent_add_header(headers, HDR_REQUEST_ID, q->id);
+	ent_add_header(headers, HDR_OUTCOME, outcome ? outcome : "unknown");
+	if (replayed)
+		ent_add_header(headers, HDR_REPLAYED, replayed);
+	srv_reply(q->srv, a->status, (void *)headers->data, headers->len,
+		  a->body);
+	g_array_free(headers, TRUE);
+	ent_req_free(q);
+}
+
+/* GET /endive/key: a fresh key of this zone's memory. */
+void ent_key_page(struct ent *e, struct srv_req *srv)
+{
+	uint64_t epoch = idm_epoch(e->keys);
+	uint64_t rest[2];
+	char *prefix;
+	char *key;
+
+	if (!epoch) {
+		struct ups_header h[] = {
+			{(char *)HDR_OUTCOME, (char *)"not-run"},
+			{(char *)"Retry-After", (char *)"1"},
+		};
+
+		srv_reply(srv, 503, h, G_N_ELEMENTS(h), NULL);
+		return;
+	}
+	randombytes_buf(rest, sizeof(rest));
+	prefix = idm_key_prefix(e->config.zone, epoch, ent_wall_ms());
+	key = g_strdup_printf("%s.%016" G_GINT64_MODIFIER
+			      "x%016" G_GINT64_MODIFIER "x",
+			      prefix, rest[0], rest[1]);
+	srv_reply_text(srv, 200, key);
+	g_free(key);
+	g_free(prefix);
+}
+
+/* Tells another entry daemon of the zone which boot of ours it talks to. */
+void ent_key_peer_up(struct ent *e, struct wire_conn *c)
+{
+	struct pk_out o;
+
+	pk_out_init(&o);
+	pk_arr(&o, 3);
+	pk_u(&o, PROTO_KEY);
+	pk_u(&o, ENT_KEY_BOOT);
+	pk_u(&o, e->boot);
+	wire_send(c, pk_out_view(&o));
+	pk_out_done(&o);
+}
+
+/* A PROTO_KEY message of another entry daemon of the zone. */
+void ent_key_recv(struct ent *e, struct wire_conn *c, struct pk_in *in)
+{
+	const struct ent_peer *p = wire_user(c);
+	uint64_t kind = pk_get_u(in);
+	struct lstr bytes;
+	uint64_t boot;
+
+	if (!p || strcmp(p->zone, e->config.zone) != 0)
+		return;
+	if (kind == ENT_KEY_BOOT) {
+		boot = pk_get_u(in);
+		if (pk_in_ok(in))
+			idm_peer_up(e->keys, tmr_now(e->tmr), p->node, boot);
+	} else if (kind == ENT_KEY_MEMORY) {
+		bytes = pk_get_str(in);
+		if (pk_in_ok(in))
+			idm_recv(e->keys, tmr_now(e->tmr), p->node, bytes);
+	}
+}
+
+static void ent_key_send(void *arg, const char *node, struct lstr bytes)
+{
+	struct ent *e = arg;
+	struct pk_out o;
+	guint i;
+
+	pk_out_init(&o);
+	pk_arr(&o, 3);
+	pk_u(&o, PROTO_KEY);
+	pk_u(&o, ENT_KEY_MEMORY);
+	pk_str(&o, bytes);
+	for (i = 0; i < e->peers->len; i++) {
+		const struct ent_peer *p = g_ptr_array_index(e->peers, i);
+
+		if (p->node && strcmp(p->node, node) == 0)
+			wire_send(p->conn, pk_out_view(&o));
+	}
+	pk_out_done(&o);
+}
+
+/* To every voter: the one that leads takes it, its identity makes it one. */
+static void ent_key_propose(void *arg, const struct idm_view *want)
+{
+	struct ent *e = arg;
+	struct fcm_cmd cmd = {
+		.kind = FCM_KEEPERS,
+		.made_ms = ent_wall_ms(),
+		.keepers = {.zone = lstr_from(e->config.zone),
+			    .epoch = want->epoch,
+			    .number = want->number,
+			    .n = want->keepers->len},
+	};
+	struct pk_out bytes;
+	struct pk_out o;
+	char id[FCM_ID_MAX];
+	guint i;
+
+	g_snprintf(id, sizeof(id),
+		   "%s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
+		   e->config.node, e->boot, ++e->submits);
+	cmd.id = lstr_from(id);
+	for (i = 0; i < want->keepers->len; i++)
+		cmd.keepers.names[i] =
+			lstr_from(g_ptr_array_index(want->keepers, i));
+	pk_out_init(&bytes);
+	fcm_encode(&cmd, &bytes);
+	pk_out_init(&o);
+	pk_arr(&o, 3);
+	pk_u(&o, PROTO_SUBMIT);
+	pk_u(&o, e->submits);
+	pk_str(&o, pk_out_view(&bytes));
+	for (i = 0; i < e->peers->len; i++) {
+		const struct ent_peer *p = g_ptr_array_index(e->peers, i);
+
+		if (!p->node)
+			wire_send(p->conn, pk_out_view(&o));
+	}
+	pk_out_done(&o);
+	pk_out_done(&bytes);
+}
+
+static void ent_key_verdict(void *arg, void *user, enum idm_verdict v,
+			    struct lstr bytes)
+{
+	struct ent_req *q = user;
+
+	tmr_cancel(q->e->tmr, q->ask_timer);
+	q->ask_timer = 0;
+	if (v == IDM_GRANTED && q->srv) {
+		ent_offer(q);
+		ent_pump(q->e);
+	} else if (v == IDM_GRANTED) {
+		ent_req_free(q);
+	} else if (v == IDM_ANSWER) {
+		ent_key_replay(q, bytes);
+	} else {
+		ent_give_up(q, &ent_key_refusals[v]);
+	}
+}
+
+/* The caller's time is over while another sending of its key still runs. */
+static void ent_key_late(void *arg, int64_t now)
+{
+	struct ent_req *q = arg;
+
+	q->ask_timer = 0;
+	ent_give_up(q, &(struct ent_refusal){504, "unknown",
+					     "another-sending-runs", 1000});
+}
+
+/* Sends a request to the zone that holds its key's memory, once. */
+static void ent_key_home(struct ent_req *q, struct lstr zone)
+{
+	struct ent *e = q->e;
+	char *name = lstr_dup(zone);
+	int at = srv_header(q->srv, HDR_HOP) ? -1 : ent_zone_known(e, name);
+	const char *addr = at > 0 ? ent_peer_in_zone(e, at) : NULL;
+
+	g_free(name);
+	if (!addr) {
+		ent_give_up(q, &(struct ent_refusal){503, "unknown",
+						     "key-zone-out-of-reach",
+						     1000});
+		return;
+	}
+	q->home = true;
+	e->counts[ENT_SHIFTED_OUT]++;
+	ent_send(q, addr, true);
+}
+
+/* Gives the caller the answer that an earlier sending of its key got. */
+static void ent_key_replay(struct ent_req *q, struct lstr bytes)
+{
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
+	GPtrArray *strings = g_ptr_array_new_with_free_func(g_free);
+	struct evbuffer *body = evbuffer_new();
+	struct pk_in in;
+	struct pk_in list;
+	struct lstr text;
+	uint64_t status = 0;
+	bool kept = false;
+	char *s;
+
+	if (pk_in_init(&in, bytes)) {
+		status = pk_get_u(&in);
+		kept = pk_get_bool(&in);
+		list = pk_get_arr(&in);
+		text = pk_get_str(&in);
+		while (pk_in_ok(&list) && pk_in_left(&list)) {
+			struct ups_header h;
+
+			s = lstr_dup(pk_get_str(&list));
+			g_ptr_array_add(strings, s);
+			h.name = s;
+			s = lstr_dup(pk_get_str(&list));
+			g_ptr_array_add(strings, s);
+			h.value = s;
+			g_array_append_val(headers, h);
+		}
+		evbuffer_add(body, text.p, text.len);
+		pk_in_done(&in);
+	}
+	q->e->counts[ENT_REPLAYED]++;
+	if (!kept) {
+		/* It ran, and nothing more of it is known here. */
+		g_array_set_size(headers, 0);
+		evbuffer_drain(body, evbuffer_get_length(body));
+		evbuffer_add_printf(body, "ran: answer-not-kept\n");
+		status = 409;
+	}
+	ent_add_header(headers, HDR_REQUEST_ID, q->id);
+	ent_add_header(headers, HDR_OUTCOME, "ran");
+	ent_add_header(headers, HDR_REPLAYED, "yes");
+	if (q->srv)
+		srv_reply(q->srv, (int)status, (void *)headers->data,
+			  headers->len, body);
+	evbuffer_free(body);
+	g_array_free(headers, TRUE);
+	g_ptr_array_free(strings, TRUE);
+	ent_req_free(q);
+}
+
+/* What the key was used for: another request with the same key is a fault. */
+static void ent_key_digest(struct ent_req *q, uint8_t digest[IDM_DIGEST])
+{
+	struct srv_req_info info = srv_info(q->srv);
+	struct evbuffer *body = srv_body(q->srv);
+	crypto_generichash_state st;
+
+	crypto_generichash_init(&st, NULL, 0, IDM_DIGEST);
+	crypto_generichash_update(&st, (const uint8_t *)info.method,
+				  strlen(info.method) + 1);
+	crypto_generichash_update(&st, (const uint8_t *)info.uri,
+				  strlen(info.uri) + 1);
+	crypto_generichash_update(&st, evbuffer_pullup(body, -1),
+				  evbuffer_get_length(body));
+	crypto_generichash_final(&st, digest, IDM_DIGEST);
+}
+
+static int64_t ent_wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
--- a/src/ent_peer.c
+++ b/src/ent_peer.c
@@ -42,10 +42,9 @@
 	enum proto_kind kind;
 	void (*fn)(struct ent *e, struct wire_conn *c, struct pk_in *in);
 } ent_kinds[] = {
-	{PROTO_FOLLOW, ent_recv_follow},
-	{PROTO_CONFIG, ent_recv_config},
-	{PROTO_TARGETS, ent_recv_targets},
-	{PROTO_ROOM, ent_recv_room},
+	{PROTO_FOLLOW, ent_recv_follow},   {PROTO_CONFIG, ent_recv_config},
+	{PROTO_TARGETS, ent_recv_targets}, {PROTO_ROOM, ent_recv_room},
+	{PROTO_KEY, ent_key_recv},
 };
 
 /*
@@ -79,18 +78,26 @@
 	g_free(peer);
 }
 
-/* The index of a zone as the admission knows it; -1: too many zones. */
-int ent_zone_index(struct ent *e, const char *zone)
+/* The index of a zone some entry daemon of which was heard; -1: none was. */
+int ent_zone_known(struct ent *e, const char *zone)
 {
 	guint i;
 
 	for (i = 0; i < e->zones->len; i++)
 		if (strcmp(g_ptr_array_index(e->zones, i), zone) == 0)
 			return (int)i;
-	if (e->zones->len >= ADM_ZONES_MAX)
-		return -1;
+	return -1;
+}
+
+/* The index of a zone as the admission knows it; -1: too many zones. */
+int ent_zone_index(struct ent *e, const char *zone)
+{
+	int at = ent_zone_known(e, zone);
+
+	if (at >= 0 || e->zones->len >= ADM_ZONES_MAX)
+		return at;
 	g_ptr_array_add(e->zones, g_strdup(zone));
-	return (int)i;
+	return (int)e->zones->len - 1;
 }
 
 /* Where an entry daemon of a zone takes requests, by turns; NULL: none. */
@@ -186,8 +193,10 @@
 	p->zone = g_strdup(wire_zone(c));
 	ent_send_follow(e, c);
 	ent_send_room(e, c);
-	if (strcmp(p->zone, e->config.zone) == 0)
+	if (strcmp(p->zone, e->config.zone) == 0) {
 		ent_send_all_targets(e, c);
+		ent_key_peer_up(e, c);
+	}
 }
 
 static void ent_peer_down(void *arg, struct wire_conn *c, const GError *why)
@@ -198,6 +207,8 @@
 	if (!p)
 		return;
 	tgt_home_down(e->targets, tmr_now(e->tmr), p->node);
+	if (strcmp(p->zone, e->config.zone) == 0)
+		idm_peer_down(e->keys, tmr_now(e->tmr), p->node);
 	wire_set_user(c, NULL);
 	g_ptr_array_remove(e->peers, p);
 	ent_entries_changed(e);
--- a/src/ent_req.c
+++ b/src/ent_req.c
@@ -13,33 +13,6 @@
  */
 #define ENT_CONNECT_MS 250
 
-#define ENT_ID_MAX 80
-
-/* A caller's request, from its arrival to its answer. */
-struct ent_req {
-	struct ent *e;
-	struct srv_req *srv; /* NULL once the caller has left */
-	struct ups_call *call;
-	adm_ticket ticket;
-	uint64_t target; /* id; 0: sent to another zone, or waiting */
-	const struct ent_pool *pool;
-	enum evhttp_cmd_type method;
-	int64_t deadline_ms; /* moment */
-	int64_t sent_us;
-	bool repeatable;
-	bool may_have_run; /* bytes of some attempt reached a target */
-	bool streaming;
-	char id[ENT_ID_MAX];
-};
-
-/* What a caller is told of a request that was given up. */
-struct ent_refusal {
-	int status;
-	const char *outcome;
-	const char *reason;
-	uint32_t retry_after_ms;
-};
-
 static void ent_request(void *arg, struct srv_req *srv);
 static void ent_gone(void *arg, struct srv_req *srv);
 static void ent_room(void *arg, struct srv_req *srv);
@@ -48,13 +21,9 @@
 static void ent_call_end(void *arg, enum ups_end end,
 			 const struct ups_answer *a);
 static void ent_act(struct ent_req *q, const struct adm_verdict *v);
-static void ent_send(struct ent_req *q, const char *addr, bool hop);
 static void ent_refuse(struct ent_req *q, const struct adm_verdict *v,
 		       int status);
-static void ent_give_up(struct ent_req *q, const struct ent_refusal *why);
-static void ent_deliver(struct ent_req *q, const struct ups_answer *a);
 static void ent_settle(struct ent_req *q, const struct adm_result *res);
-static void ent_req_free(struct ent_req *q);
 static void ent_poll_due(void *arg, int64_t now);
 
 const struct srv_ops ent_caller_ops = {
@@ -135,12 +104,13 @@
 	struct ent *e = arg;
 	struct srv_req_info info = srv_info(srv);
 	int m = ent_method(info.method);
-	const char *caller = srv_header(srv, HDR_CALLER);
-	const char *hop = srv_header(srv, HDR_HOP);
 	const struct fvw_pool *vp;
-	struct adm_verdict v;
 	struct ent_req *q;
 
+	if (strcmp(info.path, "/endive/key") == 0) {
+		ent_key_page(e, srv);
+		return;
+	}
 	e->counts[ENT_REQUESTS]++;
 	q = g_new0(struct ent_req, 1);
 	q->e = e;
@@ -172,20 +142,34 @@
 						     "body-too-large", 0});
 		return;
 	}
-	if (hop)
+	if (srv_header(srv, HDR_HOP))
 		e->counts[ENT_SHIFTED_IN]++;
 	q->deadline_ms = tmr_now(e->tmr) + ent_deadline(srv, q->pool);
-	v = adm_offer(e->adm, ent_now_us(e),
-		      &(struct adm_request){
-			      .pool = q->pool->id,
-			      .caller =
-				      lstr_from(caller ? caller : info.peer_ip),
-			      .class = ent_class(srv),
-			      .deadline_us = q->deadline_ms * ENT_US_PER_MS,
-			      .repeatable = q->repeatable,
-			      .shifted = hop != NULL,
-		      },
-		      q);
+	if (ent_key_wanted(q))
+		ent_key_begin(q);
+	else
+		ent_offer(q);
+}
+
+/* Offers a request to the admission and does what it decides. */
+void ent_offer(struct ent_req *q)
+{
+	struct ent *e = q->e;
+	const char *caller = srv_header(q->srv, HDR_CALLER);
+	struct adm_verdict v;
+
+	v = adm_offer(
+		e->adm, ent_now_us(e),
+		&(struct adm_request){
+			.pool = q->pool->id,
+			.caller = lstr_from(caller ? caller
+						   : srv_info(q->srv).peer_ip),
+			.class = ent_class(q->srv),
+			.deadline_us = q->deadline_ms * ENT_US_PER_MS,
+			.repeatable = q->repeatable,
+			.shifted = srv_header(q->srv, HDR_HOP) != NULL,
+		},
+		q);
 	ent_act(q, &v);
 	ent_pump(e);
 }
@@ -270,26 +254,8 @@
 	ent_pump(e);
 }
 
-static void ent_add_header(GArray *out, const char *name, const char *value)
-{
-	struct ups_header h = {(char *)name, (char *)value};
-
-	g_array_append_val(out, h);
-}
-
-/* Headers that go on from one side to the other. */
-static GArray *ent_pass_headers(const struct ups_header *in, size_t n)
-{
-	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		if (!hdr_is_hop(in[i].name) && !hdr_is_ours(in[i].name))
-			g_array_append_val(out, in[i]);
-	return out;
-}
-
-static void ent_send(struct ent_req *q, const char *addr, bool hop)
+/* Sends a request to a target, or to another zone's entry daemon (hop). */
+void ent_send(struct ent_req *q, const char *addr, bool hop)
 {
 	struct ent *e = q->e;
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
@@ -382,6 +348,10 @@
 	};
 
 	q->call = NULL;
+	if (q->home) {
+		ent_key_home_end(q, end, a);
+		return;
+	}
 	if (res.outcome == ADM_DONE_FAILED || res.outcome == ADM_DONE_TIMEOUT)
 		q->may_have_run = true;
 	if (busy && lstr_u64(lstr_from(busy), &n) && n < G_MAXINT)
@@ -441,53 +411,6 @@
 		ent_refuse(q, &v, res->outcome == ADM_DONE_TIMEOUT ? 504 : 502);
 }
 
-static void ent_deliver(struct ent_req *q, const struct ups_answer *a)
-{
-	GArray *headers;
-
-	q->e->counts[ENT_RAN]++;
-	if (q->srv && q->streaming) {
-		srv_part(q->srv, a->body);
-		srv_part_end(q->srv);
-	} else if (q->srv) {
-		headers = ent_pass_headers(a->headers, a->n_headers);
-		ent_add_header(headers, HDR_REQUEST_ID, q->id);
-		ent_add_header(headers, HDR_OUTCOME, "ran");
-		srv_reply(q->srv, a->status, (void *)headers->data,
-			  headers->len, a->body);
-		g_array_free(headers, TRUE);
-	}
-	ent_req_free(q);
-}
-
-static void ent_give_up(struct ent_req *q, const struct ent_refusal *why)
-{
-	struct ent *e = q->e;
-	bool unknown = strcmp(why->outcome, "unknown") == 0;
-	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
-	struct evbuffer *body = evbuffer_new();
-	char after[24];
-
-	e->counts[unknown ? ENT_UNKNOWN : ENT_NOT_RUN]++;
-	msg(MSG_REQ, "id=%s status=%d outcome=%s reason=%s", q->id, why->status,
-	    why->outcome, why->reason);
-	ent_add_header(headers, HDR_REQUEST_ID, q->id);
-	ent_add_header(headers, HDR_OUTCOME, why->outcome);
-	ent_add_header(headers, "Content-Type", "text/plain; charset=utf-8");
-	/* Whole seconds, never zero: a caller must not come back at once. */
-	g_snprintf(after, sizeof(after), "%u",
-		   MAX(1u, (why->retry_after_ms + 999) / 1000));
-	if (why->status == 503 || unknown)
-		ent_add_header(headers, "Retry-After", after);
-	evbuffer_add_printf(body, "%s: %s\n", why->outcome, why->reason);
-	if (q->srv)
-		srv_reply(q->srv, why->status, (void *)headers->data,
-			  headers->len, body);
-	evbuffer_free(body);
-	g_array_free(headers, TRUE);
-	ent_req_free(q);
-}
-
 /*
  * The caller left. What waits or may be repeated is given up; what may not be
  * runs to its end, since nobody can tell how much of it was done.
@@ -503,6 +426,7 @@
 		return;
 	if (q->call) {
 		ups_cancel(q->call);
+		q->may_have_run = true;
 		adm_done(e->adm, ent_now_us(e), q->ticket,
 			 &(struct adm_result){.outcome = ADM_DONE_LEFT,
 					      .busy = -1});
@@ -520,8 +444,12 @@
 		ups_more(q->call);
 }
 
-static void ent_req_free(struct ent_req *q)
+/* Ends a request; its key's claim with it. */
+void ent_req_free(struct ent_req *q)
 {
+	if (q->ask)
+		ent_key_end(q, q->may_have_run ? IDM_UNKNOWN : IDM_FREE, NULL);
+	tmr_cancel(q->e->tmr, q->ask_timer);
 	g_ptr_array_remove_fast(q->e->requests, q);
 	g_free(q);
 }
--- a/src/ent_view.c
+++ b/src/ent_view.c
@@ -33,6 +33,7 @@
 	e->view_since = tmr_now(e->tmr);
 	ent_view_pools(e);
 	tgt_review(e->targets);
+	ent_key_view(e);
 	msg(MSG_ENT_CONFIG, "version=%" G_GUINT64_FORMAT " from=%s",
 	    view->version, from);
 	ent_peer_tell_view(e);
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "cfg.h"
+#include "fvw.h"
 #include "key.h"
 #include "lstr.h"
 #include "pk.h"
@@ -26,6 +27,7 @@
 	FCM_JOIN, /* an entry daemon that is about to get views */
 	FCM_FORGET, /* an entry daemon that never places again */
 	FCM_NOTE, /* an automatic act, into the audit trail */
+	FCM_KEEPERS, /* of a zone's memory of idempotency keys */
 	FCM_KINDS
 };
 
@@ -81,6 +83,15 @@
 	struct lstr reason;
 };
 
+/* The number must be one above that of the zone's view; see idm. */
+struct fcm_keepers {
+	struct lstr zone;
+	uint64_t epoch;
+	uint64_t number;
+	guint n;
+	struct lstr names[FVW_KEEPERS_MAX];
+};
+
 struct fcm_note {
 	struct lstr text;
 };
@@ -97,6 +108,7 @@
 		struct fcm_priority priority;
 		struct fcm_node node; /* join, forget */
 		struct fcm_note note;
+		struct fcm_keepers keepers;
 	};
 };
 
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -14,6 +14,8 @@
 static void fcm_get_step(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_priority(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_note(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_put_keepers(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_get_keepers(struct fcm_cmd *c, struct pk_in *in);
 static struct lstr fcm_get_text(struct pk_in *in, size_t max);
 static struct lstr fcm_get_name(struct pk_in *in);
 
@@ -29,6 +31,7 @@
 	[FCM_JOIN] = {"join", KEY_PEER, fcm_put_node, fcm_get_node},
 	[FCM_FORGET] = {"forget", KEY_DUTY, fcm_put_node, fcm_get_node},
 	[FCM_NOTE] = {"note", KEY_PEER, fcm_put_note, fcm_get_note},
+	[FCM_KEEPERS] = {"keepers", KEY_PEER, fcm_put_keepers, fcm_get_keepers},
 };
 
 static const char *const fcm_outcomes[] = {
@@ -207,6 +210,39 @@
 	c->note.text = fcm_get_text(in, FCM_REASON_MAX);
 }
 
+static void fcm_put_keepers(const struct fcm_cmd *c, struct pk_out *o)
+{
+	guint i;
+
+	pk_arr(o, 4);
+	pk_str(o, c->keepers.zone);
+	pk_u(o, c->keepers.epoch);
+	pk_u(o, c->keepers.number);
+	pk_arr(o, c->keepers.n);
+	for (i = 0; i < c->keepers.n; i++)
+		pk_str(o, c->keepers.names[i]);
+}
+
+static void fcm_get_keepers(struct fcm_cmd *c, struct pk_in *in)
+{
+	struct pk_in list;
+
+	c->keepers.zone = fcm_get_name(in);
+	c->keepers.epoch = pk_get_u(in);
+	c->keepers.number = pk_get_u(in);
+	list = pk_get_arr(in);
+	if (!pk_in_ok(in) || pk_in_left(&list) == 0 ||
+	    pk_in_left(&list) > FVW_KEEPERS_MAX) {
+		in->bad = true;
+		return;
+	}
+	for (c->keepers.n = 0; pk_in_left(&list); c->keepers.n++)
+		c->keepers.names[c->keepers.n] =
+			fcm_get_text(&list, FVW_NAME_MAX);
+	if (!pk_in_ok(&list))
+		in->bad = true;
+}
+
 /* Text that goes into the audit trail: UTF-8 without control characters. */
 static struct lstr fcm_get_text(struct pk_in *in, size_t max)
 {
--- a/src/fst.c
+++ b/src/fst.c
@@ -21,6 +21,7 @@
 	[FCM_RELEASED] = fst_do_released, [FCM_MOVED] = fst_do_moved,
 	[FCM_PRIORITY] = fst_do_priority, [FCM_JOIN] = fst_do_join,
 	[FCM_FORGET] = fst_do_forget,	  [FCM_NOTE] = fst_do_note,
+	[FCM_KEEPERS] = fst_do_keepers,
 };
 
 /* The state before the first entry. */
@@ -34,6 +35,7 @@
 	f->drains = g_ptr_array_new_with_free_func(fst_drain_free);
 	f->prios = g_ptr_array_new_with_free_func(fst_prio_free);
 	f->nodes = g_ptr_array_new_with_free_func(fst_node_free);
+	f->keepers = g_ptr_array_new_with_free_func(fvw_keepers_free);
 	f->ids = g_hash_table_new(g_str_hash, g_str_equal);
 	f->ids_by_made = g_sequence_new(fst_id_free);
 	f->audit = fau_new();
@@ -51,6 +53,7 @@
 	g_ptr_array_free(f->drains, TRUE);
 	g_ptr_array_free(f->prios, TRUE);
 	g_ptr_array_free(f->nodes, TRUE);
+	g_ptr_array_free(f->keepers, TRUE);
 	g_hash_table_destroy(f->ids);
 	g_sequence_free(f->ids_by_made);
 	fau_free(f->audit);
--- a/src/fst_in.h
+++ b/src/fst_in.h
@@ -27,6 +27,7 @@
 #define FST_DRAINS_MAX 4096 /* targets drained by name at once */
 #define FST_NODES_MAX 1024 /* entry daemons */
 #define FST_TEXT_MAX 4000 /* bytes of a result's text */
+#define FST_KEEPERS_MAX 64 /* zones with a memory of keys */
 #define FST_DIGEST 16
 
 /* The last change of something: what a conflict names. */
@@ -99,6 +100,7 @@
 	GPtrArray *drains; /* struct fst_drain by name */
 	GPtrArray *prios; /* struct fst_prio by pool */
 	GPtrArray *nodes; /* struct fst_node by name */
+	GPtrArray *keepers; /* struct fvw_keepers by zone */
 	GHashTable *ids; /* key -> struct fst_id */
 	GSequence *ids_by_made;
 	struct fau *audit;
@@ -153,6 +155,9 @@
 void fst_do_join(struct fst_run *r);
 void fst_do_forget(struct fst_run *r);
 void fst_do_note(struct fst_run *r);
+void fst_do_keepers(struct fst_run *r);
+void fst_keepers_pack(const struct fst *f, struct pk_out *o);
+bool fst_keepers_unpack(struct fst *f, struct pk_in *in);
 bool fst_members_fit(struct fst_run *r, const struct cfg *next);
 void fst_members_take(struct fst_run *r, const struct cfg *next);
 
--- a/src/fst_snap.c
+++ b/src/fst_snap.c
@@ -6,7 +6,7 @@
  * gives the same bytes on every voter.
  */
 
-#define FST_FORMAT 1
+#define FST_FORMAT 2
 
 /* A part of the state; a later module adds its own at the end. */
 struct fst_part {
@@ -45,6 +45,7 @@
 	{fst_pack_drains, fst_unpack_drains},
 	{fst_pack_prios, fst_unpack_prios},
 	{fst_pack_nodes, fst_unpack_nodes},
+	{fst_keepers_pack, fst_keepers_unpack},
 	{fst_pack_ids, fst_unpack_ids},
 	{fst_pack_audit, fst_unpack_audit},
 };
--- a/src/fst_view.c
+++ b/src/fst_view.c
@@ -37,6 +37,9 @@
 		}
 		fst_view_vms(f, site, v);
 	}
+	for (i = 0; i < f->keepers->len; i++)
+		g_ptr_array_add(v->keepers, fvw_keepers_copy(g_ptr_array_index(
+						    f->keepers, i)));
 	fvw_pack(v, o);
 	fvw_free(v);
 	g_free(name);
--- a/src/fvw.c
+++ b/src/fvw.c
@@ -8,7 +8,7 @@
  * First field of a packed view. A view of another format is refused as a
  * whole: half understood, it could place work on a VM of another pool.
  */
-#define FVW_FORMAT 1
+#define FVW_FORMAT 2
 
 static void fvw_clear_pool(gpointer p);
 static void fvw_clear_vm(gpointer p);
@@ -17,6 +17,7 @@
 static bool fvw_get_pools(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_vms(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_drained(struct pk_in *in, struct fvw *v, GError **err);
+static bool fvw_get_keepers(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_name(struct pk_in *in, char **out);
 static int64_t fvw_get_num(struct pk_in *in, int64_t max);
 static int fvw_by_service(gconstpointer a, gconstpointer b, gpointer arg);
@@ -35,6 +36,7 @@
 	v->vms = g_array_new(FALSE, TRUE, sizeof(struct fvw_vm));
 	g_array_set_clear_func(v->vms, fvw_clear_vm);
 	v->drained = g_ptr_array_new_with_free_func(g_free);
+	v->keepers = g_ptr_array_new_with_free_func(fvw_keepers_free);
 	v->services = g_array_new(FALSE, TRUE, sizeof(guint));
 	return v;
 }
@@ -47,6 +49,7 @@
 	g_array_free(v->pools, TRUE);
 	g_array_free(v->vms, TRUE);
 	g_ptr_array_free(v->drained, TRUE);
+	g_ptr_array_free(v->keepers, TRUE);
 	g_array_free(v->services, TRUE);
 	g_free(v);
 }
@@ -93,7 +96,7 @@
 {
 	guint i;
 
-	pk_arr(o, 5);
+	pk_arr(o, 6);
 	pk_u(o, FVW_FORMAT);
 	pk_u(o, v->version);
 	pk_arr(o, v->pools->len);
@@ -113,6 +116,9 @@
 	pk_arr(o, v->drained->len);
 	for (i = 0; i < v->drained->len; i++)
 		pk_cstr(o, g_ptr_array_index(v->drained, i));
+	pk_arr(o, v->keepers->len);
+	for (i = 0; i < v->keepers->len; i++)
+		fvw_keepers_pack(g_ptr_array_index(v->keepers, i), o);
 }
 
 static void fvw_pack_pool(const struct fvw_pool *p, struct pk_out *o)
@@ -165,7 +171,7 @@
 		return false;
 	}
 	if (!fvw_get_pools(in, v, err) || !fvw_get_vms(in, v, err) ||
-	    !fvw_get_drained(in, v, err))
+	    !fvw_get_drained(in, v, err) || !fvw_get_keepers(in, v, err))
 		return false;
 	if (!pk_in_ok(in) || pk_in_left(in) != 0)
 		return fvw_bad(err, "fields", 0);
@@ -249,6 +255,27 @@
 	return true;
 }
 
+static bool fvw_get_keepers(struct pk_in *in, struct fvw *v, GError **err)
+{
+	struct pk_in list = pk_get_arr(in);
+	struct fvw_keepers *k;
+	const char *last = "";
+	guint i;
+
+	if (!pk_in_ok(&list) || pk_in_left(&list) > FVW_ZONES_MAX)
+		return fvw_bad(err, "zones' keepers", 0);
+	for (i = 0; pk_in_left(&list); i++) {
+		k = fvw_keepers_unpack(&list);
+		if (!k)
+			return fvw_bad(err, "zone's keepers", i);
+		g_ptr_array_add(v->keepers, k);
+		if (strcmp(k->zone, last) <= 0)
+			return fvw_bad(err, "zone's keepers", i);
+		last = k->zone;
+	}
+	return true;
+}
+
 /* A name that is not empty and holds printable ASCII without blanks. */
 static bool fvw_get_name(struct pk_in *in, char **out)
 {
--- a/src/fvw.h
+++ b/src/fvw.h
@@ -31,11 +31,20 @@
 	bool drained;
 };
 
+/* The daemons that hold a zone's memory of idempotency keys; see idm. */
+struct fvw_keepers {
+	char *zone;
+	uint64_t epoch;
+	uint64_t number;
+	GPtrArray *names; /* char *, NODE/BOOT; the first one leads */
+};
+
 struct fvw {
 	uint64_t version;
 	GArray *pools; /* struct fvw_pool by name */
 	GArray *vms; /* struct fvw_vm by name */
 	GPtrArray *drained; /* char *: targets drained by name, in order */
+	GPtrArray *keepers; /* struct fvw_keepers by zone */
 	GArray *services; /* guint: pools by service; made by fvw_index */
 };
 
@@ -44,6 +53,8 @@
 #define FVW_VMS_MAX 20000
 #define FVW_DRAINED_MAX 4096
 #define FVW_NAME_MAX 63
+#define FVW_ZONES_MAX 64
+#define FVW_KEEPERS_MAX 3
 
 struct fvw *fvw_new(uint64_t version);
 void fvw_free(struct fvw *v);
@@ -52,6 +63,13 @@
 struct fvw *fvw_unpack(struct lstr bytes, GError **err);
 const struct fvw_pool *fvw_service(const struct fvw *v, struct lstr service);
 const struct fvw_vm *fvw_vm(const struct fvw *v, struct lstr name);
+struct fvw_keepers *fvw_keepers_new(struct lstr zone, uint64_t epoch,
+				    uint64_t number);
+struct fvw_keepers *fvw_keepers_copy(const struct fvw_keepers *k);
+void fvw_keepers_free(gpointer p);
+void fvw_keepers_pack(const struct fvw_keepers *k, struct pk_out *o);
+struct fvw_keepers *fvw_keepers_unpack(struct pk_in *in);
+bool fvw_keeper_ok(struct lstr name);
 bool fvw_target_drained(const struct fvw *v, struct lstr target);
 
 #endif
--- a/src/hdr.c
+++ b/src/hdr.c
@@ -12,10 +12,7 @@
 };
 
 static const char *const hdr_ours[] = {
-	HDR_REQUEST_ID,
-	HDR_OUTCOME,
-	HDR_HOP,
-	HDR_BUSY,
+	HDR_REQUEST_ID, HDR_OUTCOME, HDR_HOP, HDR_BUSY, HDR_REPLAYED,
 };
 
 /*
--- a/src/hdr.h
+++ b/src/hdr.h
@@ -20,6 +20,10 @@
 /* Of a caller's request. */
 #define HDR_CALLER "Endive-Caller"
 #define HDR_DEADLINE "Endive-Deadline-Ms"
+/* Of a caller's request: it may be sent again and runs once. */
+#define HDR_KEY "Idempotency-Key"
+/* Of an answer: it is that to an earlier sending of the same key. */
+#define HDR_REPLAYED "Endive-Replayed"
 #define HDR_PRIORITY "Endive-Priority"
 
 /* What a message's headers say about where its body ends. */
--- a/src/idm.c
+++ b/src/idm.c
@@ -417,7 +417,8 @@
 	}
 	if (m->no_keeper_since == 0)
 		m->no_keeper_since = MAX(now, 1);
-	if (now - m->no_keeper_since < IDM_RESET_MS)
+	/* Where there was no memory yet, none can be lost. */
+	if (now - m->no_keeper_since < (m->view ? IDM_RESET_MS : IDM_BEGIN_MS))
 		return;
 	want = idm_view_new(0, m->view ? m->view->number + 1 : 1);
 	/* Mixed twice, so that no two (boot, number) give one sum. */
--- a/src/idm.h
+++ b/src/idm.h
@@ -17,7 +17,7 @@
 struct idm;
 
 /* Keepers of a zone at most; more copies cost messages and save nothing. */
-#define IDM_KEEPERS_MAX 3
+#define IDM_KEEPERS_MAX 3 /* as FVW_KEEPERS_MAX */
 
 /*
  * The keepers the voters agreed on. A keeper is named NODE/BOOT: one that was
@@ -76,6 +76,7 @@
 
 uint64_t idm_ask(struct idm *m, int64_t now, struct lstr key,
 		 const uint8_t digest[IDM_DIGEST], void *user);
+void idm_go(struct idm *m, int64_t now, uint64_t ask);
 void idm_finish(struct idm *m, int64_t now, uint64_t ask, enum idm_state state,
 		struct lstr bytes);
 
--- a/src/idm_int.h
+++ b/src/idm_int.h
@@ -15,6 +15,9 @@
 /* No keeper heard for so long: the memory is lost, a new one is begun, ms. */
 #define IDM_RESET_MS 5000
 
+/* No view is known for so long: the zone's first memory is begun, ms. */
+#define IDM_BEGIN_MS 500
+
 /* Between two proposals of the same change, ms. */
 #define IDM_PROPOSE_MS 1000
 
--- a/src/idm_own.c
+++ b/src/idm_own.c
@@ -22,9 +22,9 @@
 }
 
 /*
- * Asks to claim a key for a request with that digest; the verdict comes by
- * ops->verdict, perhaps within this call. The result names the ask; it must be
- * given to idm_finish, with IDM_FREE if the request was not run.
+ * Makes an ask to claim a key for a request with that digest, to be sent by
+ * idm_go. The result names it; it must be given to idm_finish, with IDM_FREE
+ * if the request was not run.
  */
 uint64_t idm_ask(struct idm *m, int64_t now, struct lstr key,
 		 const uint8_t digest[IDM_DIGEST], void *user)
@@ -38,10 +38,18 @@
 	own->user = user;
 	own->since = now;
 	g_hash_table_insert(m->own, &own->ask, own);
-	idm_own_send(m, now, own);
 	return ask;
 }
 
+/* Sends an ask; the verdict comes by ops->verdict, perhaps within this call. */
+void idm_go(struct idm *m, int64_t now, uint64_t ask)
+{
+	struct idm_own *own = g_hash_table_lookup(m->own, &ask);
+
+	if (own && !own->told)
+		idm_own_send(m, now, own);
+}
+
 /*
  * Ends an ask: IDM_DONE with the answer to keep, IDM_UNKNOWN, or IDM_FREE if
  * the request was not run or its verdict is not waited for any more. No
--- a/tests/prop/idm_prop.cc
+++ b/tests/prop/idm_prop.cc
@@ -218,6 +218,7 @@
 	Ask *raw = a.get();
 	n.asks.push_back(std::move(a));
 	raw->id = idm_ask(n.m, now, lstr_from(raw->key.c_str()), digest, raw);
+	idm_go(n.m, now, raw->id);
 }
 
 /* The entry daemon has run the request, or not, and says so. */
