--- a/src/cns_msg.c
+++ b/src/cns_msg.c
@@ -197,8 +197,9 @@
 	m->entries = cns_entries_new();
 	while (pk_in_left(&list)) {
 		struct pk_in one = pk_get_arr(&list);
-		struct cns_entry e = {.index = ++index};
+		struct cns_entry e = {0};
 
+		e.index = ++index;
 		e.term = pk_get_u(&one);
 		e.kind = (enum cns_entry_kind)pk_get_u(&one);
 		e.data = cns_bytes_get(&one);
--- a/src/ctl_member.c
+++ b/src/ctl_member.c
@@ -9,7 +9,6 @@
 
 static bool ctl_peer_add(struct ctl *c, const char *text, GError **err);
 static struct ctl_peer *ctl_peer_named(struct ctl *c, struct lstr name);
-static bool ctl_wanted(const struct ctl *c, const char *name);
 static void ctl_bootstrap(struct ctl *c);
 static bool ctl_all_empty(const struct ctl *c);
 static void ctl_let_in(struct ctl *c);
@@ -164,8 +163,9 @@
 	struct ctl_peer *p;
 
 	lstr_cut(lstr_from(text), '=', &name, &addr);
+	g_assert(name.len > 0 && name.len <= KEY_NAME_MAX);
 	if (lstr_eq(name, lstr_from(c->config.node))) {
-		c->addr = strchr(text, '=') + 1;
+		c->addr = addr.p;
 		return true;
 	}
 	if (ctl_peer_named(c, name)) {
@@ -175,7 +175,7 @@
 	}
 	p = g_new0(struct ctl_peer, 1);
 	p->ctl = c;
-	memcpy(p->name, name.p, MIN(name.len, KEY_NAME_MAX));
+	g_snprintf(p->name, sizeof(p->name), LSTR_FMT, LSTR_ARG(name));
 	p->addr = lstr_dup(addr);
 	g_ptr_array_add(c->peers, p);
 	return true;
@@ -194,22 +194,6 @@
 	return NULL;
 }
 
-/* Whether the settings name that node as a voter. */
-static bool ctl_wanted(const struct ctl *c, const char *name)
-{
-	guint i;
-
-	if (strcmp(name, c->config.node) == 0)
-		return true;
-	for (i = 0; i < c->peers->len; i++) {
-		const struct ctl_peer *p = g_ptr_array_index(c->peers, i);
-
-		if (strcmp(name, p->name) == 0)
-			return true;
-	}
-	return false;
-}
-
 /*
  * Begins a fleet, where the settings allow it. Only the voter first by name
  * does, and only while it hears every other voter say that it has nothing: a
@@ -274,8 +258,9 @@
 
 /*
  * Takes a member out once it is replaced: another folder of its node is a
- * voter, or the settings don't name it and everybody they name is one. Out
- * only after in, so that there are never fewer copies than before.
+ * voter, or the settings don't name it. Out only after in: while somebody
+ * that was heard is not yet a voter, nobody goes, so that there are never
+ * fewer copies than before.
  */
 static void ctl_let_out(struct ctl *c)
 {
@@ -294,9 +279,9 @@
 		const struct cns_member *m = &s.m[i];
 		const struct ctl_peer *p =
 			ctl_peer_named(c, lstr_from(m->name));
-		bool replaced = p && p->id && p->id != m->id;
+		bool named = p && (!p->id || p->id == m->id);
 
-		if (m->id == c->id || (ctl_wanted(c, m->name) && !replaced))
+		if (m->id == c->id || named)
 			continue;
 		if (cns_remove(c->cns, m->id) == CNS_DONE)
 			ctl_member_done(c, "remove", m->name, m->id);
--- a/src/main_endive-controld.c
+++ b/src/main_endive-controld.c
@@ -9,6 +9,7 @@
 static void controld_on_term(evutil_socket_t sig, short what, void *arg);
 static int controld_run(struct ctl_config *cfg);
 static int controld_recover(const struct ctl_config *cfg);
+static void controld_free(struct ctl_config *cfg);
 
 static void controld_on_term(evutil_socket_t sig, short what, void *arg)
 {
@@ -60,6 +61,16 @@
 	return 1;
 }
 
+static void controld_free(struct ctl_config *cfg)
+{
+	g_free(cfg->node);
+	g_free(cfg->zone);
+	g_free(cfg->listen);
+	g_free(cfg->http);
+	g_free(cfg->data);
+	g_strfreev(cfg->peers);
+}
+
 int main(int argc, char **argv)
 {
 	struct ctl_config cfg = {0};
@@ -113,6 +124,10 @@
 	}
 	rc = recover ? controld_recover(&cfg) : controld_run(&cfg);
 	keyring_free(cfg.keys);
+	controld_free(&cfg);
+	g_free(key_path);
+	g_free(level);
+	g_free(recover);
 	msg_done();
 	return rc;
 }
--- a/tools/endive-submit.c
+++ b/tools/endive-submit.c
@@ -29,6 +29,7 @@
 	long long count;
 	long long window;
 	long long timeout_ms;
+	int64_t made_ms; /* the same in each sending of a command */
 	size_t at; /* voter that is asked */
 	char *leader;
 	struct wire_conn *conn;
@@ -60,15 +61,12 @@
 
 static void submit_dial(struct submit *s)
 {
-	size_t n = 0;
-
 	if (s->conn)
 		wire_close(s->conn);
-	while (s->voters[n])
-		n++;
-	s->at = (s->at + 1) % n;
 	s->conn = wire_dial(s->wire, s->leader ? s->leader : s->voters[s->at],
 			    &submit_ops, s);
+	if (!s->leader)
+		s->at = s->voters[s->at + 1] ? s->at + 1 : 0;
 	g_free(s->leader);
 	s->leader = NULL;
 	s->heard_ms = tmr_now(s->tmr);
@@ -84,7 +82,7 @@
 
 	g_snprintf(id, sizeof(id), "%s-%lld", s->prefix, i);
 	cmd.id = lstr_from(id);
-	cmd.made_ms = g_get_real_time() / 1000;
+	cmd.made_ms = s->made_ms;
 	cmd.note.text = lstr_from(id);
 	pk_out_init(&body);
 	fcm_encode(&cmd, &body);
@@ -260,6 +258,7 @@
 						.node = "submit",
 						.zone = "test",
 						.silence_ms = 2000});
+	s.made_ms = g_get_real_time() / 1000;
 	began = tmr_now(s.tmr);
 	submit_dial(&s);
 	tmr_every(s.tmr, SUBMIT_TICK_MS, submit_tick, &s);
