--- a/src/ctl.c
+++ b/src/ctl.c
@@ -95,6 +95,7 @@
 	cns_free(c->cns);
 	sto_free(c->sto);
 	sto_folder_free(c->io);
+	mvr_free(c->mover);
 	fst_free(c->fst);
 	g_hash_table_destroy(c->commands);
 	g_hash_table_destroy(c->queries);
@@ -140,6 +141,7 @@
 
 	ctl_members_tick(c);
 	ctl_nodes_tick(c, now);
+	ctl_moves_tick(c, now);
 	ctl_pump(c);
 }
 
--- a/src/ctl_int.h
+++ b/src/ctl_int.h
@@ -4,6 +4,7 @@
 #include "cns.h"
 #include "ctl.h"
 #include "fst.h"
+#include "mvr.h"
 #include "proto.h"
 #include "srv.h"
 #include "sto.h"
@@ -48,6 +49,7 @@
 	uint64_t version; /* it works by */
 	uint64_t sent; /* newest sent to it on this connection */
 	int64_t heard_ms;
+	int64_t join_ms; /* its join was proposed last; 0: never */
 	struct wire_conn *conn; /* NULL: not connected */
 };
 
@@ -74,6 +76,7 @@
 	const char *addr; /* by which clients reach us */
 	GPtrArray *conns; /* struct ctl_conn */
 	GHashTable *nodes; /* name: struct ctl_node */
+	struct mvr *mover; /* while we lead; else NULL */
 	GHashTable *commands; /* log index: struct ctl_open */
 	GHashTable *queries; /* tag: struct ctl_open */
 	uint64_t next_tag;
@@ -111,6 +114,9 @@
 void ctl_nodes_tick(struct ctl *c, int64_t now);
 void ctl_query_nodes(struct ctl *c, struct pk_out *out);
 void ctl_node_free(gpointer p);
+/* ctl_move */
+bool ctl_joined(struct ctl *c, struct ctl_node *n);
+void ctl_moves_tick(struct ctl *c, int64_t now);
 /* ctl_member */
 bool ctl_peers_read(struct ctl *c, GError **err);
 void ctl_members_tick(struct ctl *c);
--- a/src/ctl_node.c
+++ b/src/ctl_node.c
@@ -114,7 +114,8 @@
 	struct pk_out view;
 	struct pk_out o;
 
-	if (!n->conn || version <= n->version || version <= n->sent)
+	if (!n->conn || version <= n->version || version <= n->sent ||
+	    !ctl_joined(c, n))
 		return;
 	pk_out_init(&view);
 	fst_view_zone(c->fst, lstr_from(n->zone), &view);
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -106,11 +106,13 @@
 	enum key_role role; /* least that its sender must have */
 	void (*encode)(const struct fcm_cmd *c, struct pk_out *o);
 	void (*decode)(struct fcm_cmd *c, struct pk_in *in);
+	void (*describe)(const struct fcm_cmd *c, GString *s);
 };
 
 extern const struct fcm_def fcm_defs[FCM_KINDS];
 
 void fcm_encode(const struct fcm_cmd *c, struct pk_out *o);
+void fcm_describe(const struct fcm_cmd *c, GString *s);
 bool fcm_decode(struct fcm_cmd *c, struct pk_in *in, struct lstr bytes);
 
 /* How a command ended; version is the view's, number the configuration's. */
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -14,21 +14,38 @@
 static void fcm_get_step(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_priority(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_note(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_say_apply(const struct fcm_cmd *c, GString *s);
+static void fcm_say_drain(const struct fcm_cmd *c, GString *s);
+static void fcm_say_move(const struct fcm_cmd *c, GString *s);
+static void fcm_say_step(const struct fcm_cmd *c, GString *s);
+static void fcm_say_priority(const struct fcm_cmd *c, GString *s);
+static void fcm_say_node(const struct fcm_cmd *c, GString *s);
+static void fcm_say_note(const struct fcm_cmd *c, GString *s);
 static struct lstr fcm_get_text(struct pk_in *in, size_t max);
 static struct lstr fcm_get_name(struct pk_in *in);
 
 const struct fcm_def fcm_defs[FCM_KINDS] = {
-	[FCM_APPLY] = {"apply", KEY_OPERATE, fcm_put_apply, fcm_get_apply},
-	[FCM_DRAIN] = {"drain", KEY_OPERATE, fcm_put_drain, fcm_get_drain},
-	[FCM_UNDRAIN] = {"undrain", KEY_OPERATE, fcm_put_drain, fcm_get_drain},
-	[FCM_MOVE] = {"move", KEY_OPERATE, fcm_put_move, fcm_get_move},
-	[FCM_RELEASED] = {"released", KEY_PEER, fcm_put_step, fcm_get_step},
-	[FCM_MOVED] = {"moved", KEY_PEER, fcm_put_step, fcm_get_step},
+	[FCM_APPLY] = {"apply", KEY_OPERATE, fcm_put_apply, fcm_get_apply,
+		       fcm_say_apply},
+	[FCM_DRAIN] = {"drain", KEY_OPERATE, fcm_put_drain, fcm_get_drain,
+		       fcm_say_drain},
+	[FCM_UNDRAIN] = {"undrain", KEY_OPERATE, fcm_put_drain, fcm_get_drain,
+			 fcm_say_drain},
+	[FCM_MOVE] = {"move", KEY_OPERATE, fcm_put_move, fcm_get_move,
+		      fcm_say_move},
+	[FCM_RELEASED] = {"released", KEY_PEER, fcm_put_step, fcm_get_step,
+			  fcm_say_step},
+	[FCM_MOVED] = {"moved", KEY_PEER, fcm_put_step, fcm_get_step,
+		       fcm_say_step},
 	[FCM_PRIORITY] = {"priority", KEY_DUTY, fcm_put_priority,
-			  fcm_get_priority},
-	[FCM_JOIN] = {"join", KEY_PEER, fcm_put_node, fcm_get_node},
-	[FCM_FORGET] = {"forget", KEY_DUTY, fcm_put_node, fcm_get_node},
-	[FCM_NOTE] = {"note", KEY_PEER, fcm_put_note, fcm_get_note},
+			  fcm_get_priority, fcm_say_priority},
+	[FCM_JOIN] = {"join", KEY_PEER, fcm_put_node, fcm_get_node,
+		      fcm_say_node},
+	[FCM_FORGET] = {"forget", KEY_DUTY, fcm_put_node, fcm_get_node,
+			fcm_say_node},
+	/* Recovery of a lost majority, by the duty officer, is noted too. */
+	[FCM_NOTE] = {"note", KEY_DUTY, fcm_put_note, fcm_get_note,
+		      fcm_say_note},
 };
 
 static const char *const fcm_outcomes[] = {
@@ -207,6 +224,84 @@
 	c->note.text = fcm_get_text(in, FCM_REASON_MAX);
 }
 
+/*
+ * Says what a command wants to do, for stamps and the audit trail, also of
+ * one that is refused.
+ */
+void fcm_describe(const struct fcm_cmd *c, GString *s)
+{
+	fcm_defs[c->kind].describe(c, s);
+}
+
+static void fcm_say_reason(struct lstr reason, GString *s)
+{
+	if (reason.len)
+		g_string_append_printf(s, " (" LSTR_FMT ")", LSTR_ARG(reason));
+}
+
+static void fcm_say_apply(const struct fcm_cmd *c, GString *s)
+{
+	const struct fcm_apply *a = &c->apply;
+
+	g_string_append_printf(s, "configuration " LSTR_FMT " and %u overlays",
+			       LSTR_ARG(a->files[0].name), a->n_files - 1);
+	if (a->base != FCM_ANY_BASE)
+		g_string_append_printf(s, ", made from %llu",
+				       (unsigned long long)a->base);
+	fcm_say_reason(a->reason, s);
+}
+
+static void fcm_say_drain(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "%s %s" LSTR_FMT, fcm_defs[c->kind].name,
+			       c->drain.target ? "target " : "",
+			       LSTR_ARG(c->drain.name));
+	fcm_say_reason(c->drain.reason, s);
+}
+
+static void fcm_say_move(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "move " LSTR_FMT " to " LSTR_FMT,
+			       LSTR_ARG(c->move.vm), LSTR_ARG(c->move.pool));
+	fcm_say_reason(c->move.reason, s);
+}
+
+static void fcm_say_step(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "%s " LSTR_FMT " at epoch %llu",
+			       fcm_defs[c->kind].name, LSTR_ARG(c->step.vm),
+			       (unsigned long long)c->step.epoch);
+	fcm_say_reason(c->step.reason, s);
+}
+
+static void fcm_say_priority(const struct fcm_cmd *c, GString *s)
+{
+	const struct fcm_priority *p = &c->priority;
+
+	if (p->priority == FCM_NO_PRIORITY)
+		g_string_append_printf(s, "clear priority of " LSTR_FMT,
+				       LSTR_ARG(p->pool));
+	else
+		g_string_append_printf(s, "priority %lld for " LSTR_FMT,
+				       (long long)p->priority,
+				       LSTR_ARG(p->pool));
+	fcm_say_reason(p->reason, s);
+}
+
+static void fcm_say_node(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "entry daemon " LSTR_FMT " %s" LSTR_FMT,
+			       LSTR_ARG(c->node.node),
+			       c->kind == FCM_JOIN ? "joins in " : "forgotten",
+			       LSTR_ARG(c->node.zone));
+	fcm_say_reason(c->node.reason, s);
+}
+
+static void fcm_say_note(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_len(s, c->note.text.p, (gssize)c->note.text.len);
+}
+
 /* Text that goes into the audit trail: UTF-8 without control characters. */
 static struct lstr fcm_get_text(struct pk_in *in, size_t max)
 {
--- a/src/fst.c
+++ b/src/fst.c
@@ -179,6 +179,7 @@
 	const struct fst_id *id = fst_id_find(r->f, key);
 	uint8_t digest[FST_DIGEST];
 
+	fcm_describe(r->cmd, r->what);
 	crypto_generichash(digest, sizeof(digest),
 			   (const unsigned char *)bytes.p, bytes.len, NULL, 0);
 	if (!id) {
@@ -262,19 +263,6 @@
 	}
 }
 
-/* Says what a command wants to do, for stamps and the audit trail. */
-void fst_run_what(struct fst_run *r, struct lstr reason, const char *fmt, ...)
-{
-	va_list ap;
-
-	va_start(ap, fmt);
-	g_string_vprintf(r->what, fmt, ap);
-	va_end(ap);
-	if (reason.len)
-		g_string_append_printf(r->what, " (" LSTR_FMT ")",
-				       LSTR_ARG(reason));
-}
-
 /*
  * Whether something was changed since the operator looked at it: two who
  * changed the same from the same state would otherwise undo each other
@@ -358,7 +346,6 @@
 /* An automatic act that changes nothing else here. */
 void fst_do_note(struct fst_run *r)
 {
-	fst_run_what(r, LSTR(""), LSTR_FMT, LSTR_ARG(r->cmd->note.text));
 	fst_run_end(r, PROTO_OK, "noted");
 }
 
--- a/src/fst.h
+++ b/src/fst.h
@@ -61,6 +61,7 @@
 guint fst_nodes(const struct fst *f);
 void fst_node(const struct fst *f, guint i, const char **name,
 	      const char **zone);
+const char *fst_node_zone(const struct fst *f, struct lstr node);
 bool fst_node_known(const struct fst *f, struct lstr node, struct lstr zone);
 int fst_priority(const struct fst *f, const char *pool);
 
--- a/src/fst_cfg.c
+++ b/src/fst_cfg.c
@@ -19,12 +19,6 @@
 	struct cfg *next;
 
 	r->from = a->base;
-	fst_run_what(r, a->reason,
-		     "configuration %llu from %llu, " LSTR_FMT
-		     " and %u overlays",
-		     (unsigned long long)number + 1,
-		     (unsigned long long)a->base, LSTR_ARG(a->files[0].name),
-		     a->n_files - 1);
 	/*
 	 * Of two operators who start from the same version the second would
 	 * take back the first one's change without having seen it.
--- a/src/fst_in.h
+++ b/src/fst_in.h
@@ -122,8 +122,6 @@
 		 ...) G_GNUC_PRINTF(3, 4);
 bool fst_run_conflicts(struct fst_run *r, const struct fst_stamp *s,
 		       uint64_t base);
-void fst_run_what(struct fst_run *r, struct lstr reason, const char *fmt, ...)
-	G_GNUC_PRINTF(3, 4);
 void fst_run_auto(struct fst_run *r, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 void fst_touch(struct fst *f);
 
--- a/src/fst_node.c
+++ b/src/fst_node.c
@@ -17,8 +17,6 @@
 	const struct fcm_node *c = &r->cmd->node;
 	struct fst_node *n = fst_node_find(r->f, c->node);
 
-	fst_run_what(r, c->reason, "entry daemon " LSTR_FMT " in " LSTR_FMT,
-		     LSTR_ARG(c->node), LSTR_ARG(c->zone));
 	if (n && lstr_eq(c->zone, lstr_from(n->zone))) {
 		fst_run_end(r, PROTO_OK, "was known already");
 		return;
@@ -49,8 +47,6 @@
 	const struct fcm_node *c = &r->cmd->node;
 	struct fst_node *n = fst_node_find(r->f, c->node);
 
-	fst_run_what(r, c->reason, "forget entry daemon " LSTR_FMT,
-		     LSTR_ARG(c->node));
 	if (!n) {
 		fst_run_end(r, PROTO_REFUSED, "no entry daemon " LSTR_FMT,
 			    LSTR_ARG(c->node));
@@ -78,10 +74,18 @@
 
 /* Whether an entry daemon has joined from that zone, and may get views. */
 bool fst_node_known(const struct fst *f, struct lstr node, struct lstr zone)
+{
+	const char *known = fst_node_zone(f, node);
+
+	return known && lstr_eq(zone, lstr_from(known));
+}
+
+/* The zone an entry daemon has joined from, or NULL. */
+const char *fst_node_zone(const struct fst *f, struct lstr node)
 {
 	const struct fst_node *n = fst_node_find(f, node);
 
-	return n && lstr_eq(zone, lstr_from(n->zone));
+	return n ? n->zone : NULL;
 }
 
 /* The entry daemon of that name, or NULL. */
--- a/src/fst_prio.c
+++ b/src/fst_prio.c
@@ -17,11 +17,6 @@
 	char *pool = lstr_dup(c->pool);
 	int64_t max = cfg_keys[CFG_POOL_PRIORITY].max;
 
-	if (c->priority == FCM_NO_PRIORITY)
-		fst_run_what(r, c->reason, "clear priority of %s", pool);
-	else
-		fst_run_what(r, c->reason, "priority %lld for %s",
-			     (long long)c->priority, pool);
 	if (!r->f->cfg || !cfg_find(r->f->cfg, CFG_POOL, pool)) {
 		fst_run_end(r, PROTO_REFUSED, "no pool %s", pool);
 	} else if (c->priority < FCM_NO_PRIORITY || c->priority > max) {
--- a/src/fst_vm.c
+++ b/src/fst_vm.c
@@ -135,8 +135,6 @@
 	const struct fcm_drain *d = &r->cmd->drain;
 	struct fst_vm *vm;
 
-	fst_run_what(r, d->reason, "drain %s" LSTR_FMT,
-		     d->target ? "target " : "", LSTR_ARG(d->name));
 	if (d->target) {
 		fst_drain_target(r);
 		return;
@@ -156,8 +154,6 @@
 	const struct fcm_drain *d = &r->cmd->drain;
 	struct fst_vm *vm;
 
-	fst_run_what(r, d->reason, "undrain %s" LSTR_FMT,
-		     d->target ? "target " : "", LSTR_ARG(d->name));
 	if (d->target) {
 		fst_undrain_target(r);
 		return;
@@ -261,8 +257,6 @@
 	struct fst_vm *vm;
 	char *to;
 
-	fst_run_what(r, m->reason, "move " LSTR_FMT " to " LSTR_FMT,
-		     LSTR_ARG(m->vm), LSTR_ARG(m->pool));
 	vm = fst_vm_wanted(r, m->vm);
 	if (!vm || fst_run_conflicts(r, &vm->stamp, m->base))
 		return;
@@ -322,9 +316,6 @@
 	const struct fcm_step *s = &r->cmd->step;
 	struct fst_vm *vm;
 
-	fst_run_what(r, s->reason, "%s " LSTR_FMT " at epoch %llu",
-		     fcm_defs[r->cmd->kind].name, LSTR_ARG(s->vm),
-		     (unsigned long long)s->epoch);
 	r->from = s->epoch;
 	vm = fst_vm_wanted(r, s->vm);
 	if (!vm)
--- a/src/msg.c
+++ b/src/msg.c
@@ -59,6 +59,7 @@
 	[MSG_STO_DAMAGED] = {MSG_ERROR, "folder-damaged"},
 	[MSG_STO_FAILED] = {MSG_ERROR, "folder-failed"},
 	/* cfg, fst: configuration and fleet state */
+	[MSG_FST_OTHER_ZONE] = {MSG_WARN, "entry-of-other-zone"},
 	/* pln, wav, job: planner, waves, jobs */
 };
 
--- a/src/msg.h
+++ b/src/msg.h
@@ -43,6 +43,7 @@
 	MSG_STO_DAMAGED,
 	MSG_STO_FAILED,
 	/* cfg, fst: configuration and fleet state */
+	MSG_FST_OTHER_ZONE,
 	/* pln, wav, job: planner, waves, jobs */
 	MSG_MAX
 };
