--- a/src/fst.h
+++ b/src/fst.h
@@ -35,6 +35,8 @@
 uint64_t fst_version(const struct fst *f);
 void fst_view(const struct fst *f, struct pk_out *o);
 void fst_view_zone(const struct fst *f, struct lstr zone, struct pk_out *o);
+void fst_view_since(const struct fst *f, struct lstr zone, uint64_t from,
+		    struct pk_out *o);
 
 /* Where a VM stands on its way between pools. */
 enum fst_phase {
--- a/src/fst_cfg.c
+++ b/src/fst_cfg.c
@@ -78,6 +78,7 @@
 
 	fst_touch(f);
 	c->version = f->version;
+	fst_sites_take(f, next);
 	fst_members_take(r, next);
 	cfg_free(f->cfg);
 	f->cfg = next;
--- a/src/fst_in.h
+++ b/src/fst_in.h
@@ -77,6 +77,12 @@
 	GPtrArray *texts; /* GBytes *, shared where unchanged; empty: dropped */
 };
 
+/* When the pools of a site changed last, as its entry daemons see them. */
+struct fst_site {
+	char *name;
+	uint64_t since; /* view version */
+};
+
 /* The first result of a command, for its resends. */
 struct fst_id {
 	char *key; /* who and identity */
@@ -90,6 +96,7 @@
 	uint64_t index;
 	int64_t time_ms; /* never goes back, whoever leads */
 	uint64_t version;
+	uint64_t whole_since; /* who is older needs a whole view */
 	uint64_t epoch_floor; /* of VMs removed and forgotten */
 	int64_t id_floor_ms; /* commands made up to then are not applied */
 	GPtrArray *configs; /* struct fst_config, oldest first */
@@ -99,6 +106,7 @@
 	GPtrArray *drains; /* struct fst_drain by name */
 	GPtrArray *prios; /* struct fst_prio by pool */
 	GPtrArray *nodes; /* struct fst_node by name */
+	GPtrArray *sites; /* struct fst_site, those in force */
 	GHashTable *ids; /* key -> struct fst_id */
 	GSequence *ids_by_made;
 	struct fau *audit;
@@ -137,6 +145,9 @@
 void fst_prio_free(gpointer p);
 struct fst_node *fst_node_find(const struct fst *f, struct lstr name);
 void fst_node_free(gpointer p);
+void fst_site_free(gpointer p);
+void fst_sites_take(struct fst *f, const struct cfg *next);
+void fst_sites_touch(struct fst *f);
 void fst_config_free(gpointer p);
 const struct fst_config *fst_config_last(const struct fst *f);
 const char *fst_phase_name(enum fst_phase phase);
--- a/src/fst_prio.c
+++ b/src/fst_prio.c
@@ -29,6 +29,7 @@
 		p->priority = c->priority;
 		fst_stamp_set(&p->stamp, r);
 		fst_touch(r->f);
+		fst_sites_touch(r->f);
 		fst_run_end(r, PROTO_OK, "%s", r->what->str);
 	}
 	g_free(pool);
--- a/src/fst_snap.c
+++ b/src/fst_snap.c
@@ -28,6 +28,8 @@
 static bool fst_unpack_prios(struct fst *f, struct pk_in *in);
 static void fst_pack_nodes(const struct fst *f, struct pk_out *o);
 static bool fst_unpack_nodes(struct fst *f, struct pk_in *in);
+static void fst_pack_sites(const struct fst *f, struct pk_out *o);
+static bool fst_unpack_sites(struct fst *f, struct pk_in *in);
 static void fst_pack_ids(const struct fst *f, struct pk_out *o);
 static bool fst_unpack_ids(struct fst *f, struct pk_in *in);
 static void fst_pack_audit(const struct fst *f, struct pk_out *o);
@@ -45,6 +47,7 @@
 	{fst_pack_drains, fst_unpack_drains},
 	{fst_pack_prios, fst_unpack_prios},
 	{fst_pack_nodes, fst_unpack_nodes},
+	{fst_pack_sites, fst_unpack_sites},
 	{fst_pack_ids, fst_unpack_ids},
 	{fst_pack_audit, fst_unpack_audit},
 };
@@ -94,10 +97,11 @@
 
 static void fst_pack_head(const struct fst *f, struct pk_out *o)
 {
-	pk_arr(o, 5);
+	pk_arr(o, 6);
 	pk_u(o, f->index);
 	pk_i(o, f->time_ms);
 	pk_u(o, f->version);
+	pk_u(o, f->whole_since);
 	pk_u(o, f->epoch_floor);
 	pk_i(o, f->id_floor_ms);
 }
@@ -109,6 +113,7 @@
 	f->index = pk_get_u(&head);
 	f->time_ms = pk_get_i(&head);
 	f->version = pk_get_u(&head);
+	f->whole_since = pk_get_u(&head);
 	f->epoch_floor = pk_get_u(&head);
 	f->id_floor_ms = pk_get_i(&head);
 	return pk_in_ok(&head) && pk_in_left(&head) == 0 && f->time_ms >= 0 &&
@@ -416,6 +421,37 @@
 	return pk_in_ok(&list);
 }
 
+static void fst_pack_sites(const struct fst *f, struct pk_out *o)
+{
+	guint i;
+
+	pk_arr(o, f->sites->len);
+	for (i = 0; i < f->sites->len; i++) {
+		const struct fst_site *s = g_ptr_array_index(f->sites, i);
+
+		pk_arr(o, 2);
+		pk_cstr(o, s->name);
+		pk_u(o, s->since);
+	}
+}
+
+static bool fst_unpack_sites(struct fst *f, struct pk_in *in)
+{
+	struct pk_in list = pk_get_arr(in);
+
+	while (pk_in_left(&list)) {
+		struct pk_in one = pk_get_arr(&list);
+		struct fst_site *s = g_new0(struct fst_site, 1);
+
+		g_ptr_array_add(f->sites, s);
+		s->name = lstr_dup(pk_get_str(&one));
+		s->since = pk_get_u(&one);
+		if (!pk_in_ok(&one) || pk_in_left(&one))
+			return false;
+	}
+	return pk_in_ok(&list);
+}
+
 static void fst_pack_ids(const struct fst *f, struct pk_out *o)
 {
 	GSequenceIter *it = g_sequence_get_begin_iter(f->ids_by_made);
--- a/src/fst_vm.c
+++ b/src/fst_vm.c
@@ -446,6 +446,11 @@
 static void fst_member_keep(struct fst_run *r, struct fst_vm *vm,
 			    const struct cfg_vm *line)
 {
+	const struct cfg_vm *was = cfg_vm(r->f->cfg, vm->name);
+
+	/* Its old site's entry daemons are told by a whole view. */
+	if (strcmp(was->site->name, line->site->name) != 0)
+		r->f->whole_since = r->f->version;
 	if (!fst_line_changed(r, line) || vm->to ||
 	    g_str_equal(vm->pool, line->pool->name))
 		return;
@@ -504,6 +509,7 @@
 		return;
 	first = g_ptr_array_index(f->gone, 0);
 	f->epoch_floor = MAX(f->epoch_floor, first->epoch);
+	f->whole_since = MAX(f->whole_since, first->since);
 	g_ptr_array_remove_index(f->gone, 0);
 }
 
--- a/src/fvw.c
+++ b/src/fvw.c
@@ -1,27 +1,18 @@
-#include "fvw.h"
+#include "fvw_in.h"
 
 #include <stdlib.h>
 
 #include "err.h"
 
-/*
- * First field of a packed view. A view of another format is refused as a
- * whole: half understood, it could place work on a VM of another pool.
- */
-#define FVW_FORMAT 1
-
 static void fvw_clear_pool(gpointer p);
-static void fvw_clear_vm(gpointer p);
 static void fvw_pack_pool(const struct fvw_pool *p, struct pk_out *o);
 static bool fvw_get(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_pools(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_vms(struct pk_in *in, struct fvw *v, GError **err);
-static bool fvw_get_drained(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_name(struct pk_in *in, char **out);
 static int64_t fvw_get_num(struct pk_in *in, int64_t max);
 static int fvw_by_service(gconstpointer a, gconstpointer b, gpointer arg);
 static bool fvw_services_differ(const struct fvw *v, GError **err);
-static bool fvw_bad(GError **err, const char *what, guint at);
 static int fvw_vm_named(const void *name, const void *vm);
 
 /* An empty view of that version. */
@@ -59,7 +50,8 @@
 	g_free(pool->service);
 }
 
-static void fvw_clear_vm(gpointer p)
+/* Frees what a VM of a view holds. */
+void fvw_clear_vm(gpointer p)
 {
 	g_free(((struct fvw_vm *)p)->name);
 }
@@ -91,11 +83,17 @@
 /* Packs a view, whose pools, VMs and drained targets are in order of name. */
 void fvw_pack(const struct fvw *v, struct pk_out *o)
 {
-	guint i;
-
 	pk_arr(o, 5);
-	pk_u(o, FVW_FORMAT);
+	pk_u(o, FVW_WHOLE);
 	pk_u(o, v->version);
+	fvw_pack_parts(v, o);
+}
+
+/* Packs pools, VMs and drained targets: three fields. */
+void fvw_pack_parts(const struct fvw *v, struct pk_out *o)
+{
+	guint i;
+
 	pk_arr(o, v->pools->len);
 	for (i = 0; i < v->pools->len; i++)
 		fvw_pack_pool(&g_array_index(v->pools, struct fvw_pool, i), o);
@@ -158,17 +156,33 @@
 	uint64_t format = pk_get_u(in);
 
 	v->version = pk_get_u(in);
-	if (!pk_in_ok(in) || format != FVW_FORMAT) {
+	if (!pk_in_ok(in) || format != FVW_WHOLE) {
 		err_set(err, ERR_INPUT, "read view", NULL,
 			"format %llu; allowed: %d", (unsigned long long)format,
-			FVW_FORMAT);
+			FVW_WHOLE);
 		return false;
 	}
-	if (!fvw_get_pools(in, v, err) || !fvw_get_vms(in, v, err) ||
-	    !fvw_get_drained(in, v, err))
+	if (!fvw_get_parts(in, v, err))
 		return false;
 	if (!pk_in_ok(in) || pk_in_left(in) != 0)
 		return fvw_bad(err, "fields", 0);
+	return fvw_seal(v, err);
+}
+
+/*
+ * Reads pools, VMs and drained targets, each held against the pools v then
+ * has.
+ */
+bool fvw_get_parts(struct pk_in *in, struct fvw *v, GError **err)
+{
+	return fvw_get_pools(in, v, err) && fvw_get_vms(in, v, err) &&
+	       fvw_get_names(in, v->drained, FVW_DRAINED_MAX, "drained target",
+			     err);
+}
+
+/* Ends the reading of a view: its look-ups, and one pool a service. */
+bool fvw_seal(struct fvw *v, GError **err)
+{
 	fvw_index(v);
 	return fvw_services_differ(v, err);
 }
@@ -229,21 +243,23 @@
 	return true;
 }
 
-static bool fvw_get_drained(struct pk_in *in, struct fvw *v, GError **err)
+/* Reads names in strict order. */
+bool fvw_get_names(struct pk_in *in, GPtrArray *names, guint max,
+		   const char *what, GError **err)
 {
 	struct pk_in list = pk_get_arr(in);
 	const char *last = "";
 	char *name;
 	guint i;
 
-	if (!pk_in_ok(&list) || pk_in_left(&list) > FVW_DRAINED_MAX)
-		return fvw_bad(err, "drained targets", 0);
+	if (!pk_in_ok(&list) || pk_in_left(&list) > max)
+		return fvw_bad(err, what, 0);
 	for (i = 0; pk_in_left(&list); i++) {
 		if (!fvw_get_name(&list, &name))
-			return fvw_bad(err, "drained target", i);
-		g_ptr_array_add(v->drained, name);
+			return fvw_bad(err, what, i);
+		g_ptr_array_add(names, name);
 		if (strcmp(name, last) <= 0)
-			return fvw_bad(err, "drained target", i);
+			return fvw_bad(err, what, i);
 		last = name;
 	}
 	return true;
@@ -288,7 +304,8 @@
 	return true;
 }
 
-static bool fvw_bad(GError **err, const char *what, guint at)
+/* Refuses a view; always false. */
+bool fvw_bad(GError **err, const char *what, guint at)
 {
 	err_set(err, ERR_INPUT, "read view", NULL, "%s %u not allowed", what,
 		at);
@@ -335,6 +352,28 @@
 	return lstr_cmp(*want, lstr_from(((const struct fvw_vm *)vm)->name));
 }
 
+/* The place of the pool of that name among the pools, or -1. */
+int fvw_pool_at(const struct fvw *v, const char *name)
+{
+	int low = 0;
+	int high = (int)v->pools->len - 1;
+
+	while (low <= high) {
+		int mid = low + (high - low) / 2;
+		const struct fvw_pool *p =
+			&g_array_index(v->pools, struct fvw_pool, mid);
+		int c = strcmp(name, p->name);
+
+		if (c == 0)
+			return mid;
+		if (c < 0)
+			high = mid - 1;
+		else
+			low = mid + 1;
+	}
+	return -1;
+}
+
 /* Whether an operator drained the target of that name. */
 bool fvw_target_drained(const struct fvw *v, struct lstr target)
 {
--- a/src/fvw.h
+++ b/src/fvw.h
@@ -49,9 +49,14 @@
 void fvw_free(struct fvw *v);
 void fvw_index(struct fvw *v);
 void fvw_pack(const struct fvw *v, struct pk_out *o);
+void fvw_delta_pack(const struct fvw *changed, uint64_t from, bool pools,
+		    const GPtrArray *gone, struct pk_out *o);
+uint64_t fvw_delta_from(struct lstr bytes);
+struct fvw *fvw_update(const struct fvw *old, struct lstr bytes, GError **err);
 struct fvw *fvw_unpack(struct lstr bytes, GError **err);
 const struct fvw_pool *fvw_service(const struct fvw *v, struct lstr service);
 const struct fvw_vm *fvw_vm(const struct fvw *v, struct lstr name);
+int fvw_pool_at(const struct fvw *v, const char *name);
 bool fvw_target_drained(const struct fvw *v, struct lstr target);
 
 #endif
--- a/tests/prop/fst_prop.cc
+++ b/tests/prop/fst_prop.cc
@@ -378,15 +378,33 @@
 		if (e.cut)
 			return;
 		pk_out_init(&o);
-		fst_view_zone(f, view_of(e.zone), &o);
-		v = fvw_unpack(pk_out_view(&o), nullptr);
+		fst_view_since(f, view_of(e.zone), e.view->version, &o);
+		v = fvw_update(e.view, pk_out_view(&o), nullptr);
 		pk_out_done(&o);
 		RC_ASSERT(v != nullptr);
+		RC_ASSERT(same_as_whole(v, e));
 		RC_ASSERT(v->version >= e.view->version);
 		fvw_free(e.view);
 		e.view = v;
 	}
 
+	/* What changes led to is what a whole view would have given. */
+	bool same_as_whole(const struct fvw *v, const Entry &e) const
+	{
+		struct pk_out got;
+		struct pk_out whole;
+		bool same;
+
+		pk_out_init(&got);
+		pk_out_init(&whole);
+		fvw_pack(v, &got);
+		fst_view_zone(f, view_of(e.zone), &whole);
+		same = bytes_of(got) == bytes_of(whole);
+		pk_out_done(&got);
+		pk_out_done(&whole);
+		return same;
+	}
+
 	/* A step may come late, out of order, or twice. */
 	void deliver(const Op &op)
 	{
