--- a/src/fst.c
+++ b/src/fst.c
@@ -36,6 +36,7 @@
 	f->prios = g_ptr_array_new_with_free_func(fst_prio_free);
 	f->nodes = g_ptr_array_new_with_free_func(fst_node_free);
 	f->keepers = g_ptr_array_new_with_free_func(fvw_keepers_free);
+	f->sites = g_ptr_array_new_with_free_func(fst_site_free);
 	f->ids = g_hash_table_new(g_str_hash, g_str_equal);
 	f->ids_by_made = g_sequence_new(fst_id_free);
 	f->audit = fau_new();
@@ -54,6 +55,7 @@
 	g_ptr_array_free(f->prios, TRUE);
 	g_ptr_array_free(f->nodes, TRUE);
 	g_ptr_array_free(f->keepers, TRUE);
+	g_ptr_array_free(f->sites, TRUE);
 	g_hash_table_destroy(f->ids);
 	g_sequence_free(f->ids_by_made);
 	fau_free(f->audit);
@@ -182,6 +184,7 @@
 	const struct fst_id *id = fst_id_find(r->f, key);
 	uint8_t digest[FST_DIGEST];
 
+	fcm_describe(r->cmd, r->what);
 	crypto_generichash(digest, sizeof(digest),
 			   (const unsigned char *)bytes.p, bytes.len, NULL, 0);
 	if (!id) {
@@ -265,19 +268,6 @@
 	}
 }
 
-/* Says what a command wants to do, for stamps and the audit trail. */
-void fst_run_what(struct fst_run *r, struct lstr reason, const char *fmt, ...)
-{
-	va_list ap;
-
-	va_start(ap, fmt);
-	g_string_vprintf(r->what, fmt, ap);
-	va_end(ap);
-	if (reason.len)
-		g_string_append_printf(r->what, " (" LSTR_FMT ")",
-				       LSTR_ARG(reason));
-}
-
 /*
  * Whether something was changed since the operator looked at it: two who
  * changed the same from the same state would otherwise undo each other
@@ -361,7 +351,6 @@
 /* An automatic act that changes nothing else here. */
 void fst_do_note(struct fst_run *r)
 {
-	fst_run_what(r, LSTR(""), LSTR_FMT, LSTR_ARG(r->cmd->note.text));
 	fst_run_end(r, PROTO_OK, "noted");
 }
 
--- a/src/fst.h
+++ b/src/fst.h
@@ -35,6 +35,8 @@
 uint64_t fst_version(const struct fst *f);
 void fst_view(const struct fst *f, struct pk_out *o);
 void fst_view_zone(const struct fst *f, struct lstr zone, struct pk_out *o);
+void fst_view_since(const struct fst *f, struct lstr zone, uint64_t from,
+		    struct pk_out *o);
 
 /* Where a VM stands on its way between pools. */
 enum fst_phase {
@@ -61,6 +63,7 @@
 guint fst_nodes(const struct fst *f);
 void fst_node(const struct fst *f, guint i, const char **name,
 	      const char **zone);
+const char *fst_node_zone(const struct fst *f, struct lstr node);
 bool fst_node_known(const struct fst *f, struct lstr node, struct lstr zone);
 int fst_priority(const struct fst *f, const char *pool);
 
--- a/src/fst_keep.c
+++ b/src/fst_keep.c
@@ -18,13 +18,9 @@
 	const struct fcm_keepers *c = &r->cmd->keepers;
 	struct fvw_keepers *k = fst_keepers_find(r->f, c->zone);
 	struct fvw_keepers *next;
+	bool lost = k && k->epoch != c->epoch;
 	guint i;
 
-	fst_run_what(r, LSTR(""),
-		     "keepers %llu of zone " LSTR_FMT ", led by " LSTR_FMT "%s",
-		     (unsigned long long)c->number, LSTR_ARG(c->zone),
-		     LSTR_ARG(c->names[0]),
-		     k && k->epoch != c->epoch ? ", memory lost" : "");
 	if (c->number != (k ? k->number : 0) + 1 || c->epoch == 0) {
 		fst_run_end(r, PROTO_CONFLICT, "number %llu is in force",
 			    (unsigned long long)(k ? k->number : 0));
@@ -51,7 +47,8 @@
 	g_ptr_array_add(r->f->keepers, next);
 	g_ptr_array_sort(r->f->keepers, fst_keepers_order);
 	fst_touch(r->f);
-	fst_run_end(r, PROTO_OK, "in force");
+	fst_run_end(r, PROTO_OK, "in force%s",
+		    lost ? "; the memory before is lost" : "");
 }
 
 /* Packs all zones' keepers. */
