Jobs: admission, placement under leases, stops, blame, one outcome told

Cause: accepted jobs must run or be truthfully refused, beside workers that fail everything, wrong sizes, cuts, floods of cancellations and restarts.

Change: job.chart gives each job's way to its one outcome; admission refuses what can never run; placement by the duty officer's ranks with a turn for the oldest; stops of archive work for urgent work, at most stops_max for each; blame over different jobs and different workers; leases with a margin.

--- /dev/null
+++ b/src/job.h
@@ -0,0 +1,160 @@
+#ifndef JOB_H
+#define JOB_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lstr.h"
+#include "pk.h"
+
+/*
+ * Jobs: accepted or refused with the reason, placed on workers of their pool
+ * under leases, stopped for urgent work, retried, and told one outcome. No
+ * clock, file or socket. Pools, teams and workers are named by the numbers
+ * that the caller gives them.
+ */
+
+/* In the order of the names in charts/job.chart. */
+enum job_state {
+	JOB_WAITING,
+	JOB_RUNNING,
+	JOB_STOPPING, /* to let urgent work start */
+	JOB_CANCELLING,
+	JOB_LOST, /* its worker's lease ran out */
+	JOB_FINISHED,
+	JOB_CANCELLED,
+	JOB_REFUSED,
+	JOB_STATES
+};
+
+enum job_event {
+	JOB_PLACE,
+	JOB_COMPLETE,
+	JOB_FAIL,
+	JOB_REFUSE,
+	JOB_PREEMPT,
+	JOB_STOPPED,
+	JOB_CANCEL,
+	JOB_LOSE,
+	JOB_ENDED,
+	JOB_EVENTS
+};
+
+enum job_class {
+	JOB_ARCHIVE, /* may wait and may be stopped */
+	JOB_NORMAL,
+	JOB_URGENT,
+	JOB_CLASSES
+};
+
+/* Why a job is refused, before it waits or after it failed. */
+enum job_why {
+	JOB_OK,
+	JOB_UNKNOWN_POOL,
+	JOB_UNKNOWN_TEAM,
+	JOB_TOO_LARGE, /* for any worker of the pool */
+	JOB_QUOTA, /* larger than all that the team may use */
+	JOB_FULL, /* too many wait; later there is room again */
+	JOB_BAD, /* failed on different workers */
+	JOB_UNSURE, /* not idempotent, and began before it failed */
+	JOB_WHYS
+};
+
+struct job_size {
+	int64_t cpu_milli;
+	int64_t mem_mb;
+	int64_t accels;
+};
+
+struct job_spec {
+	uint64_t id; /* the team's; a second submission changes nothing */
+	int pool;
+	int team;
+	enum job_class cls;
+	struct job_size size; /* declared; may be far off */
+	bool idempotent;
+	bool checkpoints; /* goes on where it was stopped */
+};
+
+/* Limits and times; docs/design/jobs.md gives the reason of each. */
+struct job_config {
+	int waiting_max; /* over all pools */
+	int oldest_every; /* placements until the oldest job has its turn */
+	int stops_max; /* stops of a job for urgent work before it is spared */
+	int suspect_after; /* different jobs or workers that fail in a row */
+	int64_t margin_ms; /* clocks differ by at most this */
+};
+
+enum job_act_kind {
+	JOB_ACT_START,
+	JOB_ACT_STOP, /* and checkpoint, if the job can */
+	JOB_ACT_THROTTLE, /* to its declared size */
+};
+
+/* For a worker, which does each (job, attempt, kind) once. */
+struct job_act {
+	enum job_act_kind kind;
+	uint64_t job;
+	uint32_t attempt;
+	int worker;
+};
+
+/* The one outcome of a job, for its team. */
+struct job_told {
+	uint64_t job;
+	enum job_state outcome;
+	enum job_why why;
+};
+
+struct job_out {
+	GArray *urgent; /* struct job_act, to be sent before the others */
+	GArray *acts; /* struct job_act */
+	GArray *told; /* struct job_told */
+	GPtrArray *audit; /* char *, g_free */
+};
+
+struct job_status {
+	enum job_state state;
+	enum job_why why;
+	int worker; /* -1: none */
+	uint32_t attempt;
+	int stops;
+};
+
+struct jobs;
+
+struct jobs *jobs_new(const struct job_config *config);
+void jobs_free(struct jobs *j);
+void job_set_pool(struct jobs *j, int pool);
+void job_set_team(struct jobs *j, int team, const struct job_size *quota);
+void job_set_worker(struct jobs *j, int worker, int pool,
+		    const struct job_size *capacity, struct job_out *out);
+void job_set_priority(struct jobs *j, int team, enum job_class cls,
+		      int priority);
+void job_lease(struct jobs *j, int worker, int64_t until_ms);
+void job_drain(struct jobs *j, int worker, bool drain);
+enum job_why job_submit(struct jobs *j, const struct job_spec *spec,
+			int64_t now_ms, struct job_out *out);
+void job_cancel(struct jobs *j, uint64_t id, struct job_out *out);
+void job_report(struct jobs *j, uint64_t id, uint32_t attempt,
+		enum job_event ev, bool begun, struct job_out *out);
+void job_usage(struct jobs *j, uint64_t id, uint32_t attempt,
+	       const struct job_size *used, struct job_out *out);
+bool job_step(struct jobs *j, int64_t now_ms, int budget, struct job_out *out);
+void job_resend(struct jobs *j, struct job_out *out);
+bool job_status(const struct jobs *j, uint64_t id, struct job_status *out);
+bool job_is_suspect(const struct jobs *j, int worker);
+void job_trust(struct jobs *j, int worker);
+bool job_forget(struct jobs *j, uint64_t id);
+int job_count(const struct jobs *j, enum job_state state);
+const char *job_why_text(enum job_why why);
+const char *job_state_name(enum job_state state);
+void jobs_pack(const struct jobs *j, struct pk_out *o);
+struct jobs *jobs_unpack(struct lstr bytes, GError **err);
+
+void job_out_init(struct job_out *out);
+void job_out_clear(struct job_out *out);
+void job_out_done(struct job_out *out);
+
+#endif
--- a/tests/unit/pln_test.c
+++ b/tests/unit/pln_test.c
@@ -257,6 +257,28 @@
 	flt_free(f);
 }
 
+/*
+ * A wave has as much of a pool out as its budget allows when one more VM
+ * fails. What is out comes back, but until then the next failure would break
+ * the budget: the plan brings a VM at once, and only one.
+ */
+static void failure_beside_a_wave_is_repaired_at_once(void **state)
+{
+	struct pln_config c = fleet_harrowgate();
+	struct flt *f = fleet_make(3, 15, 1);
+	int pool = fleet_pool(f, 10, 2, false);
+	int i;
+
+	for (i = 0; i < 12; i++)
+		flt_put(f, i, pool);
+	for (i = 0; i < 3; i++)
+		assert_int_equal(flt_take(f, i, 1), FLT_OK);
+	assert_int_equal(fleet_replan(f, &c), 0);
+	flt_vm_event(f, 5, FLT_FAIL);
+	assert_int_equal(fleet_replan(f, &c), 1);
+	flt_free(f);
+}
+
 static void weights_decide_what_is_lent(void **state)
 {
 	struct pln_config harrowgate = fleet_harrowgate();
@@ -313,6 +335,7 @@
 		cmocka_unit_test(move_is_checked_again_when_done),
 		cmocka_unit_test(declared_limits_hold_in_each_domain),
 		cmocka_unit_test(hold_outlives_a_failure),
+		cmocka_unit_test(failure_beside_a_wave_is_repaired_at_once),
 		cmocka_unit_test(weights_decide_what_is_lent),
 		cmocka_unit_test(fleet_comes_back_from_its_bytes),
 	};
