Properties draw over the whole range in every case

Cause: rapidcheck's inRange scales with the case's size, so early cases drew little more than the least of each range; taking the wait for a lost lease out was not seen by job_prop. Now each draw is at nominal size, which is stricter.

--- a/tests/prop/job_prop.cc
+++ b/tests/prop/job_prop.cc
@@ -17,9 +17,10 @@
 const int POOLS = 2;
 const int TEAMS = 3;
 
+/* Over the whole range in every case; by itself inRange begins with the least. */
 int roll(int from, int to)
 {
-	return *rc::gen::inRange(from, to);
+	return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(from, to));
 }
 
 /* A task on a worker, which does each (job, attempt) once. */
--- a/tests/prop/pln_prop.cc
+++ b/tests/prop/pln_prop.cc
@@ -17,9 +17,10 @@
 	}
 };
 
+/* Over the whole range in every case; by itself inRange begins with the least. */
 int roll(int from, int to)
 {
-	return *rc::gen::inRange(from, to);
+	return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(from, to));
 }
 
 struct flt *randomFleet()
--- a/tests/prop/wav_prop.cc
+++ b/tests/prop/wav_prop.cc
@@ -13,9 +13,10 @@
 const int64_t TICK_MS = 20000;
 const int WAVES = 2;
 
+/* Over the whole range in every case; by itself inRange begins with the least. */
 int roll(int from, int to)
 {
-	return *rc::gen::inRange(from, to);
+	return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(from, to));
 }
 
 /* A fleet, two waves that name the same VMs, and the platform of each. */
