Recorded traces, replayed by test and bench; room for urgent bursts at once

Cause: the flare trace stated 4.3 s for urgent work and measured 11 s: room was made for one urgent job at a time, so the last of a burst of eight waited for eight rounds of stop and reply.

--- a/bench/pln_bench.c
+++ b/bench/pln_bench.c
@@ -3,8 +3,7 @@
 #include <stdlib.h>
 #include <time.h>
 
-#include "../tests/unit/fleet_make.h"
-#include "wav.h"
+#include "../tests/unit/replay.h"
 
 /*
  * The planner and the waves, at the sizes of today and of two years, with
@@ -552,6 +551,42 @@
 	flt_free(f);
 }
 
+/*
+ * A trace, with the stated outcomes met or not, beside a fixed buffer for
+ * each pool and moves on every imbalance.
+ */
+static void bench_trace(const struct user *u, const char *trace)
+{
+	struct pln_config c = u->config();
+	char *path = g_strdup_printf("tests/traces/%s.trace", trace);
+	struct replay *r = replay_trace(path, &c, false);
+	struct replay *eager = replay_trace(path, &c, true);
+	const char *form = "trace/%s/%s/%s\t%.3f\t%s\t%.3f\n";
+
+	printf(form, u->name, trace, "outcomes_missed", r->failed ? 1.0 : 0.0,
+	       "traces", 0.0);
+	if (r->wanted) {
+		printf(form, u->name, trace, "buffer",
+		       100.0 * r->buffer / r->wanted, "%",
+		       100.0 * r->fixed / r->wanted);
+		printf(form, u->name, trace, "moves", (double)r->moves, "moves",
+		       (double)eager->moves);
+		printf(form, u->name, trace, "moves_of_bound",
+		       (double)r->moves / MAX(1, r->bound), "x", 1.2);
+		printf(form, u->name, trace, "below_floor", (double)r->below,
+		       "pool-seconds", 0.0);
+	}
+	if (r->j)
+		printf(form, u->name, trace, "slowest_urgent",
+		       (double)r->slowest_urgent_ms, "ms", 4300.0);
+	replay_free(r);
+	replay_free(eager);
+	g_free(path);
+}
+
+static const char *const traces[] = {"rush",	  "flare",	 "badimage",
+				     "blackhole", "cancelflood", "secondloss"};
+
 int main(void)
 {
 	size_t u;
@@ -559,6 +594,8 @@
 
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	for (u = 0; u < G_N_ELEMENTS(users); u++) {
+		for (s = 0; s < G_N_ELEMENTS(traces); s++)
+			bench_trace(&users[u], traces[s]);
 		for (s = 0; s < G_N_ELEMENTS(sizes); s++)
 			bench_replan(&users[u], &sizes[s]);
 		for (s = 0; s < G_N_ELEMENTS(sizes); s += 3) {
--- a/src/job_int.h
+++ b/src/job_int.h
@@ -62,7 +62,7 @@
 	bool known;
 	bool dirty; /* something may be placed */
 	int placed; /* since the oldest had its turn */
-	bool owed; /* room that stops free is for an urgent job */
+	int owed; /* urgent jobs for which others were stopped */
 	GArray *workers; /* int */
 	GPtrArray *queues; /* GQueue of struct job, by team and class */
 };
--- a/src/job_pack.c
+++ b/src/job_pack.c
@@ -38,7 +38,7 @@
 	for (i = 0; i < j->pools->len; i++) {
 		pk_bool(o, job_pool(j, (int)i)->known);
 		pk_i(o, job_pool(j, (int)i)->placed);
-		pk_bool(o, job_pool(j, (int)i)->owed);
+		pk_i(o, job_pool(j, (int)i)->owed);
 	}
 	pk_arr(o, (size_t)j->workers->len * 7);
 	for (i = 0; i < j->workers->len; i++) {
@@ -239,7 +239,7 @@
 		if (pk_get_bool(&pools))
 			job_set_pool(j, i);
 		job_pool(j, i)->placed = (int)pk_get_i(&pools);
-		job_pool(j, i)->owed = pk_get_bool(&pools);
+		job_pool(j, i)->owed = (int)pk_get_i(&pools);
 	}
 	for (i = 0; pk_in_ok(&workers) && pk_in_left(&workers); i++) {
 		pool = (int)pk_get_i(&workers);
--- a/src/job_place.c
+++ b/src/job_place.c
@@ -1,5 +1,7 @@
 #include "job_int.h"
 
+/* Urgent jobs of each team for which room is made in one step. */
+#define JOB_URGENT_MAX 64
 /* Turns of the oldest job, without room for it, before others are held. */
 #define JOB_HOLD_TURNS 8
 /* Largest number of a pool, team or worker. */
@@ -14,8 +16,15 @@
 static int job_room(const struct jobs *j, const struct job_pool *p,
 		    const struct job *b);
 static bool job_may_stop(const struct jobs *j, const struct job *b);
-static void job_make_room(struct jobs *j, struct job_pool *p, struct job *b,
+static void job_make_room(struct jobs *j, struct job_pool *p,
 			  struct job_out *out);
+static GPtrArray *job_urgent(struct jobs *j, const struct job_pool *p);
+static gint job_by_rank(gconstpointer a, gconstpointer b, gpointer jobs);
+static struct job_size job_soon_left(const struct job_worker *w);
+static int job_make_room_for(struct jobs *j, struct job_pool *p, struct job *b,
+			     struct job_size *left, struct job_out *out);
+static int job_stops(const struct jobs *j, const struct job_worker *w,
+		     const struct job_size *size, struct job_size left);
 static void job_place(struct jobs *j, struct job *b, int worker,
 		      struct job_out *out);
 
@@ -91,11 +100,11 @@
 		}
 		p->placed++;
 		/* Else the oldest would take what was stopped for another. */
-		p->owed = false;
+		p->owed = b->spec.cls == JOB_URGENT ? MAX(0, p->owed - 1) : 0;
 		job_place(j, b, worker, out);
 	}
 	if (!p->dirty && urgent)
-		job_make_room(j, p, urgent, out);
+		job_make_room(j, p, out);
 	return budget;
 }
 
@@ -229,56 +238,124 @@
 }
 
 /*
- * Stops archive work for an urgent job, on the worker where fewest have to
- * stop.
+ * Stops archive work for all urgent jobs that wait without room, in one go:
+ * made one by one, the tenth of a burst would wait for ten rounds of stop and
+ * reply. Room that earlier stops are about to free is reckoned with first.
  */
-static void job_make_room(struct jobs *j, struct job_pool *p, struct job *b,
+static void job_make_room(struct jobs *j, struct job_pool *p,
 			  struct job_out *out)
+{
+	struct job_size *left = g_new0(struct job_size, p->workers->len);
+	GPtrArray *urgent = job_urgent(j, p);
+	int owed = 0;
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++)
+		left[i] = job_soon_left(
+			job_worker(j, g_array_index(p->workers, int, i)));
+	for (i = 0; i < urgent->len; i++)
+		owed += job_make_room_for(j, p, urgent->pdata[i], left, out);
+	p->owed = MAX(p->owed, owed);
+	g_ptr_array_free(urgent, TRUE);
+	g_free(left);
+}
+
+/* The first urgent jobs that wait, highest rank first. */
+static GPtrArray *job_urgent(struct jobs *j, const struct job_pool *p)
+{
+	GPtrArray *urgent = g_ptr_array_new();
+	GList *l;
+	guint i;
+	int n;
+
+	for (i = JOB_URGENT; i < p->queues->len; i += JOB_CLASSES) {
+		GQueue *q = p->queues->pdata[i];
+
+		l = q ? q->head : NULL;
+		for (n = 0; l && n < JOB_URGENT_MAX; n++, l = l->next)
+			if (job_in_quota(j, l->data))
+				g_ptr_array_add(urgent, l->data);
+	}
+	g_ptr_array_sort_with_data(urgent, job_by_rank, j);
+	return urgent;
+}
+
+static gint job_by_rank(gconstpointer a, gconstpointer b, gpointer jobs)
+{
+	const struct job *ja = *(struct job *const *)a;
+	const struct job *jb = *(struct job *const *)b;
+	int more = job_priority(jobs, jb) - job_priority(jobs, ja);
+
+	return more ? more : (ja->seq < jb->seq ? -1 : 1);
+}
+
+/* Room on a worker once all that is being stopped has stopped. */
+static struct job_size job_soon_left(const struct job_worker *w)
+{
+	struct job_size left = w->capacity;
+	GList *l;
+
+	if (!w->up || w->drained || w->suspect)
+		return (struct job_size){0};
+	job_add(&left, &w->used, -1);
+	for (l = w->jobs.head; l; l = l->next)
+		if (((struct job *)l->data)->state == JOB_STOPPING)
+			job_add(&left, &((struct job *)l->data)->used, 1);
+	return left;
+}
+
+/* Stops on the worker where fewest must stop; 1: there will be room. */
+static int job_make_room_for(struct jobs *j, struct job_pool *p, struct job *b,
+			     struct job_size *left, struct job_out *out)
 {
 	int fewest = INT_MAX;
+	struct job_worker *w;
+	int stops;
 	int best = -1;
 	guint i;
 	GList *l;
 
 	for (i = 0; i < p->workers->len; i++) {
-		int at = g_array_index(p->workers, int, i);
-		struct job_worker *w = job_worker(j, at);
-		struct job_size left = w->capacity;
-		int stops = 0;
-
-		job_add(&left, &w->used, -1);
-		if (!w->up || w->drained || w->suspect)
-			continue;
-		for (l = w->jobs.head; l && !job_fits(&b->spec.size, &left);
-		     l = l->next) {
-			struct job *a = l->data;
-
-			if (a->state == JOB_STOPPING) {
-				job_add(&left, &a->used, 1);
-				continue;
-			}
-			if (!job_may_stop(j, a))
-				continue;
-			job_add(&left, &a->used, 1);
-			stops++;
-		}
-		if (!job_fits(&b->spec.size, &left) || stops >= fewest)
+		w = job_worker(j, g_array_index(p->workers, int, i));
+		stops = job_stops(j, w, &b->spec.size, left[i]);
+		if (stops < 0 || stops >= fewest)
 			continue;
 		fewest = stops;
-		best = at;
+		best = (int)i;
 	}
 	if (best < 0)
-		return;
-	p->owed = true;
-	for (l = job_worker(j, best)->jobs.head; l && fewest > 0; l = l->next) {
+		return 0;
+	w = job_worker(j, g_array_index(p->workers, int, best));
+	for (l = w->jobs.head; l && fewest > 0; l = l->next) {
 		struct job *a = l->data;
 
 		if (!job_may_stop(j, a))
 			continue;
 		a->stops++;
 		fewest--;
+		job_add(&left[best], &a->used, 1);
 		job_event(j, a, JOB_PREEMPT, out);
 	}
+	job_add(&left[best], &b->spec.size, -1);
+	return 1;
+}
+
+/* Jobs of a worker that must stop to make room for a size; -1: not enough. */
+static int job_stops(const struct jobs *j, const struct job_worker *w,
+		     const struct job_size *size, struct job_size left)
+{
+	int stops = 0;
+	GList *l;
+
+	if (!w->up || w->drained || w->suspect)
+		return -1;
+	for (l = w->jobs.head; l && !job_fits(size, &left); l = l->next) {
+		if (!job_may_stop(j, l->data))
+			continue;
+		job_add(&left, &((struct job *)l->data)->used, 1);
+		stops++;
+	}
+	return job_fits(size, &left) ? stops : -1;
 }
 
 static void job_place(struct jobs *j, struct job *b, int worker,
--- a/src/pln.c
+++ b/src/pln.c
@@ -230,7 +230,9 @@
 		pool = flt_pool(f, (int)i);
 		margin = flt_margin(pool);
 		out->wanted += pool->budget.wanted;
-		out->embedded += MAX(0, pool->size - pool->budget.wanted);
+		/* What is above the slack is surplus, and serves any pool. */
+		out->embedded += MAX(0, pool->serving - pool->budget.wanted -
+						MAX(0, margin - config->slack));
 		out->broken += pool->serving < flt_floor(pool);
 		out->at_stake += margin < 0;
 		if (pool->size)
--- a/src/pln.h
+++ b/src/pln.h
@@ -56,7 +56,7 @@
 /* The users' three measures of a fleet as it stands, and what is short. */
 struct pln_measures {
 	int wanted;
-	int embedded; /* VMs in pools beyond what they want */
+	int embedded; /* VMs beyond wanted that declared failures call for */
 	int reserve; /* further VMs that the worst single failure calls for */
 	int rounds; /* of maintenance, for the pool that takes longest */
 	int broken; /* pools below their floor */
--- a/tests/unit/job_test.c
+++ b/tests/unit/job_test.c
@@ -186,6 +186,34 @@
 	rig_free(r);
 }
 
+/*
+ * A burst of eight urgent jobs meets workers full of archive work. All stops
+ * go out in one step; one after the other, the last would wait for eight
+ * rounds of stop and reply.
+ */
+static void burst_of_urgent_work_is_made_room_for_in_one_step(void **state)
+{
+	struct rig *r = rig_new();
+	uint64_t id;
+
+	for (id = 1; id <= 40; id++)
+		rig_submit(r, id, JOB_ARCHIVE, &quarter);
+	rig_step(r);
+	for (id = 100; id < 108; id++)
+		rig_submit(r, id, JOB_URGENT, &quarter);
+	rig_step(r);
+	assert_int_equal(job_count(r->j, JOB_STOPPING), 8);
+	rig_step(r);
+	assert_int_equal(job_count(r->j, JOB_STOPPING), 8);
+	for (id = 1; id <= 16; id++)
+		if (rig_status(r, id).state == JOB_STOPPING)
+			rig_report(r, id, JOB_STOPPED);
+	rig_step(r);
+	for (id = 100; id < 108; id++)
+		assert_int_equal(rig_status(r, id).state, JOB_RUNNING);
+	rig_free(r);
+}
+
 /*
  * Urgent work comes in without end. Archive work must still finish: it is
  * spared after two stops, and has its turn after every eight placements.
@@ -566,6 +594,8 @@
 		cmocka_unit_test(can_never_run_is_refused_at_once),
 		cmocka_unit_test(refused_when_its_last_worker_leaves),
 		cmocka_unit_test(urgent_work_stops_archive_work),
+		cmocka_unit_test(
+			burst_of_urgent_work_is_made_room_for_in_one_step),
 		cmocka_unit_test(archive_work_finishes_beside_urgent_work),
 		cmocka_unit_test(large_job_is_not_starved_by_small_ones),
 		cmocka_unit_test(priorities_hold_at_once),
