--- a/tests/unit/job_test.c
+++ b/tests/unit/job_test.c
@@ -402,6 +402,68 @@
 	rig_free(r);
 }
 
+/* Only one worker gets work. */
+static void only_worker(struct rig *r, int worker)
+{
+	int w;
+
+	for (w = 0; w < WORKERS; w++)
+		job_drain(r->j, w, w != worker);
+}
+
+/*
+ * Three black holes, one after the other, fail the same two jobs: job 1 before
+ * each is found out, job 2 after. Neither is at fault; counting failures of
+ * workers known to fail everything would refuse both.
+ */
+static void black_holes_spoil_no_job(void **state)
+{
+	struct rig *r = rig_new();
+	uint64_t filler = 10;
+	int w;
+
+	rig_submit(r, 1, JOB_URGENT, &quarter);
+	rig_submit(r, 2, JOB_URGENT, &quarter);
+	for (w = 0; w < 3; w++) {
+		only_worker(r, w);
+		rig_submit(r, filler, JOB_NORMAL, &quarter);
+		rig_submit(r, filler + 1, JOB_NORMAL, &quarter);
+		rig_step(r);
+		rig_report(r, 1, JOB_FAIL);
+		rig_report(r, filler, JOB_FAIL);
+		rig_report(r, filler + 1, JOB_FAIL);
+		assert_true(job_is_suspect(r->j, w));
+		rig_report(r, 2, JOB_FAIL);
+		job_cancel(r->j, filler++, &r->out);
+		job_cancel(r->j, filler++, &r->out);
+	}
+	only_worker(r, 3);
+	rig_step(r);
+	assert_int_equal(rig_status(r, 1).state, JOB_RUNNING);
+	assert_int_equal(rig_status(r, 2).state, JOB_RUNNING);
+	rig_free(r);
+}
+
+/*
+ * A worker on which now and then a job fails, with successes between, is no
+ * black hole; over weeks it would come to three failures all the same.
+ */
+static void successes_clear_a_worker(void **state)
+{
+	struct rig *r = rig_new();
+	uint64_t id;
+
+	only_worker(r, 0);
+	for (id = 1; id <= 12; id++) {
+		rig_submit(r, id, JOB_NORMAL, &whole);
+		rig_step(r);
+		rig_report(r, id, id % 2 ? JOB_FAIL : JOB_COMPLETE);
+		job_cancel(r->j, id, &r->out);
+	}
+	assert_false(job_is_suspect(r->j, 0));
+	rig_free(r);
+}
+
 /*
  * A non-idempotent job begins and fails. Running it again might do its work
  * twice, so it is refused with just that reason; if it had not begun, it runs
@@ -603,6 +665,8 @@
 		cmocka_unit_test(black_hole_worker_is_found),
 		cmocka_unit_test(bad_job_is_refused_with_the_evidence),
 		cmocka_unit_test(several_bad_jobs_blame_no_worker),
+		cmocka_unit_test(black_holes_spoil_no_job),
+		cmocka_unit_test(successes_clear_a_worker),
 		cmocka_unit_test(begun_and_not_idempotent_runs_no_second_time),
 		cmocka_unit_test(lost_lease_waits_for_the_margin),
 		cmocka_unit_test(cancel_races_completion),
