--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # endiveslip: make demo, make check, make bench, make soak, make capacity.
 # Every src/*.c but main_*.c goes into the library; every main_X.c is a
-# program of the product; every tools/X.c is a stand-in or measuring tool.
+# program of the product; every tools/endive-X.c is a stand-in or measuring
+# tool, and the other tools/*.c are what these share.
 
 PREFIX ?= /usr/local
 DESTDIR ?=
@@ -21,7 +22,8 @@
 B = build
 LIB_SRC := $(sort $(filter-out src/main_%.c,$(wildcard src/*.c)))
 MAINS := $(sort $(patsubst src/main_%.c,%,$(wildcard src/main_*.c)))
-TOOLS := $(sort $(patsubst tools/%.c,%,$(wildcard tools/*.c)))
+TOOLS := $(sort $(patsubst tools/%.c,%,$(wildcard tools/endive-*.c)))
+TOOL_SRC := $(sort $(filter-out tools/endive-%.c,$(wildcard tools/*.c)))
 UNITS := $(sort $(patsubst tests/unit/%.c,%,$(wildcard tests/unit/*_test.c)))
 PROPS := $(sort $(patsubst tests/prop/%.cc,%,$(wildcard tests/prop/*_prop.cc)))
 FUZZ := $(sort $(patsubst tests/fuzz/%.c,%,$(wildcard tests/fuzz/*_fuzz.c)))
@@ -59,7 +61,7 @@
 soak: build-tests
 	@sh tests/soak.sh
 
-capacity: all
+capacity: all $(B)/bench/capacity_probe $(B)/bench/capacity_feed
 	@sh bench/capacity.sh
 
 lint: fmt-check charts-check
@@ -69,6 +71,7 @@
 		--error-exitcode=1 --suppress=missingIncludeSystem \
 		--suppress=nullPointerArithmeticRedundantCheck \
 		"-DG_DEFINE_EXTENDED_ERROR(a,b)=" \
+		"-DTAILQ_FOREACH(v,h,f)=while((v=(h)->tqh_first))" \
 		-D_GNU_SOURCE -Iinclude -Isrc src tools
 	@for m in man/*.[1-8]; do [ ! -f "$$m" ] || mandoc -T lint -W warning "$$m" || exit 1; done
 	@echo lint clean
@@ -111,7 +114,8 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(TOOLS:%=$(B)/bin/%): $(B)/bin/%: $(B)/obj/tools/%.o $(LIB)
+$(TOOLS:%=$(B)/bin/%): $(B)/bin/%: $(B)/obj/tools/%.o \
+		$(TOOL_SRC:%.c=$(B)/obj/%.o) $(LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
@@ -121,7 +125,8 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS)
 
-$(TOOLS:%=$(B)/san/bin/%): $(B)/san/bin/%: $(B)/san/obj/tools/%.o $(SAN_LIB)
+$(TOOLS:%=$(B)/san/bin/%): $(B)/san/bin/%: $(B)/san/obj/tools/%.o \
+		$(TOOL_SRC:%.c=$(B)/san/obj/%.o) $(SAN_LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS)
@@ -131,7 +136,8 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(UNITS:%=$(B)/san/tests/%): $(B)/san/tests/%: $(B)/san/obj/tests/unit/%.o $(SAN_LIB)
+$(UNITS:%=$(B)/san/tests/%): $(B)/san/tests/%: $(B)/san/obj/tests/unit/%.o \
+		$(B)/san/obj/tests/unit/net.o $(SAN_LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS) -lcmocka
@@ -148,8 +154,10 @@
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
-		$(DESTDIR)$(PREFIX)/include $(DESTDIR)$(PREFIX)/share/man
-	install $(MAINS:%=$(B)/bin/%) $(DESTDIR)$(PREFIX)/bin
+		$(DESTDIR)$(PREFIX)/include $(DESTDIR)$(PREFIX)/share/man \
+		$(DESTDIR)$(PREFIX)/share/doc/endiveslip
+	install $(PROGS) $(DESTDIR)$(PREFIX)/bin
+	cp -R examples $(DESTDIR)$(PREFIX)/share/doc/endiveslip
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
 	install -m 644 include/*.h $(DESTDIR)$(PREFIX)/include
 	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' \
