Load tool: free the schedule

Cause: make check runs with G_SLICE=always-malloc, under which the leak sanitizer sees GLib's slices too; tools_test failed there and not by hand.

Change: sched_done frees what sched_init made, also on a bad schedule.

--- a/tools/endive-load.c
+++ b/tools/endive-load.c
@@ -474,8 +474,10 @@
 
 	if (rc != -1)
 		return rc;
-	if (!options_fit(&l))
+	if (!options_fit(&l)) {
+		sched_done(&l.sched);
 		return SET_EXIT_USAGE;
+	}
 	signal(SIGPIPE, SIG_IGN);
 	load_prepare(&l);
 	load_start(&l);
@@ -486,6 +488,7 @@
 		g_ptr_array_free(l.collectors, TRUE);
 	bal_free(l.bal);
 	tally_free(&l.tally);
+	sched_done(&l.sched);
 	g_free(l.body);
 	event_free(l.due_ev);
 	tmr_free(l.tmr);
--- a/tools/sched.c
+++ b/tools/sched.c
@@ -63,6 +63,14 @@
 	return s->segs->len > 0;
 }
 
+/* Frees what sched_init made, also where it gave false. */
+void sched_done(struct sched *s)
+{
+	g_array_free(s->segs, TRUE);
+	if (s->rand)
+		g_rand_free(s->rand);
+}
+
 /* The next due time since the start; false at the end of the schedule. */
 bool sched_next(struct sched *s, int64_t *due_us, guint *seg)
 {
--- a/tools/sched.h
+++ b/tools/sched.h
@@ -23,6 +23,7 @@
 };
 
 bool sched_init(struct sched *s, const char *text, bool poisson, guint32 seed);
+void sched_done(struct sched *s);
 bool sched_next(struct sched *s, int64_t *due_us, guint *seg);
 int64_t sched_len_us(const struct sched *s);
 const struct sched_seg *sched_seg(const struct sched *s, guint i);
