--- a/bench/cfg_bench.c
+++ b/bench/cfg_bench.c
@@ -25,6 +25,8 @@
 	APPLY_MS,
 	DRAIN_MS,
 	VIEW_BYTES,
+	CHANGE_BYTES,
+	CHANGE_PACK_MS,
 	VIEW_PACK_MS,
 	VIEW_UNPACK_MS,
 	SNAPSHOT_BYTES,
@@ -44,6 +46,8 @@
 	[APPLY_MS] = {"apply_again", "ms"},
 	[DRAIN_MS] = {"drain", "ms"},
 	[VIEW_BYTES] = {"view_of_a_site", "bytes"},
+	[CHANGE_BYTES] = {"view_change_by_a_drain", "bytes"},
+	[CHANGE_PACK_MS] = {"view_change_pack", "ms"},
 	[VIEW_PACK_MS] = {"view_pack", "ms"},
 	[VIEW_UNPACK_MS] = {"view_unpack", "ms"},
 	[SNAPSHOT_BYTES] = {"snapshot", "bytes"},
@@ -151,7 +155,7 @@
 	struct fcm_cmd cmd = {.kind = FCM_DRAIN,
 			      .id = LSTR("drain"),
 			      .made_ms = 900,
-			      .drain = {.name = LSTR("w00001"),
+			      .drain = {.name = LSTR("w00000"),
 					.base = FCM_ANY_BASE}};
 	double from = now_ms();
 
@@ -182,6 +186,12 @@
 	out[APPLY_MS] = apply_file(f, changed, "again");
 	out[DRAIN_MS] = drain(f);
 	pk_out_init(&view);
+	from = now_ms();
+	fst_view_since(f, LSTR("s0-a"), fst_version(f) - 1, &view);
+	out[CHANGE_PACK_MS] = now_ms() - from;
+	out[CHANGE_BYTES] = (double)pk_out_view(&view).len;
+	pk_out_done(&view);
+	pk_out_init(&view);
 	pk_out_init(&snap);
 	from = now_ms();
 	fst_view_zone(f, LSTR("s0-a"), &view);
--- a/src/ctl_node.c
+++ b/src/ctl_node.c
@@ -118,7 +118,7 @@
 	    !ctl_joined(c, n))
 		return;
 	pk_out_init(&view);
-	fst_view_zone(c->fst, lstr_from(n->zone), &view);
+	fst_view_since(c->fst, lstr_from(n->zone), n->version, &view);
 	pk_out_init(&o);
 	pk_arr(&o, 3);
 	pk_u(&o, PROTO_CONFIG);
--- a/src/ent.c
+++ b/src/ent.c
@@ -93,6 +93,8 @@
 	fvw_free(e->view);
 	if (e->view_bytes)
 		g_bytes_unref(e->view_bytes);
+	if (e->view_delta)
+		g_bytes_unref(e->view_delta);
 	tmr_free(e->tmr);
 	g_free(e);
 }
--- a/src/ent_int.h
+++ b/src/ent_int.h
@@ -60,7 +60,9 @@
 	struct adm *adm;
 	struct tgt_table *targets;
 	struct fvw *view; /* NULL until one is known */
-	GBytes *view_bytes; /* as it came, to pass on */
+	GBytes *view_bytes; /* whole, to pass on */
+	GBytes *view_delta; /* changes it came by, or NULL */
+	uint64_t view_delta_from; /* oldest version they lead on from */
 	int64_t view_since; /* when it was taken, ms */
 	int64_t voter_heard; /* when a voter was heard last, ms; 0: never */
 	GHashTable *pools; /* name -> struct ent_pool, owned */
--- a/src/ent_peer.c
+++ b/src/ent_peer.c
@@ -354,11 +354,19 @@
 	pk_out_done(&o);
 }
 
+/*
+ * Sends our view: the changes it came by where the peer is near enough, since
+ * every entry daemon of a site passes each change on to the others.
+ */
 static void ent_send_config(struct ent *e, struct wire_conn *c)
 {
+	const struct ent_peer *peer = wire_user(c);
+	bool changes =
+		peer && e->view_delta && peer->version >= e->view_delta_from;
 	struct pk_out o;
 	gsize len;
-	const void *p = g_bytes_get_data(e->view_bytes, &len);
+	const void *p =
+		g_bytes_get_data(changes ? e->view_delta : e->view_bytes, &len);
 
 	pk_out_init(&o);
 	pk_arr(&o, 3);
--- a/src/ent_view.c
+++ b/src/ent_view.c
@@ -2,6 +2,7 @@
 
 #include "msg.h"
 
+static void ent_view_keep(struct ent *e, struct lstr bytes);
 static void ent_view_pools(struct ent *e);
 static void ent_view_pool(struct ent *e, const struct fvw_pool *p);
 
@@ -13,7 +14,7 @@
 bool ent_view_take(struct ent *e, struct lstr bytes, const char *from)
 {
 	GError *err = NULL;
-	struct fvw *view = fvw_unpack(bytes, &err);
+	struct fvw *view = fvw_update(e->view, bytes, &err);
 
 	if (!view) {
 		msg(MSG_ENT_CONFIG_BAD, "from=%s why=\"%s\"", from,
@@ -26,10 +27,8 @@
 		return false;
 	}
 	fvw_free(e->view);
-	if (e->view_bytes)
-		g_bytes_unref(e->view_bytes);
 	e->view = view;
-	e->view_bytes = g_bytes_new(bytes.p, bytes.len);
+	ent_view_keep(e, bytes);
 	e->view_since = tmr_now(e->tmr);
 	ent_view_pools(e);
 	tgt_review(e->targets);
@@ -40,6 +39,30 @@
 	return true;
 }
 
+/* Keeps what a view came by, to pass it on: whole, and as changes. */
+static void ent_view_keep(struct ent *e, struct lstr bytes)
+{
+	struct pk_out whole;
+	struct lstr packed;
+
+	if (e->view_bytes)
+		g_bytes_unref(e->view_bytes);
+	if (e->view_delta)
+		g_bytes_unref(e->view_delta);
+	e->view_delta = NULL;
+	e->view_delta_from = fvw_delta_from(bytes);
+	if (e->view_delta_from == 0) {
+		e->view_bytes = g_bytes_new(bytes.p, bytes.len);
+		return;
+	}
+	e->view_delta = g_bytes_new(bytes.p, bytes.len);
+	pk_out_init(&whole);
+	fvw_pack(e->view, &whole);
+	packed = pk_out_view(&whole);
+	e->view_bytes = g_bytes_new(packed.p, packed.len);
+	pk_out_done(&whole);
+}
+
 /* The pool that serves a service, or NULL; *pool is its part of the view. */
 const struct ent_pool *ent_pool_of(struct ent *e, struct lstr service,
 				   const struct fvw_pool **pool)
--- a/src/fvw.c
+++ b/src/fvw.c
@@ -5,6 +5,7 @@
 #include "err.h"
 
 static void fvw_clear_pool(gpointer p);
+static void fvw_clear_vm(gpointer p);
 static void fvw_pack_pool(const struct fvw_pool *p, struct pk_out *o);
 static bool fvw_get(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_pools(struct pk_in *in, struct fvw *v, GError **err);
@@ -50,8 +51,7 @@
 	g_free(pool->service);
 }
 
-/* Frees what a VM of a view holds. */
-void fvw_clear_vm(gpointer p)
+static void fvw_clear_vm(gpointer p)
 {
 	g_free(((struct fvw_vm *)p)->name);
 }
--- a/src/fvw_delta.c
+++ b/src/fvw_delta.c
@@ -18,6 +18,7 @@
 static void fvw_copy_pools(const struct fvw *from, struct fvw *to);
 static bool fvw_lay_over(const struct fvw *old, const GPtrArray *gone,
 			 struct fvw *v, GError **err);
+static int fvw_vm_order(gconstpointer a, gconstpointer b);
 static bool fvw_keep_vm(const struct fvw *old, const struct fvw_vm *vm,
 			const struct fvw *v, GArray *out);
 static bool fvw_is_named(const GPtrArray *names, const char *name);
@@ -139,44 +140,37 @@
 	}
 }
 
-/* Merges old's VMs that are neither changed nor gone into v's; in order. */
+/* Adds old's VMs that are neither changed nor gone to v's, in order. */
 static bool fvw_lay_over(const struct fvw *old, const GPtrArray *gone,
 			 struct fvw *v, GError **err)
 {
-	GArray *all = g_array_new(FALSE, TRUE, sizeof(struct fvw_vm));
-	GArray *changed = v->vms;
-	guint i = 0;
-	guint j = 0;
+	GArray *kept = g_array_new(FALSE, TRUE, sizeof(struct fvw_vm));
 	bool ok = true;
+	guint i;
+
+	for (i = 0; ok && i < old->vms->len; i++) {
+		const struct fvw_vm *vm =
+			&g_array_index(old->vms, struct fvw_vm, i);
 
-	while (ok && (i < old->vms->len || j < changed->len)) {
-		const struct fvw_vm *a =
-			i < old->vms->len
-				? &g_array_index(old->vms, struct fvw_vm, i)
-				: NULL;
-		struct fvw_vm *b =
-			j < changed->len
-				? &g_array_index(changed, struct fvw_vm, j)
-				: NULL;
-		int order = !a ? 1 : !b ? -1 : strcmp(a->name, b->name);
-
-		if (order < 0 && !fvw_is_named(gone, a->name))
-			ok = fvw_keep_vm(old, a, v, all);
-		if (order >= 0) {
-			g_array_append_val(all, *b);
-			b->name = NULL;
-			j++;
-		}
-		i += order <= 0;
+		if (!fvw_vm(v, lstr_from(vm->name)) &&
+		    !fvw_is_named(gone, vm->name))
+			ok = fvw_keep_vm(old, vm, v, kept);
 	}
-	g_array_free(changed, TRUE);
-	g_array_set_clear_func(all, fvw_clear_vm);
-	v->vms = all;
-	if (!ok || all->len > FVW_VMS_MAX)
+	if (kept->len)
+		g_array_append_vals(v->vms, kept->data, kept->len);
+	g_array_free(kept, TRUE);
+	g_array_sort(v->vms, fvw_vm_order);
+	if (!ok || v->vms->len > FVW_VMS_MAX)
 		return fvw_bad(err, "VMs", 0);
 	return true;
 }
 
+static int fvw_vm_order(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct fvw_vm *)a)->name,
+		      ((const struct fvw_vm *)b)->name);
+}
+
 static bool fvw_keep_vm(const struct fvw *old, const struct fvw_vm *vm,
 			const struct fvw *v, GArray *out)
 {
--- a/src/fvw_in.h
+++ b/src/fvw_in.h
@@ -14,7 +14,6 @@
 	FVW_DELTA = 2,
 };
 
-void fvw_clear_vm(gpointer p);
 void fvw_pack_parts(const struct fvw *v, struct pk_out *o);
 bool fvw_get_parts(struct pk_in *in, struct fvw *v, GError **err);
 bool fvw_get_names(struct pk_in *in, GPtrArray *names, guint max,
--- a/tests/fuzz/cfg_fuzz.c
+++ b/tests/fuzz/cfg_fuzz.c
@@ -115,6 +115,26 @@
 	g_clear_error(&err);
 }
 
+static void one_delta(struct lstr input)
+{
+	struct pk_out whole;
+	struct fvw *old;
+	struct fvw *v;
+	GError *err = NULL;
+
+	pk_out_init(&whole);
+	fst_view(state, &whole);
+	old = fvw_unpack(pk_out_view(&whole), NULL);
+	v = fvw_update(old, input, &err);
+	g_assert_cmpint(v == NULL, ==, err != NULL);
+	if (v)
+		fvw_service(v, LSTR("c"));
+	fvw_free(v);
+	fvw_free(old);
+	pk_out_done(&whole);
+	g_clear_error(&err);
+}
+
 static void one_snapshot(struct lstr input)
 {
 	static const char *const names[] = {"config", "history", "show",
@@ -207,6 +227,24 @@
 	return keep(&o);
 }
 
+static void pack_delta(const struct fst *f, struct pk_out *o)
+{
+	const char *name = "w3";
+	GPtrArray *gone = g_ptr_array_new();
+	struct fvw *v;
+	struct pk_out whole;
+
+	pk_out_init(&whole);
+	fst_view(f, &whole);
+	v = fvw_unpack(pk_out_view(&whole), NULL);
+	pk_out_done(&whole);
+	g_array_set_size(v->vms, 2);
+	g_ptr_array_add(gone, (gpointer)name);
+	fvw_delta_pack(v, 1, true, gone, o);
+	g_ptr_array_free(gone, TRUE);
+	fvw_free(v);
+}
+
 static void pack_vms(const struct fst *f, struct pk_out *o)
 {
 	fst_query(f, LSTR("vms"), LSTR(""), o);
@@ -276,6 +314,7 @@
 		  command(FCM_JOIN, "c"), command(FCM_PRIORITY, "d")}},
 		{"fst-entry", one_entry, 1, {entry(command(FCM_MOVE, "e"))}},
 		{"fvw", one_view, 1, {made(fst_view)}},
+		{"fvw-delta", one_delta, 1, {made(pack_delta)}},
 		{"fst-snapshot", one_snapshot, 1, {made(fst_snapshot)}},
 		{"qtb", one_answer, 1, {made(pack_vms)}},
 	};
--- a/tests/prop/fst_prop.cc
+++ b/tests/prop/fst_prop.cc
@@ -67,6 +67,7 @@
 	std::string zone;
 	struct fvw *view;
 	bool cut;
+	uint64_t told = 0; /* version before the one worked by */
 };
 
 /* A command as it was sent, to be sent again. */
@@ -145,7 +146,7 @@
 			now += op.a % 4 ? 40000 : 2400000;
 			break;
 		case HEAR:
-			hear(entries[(size_t)op.a % 3]);
+			hear(entries[(size_t)op.a % 3], op.c % 2);
 			break;
 		case CUT:
 			entries[(size_t)op.a % 3].cut = op.b % 2;
@@ -370,7 +371,7 @@
 		send(operators[op.c % 3], cmd);
 	}
 
-	void hear(Entry &e)
+	void hear(Entry &e, bool late)
 	{
 		struct pk_out o;
 		struct fvw *v;
@@ -378,12 +379,15 @@
 		if (e.cut)
 			return;
 		pk_out_init(&o);
-		fst_view_since(f, view_of(e.zone), e.view->version, &o);
+		/* The voter may have heard of an older version only. */
+		fst_view_since(f, view_of(e.zone),
+			       late ? e.told : e.view->version, &o);
 		v = fvw_update(e.view, pk_out_view(&o), nullptr);
 		pk_out_done(&o);
 		RC_ASSERT(v != nullptr);
 		RC_ASSERT(same_as_whole(v, e));
 		RC_ASSERT(v->version >= e.view->version);
+		e.told = e.view->version;
 		fvw_free(e.view);
 		e.view = v;
 	}
--- a/tests/unit/fvw_test.c
+++ b/tests/unit/fvw_test.c
@@ -88,11 +88,55 @@
 	fvw_free(v);
 }
 
+/*
+ * A voter sends changes from version 7 on; the entry daemon still works by 6,
+ * since what led from 6 to 7 was lost. Laid over 6 they would leave a VM in
+ * the pool it left; they are refused, and the entry daemon's next report
+ * brings it all that it lacks.
+ */
+static void changes_are_laid_over_what_they_were_made_for(void **state)
+{
+	struct fvw *old = sample();
+	struct fvw *changed = fvw_new(9);
+	struct fvw_vm w1 = {
+		.name = g_strdup("w1"), .pool = 0, .epoch = 4, .drained = true};
+	struct fvw_vm w2 = {.name = g_strdup("w2"), .pool = 1, .epoch = 1};
+	GPtrArray *gone = g_ptr_array_new();
+	struct fvw *got;
+	struct pk_out o;
+	GError *err = NULL;
+
+	g_array_append_val(changed->vms, w1);
+	g_array_append_val(changed->vms, w2);
+	g_ptr_array_add(gone, "w0");
+	pk_out_init(&o);
+	fvw_delta_pack(changed, 7, false, gone, &o);
+	assert_int_equal(fvw_delta_from(pk_out_view(&o)), 7);
+	got = fvw_update(old, pk_out_view(&o), &err);
+	assert_non_null(got);
+	assert_int_equal(got->version, 9);
+	assert_int_equal(got->vms->len, 2);
+	assert_int_equal(fvw_vm(got, LSTR("w1"))->epoch, 4);
+	assert_int_equal(got->drained->len, 0);
+	assert_string_equal(fvw_service(got, LSTR("c"))->name, "b-check");
+	fvw_free(got);
+	old->version = 6;
+	assert_null(fvw_update(old, pk_out_view(&o), &err));
+	g_clear_error(&err);
+	assert_null(fvw_update(NULL, pk_out_view(&o), &err));
+	g_clear_error(&err);
+	pk_out_done(&o);
+	g_ptr_array_free(gone, TRUE);
+	fvw_free(changed);
+	fvw_free(old);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(what_is_packed_is_found_again),
 		cmocka_unit_test(views_that_contradict_themselves_are_refused),
+		cmocka_unit_test(changes_are_laid_over_what_they_were_made_for),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
