A lost keeper costs callers a wait, not a refusal

Cause: claims were given up after 1 s, a dead keeper was asked out after 1.5 s; what came in between was refused.

--- a/src/idm_int.h
+++ b/src/idm_int.h
@@ -6,11 +6,11 @@
 /* What the parts of the key memory share; private to idm_*.c. */
 
 /*
- * A keeper not heard for so long is asked out of the view, ms. Until then
- * keyed requests are refused as not run; longer than a short pause of a VM,
- * as a keeper that was out must take over all records to come back.
+ * A keeper not heard for so long is asked out of the view, ms. A broken
+ * connection is back within a tenth of it; a keeper that was started anew is
+ * another one anyway. Until then claims wait.
  */
-#define IDM_OUT_MS 1500
+#define IDM_OUT_MS 700
 
 /* No keeper heard for so long: the memory is lost, a new one is begun, ms. */
 #define IDM_RESET_MS 5000
@@ -24,8 +24,12 @@
 /* An owner not heard for so long won't tell how its request ended, ms. */
 #define IDM_OWNER_MS 4000
 
-/* A claim that not all keepers hold after so long is given up, ms. */
-#define IDM_ASK_MS 1000
+/*
+ * A claim that not all keepers hold after so long is given up, ms: longer than
+ * a dead keeper takes to be found (1 s), asked out and replaced, so that one
+ * lost entry VM costs callers a wait and not a refusal.
+ */
+#define IDM_ASK_MS 2500
 
 /*
  * Records changed within this time may have been on their way when a first
