--- a/src/cns_election.c
+++ b/src/cns_election.c
@@ -176,10 +176,15 @@
 
 static void cns_ask(struct cns *c, bool pre, bool now)
 {
+	int64_t e = c->config.election_ms;
 	struct cns_msg *m;
 	int i;
 
-	cns_rearm(c);
+	/*
+	 * Two that ask at once split the votes. No leader is being waited for
+	 * now, so the next try comes sooner than the first did.
+	 */
+	c->deadline = c->now + e / 4 + g_rand_int_range(c->rand, 0, (gint32)e);
 	for (i = 0; i < c->n_peers; i++) {
 		c->peers[i].granted = false;
 		if (!cns_is_voter(c, c->peers[i].id))
--- a/src/ctl_voter.c
+++ b/src/ctl_voter.c
@@ -10,7 +10,7 @@
 /* Between heartbeats; five a second keep a node far below 3 KB a second. */
 #define CTL_BEAT_MS 200
 /* Shortest patience with a silent leader; a killed one is replaced in 2 s. */
-#define CTL_ELECTION_MS 600
+#define CTL_ELECTION_MS 500
 /*
  * Applied entries, or bytes of them, between snapshots: a restart reads at
  * most so much, and at 34,000 changes a day there are a few snapshots.
--- a/tools/endive-submit.c
+++ b/tools/endive-submit.c
@@ -17,6 +17,8 @@
 
 /* A voter that doesn't answer for so long is left for the next one, ms. */
 #define SUBMIT_TRY_MS 1000
+/* One that doesn't take the connection, sooner, ms. */
+#define SUBMIT_DIAL_MS 100
 #define SUBMIT_TICK_MS 20
 
 struct submit {
@@ -202,9 +204,9 @@
 static void submit_tick(void *arg, int64_t now)
 {
 	struct submit *s = arg;
+	int64_t patience = wire_is_up(s->conn) ? SUBMIT_TRY_MS : SUBMIT_DIAL_MS;
 
-	if ((s->retry_ms && now >= s->retry_ms) ||
-	    now - s->heard_ms > SUBMIT_TRY_MS)
+	if ((s->retry_ms && now >= s->retry_ms) || now - s->heard_ms > patience)
 		submit_dial(s);
 }
 
