--- a/src/ctl_node.c
+++ b/src/ctl_node.c
@@ -33,6 +33,9 @@
 		n->conn = conn->conn;
 		n->sent = 0;
 	}
+	/* What was sent did not fit what it has: it wants all of it. */
+	if (version == 0)
+		n->sent = 0;
 	conn->node = n;
 	g_free(n->zone);
 	n->zone = lstr_dup(zone);
@@ -114,10 +117,11 @@
 	struct pk_out view;
 	struct pk_out o;
 
-	if (!n->conn || version <= n->version || version <= n->sent)
+	if (!n->conn || version <= n->version || version <= n->sent ||
+	    !ctl_joined(c, n))
 		return;
 	pk_out_init(&view);
-	fst_view_zone(c->fst, lstr_from(n->zone), &view);
+	fst_view_since(c->fst, lstr_from(n->zone), n->version, &view);
 	pk_out_init(&o);
 	pk_arr(&o, 3);
 	pk_u(&o, PROTO_CONFIG);
--- a/src/ent_peer.c
+++ b/src/ent_peer.c
@@ -19,7 +19,9 @@
 static void ent_recv_targets(struct ent *e, struct wire_conn *c,
 			     struct pk_in *in);
 static void ent_recv_room(struct ent *e, struct wire_conn *c, struct pk_in *in);
-static void ent_send_follow(struct ent *e, struct wire_conn *c);
+static void ent_send_follow(struct ent *e, struct wire_conn *c,
+			    uint64_t version);
+static uint64_t ent_version(const struct ent *e);
 static void ent_send_config(struct ent *e, struct wire_conn *c);
 static void ent_send_all_targets(struct ent *e, struct wire_conn *c);
 static void ent_send_room(struct ent *e, struct wire_conn *c);
@@ -42,10 +44,9 @@
 	enum proto_kind kind;
 	void (*fn)(struct ent *e, struct wire_conn *c, struct pk_in *in);
 } ent_kinds[] = {
-	{PROTO_FOLLOW, ent_recv_follow},
-	{PROTO_CONFIG, ent_recv_config},
-	{PROTO_TARGETS, ent_recv_targets},
-	{PROTO_ROOM, ent_recv_room},
+	{PROTO_FOLLOW, ent_recv_follow},   {PROTO_CONFIG, ent_recv_config},
+	{PROTO_TARGETS, ent_recv_targets}, {PROTO_ROOM, ent_recv_room},
+	{PROTO_KEY, ent_key_recv},
 };
 
 /*
@@ -79,18 +80,26 @@
 	g_free(peer);
 }
 
-/* The index of a zone as the admission knows it; -1: too many zones. */
-int ent_zone_index(struct ent *e, const char *zone)
+/* The index of a zone some entry daemon of which was heard; -1: none was. */
+int ent_zone_known(struct ent *e, const char *zone)
 {
 	guint i;
 
 	for (i = 0; i < e->zones->len; i++)
 		if (strcmp(g_ptr_array_index(e->zones, i), zone) == 0)
 			return (int)i;
-	if (e->zones->len >= ADM_ZONES_MAX)
-		return -1;
+	return -1;
+}
+
+/* The index of a zone as the admission knows it; -1: too many zones. */
+int ent_zone_index(struct ent *e, const char *zone)
+{
+	int at = ent_zone_known(e, zone);
+
+	if (at >= 0 || e->zones->len >= ADM_ZONES_MAX)
+		return at;
 	g_ptr_array_add(e->zones, g_strdup(zone));
-	return (int)i;
+	return (int)e->zones->len - 1;
 }
 
 /* Where an entry daemon of a zone takes requests, by turns; NULL: none. */
@@ -143,7 +152,7 @@
 
 		if (!wire_is_up(p->conn))
 			continue;
-		ent_send_follow(e, p->conn);
+		ent_send_follow(e, p->conn, ent_version(e));
 		if (p->http && p->version < e->view->version)
 			ent_send_config(e, p->conn);
 	}
@@ -184,10 +193,12 @@
 	p = ent_peer_add(e, c);
 	p->node = g_strdup(wire_node(c));
 	p->zone = g_strdup(wire_zone(c));
-	ent_send_follow(e, c);
+	ent_send_follow(e, c, ent_version(e));
 	ent_send_room(e, c);
-	if (strcmp(p->zone, e->config.zone) == 0)
+	if (strcmp(p->zone, e->config.zone) == 0) {
 		ent_send_all_targets(e, c);
+		ent_key_peer_up(e, c);
+	}
 }
 
 static void ent_peer_down(void *arg, struct wire_conn *c, const GError *why)
@@ -198,6 +209,8 @@
 	if (!p)
 		return;
 	tgt_home_down(e->targets, tmr_now(e->tmr), p->node);
+	if (strcmp(p->zone, e->config.zone) == 0)
+		idm_peer_down(e->keys, tmr_now(e->tmr), p->node);
 	wire_set_user(c, NULL);
 	g_ptr_array_remove(e->peers, p);
 	ent_entries_changed(e);
@@ -227,7 +240,7 @@
 
 	ent_peer_add(e, c);
 	e->voter_heard = tmr_now(e->tmr);
-	ent_send_follow(e, c);
+	ent_send_follow(e, c, ent_version(e));
 }
 
 static void ent_voter_down(void *arg, struct wire_conn *c, const GError *why)
@@ -265,8 +278,10 @@
 		return;
 	if (p && p->version < version)
 		p->version = version;
-	if (!e->view || version > e->view->version)
-		ent_view_take(e, view, wire_node(c));
+	if ((!e->view || version > e->view->version) &&
+	    !ent_view_take(e, view, wire_node(c)))
+		/* Changes that don't fit what we have: ask for all of it. */
+		ent_send_follow(e, c, 0);
 }
 
 /* A neighbour says what it works by; it gets ours if that is newer. */
@@ -340,7 +355,8 @@
 	}
 }
 
-static void ent_send_follow(struct ent *e, struct wire_conn *c)
+static void ent_send_follow(struct ent *e, struct wire_conn *c,
+			    uint64_t version)
 {
 	struct pk_out o;
 
@@ -349,11 +365,16 @@
 	pk_u(&o, PROTO_FOLLOW);
 	pk_cstr(&o, e->config.node);
 	pk_cstr(&o, e->config.zone);
-	pk_u(&o, e->view ? e->view->version : 0);
+	pk_u(&o, version);
 	wire_send(c, pk_out_view(&o));
 	pk_out_done(&o);
 }
 
+static uint64_t ent_version(const struct ent *e)
+{
+	return e->view ? e->view->version : 0;
+}
+
 static void ent_send_config(struct ent *e, struct wire_conn *c)
 {
 	struct pk_out o;
--- a/src/ent_view.c
+++ b/src/ent_view.c
@@ -2,6 +2,7 @@
 
 #include "msg.h"
 
+static GBytes *ent_view_pack(const struct fvw *view);
 static void ent_view_pools(struct ent *e);
 static void ent_view_pool(struct ent *e, const struct fvw_pool *p);
 
@@ -13,7 +14,7 @@
 bool ent_view_take(struct ent *e, struct lstr bytes, const char *from)
 {
 	GError *err = NULL;
-	struct fvw *view = fvw_unpack(bytes, &err);
+	struct fvw *view = fvw_update(e->view, bytes, &err);
 
 	if (!view) {
 		msg(MSG_ENT_CONFIG_BAD, "from=%s why=\"%s\"", from,
@@ -29,10 +30,11 @@
 	if (e->view_bytes)
 		g_bytes_unref(e->view_bytes);
 	e->view = view;
-	e->view_bytes = g_bytes_new(bytes.p, bytes.len);
+	e->view_bytes = ent_view_pack(view);
 	e->view_since = tmr_now(e->tmr);
 	ent_view_pools(e);
 	tgt_review(e->targets);
+	ent_key_view(e);
 	msg(MSG_ENT_CONFIG, "version=%" G_GUINT64_FORMAT " from=%s",
 	    view->version, from);
 	ent_peer_tell_view(e);
@@ -70,6 +72,21 @@
 	adm_set_entries(e->adm, ours, away);
 }
 
+/* The whole view as neighbours get it, also where a change of it came. */
+static GBytes *ent_view_pack(const struct fvw *view)
+{
+	struct pk_out o;
+	struct lstr v;
+	GBytes *bytes;
+
+	pk_out_init(&o);
+	fvw_pack(view, &o);
+	v = pk_out_view(&o);
+	bytes = g_bytes_new(v.p, v.len);
+	pk_out_done(&o);
+	return bytes;
+}
+
 static void ent_view_pools(struct ent *e)
 {
 	guint i;
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "cfg.h"
+#include "fvw.h"
 #include "key.h"
 #include "lstr.h"
 #include "pk.h"
@@ -23,7 +24,10 @@
 	FCM_RELEASED, /* every entry daemon has let go of a VM */
 	FCM_MOVED, /* a released VM joins its new pool */
 	FCM_PRIORITY, /* of a pool, set or cleared by the duty officer */
+	FCM_JOIN, /* an entry daemon that is about to get views */
+	FCM_FORGET, /* an entry daemon that never places again */
 	FCM_NOTE, /* an automatic act, into the audit trail */
+	FCM_KEEPERS, /* of a zone's memory of idempotency keys */
 	FCM_KINDS
 };
 
@@ -47,6 +51,7 @@
  * the log index of its last change, 0 where there was none.
  */
 struct fcm_drain {
+	bool target; /* the name is a target's, not a VM's */
 	struct lstr name;
 	uint64_t base;
 	struct lstr reason;
@@ -72,6 +77,21 @@
 	struct lstr reason;
 };
 
+struct fcm_node {
+	struct lstr node;
+	struct lstr zone; /* empty in FCM_FORGET */
+	struct lstr reason;
+};
+
+/* The number must be one above that of the zone's view; see idm. */
+struct fcm_keepers {
+	struct lstr zone;
+	uint64_t epoch;
+	uint64_t number;
+	guint n;
+	struct lstr names[FVW_KEEPERS_MAX];
+};
+
 struct fcm_note {
 	struct lstr text;
 };
@@ -86,7 +106,9 @@
 		struct fcm_move move;
 		struct fcm_step step; /* released, moved */
 		struct fcm_priority priority;
+		struct fcm_node node; /* join, forget */
 		struct fcm_note note;
+		struct fcm_keepers keepers;
 	};
 };
 
@@ -96,11 +118,13 @@
 	enum key_role role; /* least that its sender must have */
 	void (*encode)(const struct fcm_cmd *c, struct pk_out *o);
 	void (*decode)(struct fcm_cmd *c, struct pk_in *in);
+	void (*describe)(const struct fcm_cmd *c, GString *s);
 };
 
 extern const struct fcm_def fcm_defs[FCM_KINDS];
 
 void fcm_encode(const struct fcm_cmd *c, struct pk_out *o);
+void fcm_describe(const struct fcm_cmd *c, GString *s);
 bool fcm_decode(struct fcm_cmd *c, struct pk_in *in, struct lstr bytes);
 
 /* How a command ended; version is the view's, number the configuration's. */
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -5,6 +5,8 @@
 static void fcm_put_move(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_put_step(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_put_priority(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_put_node(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_get_node(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_get_apply(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in);
@@ -12,19 +14,43 @@
 static void fcm_get_step(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_priority(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_get_note(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_put_keepers(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_get_keepers(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_say_apply(const struct fcm_cmd *c, GString *s);
+static void fcm_say_drain(const struct fcm_cmd *c, GString *s);
+static void fcm_say_move(const struct fcm_cmd *c, GString *s);
+static void fcm_say_step(const struct fcm_cmd *c, GString *s);
+static void fcm_say_priority(const struct fcm_cmd *c, GString *s);
+static void fcm_say_node(const struct fcm_cmd *c, GString *s);
+static void fcm_say_note(const struct fcm_cmd *c, GString *s);
+static void fcm_say_keepers(const struct fcm_cmd *c, GString *s);
 static struct lstr fcm_get_text(struct pk_in *in, size_t max);
 static struct lstr fcm_get_name(struct pk_in *in);
 
 const struct fcm_def fcm_defs[FCM_KINDS] = {
-	[FCM_APPLY] = {"apply", KEY_OPERATE, fcm_put_apply, fcm_get_apply},
-	[FCM_DRAIN] = {"drain", KEY_OPERATE, fcm_put_drain, fcm_get_drain},
-	[FCM_UNDRAIN] = {"undrain", KEY_OPERATE, fcm_put_drain, fcm_get_drain},
-	[FCM_MOVE] = {"move", KEY_OPERATE, fcm_put_move, fcm_get_move},
-	[FCM_RELEASED] = {"released", KEY_PEER, fcm_put_step, fcm_get_step},
-	[FCM_MOVED] = {"moved", KEY_PEER, fcm_put_step, fcm_get_step},
+	[FCM_APPLY] = {"apply", KEY_OPERATE, fcm_put_apply, fcm_get_apply,
+		       fcm_say_apply},
+	[FCM_DRAIN] = {"drain", KEY_OPERATE, fcm_put_drain, fcm_get_drain,
+		       fcm_say_drain},
+	[FCM_UNDRAIN] = {"undrain", KEY_OPERATE, fcm_put_drain, fcm_get_drain,
+			 fcm_say_drain},
+	[FCM_MOVE] = {"move", KEY_OPERATE, fcm_put_move, fcm_get_move,
+		      fcm_say_move},
+	[FCM_RELEASED] = {"released", KEY_PEER, fcm_put_step, fcm_get_step,
+			  fcm_say_step},
+	[FCM_MOVED] = {"moved", KEY_PEER, fcm_put_step, fcm_get_step,
+		       fcm_say_step},
 	[FCM_PRIORITY] = {"priority", KEY_DUTY, fcm_put_priority,
-			  fcm_get_priority},
-	[FCM_NOTE] = {"note", KEY_PEER, fcm_put_note, fcm_get_note},
+			  fcm_get_priority, fcm_say_priority},
+	[FCM_JOIN] = {"join", KEY_PEER, fcm_put_node, fcm_get_node,
+		      fcm_say_node},
+	[FCM_FORGET] = {"forget", KEY_DUTY, fcm_put_node, fcm_get_node,
+			fcm_say_node},
+	/* Recovery of a lost majority, by the duty officer, is noted too. */
+	[FCM_NOTE] = {"note", KEY_DUTY, fcm_put_note, fcm_get_note,
+		      fcm_say_note},
+	[FCM_KEEPERS] = {"keepers", KEY_PEER, fcm_put_keepers, fcm_get_keepers,
+			 fcm_say_keepers},
 };
 
 static const char *const fcm_outcomes[] = {
@@ -112,7 +138,8 @@
 
 static void fcm_put_drain(const struct fcm_cmd *c, struct pk_out *o)
 {
-	pk_arr(o, 3);
+	pk_arr(o, 4);
+	pk_bool(o, c->drain.target);
 	pk_str(o, c->drain.name);
 	pk_u(o, c->drain.base);
 	pk_str(o, c->drain.reason);
@@ -120,6 +147,7 @@
 
 static void fcm_get_drain(struct fcm_cmd *c, struct pk_in *in)
 {
+	c->drain.target = pk_get_bool(in);
 	c->drain.name = fcm_get_name(in);
 	c->drain.base = pk_get_u(in);
 	c->drain.reason = fcm_get_text(in, FCM_REASON_MAX);
@@ -174,6 +202,22 @@
 	c->priority.reason = fcm_get_text(in, FCM_REASON_MAX);
 }
 
+static void fcm_put_node(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 3);
+	pk_str(o, c->node.node);
+	pk_str(o, c->node.zone);
+	pk_str(o, c->node.reason);
+}
+
+static void fcm_get_node(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->node.node = fcm_get_name(in);
+	c->node.zone =
+		c->kind == FCM_JOIN ? fcm_get_name(in) : fcm_get_text(in, 0);
+	c->node.reason = fcm_get_text(in, FCM_REASON_MAX);
+}
+
 static void fcm_put_note(const struct fcm_cmd *c, struct pk_out *o)
 {
 	pk_arr(o, 1);
@@ -185,6 +229,128 @@
 	c->note.text = fcm_get_text(in, FCM_REASON_MAX);
 }
 
+static void fcm_put_keepers(const struct fcm_cmd *c, struct pk_out *o)
+{
+	guint i;
+
+	pk_arr(o, 4);
+	pk_str(o, c->keepers.zone);
+	pk_u(o, c->keepers.epoch);
+	pk_u(o, c->keepers.number);
+	pk_arr(o, c->keepers.n);
+	for (i = 0; i < c->keepers.n; i++)
+		pk_str(o, c->keepers.names[i]);
+}
+
+static void fcm_get_keepers(struct fcm_cmd *c, struct pk_in *in)
+{
+	struct pk_in list;
+
+	c->keepers.zone = fcm_get_name(in);
+	c->keepers.epoch = pk_get_u(in);
+	c->keepers.number = pk_get_u(in);
+	list = pk_get_arr(in);
+	if (!pk_in_ok(in) || pk_in_left(&list) == 0 ||
+	    pk_in_left(&list) > FVW_KEEPERS_MAX) {
+		in->bad = true;
+		return;
+	}
+	for (c->keepers.n = 0; pk_in_left(&list); c->keepers.n++)
+		c->keepers.names[c->keepers.n] =
+			fcm_get_text(&list, FVW_NAME_MAX);
+	if (!pk_in_ok(&list))
+		in->bad = true;
+}
+
+/*
+ * Says what a command wants to do, for stamps and the audit trail, also of
+ * one that is refused.
+ */
+void fcm_describe(const struct fcm_cmd *c, GString *s)
+{
+	fcm_defs[c->kind].describe(c, s);
+}
+
+static void fcm_say_reason(struct lstr reason, GString *s)
+{
+	if (reason.len)
+		g_string_append_printf(s, " (" LSTR_FMT ")", LSTR_ARG(reason));
+}
+
+static void fcm_say_apply(const struct fcm_cmd *c, GString *s)
+{
+	const struct fcm_apply *a = &c->apply;
+
+	g_string_append_printf(s, "configuration " LSTR_FMT " and %u overlays",
+			       LSTR_ARG(a->files[0].name), a->n_files - 1);
+	if (a->base != FCM_ANY_BASE)
+		g_string_append_printf(s, ", made from %llu",
+				       (unsigned long long)a->base);
+	fcm_say_reason(a->reason, s);
+}
+
+static void fcm_say_drain(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "%s %s" LSTR_FMT, fcm_defs[c->kind].name,
+			       c->drain.target ? "target " : "",
+			       LSTR_ARG(c->drain.name));
+	fcm_say_reason(c->drain.reason, s);
+}
+
+static void fcm_say_move(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "move " LSTR_FMT " to " LSTR_FMT,
+			       LSTR_ARG(c->move.vm), LSTR_ARG(c->move.pool));
+	fcm_say_reason(c->move.reason, s);
+}
+
+static void fcm_say_step(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "%s " LSTR_FMT " at epoch %llu",
+			       fcm_defs[c->kind].name, LSTR_ARG(c->step.vm),
+			       (unsigned long long)c->step.epoch);
+	fcm_say_reason(c->step.reason, s);
+}
+
+static void fcm_say_priority(const struct fcm_cmd *c, GString *s)
+{
+	const struct fcm_priority *p = &c->priority;
+
+	if (p->priority == FCM_NO_PRIORITY)
+		g_string_append_printf(s, "clear priority of " LSTR_FMT,
+				       LSTR_ARG(p->pool));
+	else
+		g_string_append_printf(s, "priority %lld for " LSTR_FMT,
+				       (long long)p->priority,
+				       LSTR_ARG(p->pool));
+	fcm_say_reason(p->reason, s);
+}
+
+static void fcm_say_node(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_printf(s, "entry daemon " LSTR_FMT " %s" LSTR_FMT,
+			       LSTR_ARG(c->node.node),
+			       c->kind == FCM_JOIN ? "joins in " : "forgotten",
+			       LSTR_ARG(c->node.zone));
+	fcm_say_reason(c->node.reason, s);
+}
+
+static void fcm_say_note(const struct fcm_cmd *c, GString *s)
+{
+	g_string_append_len(s, c->note.text.p, (gssize)c->note.text.len);
+}
+
+static void fcm_say_keepers(const struct fcm_cmd *c, GString *s)
+{
+	const struct fcm_keepers *k = &c->keepers;
+
+	g_string_append_printf(s,
+			       "keepers %llu of zone " LSTR_FMT
+			       ", led by " LSTR_FMT,
+			       (unsigned long long)k->number, LSTR_ARG(k->zone),
+			       LSTR_ARG(k->names[0]));
+}
+
 /* Text that goes into the audit trail: UTF-8 without control characters. */
 static struct lstr fcm_get_text(struct pk_in *in, size_t max)
 {
@@ -199,17 +365,13 @@
 	return in->bad ? LSTR("") : s;
 }
 
-/* A name of a VM, target, pool or file; ":" parts a VM from its port. */
+/* A name of a VM, target, pool or file. */
 static struct lstr fcm_get_name(struct pk_in *in)
 {
 	struct lstr s = pk_get_str(in);
-	size_t i;
 
-	if (s.len == 0 || s.len > CFG_NAME_MAX)
+	if (!cfg_is_name(s))
 		in->bad = true;
-	for (i = 0; i < s.len; i++)
-		if (!g_ascii_isalnum(s.p[i]) && !strchr("._:-", s.p[i]))
-			in->bad = true;
 	return in->bad ? LSTR("") : s;
 }
 
--- a/src/fst.c
+++ b/src/fst.c
@@ -19,7 +19,9 @@
 	[FCM_APPLY] = fst_do_apply,	  [FCM_DRAIN] = fst_do_drain,
 	[FCM_UNDRAIN] = fst_do_undrain,	  [FCM_MOVE] = fst_do_move,
 	[FCM_RELEASED] = fst_do_released, [FCM_MOVED] = fst_do_moved,
-	[FCM_PRIORITY] = fst_do_priority, [FCM_NOTE] = fst_do_note,
+	[FCM_PRIORITY] = fst_do_priority, [FCM_JOIN] = fst_do_join,
+	[FCM_FORGET] = fst_do_forget,	  [FCM_NOTE] = fst_do_note,
+	[FCM_KEEPERS] = fst_do_keepers,
 };
 
 /* The state before the first entry. */
@@ -32,6 +34,9 @@
 	f->gone = g_ptr_array_new_with_free_func(fst_vm_free);
 	f->drains = g_ptr_array_new_with_free_func(fst_drain_free);
 	f->prios = g_ptr_array_new_with_free_func(fst_prio_free);
+	f->nodes = g_ptr_array_new_with_free_func(fst_node_free);
+	f->keepers = g_ptr_array_new_with_free_func(fvw_keepers_free);
+	f->sites = g_ptr_array_new_with_free_func(fst_site_free);
 	f->ids = g_hash_table_new(g_str_hash, g_str_equal);
 	f->ids_by_made = g_sequence_new(fst_id_free);
 	f->audit = fau_new();
@@ -48,6 +53,9 @@
 	g_ptr_array_free(f->gone, TRUE);
 	g_ptr_array_free(f->drains, TRUE);
 	g_ptr_array_free(f->prios, TRUE);
+	g_ptr_array_free(f->nodes, TRUE);
+	g_ptr_array_free(f->keepers, TRUE);
+	g_ptr_array_free(f->sites, TRUE);
 	g_hash_table_destroy(f->ids);
 	g_sequence_free(f->ids_by_made);
 	fau_free(f->audit);
@@ -140,7 +148,8 @@
 	role = pk_get_u(in);
 	*cmd = pk_get_str(in);
 	if (!pk_in_ok(in) || pk_in_left(in) || role >= KEY_ROLES ||
-	    r->who.len > KEY_NAME_MAX || time_ms > INT64_MAX / 2) {
+	    r->who.len > KEY_NAME_MAX || time_ms < 0 ||
+	    time_ms > FST_TIME_MAX) {
 		pk_in_done(in);
 		return false;
 	}
@@ -175,6 +184,7 @@
 	const struct fst_id *id = fst_id_find(r->f, key);
 	uint8_t digest[FST_DIGEST];
 
+	fcm_describe(r->cmd, r->what);
 	crypto_generichash(digest, sizeof(digest),
 			   (const unsigned char *)bytes.p, bytes.len, NULL, 0);
 	if (!id) {
@@ -258,19 +268,6 @@
 	}
 }
 
-/* Says what a command wants to do, for stamps and the audit trail. */
-void fst_run_what(struct fst_run *r, struct lstr reason, const char *fmt, ...)
-{
-	va_list ap;
-
-	va_start(ap, fmt);
-	g_string_vprintf(r->what, fmt, ap);
-	va_end(ap);
-	if (reason.len)
-		g_string_append_printf(r->what, " (" LSTR_FMT ")",
-				       LSTR_ARG(reason));
-}
-
 /*
  * Whether something was changed since the operator looked at it: two who
  * changed the same from the same state would otherwise undo each other
@@ -328,7 +325,8 @@
 		.role = lstr_from(role),
 		.kind = lstr_from(kind),
 		.what = lstr_n(r->what->str, r->what->len),
-		.from = r->from,
+		/* A base that means "any", or garbage, still reads back. */
+		.from = r->from <= INT64_MAX ? r->from : 0,
 		.outcome = lstr_from(fcm_outcome_name(r->code)),
 		.text = lstr_n(r->text->str, r->text->len),
 	};
@@ -353,7 +351,6 @@
 /* An automatic act that changes nothing else here. */
 void fst_do_note(struct fst_run *r)
 {
-	fst_run_what(r, LSTR(""), LSTR_FMT, LSTR_ARG(r->cmd->note.text));
 	fst_run_end(r, PROTO_OK, "noted");
 }
 
--- a/src/fst_cfg.c
+++ b/src/fst_cfg.c
@@ -17,15 +17,8 @@
 	uint64_t number = last ? last->number : 0;
 	char *when;
 	struct cfg *next;
-	guint i;
 
 	r->from = a->base;
-	fst_run_what(r, a->reason,
-		     "configuration %llu from %llu, " LSTR_FMT
-		     " and %u overlays",
-		     (unsigned long long)number + 1,
-		     (unsigned long long)a->base, LSTR_ARG(a->files[0].name),
-		     a->n_files - 1);
 	/*
 	 * Of two operators who start from the same version the second would
 	 * take back the first one's change without having seen it.
@@ -48,11 +41,6 @@
 		g_free(when);
 		return;
 	}
-	for (i = 0; i < a->n_files; i++)
-		if (!cfg_is_name(a->files[i].name)) {
-			fst_run_end(r, PROTO_REFUSED, "file name not allowed");
-			return;
-		}
 	next = fst_load(r);
 	if (!next)
 		return;
@@ -90,6 +78,7 @@
 
 	fst_touch(f);
 	c->version = f->version;
+	fst_sites_take(f, next);
 	fst_members_take(r, next);
 	cfg_free(f->cfg);
 	f->cfg = next;
--- a/src/fst_in.h
+++ b/src/fst_in.h
@@ -18,11 +18,16 @@
 /* How far a client's clock may be ahead of the leader's. */
 #define FST_CLOCK_AHEAD_MS ((int64_t)300 * 1000)
 
+/* No clock says more; sums with a time then never overflow. */
+#define FST_TIME_MAX (INT64_MAX / 4)
+
 #define FST_HISTORY_MAX 64 /* accepted configurations listed */
 #define FST_HISTORY_BYTES (2u << 20) /* of their texts beside the newest */
 #define FST_GONE_MAX 10000 /* VMs remembered after their removal */
 #define FST_DRAINS_MAX 4096 /* targets drained by name at once */
+#define FST_NODES_MAX 1024 /* entry daemons */
 #define FST_TEXT_MAX 4000 /* bytes of a result's text */
+#define FST_KEEPERS_MAX 64 /* zones with a memory of keys */
 #define FST_DIGEST 16
 
 /* The last change of something: what a conflict names. */
@@ -50,6 +55,13 @@
 	struct fst_stamp stamp;
 };
 
+/* An entry daemon that may place work in its zone. */
+struct fst_node {
+	char *name;
+	char *zone;
+	struct fst_stamp stamp;
+};
+
 /* A priority the duty officer set over the configuration's. */
 struct fst_prio {
 	char *pool;
@@ -66,6 +78,12 @@
 	GPtrArray *texts; /* GBytes *, shared where unchanged; empty: dropped */
 };
 
+/* When the pools of a site changed last, as its entry daemons see them. */
+struct fst_site {
+	char *name;
+	uint64_t since; /* view version */
+};
+
 /* The first result of a command, for its resends. */
 struct fst_id {
 	char *key; /* who and identity */
@@ -79,6 +97,7 @@
 	uint64_t index;
 	int64_t time_ms; /* never goes back, whoever leads */
 	uint64_t version;
+	uint64_t whole_since; /* who is older needs a whole view */
 	uint64_t epoch_floor; /* of VMs removed and forgotten */
 	int64_t id_floor_ms; /* commands made up to then are not applied */
 	GPtrArray *configs; /* struct fst_config, oldest first */
@@ -87,6 +106,9 @@
 	GPtrArray *gone; /* struct fst_vm in order of removal */
 	GPtrArray *drains; /* struct fst_drain by name */
 	GPtrArray *prios; /* struct fst_prio by pool */
+	GPtrArray *nodes; /* struct fst_node by name */
+	GPtrArray *keepers; /* struct fvw_keepers by zone */
+	GPtrArray *sites; /* struct fst_site, those in force */
 	GHashTable *ids; /* key -> struct fst_id */
 	GSequence *ids_by_made;
 	struct fau *audit;
@@ -110,8 +132,6 @@
 		 ...) G_GNUC_PRINTF(3, 4);
 bool fst_run_conflicts(struct fst_run *r, const struct fst_stamp *s,
 		       uint64_t base);
-void fst_run_what(struct fst_run *r, struct lstr reason, const char *fmt, ...)
-	G_GNUC_PRINTF(3, 4);
 void fst_run_auto(struct fst_run *r, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 void fst_touch(struct fst *f);
 
@@ -125,6 +145,11 @@
 void fst_drain_free(gpointer p);
 struct fst_prio *fst_prio_find(const struct fst *f, struct lstr pool);
 void fst_prio_free(gpointer p);
+struct fst_node *fst_node_find(const struct fst *f, struct lstr name);
+void fst_node_free(gpointer p);
+void fst_site_free(gpointer p);
+void fst_sites_take(struct fst *f, const struct cfg *next);
+void fst_sites_touch(struct fst *f);
 void fst_config_free(gpointer p);
 const struct fst_config *fst_config_last(const struct fst *f);
 const char *fst_phase_name(enum fst_phase phase);
@@ -136,7 +161,12 @@
 void fst_do_released(struct fst_run *r);
 void fst_do_moved(struct fst_run *r);
 void fst_do_priority(struct fst_run *r);
+void fst_do_join(struct fst_run *r);
+void fst_do_forget(struct fst_run *r);
 void fst_do_note(struct fst_run *r);
+void fst_do_keepers(struct fst_run *r);
+void fst_keepers_pack(const struct fst *f, struct pk_out *o);
+bool fst_keepers_unpack(struct fst *f, struct pk_in *in);
 bool fst_members_fit(struct fst_run *r, const struct cfg *next);
 void fst_members_take(struct fst_run *r, const struct cfg *next);
 
