--- a/src/ctl_node.c
+++ b/src/ctl_node.c
@@ -33,6 +33,9 @@
 		n->conn = conn->conn;
 		n->sent = 0;
 	}
+	/* What was sent did not fit what it has: it wants all of it. */
+	if (version == 0)
+		n->sent = 0;
 	conn->node = n;
 	g_free(n->zone);
 	n->zone = lstr_dup(zone);
--- a/src/fst_view.c
+++ b/src/fst_view.c
@@ -77,6 +77,10 @@
 	struct fvw *v = fvw_new(f->version);
 	guint i;
 
+	/* Few and short, so always all of them. */
+	for (i = 0; i < f->keepers->len; i++)
+		g_ptr_array_add(v->keepers, fvw_keepers_copy(g_ptr_array_index(
+						    f->keepers, i)));
 	if (!f->cfg)
 		return v;
 	fst_view_pools(f, site, v);
--- a/src/fvw.c
+++ b/src/fvw.c
@@ -10,6 +10,7 @@
 static bool fvw_get(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_pools(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_vms(struct pk_in *in, struct fvw *v, GError **err);
+static bool fvw_get_keepers(struct pk_in *in, struct fvw *v, GError **err);
 static bool fvw_get_name(struct pk_in *in, char **out);
 static int64_t fvw_get_num(struct pk_in *in, int64_t max);
 static int fvw_by_service(gconstpointer a, gconstpointer b, gpointer arg);
@@ -27,6 +28,7 @@
 	v->vms = g_array_new(FALSE, TRUE, sizeof(struct fvw_vm));
 	g_array_set_clear_func(v->vms, fvw_clear_vm);
 	v->drained = g_ptr_array_new_with_free_func(g_free);
+	v->keepers = g_ptr_array_new_with_free_func(fvw_keepers_free);
 	v->services = g_array_new(FALSE, TRUE, sizeof(guint));
 	return v;
 }
@@ -39,6 +41,7 @@
 	g_array_free(v->pools, TRUE);
 	g_array_free(v->vms, TRUE);
 	g_ptr_array_free(v->drained, TRUE);
+	g_ptr_array_free(v->keepers, TRUE);
 	g_array_free(v->services, TRUE);
 	g_free(v);
 }
@@ -83,13 +86,13 @@
 /* Packs a view, whose pools, VMs and drained targets are in order of name. */
 void fvw_pack(const struct fvw *v, struct pk_out *o)
 {
-	pk_arr(o, 5);
+	pk_arr(o, 6);
 	pk_u(o, FVW_WHOLE);
 	pk_u(o, v->version);
 	fvw_pack_parts(v, o);
 }
 
-/* Packs pools, VMs and drained targets: three fields. */
+/* Packs pools, VMs, drained targets and keepers: four fields. */
 void fvw_pack_parts(const struct fvw *v, struct pk_out *o)
 {
 	guint i;
@@ -111,6 +114,9 @@
 	pk_arr(o, v->drained->len);
 	for (i = 0; i < v->drained->len; i++)
 		pk_cstr(o, g_ptr_array_index(v->drained, i));
+	pk_arr(o, v->keepers->len);
+	for (i = 0; i < v->keepers->len; i++)
+		fvw_keepers_pack(g_ptr_array_index(v->keepers, i), o);
 }
 
 static void fvw_pack_pool(const struct fvw_pool *p, struct pk_out *o)
@@ -170,14 +176,15 @@
 }
 
 /*
- * Reads pools, VMs and drained targets, each held against the pools v then
+ * Reads pools, VMs, drained targets and keepers, each held against the pools v then
  * has.
  */
 bool fvw_get_parts(struct pk_in *in, struct fvw *v, GError **err)
 {
 	return fvw_get_pools(in, v, err) && fvw_get_vms(in, v, err) &&
 	       fvw_get_names(in, v->drained, FVW_DRAINED_MAX, "drained target",
-			     err);
+			     err) &&
+	       fvw_get_keepers(in, v, err);
 }
 
 /* Ends the reading of a view: its look-ups, and one pool a service. */
@@ -243,6 +250,27 @@
 	return true;
 }
 
+static bool fvw_get_keepers(struct pk_in *in, struct fvw *v, GError **err)
+{
+	struct pk_in list = pk_get_arr(in);
+	struct fvw_keepers *k;
+	const char *last = "";
+	guint i;
+
+	if (!pk_in_ok(&list) || pk_in_left(&list) > FVW_ZONES_MAX)
+		return fvw_bad(err, "zones' keepers", 0);
+	for (i = 0; pk_in_left(&list); i++) {
+		k = fvw_keepers_unpack(&list);
+		if (!k)
+			return fvw_bad(err, "zone's keepers", i);
+		g_ptr_array_add(v->keepers, k);
+		if (strcmp(k->zone, last) <= 0)
+			return fvw_bad(err, "zone's keepers", i);
+		last = k->zone;
+	}
+	return true;
+}
+
 /* Reads names in strict order. */
 bool fvw_get_names(struct pk_in *in, GPtrArray *names, guint max,
 		   const char *what, GError **err)
--- a/src/fvw_delta.c
+++ b/src/fvw_delta.c
@@ -33,7 +33,7 @@
 {
 	guint i;
 
-	pk_arr(o, 8);
+	pk_arr(o, 9);
 	pk_u(o, FVW_DELTA);
 	pk_u(o, changed->version);
 	pk_u(o, from);
