--- a/src/cli.h
+++ b/src/cli.h
@@ -11,6 +11,7 @@
 #include "pk.h"
 #include "proto.h"
 #include "qtb.h"
+#include "set.h"
 
 /*
  * The operator's client. Its exit status tells scripts how a command ended;
@@ -64,7 +65,8 @@
 
 extern const struct cli_cmd cli_cmds[];
 extern const guint cli_cmds_len;
-extern const char *const cli_flags[];
+extern const struct set_def cli_defs[];
+extern const guint cli_defs_len;
 
 /* The last answer to a request, and whether an earlier sending may count. */
 struct cli_reply {
--- a/src/cli_cmd.c
+++ b/src/cli_cmd.c
@@ -70,9 +70,9 @@
 	       "\tdone\n"
 	       "\tcase $cur in\n"
 	       "\t-*) COMPREPLY=($(compgen -W \"");
-	for (i = 0; cli_flags[i]; i++)
-		printf("%s--%s", i ? " " : "", cli_flags[i]);
-	printf("\" -- \"$cur\"));;\n"
+	for (i = 0; i < cli_defs_len; i++)
+		printf("--%s ", cli_defs[i].name);
+	printf("--help --version\" -- \"$cur\"));;\n"
 	       "\t*) if [ -n \"$cmd\" ]; then COMPREPLY=($(compgen -f -- "
 	       "\"$cur\"))\n"
 	       "\t   else COMPREPLY=($(compgen -W \"");
--- a/src/main_endivectl.c
+++ b/src/main_endivectl.c
@@ -4,7 +4,6 @@
 #include <stdio.h>
 
 #include "cli.h"
-#include "set.h"
 
 static char *cli_summary(void);
 static const struct cli_cmd *cli_find(const char *name);
@@ -14,7 +13,7 @@
 
 static struct cli cli;
 
-static const struct set_def cli_defs[] = {
+const struct set_def cli_defs[] = {
 	{"servers", SET_ADDRS, &cli.set.servers, "", 0, 0, NULL,
 	 "Voters to ask, in any order"},
 	{"keys", SET_FILE, &cli.set.keys, "", 0, 0, NULL,
@@ -37,10 +36,7 @@
 	 "audit: records that follow this number"},
 };
 
-const char *const cli_flags[] = {"servers", "keys",   "timeout", "json",
-				 "yes",	    "target", "base",	 "against",
-				 "reason",  "after",  "help",	 "version",
-				 NULL};
+const guint cli_defs_len = G_N_ELEMENTS(cli_defs);
 
 static char *cli_summary(void)
 {
