--- a/src/adm.c
+++ b/src/adm.c
@@ -395,10 +395,11 @@
 	a->stats.in_flight--;
 	adm_health_note(a, p, t, r, res, now);
 	if (ok)
-		adm_est_add(p, r->size, res->service_us);
+		adm_est_add(p, r->size, res->service_us, now);
 	if (res->outcome == ADM_DONE_BUSY)
 		adm_share_refused(p, t, now);
-	else if (res->outcome == ADM_DONE_LEFT)
+	else if (res->outcome == ADM_DONE_LEFT ||
+		 res->outcome == ADM_DONE_TIMEOUT)
 		adm_share_left(p, t, now);
 	else if (res->busy >= 0)
 		adm_share_heard(p, t, now, res->busy);
--- a/src/adm_admit.c
+++ b/src/adm_admit.c
@@ -58,13 +58,10 @@
 	int64_t wait = adm_queue_wait(a, p, r->flow);
 	int64_t by_deadline =
 		r->deadline - (int64_t)adm_est_for(p, r->size)->high - now;
-	int64_t by_queue;
-	bool late;
+	int64_t by_queue = r->since + adm_longest_wait(p, now) - now;
+	bool late = wait > MIN(by_queue, by_deadline);
 	int zone = -1;
 
-	by_queue = r->since + adm_longest_wait(p, now) - now;
-	late = wait > MIN(by_queue, by_deadline);
-
 	adm_shift_note(p, now, wait);
 	if (p->hot || late)
 		zone = adm_shift_zone(a, p, r, now);
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -32,6 +32,7 @@
 	double mean;
 	double low; /* about one in ten is faster */
 	double high; /* about one in ten is slower */
+	int64_t at; /* of the last answer */
 };
 
 /* Groups by declared size, a power of two each; 0 holds all requests. */
@@ -197,7 +198,7 @@
 /* adm_limit.c */
 int adm_size_group(uint64_t hint);
 const struct adm_est *adm_est_for(const struct adm_pool *p, int size);
-void adm_est_add(struct adm_pool *p, int size, int64_t service_us);
+void adm_est_add(struct adm_pool *p, int size, int64_t service_us, int64_t now);
 int64_t adm_mean(const struct adm_pool *p);
 int64_t adm_latest_start(const struct adm_pool *p, const struct adm_req *r);
 void adm_demand_note(struct adm_pool *p, int64_t now);
--- a/src/adm_limit.c
+++ b/src/adm_limit.c
@@ -32,10 +32,13 @@
 /* Longest wait under lasting overload, in mean service times. */
 #define ADM_STANDING_MEANS 2
 
+/* Without an answer for that long, a request is let through to learn from. */
+#define ADM_EST_STALE (10 * ADM_SEC)
+
 /* Share of requests that are faster than low, and slower than high. */
 #define ADM_EST_TAIL 0.1
 
-static void adm_est_sample(struct adm_est *e, double x);
+static void adm_est_sample(struct adm_est *e, double x, int64_t now);
 
 /* The group a declared size falls into; 0 where none is declared. */
 int adm_size_group(uint64_t hint)
@@ -57,10 +60,12 @@
 	return &p->est[0];
 }
 
-static void adm_est_sample(struct adm_est *e, double x)
+static void adm_est_sample(struct adm_est *e, double x, int64_t now)
 {
 	double weight;
 
+	e->at = now;
+
 	if (e->n++ == 0) {
 		e->mean = e->low = e->high = x;
 		return;
@@ -78,13 +83,13 @@
 }
 
 /* Learns from an answer that a target gave in full. */
-void adm_est_add(struct adm_pool *p, int size, int64_t service_us)
+void adm_est_add(struct adm_pool *p, int size, int64_t service_us, int64_t now)
 {
 	double x = (double)MAX(service_us, 1);
 
-	adm_est_sample(&p->est[0], x);
+	adm_est_sample(&p->est[0], x, now);
 	if (size)
-		adm_est_sample(&p->est[size], x);
+		adm_est_sample(&p->est[size], x, now);
 }
 
 /* Mean service time of the pool in us; 0 before the first answer. */
@@ -152,10 +157,15 @@
 /*
  * Whether a request can't be done in time even by an idle target. Only nine
  * in ten of its group being slower is proof enough: on an idle slot a try
- * costs nobody anything.
+ * costs nobody anything. What was measured long ago proves nothing: targets
+ * that were slow for a while, and refusals since, would leave no answer to
+ * learn from, and every caller with a short deadline would be refused for ever.
  */
 bool adm_too_short(const struct adm_pool *p, const struct adm_req *r,
 		   int64_t now)
 {
-	return now + (int64_t)adm_est_for(p, r->size)->low > r->deadline;
+	const struct adm_est *e = adm_est_for(p, r->size);
+
+	return now - e->at < ADM_EST_STALE &&
+	       now + (int64_t)e->low > r->deadline;
 }
--- a/src/adm_place.c
+++ b/src/adm_place.c
@@ -25,7 +25,8 @@
 
 /*
  * A probe of an ejected target may fail, so that it is made with a request
- * that may be repeated; a pool that has none is probed after this time.
+ * that may be repeated and isn't urgent; a pool that has none such is probed
+ * with any after this time.
  */
 #define ADM_PROBE_ANY_US (10 * ADM_SEC)
 
@@ -37,6 +38,8 @@
 			     bool takes);
 static void adm_move(struct adm_pool *p, struct adm_target *t,
 		     enum adm_list to);
+static struct adm_target *adm_draw(struct adm *a, const GPtrArray *list,
+				   const struct adm_req *r);
 static bool adm_fits(const struct adm_pool *p, const struct adm_target *t,
 		     const struct adm_req *r, int64_t now);
 static struct adm_target *adm_best(struct adm *a, const struct adm_pool *p,
@@ -137,8 +140,8 @@
 }
 
 /*
- * Whether a target suits this very request: not the one that has just failed
- * it, and for batch work not the last free slot. Load: archive reprocessing
+ * Whether a target suits this very request: for batch work not the last free
+ * slot. Load: archive reprocessing
  * that runs for minutes, then a storm. Harm: urgent work would wait until the
  * first of it ends. Limit: one slot of a target, an eighth; when batch work
  * has been passed as often as allowed it may have that too.
@@ -146,8 +149,7 @@
 static bool adm_fits(const struct adm_pool *p, const struct adm_target *t,
 		     const struct adm_req *r, int64_t now)
 {
-	if (r->has_tried && t->handle == r->tried && p->targets->len > 1)
-		return false;
+
 	if (r->class != ADM_BATCH || adm_queue_due(p, ADM_BATCH))
 		return true;
 	if (p->spec.slots < ADM_RESERVE_FROM)
@@ -155,6 +157,22 @@
 	return t->mine + adm_others(t, now) + 2 <= p->spec.slots;
 }
 
+/*
+ * One taken at random; the target that has just failed the request only where
+ * the list has no other. To have it wait for another instead would hold up all
+ * that wait behind it, with slots free.
+ */
+static struct adm_target *adm_draw(struct adm *a, const GPtrArray *list,
+				   const struct adm_req *r)
+{
+	guint at = adm_random(a, list->len);
+	struct adm_target *t = list->pdata[at];
+
+	if (r->has_tried && t->handle == r->tried)
+		t = list->pdata[(at + 1) % list->len];
+	return t;
+}
+
 /* The better of some taken at random; NULL where none of them suits. */
 static struct adm_target *adm_best(struct adm *a, const struct adm_pool *p,
 				   const struct adm_req *r, enum adm_list l,
@@ -167,7 +185,7 @@
 	int left = a->conf.choices;
 
 	while (list->len && left > 0 && looks-- > 0) {
-		struct adm_target *t = list->pdata[adm_random(a, list->len)];
+		struct adm_target *t = adm_draw(a, list, r);
 		double score;
 
 		if (t == best)
@@ -192,10 +210,12 @@
 	const GPtrArray *list = p->lists[ADM_PROBE];
 	struct adm_target *t;
 
-	if (!list->len || r->class == ADM_URGENT || r->has_tried)
+	bool fit = r->repeatable && r->class != ADM_URGENT;
+
+	if (!list->len || r->has_tried)
 		return NULL;
 	t = list->pdata[adm_random(a, list->len)];
-	if (!r->repeatable && now < t->ejected_until + ADM_PROBE_ANY_US)
+	if (!fit && now < t->ejected_until + ADM_PROBE_ANY_US)
 		return NULL;
 	return t;
 }
--- a/src/adm_retry.c
+++ b/src/adm_retry.c
@@ -19,6 +19,9 @@
 static enum adm_reason adm_may_retry(struct adm_pool *p, struct adm_req *r,
 				     enum adm_outcome outcome);
 static bool adm_budget_spend(struct adm_pool *p);
+static struct adm_verdict adm_no_hedge(enum adm_reason reason);
+static struct adm_req *adm_hedge_of(struct adm *a, const struct adm_req *first,
+				    int64_t now);
 
 /* A request was taken in. */
 void adm_budget_earn(struct adm_pool *p)
@@ -78,6 +81,31 @@
 	return adm_admit(a, p, r, now, true);
 }
 
+/* A hedge that isn't made; its first attempt goes on, nobody is refused. */
+static struct adm_verdict adm_no_hedge(enum adm_reason reason)
+{
+	return (struct adm_verdict){.kind = ADM_REFUSE, .reason = reason};
+}
+
+static struct adm_req *adm_hedge_of(struct adm *a, const struct adm_req *first,
+				    int64_t now)
+{
+	struct adm_req *r = adm_req_new(a);
+
+	r->pool = first->pool;
+	r->caller = first->caller;
+	r->class = first->class;
+	r->deadline = first->deadline;
+	r->since = now;
+	r->repeatable = first->repeatable;
+	r->shifted = true;
+	r->size = first->size;
+	r->user = first->user;
+	r->has_tried = true;
+	r->tried = first->target->handle;
+	return r;
+}
+
 /*
  * A second attempt beside a running one, for a caller who has waited long. It
  * has a ticket of its own; the first answer counts, the other attempt ends
@@ -87,36 +115,29 @@
 struct adm_verdict adm_hedge(struct adm *a, int64_t now, adm_ticket ticket)
 {
 	struct adm_req *first = adm_req_of(a, ticket);
-	struct adm_target *t = NULL;
+	struct adm_target *t;
 	struct adm_pool *p;
 	struct adm_req *r;
 	bool probe;
 
 	if (!first || first->state != ADM_REQ_RUNNING)
-		return (struct adm_verdict){.kind = ADM_REFUSE,
-					    .reason = ADM_RETRY_COUNT};
+		return adm_no_hedge(ADM_RETRY_COUNT);
+	if (!first->repeatable)
+		return adm_no_hedge(ADM_MAY_HAVE_RUN);
 	p = adm_pool_of(a, first->pool);
+	if (adm_queue_len(p))
+		return adm_no_hedge(ADM_QUEUE_WAIT);
 	adm_wake(p, now);
-	r = adm_req_new(a);
-	r->pool = first->pool;
-	r->caller = first->caller;
-	r->class = first->class;
-	r->deadline = first->deadline;
-	r->since = now;
-	r->repeatable = first->repeatable;
-	r->shifted = true;
-	r->size = first->size;
-	r->user = first->user;
-	r->has_tried = true;
-	r->tried = first->target->handle;
-	if (!r->repeatable)
-		return adm_give_up(a, p, r, ADM_MAY_HAVE_RUN, 0);
-	if (!adm_queue_len(p))
-		t = adm_place(a, p, r, now, &probe);
-	if (!t || t == first->target)
-		return adm_give_up(a, p, r, ADM_QUEUE_WAIT, ADM_RETRY_LATER);
-	if (!adm_budget_spend(p))
-		return adm_give_up(a, p, r, ADM_RETRY_BUDGET, ADM_RETRY_LATER);
+	r = adm_hedge_of(a, first, now);
+	t = adm_place(a, p, r, now, &probe);
+	if (!t || t == first->target) {
+		adm_req_free(a, r);
+		return adm_no_hedge(ADM_QUEUE_WAIT);
+	}
+	if (!adm_budget_spend(p)) {
+		adm_req_free(a, r);
+		return adm_no_hedge(ADM_RETRY_BUDGET);
+	}
 	a->stats.hedges++;
 	r->flow = adm_flow_of(p, r->caller, r->class);
 	r->probe = probe;
--- a/src/adm_share.c
+++ b/src/adm_share.c
@@ -76,7 +76,7 @@
 {
 	int64_t fade = ADM_FADE_MEANS * adm_mean(p);
 
-	t->others = MAX(others, 0);
+	t->others = CLAMP(others, 0, p->spec.slots);
 	t->others_at = now;
 	t->others_fade = (fade ? fade : ADM_FADE_UNKNOWN) << t->busy_streak;
 }
@@ -97,7 +97,10 @@
 	adm_share_set(p, t, now, p->spec.slots - t->mine);
 }
 
-/* Our caller left; the target may go on with that work a while. */
+/*
+ * Our caller left, or we gave up waiting: the target may go on with that work
+ * a while, and its slot isn't free as yet.
+ */
 void adm_share_left(const struct adm_pool *p, struct adm_target *t, int64_t now)
 {
 	adm_share_set(p, t, now, adm_others(t, now) + 1);
--- a/tests/unit/adm_admit_test.c
+++ b/tests/unit/adm_admit_test.c
@@ -52,6 +52,25 @@
 	adm_free(a);
 }
 
+/*
+ * Targets were slow for a while, then nobody asked for long. A caller with a
+ * deadline that was too short then is let through, else nothing would ever be
+ * learnt about how fast they are now.
+ */
+static void old_measurements_refuse_nobody(void **state)
+{
+	struct adm *a = fake_zone(2, 1);
+	int64_t now = fake_learn(a, 0, 20, SEC);
+	struct adm_request r = {.caller = LSTR("a")};
+
+	r.deadline_us = now + 9 * SEC + 300 * MS;
+	assert_int_equal(adm_offer(a, now + 9 * SEC, &r, NULL).reason,
+			 ADM_DEADLINE_SHORT);
+	r.deadline_us = now + 10 * SEC + 300 * MS;
+	assert_int_equal(adm_offer(a, now + 10 * SEC, &r, NULL).kind, ADM_RUN);
+	adm_free(a);
+}
+
 /*
  * The queue would let a request start after 400 ms; its deadline is in 450 ms
  * and its kind takes 100 ms. It is refused now, not started in vain then.
@@ -231,6 +250,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(saturation_is_refused_at_once),
 		cmocka_unit_test(too_short_a_deadline_is_refused),
+		cmocka_unit_test(old_measurements_refuse_nobody),
 		cmocka_unit_test(a_deadline_that_the_queue_spends_is_refused),
 		cmocka_unit_test(waiting_ends_in_a_refusal),
 		cmocka_unit_test(declared_sizes_are_corrected_by_measuring),
--- a/tests/unit/adm_retry_test.c
+++ b/tests/unit/adm_retry_test.c
@@ -36,6 +36,24 @@
 	adm_free(a);
 }
 
+/*
+ * A target fails a request while all slots of the others hang. Rather than to
+ * wait for them, and to hold up all behind it, it is tried there once more.
+ */
+static void a_retry_does_not_hold_up_the_queue(void **state)
+{
+	struct adm *a = fake_zone(2, 1);
+	adm_ticket held[2 * SLOTS] = {0};
+	struct adm_verdict v = fake_offer(a, 0, "a", ADM_NORMAL);
+	struct adm_verdict again;
+
+	fake_fill(a, 0, held, 2 * SLOTS);
+	again = adm_retry(a, MS, v.ticket, &failed);
+	assert_int_equal(again.kind, ADM_RUN);
+	assert_true(again.target == v.target);
+	adm_free(a);
+}
+
 /* Each target fails a request: after three attempts its caller is told. */
 static void a_request_is_tried_three_times(void **state)
 {
@@ -108,6 +126,7 @@
 	assert_int_equal(fake_offer(a, MS, "b", ADM_NORMAL).kind, ADM_QUEUED);
 	fake_done(a, MS, h.ticket, ADM_DONE_OK, MS);
 	assert_int_equal(adm_hedge(a, MS, v.ticket).kind, ADM_REFUSE);
+	assert_int_equal(adm_stats(a).refused[ADM_QUEUE_WAIT], 0);
 	adm_free(a);
 }
 
@@ -133,6 +152,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(what_may_have_run_is_not_sent_again),
+		cmocka_unit_test(a_retry_does_not_hold_up_the_queue),
 		cmocka_unit_test(a_request_is_tried_three_times),
 		cmocka_unit_test(retries_and_hedges_share_a_budget),
 		cmocka_unit_test(hedges_go_elsewhere_and_only_with_slots_free),
