--- a/src/pln.c
+++ b/src/pln.c
@@ -265,8 +265,8 @@
 
 /*
  * VMs worth lending to a pool while its wave runs, at most available: each
- * shortens the wave by some rounds and costs a move to it and one away. The
- * weights decide, so one user's fleet rolls out fast and another's stays
+ * shortens the wave by some rounds, is set aside for it and costs a move to
+ * it and one away. The weights decide, so one user's fleet rolls out fast and another's stays
  * still.
  */
 int pln_lend(const struct flt *f, const struct pln_config *config, int pool,
@@ -283,7 +283,7 @@
 		gain = config->weights.rollout *
 			       ((double)p->size / margin -
 				(double)p->size / (margin + n)) -
-		       config->weights.moves * 2 * n;
+		       (config->weights.moves * 2 + config->weights.buffer) * n;
 		if (gain <= best)
 			continue;
 		best = gain;
