--- a/src/ent_peer.c
+++ b/src/ent_peer.c
@@ -19,7 +19,9 @@
 static void ent_recv_targets(struct ent *e, struct wire_conn *c,
 			     struct pk_in *in);
 static void ent_recv_room(struct ent *e, struct wire_conn *c, struct pk_in *in);
-static void ent_send_follow(struct ent *e, struct wire_conn *c);
+static void ent_send_follow(struct ent *e, struct wire_conn *c,
+			    uint64_t version);
+static uint64_t ent_version(const struct ent *e);
 static void ent_send_config(struct ent *e, struct wire_conn *c);
 static void ent_send_all_targets(struct ent *e, struct wire_conn *c);
 static void ent_send_room(struct ent *e, struct wire_conn *c);
@@ -150,7 +152,7 @@
 
 		if (!wire_is_up(p->conn))
 			continue;
-		ent_send_follow(e, p->conn);
+		ent_send_follow(e, p->conn, ent_version(e));
 		if (p->http && p->version < e->view->version)
 			ent_send_config(e, p->conn);
 	}
@@ -191,7 +193,7 @@
 	p = ent_peer_add(e, c);
 	p->node = g_strdup(wire_node(c));
 	p->zone = g_strdup(wire_zone(c));
-	ent_send_follow(e, c);
+	ent_send_follow(e, c, ent_version(e));
 	ent_send_room(e, c);
 	if (strcmp(p->zone, e->config.zone) == 0) {
 		ent_send_all_targets(e, c);
@@ -238,7 +240,7 @@
 
 	ent_peer_add(e, c);
 	e->voter_heard = tmr_now(e->tmr);
-	ent_send_follow(e, c);
+	ent_send_follow(e, c, ent_version(e));
 }
 
 static void ent_voter_down(void *arg, struct wire_conn *c, const GError *why)
@@ -276,8 +278,10 @@
 		return;
 	if (p && p->version < version)
 		p->version = version;
-	if (!e->view || version > e->view->version)
-		ent_view_take(e, view, wire_node(c));
+	if ((!e->view || version > e->view->version) &&
+	    !ent_view_take(e, view, wire_node(c)))
+		/* Changes that don't fit what we have: ask for all of it. */
+		ent_send_follow(e, c, 0);
 }
 
 /* A neighbour says what it works by; it gets ours if that is newer. */
@@ -351,7 +355,8 @@
 	}
 }
 
-static void ent_send_follow(struct ent *e, struct wire_conn *c)
+static void ent_send_follow(struct ent *e, struct wire_conn *c,
+			    uint64_t version)
 {
 	struct pk_out o;
 
@@ -360,16 +365,29 @@
 	pk_u(&o, PROTO_FOLLOW);
 	pk_cstr(&o, e->config.node);
 	pk_cstr(&o, e->config.zone);
-	pk_u(&o, e->view ? e->view->version : 0);
+	pk_u(&o, version);
 	wire_send(c, pk_out_view(&o));
 	pk_out_done(&o);
 }
 
+static uint64_t ent_version(const struct ent *e)
+{
+	return e->view ? e->view->version : 0;
+}
+
+/*
+ * Sends our view: the changes it came by where the peer is near enough, since
+ * every entry daemon of a site passes each change on to the others.
+ */
 static void ent_send_config(struct ent *e, struct wire_conn *c)
 {
+	const struct ent_peer *peer = wire_user(c);
+	bool changes =
+		peer && e->view_delta && peer->version >= e->view_delta_from;
 	struct pk_out o;
 	gsize len;
-	const void *p = g_bytes_get_data(e->view_bytes, &len);
+	const void *p =
+		g_bytes_get_data(changes ? e->view_delta : e->view_bytes, &len);
 
 	pk_out_init(&o);
 	pk_arr(&o, 3);
