--- a/tools/ctl.c
+++ b/tools/ctl.c
@@ -28,8 +28,8 @@
 	evhtp_send_reply(req, code);
 }
 
-/* The form in a request's body, freed with evhtp_kvs_free; NULL: none. */
-evhtp_query_t *ctl_form(evhtp_request_t *req)
+/* The form in a request's body; NULL: none. */
+static evhtp_query_t *ctl_form(evhtp_request_t *req)
 {
 	size_t len = evbuffer_get_length(req->buffer_in);
 
@@ -39,6 +39,22 @@
 		(const char *)evbuffer_pullup(req->buffer_in, -1), len);
 }
 
+/*
+ * Gives the form in a request's body to fn and answers 200, or 400 with what
+ * is allowed where there is no form or fn does not take it.
+ */
+void ctl_change(evhtp_request_t *req, bool (*fn)(void *, evhtp_query_t *),
+		void *arg, const char *allowed)
+{
+	evhtp_query_t *form = ctl_form(req);
+	bool ok = form && fn(arg, form);
+
+	if (form)
+		evhtp_kvs_free(form);
+	ctl_reply(req, ok ? EVHTP_RES_OK : EVHTP_RES_BADREQ,
+		  ok ? "ok\n" : allowed);
+}
+
 /* The place of word in words, or -1. */
 int ctl_word(const char *const *words, int n, const char *word)
 {
--- a/tools/ctl.h
+++ b/tools/ctl.h
@@ -11,7 +11,8 @@
 
 bool ctl_bind(evhtp_t *htp, const char *program, const char *addr);
 void ctl_reply(evhtp_request_t *req, evhtp_res code, const char *text);
-evhtp_query_t *ctl_form(evhtp_request_t *req);
+void ctl_change(evhtp_request_t *req, bool (*fn)(void *, evhtp_query_t *),
+		void *arg, const char *allowed);
 int ctl_word(const char *const *words, int n, const char *word);
 
 #endif
--- a/tools/endive-relay.c
+++ b/tools/endive-relay.c
@@ -279,8 +279,9 @@
 }
 
 /* Takes "mode=NAME", "delay_ms=N" or both; nothing of a bad one. */
-static bool mode_set(struct relay *r, evhtp_query_t *form)
+static bool mode_set(void *arg, evhtp_query_t *form)
 {
+	struct relay *r = arg;
 	const char *name = evhtp_kv_find(form, "mode");
 	const char *delay = evhtp_kv_find(form, "delay_ms");
 	unsigned long long ms = (unsigned long long)r->opt.delay_ms;
@@ -302,14 +303,8 @@
 
 static void control_mode(evhtp_request_t *req, void *arg)
 {
-	evhtp_query_t *form = ctl_form(req);
-	bool ok = form && mode_set(arg, form);
-
-	if (form)
-		evhtp_kvs_free(form);
-	ctl_reply(req, ok ? EVHTP_RES_OK : EVHTP_RES_BADREQ,
-		  ok ? "ok\n"
-		     : "allowed: mode=" MODE_WORDS " and delay_ms=N\n");
+	ctl_change(req, mode_set, arg,
+		   "allowed: mode=" MODE_WORDS " and delay_ms=N\n");
 }
 
 static void control_status(evhtp_request_t *req, void *arg)
--- a/tools/endive-target.c
+++ b/tools/endive-target.c
@@ -609,8 +609,9 @@
 }
 
 /* Takes "kind=NAME", "factor=N" or both; nothing of a bad one. */
-static bool fault_set(struct stand *s, evhtp_query_t *form)
+static bool fault_set(void *arg, evhtp_query_t *form)
 {
+	struct stand *s = arg;
 	const char *kind = evhtp_kv_find(form, "kind");
 	const char *factor = evhtp_kv_find(form, "factor");
 	unsigned long long times = (unsigned long long)s->opt.factor;
@@ -632,14 +633,8 @@
 
 static void control_fault(evhtp_request_t *req, void *arg)
 {
-	struct stand *s = arg;
-	evhtp_query_t *form = ctl_form(req);
-	bool ok = form && fault_set(s, form);
-
-	if (form)
-		evhtp_kvs_free(form);
-	ctl_reply(req, ok ? EVHTP_RES_OK : EVHTP_RES_BADREQ,
-		  ok ? "ok\n" : "allowed: kind=" FAULT_WORDS " and factor=N\n");
+	ctl_change(req, fault_set, arg,
+		   "allowed: kind=" FAULT_WORDS " and factor=N\n");
 }
 
 static void control_leave(evhtp_request_t *req, void *arg)
