--- a/src/ent_req.c
+++ b/src/ent_req.c
@@ -167,7 +167,8 @@
 			.class = ent_class(q->srv),
 			.deadline_us = q->deadline_ms * ENT_US_PER_MS,
 			.repeatable = q->repeatable,
-			.shifted = srv_header(q->srv, HDR_HOP) != NULL,
+			/* A key of ours can run nowhere else. */
+			.shifted = srv_header(q->srv, HDR_HOP) && !q->ask,
 		},
 		q);
 	ent_act(q, &v);
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -7,6 +7,13 @@
 export RC_PARAMS="${RC_PARAMS:-seed=20261202 noshrink=1}"
 export ASAN_OPTIONS=detect_leaks=1 UBSAN_OPTIONS=print_stacktrace=1
 export G_SLICE=always-malloc
+# A range of ports for each work tree, so that two may be tested at once.
+ports=$((12000 + $(pwd | cksum | cut -d ' ' -f 1) % 16 * 1000))
+export CONTROL_PORT="${CONTROL_PORT:-$ports}"
+export CLI_PORT="${CLI_PORT:-$((ports + 100))}"
+export TOOLS_PORT="${TOOLS_PORT:-$((ports + 200))}"
+export FAILURE_PORT="${FAILURE_PORT:-$((ports + 300))}"
+export CUT_PORT="${CUT_PORT:-$((ports + 650))}"
 out=build/test-out
 rm -rf "$out"
 mkdir -p "$out"
