Consensus: one place for an edit of members; the bench freezes leaders too

Change: cns_promote and cns_remove share cns_edit, the sort is the C library's, control_bench.sh measures a frozen leader beside a killed one, endive-submit leaves a silent voter after 300 ms.

--- a/bench/control_bench.sh
+++ b/bench/control_bench.sh
@@ -75,16 +75,27 @@
 	printf "control_leader_idle_cpu\t%.2f\t%%\t4.4\n", (b - a) * 100 / s
 	printf "control_leader_memory\t%.1f\tMB\t64\n", m / 1e6 }'
 
-# From the kill to the acceptance of a command by the next leader.
-for r in $(seq "$rounds"); do
-	l=$(leader)
-	kill -9 "$(cat "$dir/$l.pid")"
-	wait "$(cat "$dir/$l.pid")" 2>/dev/null
-	submit --prefix "kill$r" >"$dir/out" || exit 1
-	awk '{ print $4 }' "$dir/out" >>"$dir/times"
-	start "$l"
-	sleep 1
-done
-sort -n "$dir/times" | awk '{ t[NR] = $1 } END {
-	printf "control_no_leader_after_kill_p50\t%d\tms\t2000\n", t[int((NR + 1) / 2)]
-	printf "control_no_leader_after_kill_max\t%d\tms\t2000\n", t[NR] }'
+# From the blow to the acceptance of a command by the next leader.
+# blow NAME SIGNAL
+blow() {
+	: >"$dir/times"
+	for r in $(seq "$rounds"); do
+		l=$(leader)
+		kill "-$2" "$(cat "$dir/$l.pid")"
+		submit --prefix "$1$r" >"$dir/out" || exit 1
+		awk '{ print $4 }' "$dir/out" >>"$dir/times"
+		if [ "$2" = STOP ]; then
+			kill -CONT "$(cat "$dir/$l.pid")"
+		else
+			wait "$(cat "$dir/$l.pid")" 2>/dev/null
+			start "$l"
+		fi
+		sleep 1
+	done
+	sort -n "$dir/times" | awk -v what="$1" '{ t[NR] = $1 } END {
+		name = "control_no_leader_after_" what
+		printf "%s_p50\t%d\tms\t2000\n", name, t[int((NR + 1) / 2)]
+		printf "%s_max\t%d\tms\t2000\n", name, t[NR] }'
+}
+blow kill KILL
+blow freeze STOP
--- a/src/cns_member.c
+++ b/src/cns_member.c
@@ -9,7 +9,8 @@
 
 static enum cns_refusal cns_may_change(const struct cns *c);
 static void cns_change(struct cns *c, const struct cns_members *s);
-static struct cns_member *cns_find_mut(struct cns_members *s, uint64_t id);
+static enum cns_refusal cns_edit(const struct cns *c, uint64_t id,
+				 struct cns_members *s, struct cns_member **m);
 
 /* The members of now, committed or not. */
 const struct cns_members *cns_members(const struct cns *c)
@@ -93,14 +94,12 @@
  */
 enum cns_refusal cns_promote(struct cns *c, uint64_t id)
 {
-	enum cns_refusal r = cns_may_change(c);
-	struct cns_members s = *cns_members(c);
-	struct cns_member *m = cns_find_mut(&s, id);
+	struct cns_members s;
+	struct cns_member *m;
+	enum cns_refusal r = cns_edit(c, id, &s, &m);
 
 	if (r != CNS_DONE)
 		return r;
-	if (!m)
-		return CNS_NO_SUCH_MEMBER;
 	if (cns_match(c, id) < c->commit)
 		return CNS_NOT_CAUGHT_UP;
 	if (m->voter)
@@ -113,14 +112,12 @@
 /* Takes a member out for good. */
 enum cns_refusal cns_remove(struct cns *c, uint64_t id)
 {
-	enum cns_refusal r = cns_may_change(c);
-	struct cns_members s = *cns_members(c);
-	struct cns_member *m = cns_find_mut(&s, id);
+	struct cns_members s;
+	struct cns_member *m;
+	enum cns_refusal r = cns_edit(c, id, &s, &m);
 
 	if (r != CNS_DONE)
 		return r;
-	if (!m)
-		return CNS_NO_SUCH_MEMBER;
 	*m = s.m[--s.n];
 	cns_change(c, &s);
 	return CNS_DONE;
@@ -213,9 +210,17 @@
 	pk_out_done(&o);
 }
 
-static struct cns_member *cns_find_mut(struct cns_members *s, uint64_t id)
+/* Gives a copy of the members to be changed, and the place of one in it. */
+static enum cns_refusal cns_edit(const struct cns *c, uint64_t id,
+				 struct cns_members *s, struct cns_member **m)
 {
-	const struct cns_member *m = cns_find(s, id);
-
-	return m ? &s->m[m - s->m] : NULL;
+	enum cns_refusal r = cns_may_change(c);
+	const struct cns_member *found;
+
+	*s = *cns_members(c);
+	found = cns_find(s, id);
+	*m = found ? &s->m[found - s->m] : NULL;
+	if (r == CNS_DONE && !found)
+		r = CNS_NO_SUCH_MEMBER;
+	return r;
 }
--- a/src/cns_msg.c
+++ b/src/cns_msg.c
@@ -75,6 +75,7 @@
 struct cns_msg *cns_msg_unpack(struct lstr bytes)
 {
 	struct cns_msg *m;
+	struct pk_in members;
 	struct pk_in in;
 	bool ok;
 
@@ -96,11 +97,8 @@
 	m->ok = pk_get_bool(&in);
 	m->pre = pk_get_bool(&in);
 	m->now = pk_get_bool(&in);
-	{
-		struct pk_in members = pk_get_arr(&in);
-
-		ok = ok && cns_members_get(&members, &m->members);
-	}
+	members = pk_get_arr(&in);
+	ok = cns_members_get(&members, &m->members) && ok;
 	cns_entries_get(&in, m);
 	m->data = cns_bytes_get(&in);
 	ok = ok && pk_in_ok(&in) && (unsigned int)m->kind < CNS_KINDS;
--- a/src/cns_replicate.c
+++ b/src/cns_replicate.c
@@ -1,5 +1,7 @@
 #include "cns_int.h"
 
+#include <stdlib.h>
+
 /*
  * Bytes of commands on their way to a quorum. It is made for 34,000 changes a
  * day that come in bursts; beyond it a client is refused at once instead of
@@ -20,6 +22,7 @@
 static uint64_t cns_quorum_of(const struct cns *c,
 			      uint64_t (*of)(const struct cns_peer *p),
 			      uint64_t own);
+static int cns_highest_first(const void *a, const void *b);
 static uint64_t cns_peer_match(const struct cns_peer *p);
 static uint64_t cns_peer_round(const struct cns_peer *p);
 
@@ -407,23 +410,24 @@
 	uint64_t v[CNS_MEMBERS_MAX];
 	int n = 0;
 	int i;
-	int j;
 
 	if (cns_is_voter(c, c->config.id))
 		v[n++] = own;
 	for (i = 0; i < c->n_peers; i++)
 		if (cns_is_voter(c, c->peers[i].id))
 			v[n++] = of(&c->peers[i]);
-	for (i = 1; i < n; i++)
-		for (j = i; j > 0 && v[j] > v[j - 1]; j--) {
-			uint64_t swap = v[j];
-
-			v[j] = v[j - 1];
-			v[j - 1] = swap;
-		}
+	qsort(v, (size_t)n, sizeof(v[0]), cns_highest_first);
 	return n >= cns_quorum(c) ? v[cns_quorum(c) - 1] : 0;
 }
 
+static int cns_highest_first(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x < y) - (x > y);
+}
+
 static uint64_t cns_peer_match(const struct cns_peer *p)
 {
 	return p->match;
--- a/tools/endive-submit.c
+++ b/tools/endive-submit.c
@@ -16,7 +16,7 @@
  */
 
 /* A voter that doesn't answer for so long is left for the next one, ms. */
-#define SUBMIT_TRY_MS 1000
+#define SUBMIT_TRY_MS 300
 /* One that doesn't take the connection, sooner, ms. */
 #define SUBMIT_DIAL_MS 100
 #define SUBMIT_TICK_MS 20
