Shift uses more of the room that is there

Cause, by a trace of what each VM may send and of the slots busy: the slots busy in a zone swing by their square root (48 to 74 of 80 within a second), so a zone near its limit refuses some at one moment though it has room at the next. Each refusal stopped all fresh places until the next telling, and each telling set the places to what happened to run just then, which is less than was allowed.

Change: after a refusal a pause of a mean service time and an eighth less; the places are the most that ran there over one telling. None are filled again once the zone tells of no room; the property test found that the peak from before had outlived that, which is mended.

Ruled out before: noise in what is told (a mean of a second gave the same).

--- a/src/adm.c
+++ b/src/adm.c
@@ -419,7 +419,7 @@
 	struct adm_pool *p = adm_pool_of(a, r->pool);
 
 	if (r->state == ADM_REQ_SHIFTED)
-		adm_shift_done(a, p, r, res->outcome);
+		adm_shift_done(a, p, r, res->outcome, now);
 	else
 		adm_free_slot(a, p, r, res, now);
 	adm_leave_flow(p, r);
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -128,8 +128,11 @@
 /* What we know of another zone's room for a pool. */
 struct adm_away {
 	int64_t heard_at;
-	int base; /* ours in flight there when it was heard */
+	int base; /* ours that may run there, without fresh ones */
 	int fresh; /* how many more we may send */
+	int peak; /* the most of ours in flight there since .peak_from */
+	int64_t peak_from;
+	int64_t not_before; /* nothing is sent after a refusal */
 	int in_flight;
 	bool heard;
 };
@@ -260,7 +263,7 @@
 struct adm_verdict adm_shift(struct adm *a, struct adm_pool *p,
 			     struct adm_req *r, int zone);
 void adm_shift_done(struct adm *a, struct adm_pool *p, struct adm_req *r,
-		    enum adm_outcome outcome);
+		    enum adm_outcome outcome, int64_t now);
 bool adm_room_take(struct adm *a, struct adm_pool *p, int64_t now);
 
 /*
--- a/src/adm_shift.c
+++ b/src/adm_shift.c
@@ -33,9 +33,21 @@
 #define ADM_HOT_AFTER (100 * ADM_MS)
 #define ADM_COOL_AFTER ADM_SEC
 
-/* Taken off what runs in a zone at each refusal: an eighth. */
+/*
+ * A refusal takes an eighth off what we may have in a zone, and nothing is sent
+ * there for a mean service time, at least 50 ms: a zone near its limit is full
+ * at one moment and not at the next, by the square root of its slots busy.
+ */
 #define ADM_REFUSED_PART 8
+#define ADM_REFUSED_PAUSE (50 * ADM_MS)
+
+/*
+ * The most we had in a zone is taken over that long: a little less than the
+ * time between two tellings, as several of its VMs tell in each.
+ */
+#define ADM_PEAK_OVER (400 * ADM_MS)
 
+static int adm_less(int n);
 static int adm_away_left(const struct adm_away *w, int64_t now);
 static int adm_room_sum(const struct adm *a, const struct adm_pool *p,
 			int64_t now, int *slots);
@@ -65,7 +77,7 @@
 	int64_t age = now - w->heard_at;
 	int fresh = w->fresh;
 
-	if (!w->heard || age >= ADM_ROOM_STALE)
+	if (!w->heard || age >= ADM_ROOM_STALE || now < w->not_before)
 		return 0;
 	if (age > ADM_ROOM_FRESH)
 		fresh = (int)(fresh * (ADM_ROOM_STALE - age) /
@@ -98,10 +110,12 @@
 struct adm_verdict adm_shift(struct adm *a, struct adm_pool *p,
 			     struct adm_req *r, int zone)
 {
+	struct adm_away *w = &p->away[zone];
 	r->state = ADM_REQ_SHIFTED;
 	r->shifted = true;
 	r->zone = zone;
-	p->away[zone].in_flight++;
+	w->in_flight++;
+	w->peak = MAX(w->peak, w->in_flight);
 	adm_leave_flow(p, r);
 	a->stats.shifted++;
 	a->stats.in_shift++;
@@ -111,14 +125,14 @@
 				    .user = r->user};
 }
 
-/*
- * A shifted request has ended. After a refusal no more is sent there than still
- * runs, less a part, until the zone has told its room anew. To send nothing at
- * all would leave room unused for half a second after each refusal, and near
- * the limit some are refused by chance.
- */
+static int adm_less(int n)
+{
+	return n - (n + ADM_REFUSED_PART - 1) / ADM_REFUSED_PART;
+}
+
+/* A shifted request has ended; after a refusal we hold back. */
 void adm_shift_done(struct adm *a, struct adm_pool *p, struct adm_req *r,
-		    enum adm_outcome outcome)
+		    enum adm_outcome outcome, int64_t now)
 {
 	struct adm_away *w = &p->away[r->zone];
 
@@ -126,14 +140,18 @@
 	a->stats.in_shift--;
 	if (outcome != ADM_DONE_BUSY && outcome != ADM_DONE_UNSENT)
 		return;
-	w->base = w->in_flight - w->in_flight / ADM_REFUSED_PART;
-	w->fresh = 0;
+	w->base = adm_less(w->base);
+	w->fresh = adm_less(w->fresh);
+	w->not_before = now + MAX(adm_mean(p), ADM_REFUSED_PAUSE);
 }
 
 /*
  * Takes in what another zone told about its room, as old as it is by now. All
  * entry VMs outside that zone may send at once, so each takes its part; what
- * doesn't divide is drawn by lot, else a small room would never be used.
+ * doesn't divide is drawn by lot, else a small room would never be used. While
+ * there is room at all, the most that we had there of late may run there again:
+ * what just runs at the moment of telling is less by chance, and we would lose
+ * places by each telling. Where there is none, places aren't filled again.
  */
 void adm_zone_room(struct adm *a, int64_t now, uint32_t pool, int zone,
 		   struct adm_room room, int64_t age_us)
@@ -150,7 +168,14 @@
 		return;
 	w->heard = true;
 	w->heard_at = now - age_us;
-	w->base = w->in_flight;
+	if (!room.free) {
+		w->base = w->in_flight;
+		w->peak = w->in_flight;
+	} else if (now - w->peak_from >= ADM_PEAK_OVER) {
+		w->base = w->peak;
+		w->peak = w->in_flight;
+		w->peak_from = now;
+	}
 	w->fresh = (int)(room.free / share);
 	if (adm_random(a, share) < room.free % share)
 		w->fresh++;
