A job without a worker holds up neither its pool nor its team

Change: others are held only if a usable worker is large enough; a few jobs behind one without room are tried, but not those at least as large. Accessors for racks and zones in place of the same lines in many places.

--- a/src/flt.c
+++ b/src/flt.c
@@ -126,13 +126,10 @@
 int flt_add_rack(struct flt *f, struct lstr name, int zone, int sw)
 {
 	struct flt_rack r = {.name = lstr_dup(name), .zone = zone, .sw = sw};
-	guint i;
 
 	g_assert(zone >= 0 && zone < (int)f->zones->len && sw >= 0);
 	g_array_append_val(f->racks, r);
 	f->n_switches = MAX(f->n_switches, sw + 1);
-	for (i = 0; i < f->pools->len; i++)
-		flt_pool_grow(f, flt_pool(f, (int)i));
 	return (int)f->racks->len - 1;
 }
 
@@ -181,6 +178,20 @@
 	return &g_array_index(f->vms, struct flt_vm, vm);
 }
 
+/* The zone at an index. */
+struct flt_zone *flt_zone(const struct flt *f, int zone)
+{
+	g_assert(zone >= 0 && zone < (int)f->zones->len);
+	return &g_array_index(f->zones, struct flt_zone, zone);
+}
+
+/* The rack at an index. */
+struct flt_rack *flt_rack(const struct flt *f, int rack)
+{
+	g_assert(rack >= 0 && rack < (int)f->racks->len);
+	return &g_array_index(f->racks, struct flt_rack, rack);
+}
+
 /* The rack a VM is in. */
 struct flt_rack *flt_rack_of(const struct flt *f, int vm)
 {
@@ -438,7 +449,7 @@
  */
 void flt_cut(struct flt *f, int zone, bool cut)
 {
-	struct flt_zone *z = &g_array_index(f->zones, struct flt_zone, zone);
+	struct flt_zone *z = flt_zone(f, zone);
 	bool served;
 	guint i;
 
@@ -476,8 +487,7 @@
 	pk_arr(o, 4);
 	pk_arr(o, (size_t)f->zones->len * 3);
 	for (i = 0; i < f->zones->len; i++) {
-		const struct flt_zone *z =
-			&g_array_index(f->zones, struct flt_zone, i);
+		const struct flt_zone *z = flt_zone(f, (int)i);
 
 		pk_cstr(o, z->name);
 		pk_i(o, z->site);
@@ -485,8 +495,7 @@
 	}
 	pk_arr(o, (size_t)f->racks->len * 3);
 	for (i = 0; i < f->racks->len; i++) {
-		const struct flt_rack *r =
-			&g_array_index(f->racks, struct flt_rack, i);
+		const struct flt_rack *r = flt_rack(f, (int)i);
 
 		pk_cstr(o, r->name);
 		pk_i(o, r->zone);
--- a/src/flt.h
+++ b/src/flt.h
@@ -133,6 +133,8 @@
 void flt_set_budget(struct flt *f, int pool, const struct flt_budget *budget);
 
 struct flt_vm *flt_vm(const struct flt *f, int vm);
+struct flt_zone *flt_zone(const struct flt *f, int zone);
+struct flt_rack *flt_rack(const struct flt *f, int rack);
 struct flt_rack *flt_rack_of(const struct flt *f, int vm);
 struct flt_zone *flt_zone_of(const struct flt *f, int vm);
 struct flt_pool *flt_pool(const struct flt *f, int pool);
--- a/src/job_place.c
+++ b/src/job_place.c
@@ -1,5 +1,7 @@
 #include "job_int.h"
 
+/* Jobs of a queue that are looked at for one that has room. */
+#define JOB_LOOK_AHEAD 16
 /* Urgent jobs of each team for which room is made in one step. */
 #define JOB_URGENT_MAX 64
 /* Turns of the oldest job, without room for it, before others are held. */
@@ -7,9 +9,14 @@
 /* Largest number of a pool, team or worker. */
 #define JOB_NUMBER_MAX 100000
 
+static bool job_usable(const struct job_worker *w);
+static bool job_fits_when_empty(const struct jobs *j, const struct job_pool *p,
+				const struct job *b);
 static struct job *job_oldest(const struct jobs *j, const struct job_pool *p);
 static struct job *job_best(struct jobs *j, struct job_pool *p, int *worker,
 			    struct job **urgent);
+static struct job *job_first(const struct jobs *j, const struct job_pool *p,
+			     const GQueue *q, int *worker);
 static bool job_stopping(const struct jobs *j, const struct job_pool *p);
 static bool job_in_quota(const struct jobs *j, const struct job *b);
 static int job_priority(const struct jobs *j, const struct job *b);
@@ -88,8 +95,9 @@
 		if (b)
 			worker = job_room(j, p, b);
 		if (b && worker < 0)
-			hold = p->placed >=
-			       j->config.oldest_every * JOB_HOLD_TURNS;
+			hold = p->placed >= j->config.oldest_every *
+						    JOB_HOLD_TURNS &&
+			       job_fits_when_empty(j, p, b);
 		if (worker >= 0)
 			p->placed = 0;
 		else
@@ -108,6 +116,30 @@
 	return budget;
 }
 
+/* Whether a worker gets new work at all. */
+static bool job_usable(const struct job_worker *w)
+{
+	return w->up && !w->drained && !w->suspect;
+}
+
+/*
+ * Whether holding others can help a job: with its only large worker drained
+ * or down the whole pool would stand still for nothing.
+ */
+static bool job_fits_when_empty(const struct jobs *j, const struct job_pool *p,
+				const struct job *b)
+{
+	const struct job_worker *w;
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		w = job_worker(j, g_array_index(p->workers, int, i));
+		if (job_usable(w) && job_fits(&b->spec.size, &w->capacity))
+			return true;
+	}
+	return false;
+}
+
 static struct job *job_oldest(const struct jobs *j, const struct job_pool *p)
 {
 	struct job *oldest = NULL;
@@ -133,6 +165,7 @@
 			    struct job **urgent)
 {
 	struct job *best = NULL;
+	struct job *b;
 	int rank;
 	int at;
 	guint i;
@@ -140,22 +173,21 @@
 	*urgent = NULL;
 	for (i = 0; i < p->queues->len; i++) {
 		GQueue *q = p->queues->pdata[i];
-		struct job *b = q ? g_queue_peek_head(q) : NULL;
+		struct job *head = q ? g_queue_peek_head(q) : NULL;
 
-		if (!b || !job_in_quota(j, b))
+		if (!head)
 			continue;
-		rank = job_priority(j, b);
-		if (best &&
-		    (rank < job_priority(j, best) ||
-		     (rank == job_priority(j, best) && b->seq > best->seq)))
+		rank = job_priority(j, head);
+		if (best && rank < job_priority(j, best))
 			continue;
-		at = job_room(j, p, b);
-		if (at < 0) {
-			if (b->spec.cls == JOB_URGENT &&
-			    (!*urgent || rank > job_priority(j, *urgent)))
-				*urgent = b;
+		b = job_first(j, p, q, &at);
+		if (!b && head->spec.cls == JOB_URGENT &&
+		    job_in_quota(j, head) &&
+		    (!*urgent || rank > job_priority(j, *urgent)))
+			*urgent = head;
+		if (!b || (best && rank == job_priority(j, best) &&
+			   b->seq > best->seq))
 			continue;
-		}
 		best = b;
 		*worker = at;
 	}
@@ -166,6 +198,33 @@
 	return best;
 }
 
+/*
+ * The first job of a queue that has room. A few behind one without room are
+ * tried, else a large job would hold up its team while its worker is drained;
+ * not those at least as large, which makes the usual case one look.
+ */
+static struct job *job_first(const struct jobs *j, const struct job_pool *p,
+			     const GQueue *q, int *worker)
+{
+	const struct job *tried = NULL;
+	struct job *b;
+	GList *l;
+	int n = 0;
+
+	for (l = q->head; l && n < JOB_LOOK_AHEAD; l = l->next, n++) {
+		b = l->data;
+		if (!job_in_quota(j, b) ||
+		    (tried && job_fits(&tried->spec.size, &b->spec.size)))
+			continue;
+		*worker = job_room(j, p, b);
+		if (*worker >= 0)
+			return b;
+		if (b->failed_on.n == 0)
+			tried = b;
+	}
+	return NULL;
+}
+
 static bool job_stopping(const struct jobs *j, const struct job_pool *p)
 {
 	GList *l;
@@ -210,7 +269,7 @@
 		int at = g_array_index(p->workers, int, i);
 		const struct job_worker *w = job_worker(j, at);
 
-		if (!w->up || w->drained || w->suspect ||
+		if (!job_usable(w) ||
 		    (job_fails_has(&b->failed_on, (uint64_t)at) &&
 		     b->failed_on.n < (int)p->workers->len))
 			continue;
@@ -295,7 +354,7 @@
 	struct job_size left = w->capacity;
 	GList *l;
 
-	if (!w->up || w->drained || w->suspect)
+	if (!job_usable(w))
 		return (struct job_size){0};
 	job_add(&left, &w->used, -1);
 	for (l = w->jobs.head; l; l = l->next)
@@ -347,7 +406,7 @@
 	int stops = 0;
 	GList *l;
 
-	if (!w->up || w->drained || w->suspect)
+	if (!job_usable(w))
 		return -1;
 	for (l = w->jobs.head; l && !job_fits(size, &left); l = l->next) {
 		if (!job_may_stop(j, l->data))
--- a/src/pln.c
+++ b/src/pln.c
@@ -112,8 +112,7 @@
 	p->vm = (int)f->vms->len;
 	p->zone_of_sw = g_new0(int, f->n_switches + 1);
 	for (i = 0; i < (int)f->racks->len; i++) {
-		struct flt_rack *r =
-			&g_array_index(f->racks, struct flt_rack, i);
+		struct flt_rack *r = flt_rack(f, (int)i);
 
 		p->zone_of_sw[r->sw] = r->zone;
 	}
@@ -201,8 +200,7 @@
 	for (i = 1; i < f->pools->len; i++)
 		pln_add_lacking(flt_pool(f, (int)i), lacking, &always);
 	for (i = 0; i < f->racks->len; i++) {
-		const struct flt_rack *r =
-			&g_array_index(f->racks, struct flt_rack, i);
+		const struct flt_rack *r = flt_rack(f, (int)i);
 
 		site = GINT_TO_POINTER(
 			g_array_index(f->zones, struct flt_zone, r->zone).site +
--- a/tests/unit/job_test.c
+++ b/tests/unit/job_test.c
@@ -280,6 +280,29 @@
 	rig_free(r);
 }
 
+/*
+ * The only worker that is large enough for the oldest job is drained. Small
+ * jobs go on meanwhile; holding them would stop the pool and help nobody.
+ */
+static void job_without_a_worker_holds_nobody(void **state)
+{
+	struct rig *r = rig_new();
+	struct job_size larger = {32000, 64000, 0};
+	uint64_t id;
+
+	job_set_worker(r->j, 9, 0, &larger, &r->out);
+	job_lease(r->j, 9, LEASE_MS);
+	job_drain(r->j, 9, true);
+	rig_submit(r, 1, JOB_NORMAL, &larger);
+	for (id = 10; id < 210; id++) {
+		rig_submit(r, id, JOB_NORMAL, &quarter);
+		rig_step(r);
+		assert_int_equal(rig_status(r, id).state, JOB_RUNNING);
+		rig_report(r, id, JOB_COMPLETE);
+	}
+	rig_free(r);
+}
+
 /* The duty officer's ranking holds for the very next placement. */
 static void priorities_hold_at_once(void **state)
 {
@@ -688,6 +711,7 @@
 			burst_of_urgent_work_is_made_room_for_in_one_step),
 		cmocka_unit_test(archive_work_finishes_beside_urgent_work),
 		cmocka_unit_test(large_job_is_not_starved_by_small_ones),
+		cmocka_unit_test(job_without_a_worker_holds_nobody),
 		cmocka_unit_test(priorities_hold_at_once),
 		cmocka_unit_test(quota_holds_a_team_back_and_nobody_else),
 		cmocka_unit_test(black_hole_worker_is_found),
