A retry prefers a slow target to the dead one that failed it

The other target was filed as slow, the dead one stood alone among the fast. Ruled out: ports, time-outs (the refusal said retry-count). Change: the target that failed a request is taken again only if no list has another.

--- a/src/adm_place.c
+++ b/src/adm_place.c
@@ -157,6 +157,12 @@
 	return t->mine + adm_others(t, now) + 2 <= p->spec.slots;
 }
 
+/* Whether a target is the one that has just failed a request. */
+static bool adm_failed_it(const struct adm_req *r, const struct adm_target *t)
+{
+	return r->has_tried && t->handle == r->tried;
+}
+
 /*
  * One taken at random; the target that has just failed the request only where
  * the list has no other. To have it wait for another instead would hold up all
@@ -168,7 +174,7 @@
 	guint at = adm_random(a, list->len);
 	struct adm_target *t = list->pdata[at];
 
-	if (r->has_tried && t->handle == r->tried)
+	if (adm_failed_it(r, t))
 		t = list->pdata[(at + 1) % list->len];
 	return t;
 }
@@ -272,6 +278,7 @@
 			     const struct adm_req *r, int64_t now, bool *probe)
 {
 	struct adm_target *t = adm_probe(a, p, r, now);
+	struct adm_target *slow;
 
 	*probe = t != NULL;
 	if (t)
@@ -283,8 +290,15 @@
 		return t;
 	}
 	t = adm_best(a, p, r, ADM_FAST, now);
-	if (t)
+	if (t && !adm_failed_it(r, t))
 		return t;
-	t = adm_best(a, p, r, ADM_SLOW, now);
-	return t && adm_slow_worth(p, t, r, now) ? t : NULL;
+	slow = adm_best(a, p, r, ADM_SLOW, now);
+	/*
+	 * Load: one target dead, the rest slow. Harm: the dead one stands
+	 * alone among the fast, and each attempt would go there again until
+	 * the request is given up. A slow answer is better than none.
+	 */
+	if (slow && (t || adm_slow_worth(p, slow, r, now)))
+		return slow;
+	return t;
 }
--- a/tests/unit/adm_retry_test.c
+++ b/tests/unit/adm_retry_test.c
@@ -54,6 +54,38 @@
 	adm_free(a);
 }
 
+/*
+ * One VM of two has died without a word, and the other is known as slow. The
+ * dead one stands alone among the fast targets; a request that could not be
+ * sent there goes to the slow one, and is not given up.
+ */
+static void a_slow_target_is_better_than_a_dead_one(void **state)
+{
+	const struct adm_request r = {.caller = LSTR("a")};
+	struct adm *a = fake_zone(2, 1);
+	struct adm_verdict v;
+	int64_t now = 0;
+	int i;
+
+	/* Target 2 answers ten times slower than target 1 for long. */
+	for (i = 0; i < 400; i++) {
+		v = fake_offer(a, now, "warm", ADM_NORMAL);
+		now += 100 * MS;
+		fake_done(a, now, v.ticket, ADM_DONE_OK,
+			  v.target == 2 ? 100 * MS : 10 * MS);
+	}
+	for (i = 0; i < 8; i++) {
+		v = adm_offer(a, now, &r, NULL);
+		if (v.target == 1)
+			v = adm_retry(a, now, v.ticket, &unsent);
+		assert_int_equal(v.kind, ADM_RUN);
+		assert_int_equal(v.target, 2);
+		fake_done(a, now + MS, v.ticket, ADM_DONE_OK, 100 * MS);
+		now += 100 * MS;
+	}
+	adm_free(a);
+}
+
 /* Each target fails a request: after three attempts its caller is told. */
 static void a_request_is_tried_three_times(void **state)
 {
@@ -153,6 +185,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(what_may_have_run_is_not_sent_again),
 		cmocka_unit_test(a_retry_does_not_hold_up_the_queue),
+		cmocka_unit_test(a_slow_target_is_better_than_a_dead_one),
 		cmocka_unit_test(a_request_is_tried_three_times),
 		cmocka_unit_test(retries_and_hedges_share_a_budget),
 		cmocka_unit_test(hedges_go_elsewhere_and_only_with_slots_free),
