A neighbour's garbage no longer leaves a dangling connection

Cause, found by reading as a newcomer: the daemon closed a connection on a message it could not read; wire_close calls nothing back, so the neighbour stayed in the list with a freed connection, used by the next announcement. Change: such a message is logged and let pass. Test shown failing before (use after free under the sanitizer), passes after: ent_test 14.

--- a/src/ent_peer.c
+++ b/src/ent_peer.c
@@ -224,7 +224,8 @@
 	size_t i;
 
 	if (!pk_in_init(&in, payload)) {
-		wire_close(c);
+		msg(MSG_ENT_PEER_BAD, "peer=%s bytes=%zu", wire_node(c),
+		    payload.len);
 		return;
 	}
 	kind = pk_get_u(&in);
--- a/src/msg.c
+++ b/src/msg.c
@@ -47,6 +47,7 @@
 	[MSG_TGT_LAPSE] = {MSG_WARN, "target-lapse"},
 	[MSG_ENT_CONFIG] = {MSG_NOTICE, "config-in-force"},
 	[MSG_ENT_CONFIG_BAD] = {MSG_ERROR, "config-not-a-view"},
+	[MSG_ENT_PEER_BAD] = {MSG_ERROR, "peer-message-not-read"},
 	[MSG_ENT_DRAIN] = {MSG_NOTICE, "drain"},
 	/* idm: idempotency keys */
 	/* ctl: control daemon */
--- a/src/msg.h
+++ b/src/msg.h
@@ -31,6 +31,7 @@
 	MSG_TGT_LAPSE,
 	MSG_ENT_CONFIG,
 	MSG_ENT_CONFIG_BAD,
+	MSG_ENT_PEER_BAD,
 	MSG_ENT_DRAIN,
 	/* idm: idempotency keys */
 	/* ctl: control daemon */
--- a/tests/unit/ent_test.c
+++ b/tests/unit/ent_test.c
@@ -659,6 +659,60 @@
 	g_free(key);
 }
 
+static void neighbour_up(void *arg, struct wire_conn *c)
+{
+	*(struct wire_conn **)arg = c;
+}
+
+static void neighbour_recv(void *arg, struct wire_conn *c, struct lstr payload)
+{
+}
+
+static void neighbour_down(void *arg, struct wire_conn *c, const GError *why)
+{
+	*(struct wire_conn **)arg = NULL;
+}
+
+/*
+ * A neighbour with the right key sends bytes that are no message, then goes.
+ * Nobody's requests suffer. (The daemon once kept a pointer to the connection
+ * it had closed on them.)
+ */
+static void a_neighbour_that_sends_garbage_harms_nothing(void **state)
+{
+	static const struct wire_ops neighbour_ops = {
+		.up = neighbour_up,
+		.recv = neighbour_recv,
+		.down = neighbour_down,
+	};
+	struct bed *b = *state;
+	struct wire_conn *up = NULL;
+	struct wire *w = wire_new(&(struct wire_config){.base = b->base,
+							.tmr = b->tmr,
+							.keys = b->keys,
+							.node = "e2",
+							.zone = "a",
+							.silence_ms = 1000});
+	int i;
+	int fd;
+
+	in_force(b, 1, 0);
+	wire_dial(w, b->cfg.wire, &neighbour_ops, &up);
+	for (i = 0; i < WAIT_MS && !up; i++)
+		net_run(b->base, 1);
+	assert_non_null(up);
+	assert_true(wire_send(up, LSTR("\xc1 no message")));
+	net_run(b->base, 100);
+	announce(b, 0, "serving");
+	wire_free(w);
+	net_run(b->base, 100);
+	announce(b, 1, "serving");
+	announce(b, 0, "leaving");
+	fd = request(b, "POST");
+	give(b, take(b, 1, WAIT_MS), "draft");
+	expect(b, fd, "200", "ran");
+}
+
 int main(void)
 {
 #define T(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
@@ -673,6 +727,7 @@
 		T(a_lapsed_lease_ends_new_work),
 		T(a_view_never_goes_back),
 		T(a_planned_stop_cuts_nothing),
+		T(a_neighbour_that_sends_garbage_harms_nothing),
 		T(a_key_runs_once),
 		T(a_refused_key_may_run_later),
 		T(a_lost_key_stays_lost),
