--- a/tests/system/demo.sh
+++ b/tests/system/demo.sh
@@ -5,6 +5,8 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 PORT=${DEMO_PORT:-22000}
+# A target that has left stays to be asked what it ran.
+LINGER_MS=15000
 . tests/system/fleet.sh
 trap fleet_end EXIT
 
--- a/tests/system/fleet.sh
+++ b/tests/system/fleet.sh
@@ -99,7 +99,7 @@
 		--listen "127.0.0.1:$((PORT + 200 + 2 * $5))" \
 		--control "127.0.0.1:$((PORT + 201 + 2 * $5))" \
 		--announce "$(admin_addr $((2 * z - 1))),$(admin_addr $((2 * z)))" \
-		--linger-ms 2000
+		--linger-ms "${LINGER_MS:-2000}"
 }
 
 target_control() {
