The last part of a large answer is never given as the whole

Cause, found by reading: an answer in parts that the caller could not take (HTTP/1.0) ended as a 200 with what was left of it, and a key kept that rest as the answer to replay, also where the caller had left. Change: such an answer is told as 'ran' with 502, and not kept for the key.

--- a/src/ent_answer.c
+++ b/src/ent_answer.c
@@ -3,6 +3,8 @@
 #include "hdr.h"
 #include "msg.h"
 
+static void ent_too_large(struct ent_req *q);
+
 /* Adds a header to a list; the strings must outlive it. */
 void ent_add_header(GArray *out, const char *name, const char *value)
 {
@@ -23,6 +25,20 @@
 	return out;
 }
 
+/* It ran; an HTTP/1.0 caller could not tell its parts from a cut answer. */
+static void ent_too_large(struct ent_req *q)
+{
+	const struct ups_header headers[] = {
+		{(char *)HDR_REQUEST_ID, q->id},
+		{(char *)HDR_OUTCOME, (char *)"ran"},
+	};
+	struct evbuffer *body = evbuffer_new();
+
+	evbuffer_add_printf(body, "ran: answer-too-large-for-http-1.0\n");
+	srv_reply(q->srv, 502, headers, G_N_ELEMENTS(headers), body);
+	evbuffer_free(body);
+}
+
 /* Gives the caller a target's whole answer. */
 void ent_deliver(struct ent_req *q, const struct ups_answer *a)
 {
@@ -34,6 +50,9 @@
 	if (q->srv && q->streaming) {
 		srv_part(q->srv, a->body);
 		srv_part_end(q->srv);
+	} else if (q->srv && q->passed_on) {
+		/* What is left of it would look like the whole answer. */
+		ent_too_large(q);
 	} else if (q->srv) {
 		headers = ent_pass_headers(a->headers, a->n_headers);
 		ent_add_header(headers, HDR_REQUEST_ID, q->id);
--- a/src/ent_int.h
+++ b/src/ent_int.h
@@ -99,7 +99,8 @@
 	int64_t sent_us;
 	bool repeatable;
 	bool may_have_run; /* bytes of some attempt reached a target */
-	bool streaming;
+	bool passed_on; /* its answer comes in parts, none of them held */
+	bool streaming; /* and the caller gets them */
 	bool home; /* sent to the zone that holds its key's memory */
 	uint64_t ask; /* claim of its key; 0: none, or ended */
 	uint64_t ask_timer;
--- a/src/ent_key.c
+++ b/src/ent_key.c
@@ -154,12 +154,13 @@
 	}
 	len = evbuffer_get_length(a->body);
 	headers = ent_pass_headers(a->headers, a->n_headers);
-	if (q->streaming || len > ENT_KEEP_ANSWER_MAX)
+	/* Of an answer in parts only the last is here: not to be kept. */
+	if (q->passed_on || len > ENT_KEEP_ANSWER_MAX)
 		len = 0;
 	pk_out_init(&o);
 	pk_arr(&o, 4);
 	pk_u(&o, (uint64_t)a->status);
-	pk_bool(&o, !q->streaming && len == evbuffer_get_length(a->body));
+	pk_bool(&o, !q->passed_on && len == evbuffer_get_length(a->body));
 	pk_arr(&o, 2 * headers->len);
 	for (i = 0; i < headers->len; i++) {
 		const struct ups_header *h =
@@ -182,7 +183,7 @@
 	const char *replayed = ups_header_find(a, HDR_REPLAYED);
 	GArray *headers;
 
-	if (!q->srv || (end == UPS_WHOLE && q->streaming)) {
+	if (!q->srv || (end == UPS_WHOLE && q->passed_on)) {
 		ent_deliver(q, a);
 		return;
 	}
--- a/src/ent_req.c
+++ b/src/ent_req.c
@@ -299,6 +299,7 @@
 
 	ent_add_header(headers, HDR_REQUEST_ID, q->id);
 	ent_add_header(headers, HDR_OUTCOME, "ran");
+	q->passed_on = true;
 	q->streaming =
 		q->srv && srv_part_start(q->srv, a->status,
 					 (void *)headers->data, headers->len);
--- a/tests/unit/ent_test.c
+++ b/tests/unit/ent_test.c
@@ -659,6 +659,41 @@
 	g_free(key);
 }
 
+/*
+ * An answer larger than is held comes in parts. Who speaks HTTP/1.0 could not
+ * tell its parts from a cut answer: the caller hears that it ran, and never
+ * gets the last part as the whole. A key keeps no part of it either.
+ */
+static void a_large_answer_is_never_half_of_one(void **state)
+{
+	struct bed *b = *state;
+	char *large = g_strnfill(50000, 'x');
+	char *key;
+	char *got;
+	int fd;
+
+	in_force(b, 1, 0);
+	key = fresh_key(b, 2);
+	announce(b, 0, "serving");
+	fd = net_dial(b->listen_port);
+	net_send(fd, "GET /drafts/1 HTTP/1.0\r\n\r\n", -1);
+	give(b, take(b, 0, WAIT_MS), large);
+	got = answer(b, fd);
+	assert_true(g_str_has_prefix(got, "HTTP/1.0 502"));
+	assert_non_null(strstr(got, "Endive-Outcome: ran\r\n"));
+	g_free(got);
+	fd = keyed(b, key, "body");
+	give(b, take(b, 0, WAIT_MS), large);
+	got = answer(b, fd);
+	assert_non_null(strstr(got, "chunked"));
+	assert_true(g_str_has_suffix(got, "\r\n0\r\n\r\n"));
+	g_free(got);
+	expect(b, keyed(b, key, "body"), "409", "ran");
+	assert_int_equal(take(b, 0, 100), -1);
+	g_free(key);
+	g_free(large);
+}
+
 static void neighbour_up(void *arg, struct wire_conn *c)
 {
 	*(struct wire_conn **)arg = c;
@@ -728,6 +763,7 @@
 		T(a_view_never_goes_back),
 		T(a_planned_stop_cuts_nothing),
 		T(a_neighbour_that_sends_garbage_harms_nothing),
+		T(a_large_answer_is_never_half_of_one),
 		T(a_key_runs_once),
 		T(a_refused_key_may_run_later),
 		T(a_lost_key_stays_lost),
