Tests for safeguards that could be taken out unseen

Cause, found by taking them out one at a time: of eleven in the entry layer five had no failing test: a view older than the message around it claims, a VM moved to another pool, an announcement of an earlier life, a lost home, the limit on unproved connections.

--- a/tests/unit/ent_test.c
+++ b/tests/unit/ent_test.c
@@ -39,6 +39,8 @@
 	uint64_t version;
 	uint64_t followed; /* version the daemon has reported */
 	uint64_t seq;
+	unsigned int moved; /* one bit a VM: in the other pool */
+	uint64_t claimed; /* version a message claims; 0: that of its view */
 	struct fvw_keepers *keepers; /* proposed; sent with the next view */
 };
 
@@ -125,14 +127,19 @@
 		.queue_ms = 500,
 		.priority = 1,
 	};
+	struct fvw_pool other = pool;
 	struct pk_out view;
 	struct pk_out o;
 	unsigned int i;
 
+	other.name = g_strdup("other");
+	other.service = g_strdup("others");
 	g_array_append_val(v->pools, pool);
+	g_array_append_val(v->pools, other);
 	for (i = 0; i < TARGETS; i++) {
 		struct fvw_vm vm = {
 			.name = g_strdup_printf("vm%u", i),
+			.pool = (int)((b->moved >> i) & 1),
 			.epoch = 1,
 			.drained = (drained >> i) & 1,
 		};
@@ -147,7 +154,7 @@
 	pk_out_init(&o);
 	pk_arr(&o, 3);
 	pk_u(&o, PROTO_CONFIG);
-	pk_u(&o, version);
+	pk_u(&o, b->claimed ? b->claimed : version);
 	pk_str(&o, pk_out_view(&view));
 	assert_true(wire_send(b->follower, pk_out_view(&o)));
 	pk_out_done(&o);
@@ -541,6 +548,27 @@
 	expect(b, fd, "200", "ran");
 }
 
+/*
+ * A VM was moved to another pool; its target goes on announcing the service
+ * of the old one. It gets nothing: the VM belongs to one pool only.
+ */
+static void a_moved_vm_serves_its_old_pool_no_more(void **state)
+{
+	struct bed *b = *state;
+	int fd;
+
+	in_force(b, 1, 0);
+	announce(b, 0, "serving");
+	fd = request(b, "POST");
+	give(b, take(b, 0, WAIT_MS), "draft");
+	expect(b, fd, "200", "ran");
+	b->moved = 1;
+	in_force(b, 2, 0);
+	announce(b, 0, "serving");
+	expect(b, request(b, "POST"), "503", "not-run");
+	assert_int_equal(take(b, 0, 50), -1);
+}
+
 /* A target falls silent: after its lease nothing is sent there. */
 static void a_lapsed_lease_ends_new_work(void **state)
 {
@@ -563,6 +591,12 @@
 	send_view(b, 4, 0);
 	net_run(b->base, 100);
 	assert_int_equal(b->followed, 5);
+	/* Nor if the message around it claims to be newer. */
+	b->claimed = 9;
+	send_view(b, 4, 0);
+	net_run(b->base, 100);
+	expect(b, request(b, "POST"), "503", "not-run");
+	assert_int_equal(take(b, 0, 50), -1);
 	expect(b, request(b, "POST"), "503", "not-run");
 }
 
@@ -759,6 +793,7 @@
 		T(a_post_that_was_not_sent_goes_elsewhere),
 		T(a_refusal_by_a_target_is_believed_only_if_it_says_so),
 		T(a_leaving_target_gets_nothing_new),
+		T(a_moved_vm_serves_its_old_pool_no_more),
 		T(a_lapsed_lease_ends_new_work),
 		T(a_view_never_goes_back),
 		T(a_planned_stop_cuts_nothing),
--- a/tests/unit/wire_test.c
+++ b/tests/unit/wire_test.c
@@ -245,6 +245,33 @@
 	pair_done(&p);
 }
 
+/*
+ * A flood of connections that never prove a key. Only so many are held at
+ * once; the rest are closed on arrival and cost nothing.
+ */
+static void unproved_connections_are_bounded(void **state)
+{
+	enum {
+		FLOOD = 80,
+		HELD = 64
+	};
+	struct pair p;
+	int fds[FLOOD];
+	int i;
+
+	pair_init(&p, "peer peer " HEX_A, "peer peer " HEX_A);
+	for (i = 0; i < FLOOD; i++)
+		fds[i] = raw_dial(p.port);
+	for (i = 0; i < 200 && wire_stats(p.b.w).refused < FLOOD - HELD; i++)
+		event_base_loop(p.base, EVLOOP_ONCE);
+	for (i = 0; i < 20; i++)
+		event_base_loop(p.base, EVLOOP_NONBLOCK);
+	assert_int_equal(wire_stats(p.b.w).refused, FLOOD - HELD);
+	for (i = 0; i < FLOOD; i++)
+		close(fds[i]);
+	pair_done(&p);
+}
+
 /*
  * The peer is stopped, or the network between forgot the connection: no byte
  * comes and no reset. The owner is told within the silence time, and a new
@@ -335,6 +362,7 @@
 		cmocka_unit_test(messages_pass_between_known_peers),
 		cmocka_unit_test(a_wrong_key_is_not_let_in),
 		cmocka_unit_test(garbage_and_oversized_frames_close),
+		cmocka_unit_test(unproved_connections_are_bounded),
 		cmocka_unit_test(a_silent_connection_is_given_up),
 		cmocka_unit_test(a_replayed_frame_fails_its_tag),
 		cmocka_unit_test(key_files_are_checked),
