Histograms of times on the metrics address

Change: cnt_times counts times in 15 cells and writes them as scrapers read them. The control daemon times calls, first starts, jobs, what they took beyond their objective, runs, commits, reads, orders, syncs, times without a leader, and what was left of leases at their renewal; the entry daemon answers, refusals and times without a leader. Metrics of the control daemon move into a file of their own (hub_tell). New counters: moves, upkeeps, calls left unknown by a lost leadership, answers that say when to come again.

--- a/src/cnt.c
+++ b/src/cnt.c
@@ -4,6 +4,15 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+/*
+ * Upper bounds of the cells, seconds: from a round trip within a zone to the
+ * longest that a caller waits for a job, two or three to a decade.
+ */
+static const double cnt_bounds[CNT_CELLS - 1] = {
+	0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+	0.25,  0.5,    1,     2.5,  5,	   10,	 30,
+};
+
 /*
  * Appends n values in the text form that monitoring reads; labels is the part
  * between braces, or "".
@@ -28,6 +37,44 @@
 	}
 }
 
+/* Counts a time. */
+void cnt_time(struct cnt_times *t, double seconds)
+{
+	size_t i = 0;
+
+	while (i < G_N_ELEMENTS(cnt_bounds) && seconds > cnt_bounds[i])
+		i++;
+	t->cells[i]++;
+	t->sum_s += seconds;
+}
+
+/*
+ * Appends times as a histogram in the text form that monitoring reads: each
+ * line counts what took no longer than its bound.
+ */
+void cnt_times_text(GString *out, const char *name, const char *help,
+		    const struct cnt_times *t)
+{
+	uint64_t n = 0;
+	size_t i;
+
+	g_string_append_printf(out, "# HELP %s %s\n# TYPE %s histogram\n", name,
+			       help, name);
+	for (i = 0; i < G_N_ELEMENTS(cnt_bounds); i++) {
+		n += t->cells[i];
+		g_string_append_printf(out,
+				       "%s_bucket{le=\"%g\"} %" G_GUINT64_FORMAT
+				       "\n",
+				       name, cnt_bounds[i], n);
+	}
+	n += t->cells[i];
+	g_string_append_printf(out,
+			       "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
+			       "\n%s_sum %.3f\n%s_count %" G_GUINT64_FORMAT
+			       "\n",
+			       name, n, name, t->sum_s, name, n);
+}
+
 /* Appends what this process costs: processor time and resident memory. */
 void cnt_process(GString *out)
 {
--- a/src/cnt.h
+++ b/src/cnt.h
@@ -12,8 +12,20 @@
 	const char *help;
 };
 
+/* Cells of a histogram of times; the last takes what is longer than all. */
+#define CNT_CELLS 15
+
+/* Times, counted by how long they are. */
+struct cnt_times {
+	uint64_t cells[CNT_CELLS];
+	double sum_s;
+};
+
 void cnt_text(GString *out, const struct cnt_def *defs, const uint64_t *values,
 	      size_t n, const char *labels);
+void cnt_time(struct cnt_times *t, double seconds);
+void cnt_times_text(GString *out, const char *name, const char *help,
+		    const struct cnt_times *t);
 void cnt_process(GString *out);
 
 #endif
--- a/src/gat.c
+++ b/src/gat.c
@@ -67,6 +67,7 @@
 	GAT_REFUSED,
 	GAT_UNKNOWN,
 	GAT_AGAIN,
+	GAT_TURNED_AWAY,
 	GAT_COUNTS
 };
 
@@ -86,6 +87,9 @@
 	int64_t drain_from; /* 0: not draining */
 	bool closing;
 	uint64_t counts[GAT_COUNTS];
+	struct cnt_times answers; /* a request's, until its answer */
+	struct cnt_times refusals; /* the same of refused and unknown ones */
+	struct cnt_times leaderless; /* how long no leader was known */
 };
 
 static bool gat_open_http(struct gat *g, GError **err);
@@ -100,6 +104,7 @@
 static void gat_on_request(void *arg, struct srv_req *r);
 static void gat_on_gone(void *arg, struct srv_req *r);
 static void gat_on_ready(void *arg, struct srv_req *r);
+static void gat_time(struct cnt_times *t, int64_t ms);
 static void gat_on_metrics(void *arg, struct srv_req *r);
 static void gat_no_gone(void *arg, struct srv_req *r);
 static struct gat_call *gat_call_new(struct gat *g, struct srv_req *r);
@@ -142,6 +147,13 @@
 			 "Requests whose outcome can't be told"},
 	[GAT_AGAIN] = {"endive_entry_again_total", "counter",
 		       "Requests sent to a second leader"},
+	[GAT_TURNED_AWAY] = {"endive_entry_turned_away_total", "counter",
+			     "Answers of a leader that say when to come again"},
+};
+
+static const struct cnt_def gat_gauges[] = {
+	{"endive_entry_open", "gauge", "Requests that wait for their answer"},
+	{"endive_entry_leader", "gauge", "1 while a leader is known"},
 };
 
 /*
@@ -356,6 +368,8 @@
 		    best ? best->addr : "none", best ? best->term : 0);
 	if (g->leader && !best)
 		g->leaderless_ms = tmr_now(g->tmr);
+	if (!g->leader && best)
+		gat_time(&g->leaderless, tmr_now(g->tmr) - g->leaderless_ms);
 	g->leader = best;
 	if (!best)
 		return;
@@ -403,6 +417,8 @@
 	buf = evbuffer_new();
 	evbuffer_add(buf, body.p, body.len);
 	g->counts[GAT_ANSWERS]++;
+	g->counts[GAT_TURNED_AWAY] += after > 0;
+	gat_time(&g->answers, tmr_now(g->tmr) - c->came_ms);
 	srv_reply(c->req, status, h, n, buf);
 	evbuffer_free(buf);
 	g_hash_table_remove(g->calls, &no);
@@ -439,22 +455,30 @@
 	srv_reply(r, g->leader && !g->drain_from ? 200 : 503, NULL, 0, NULL);
 }
 
+/* Counts how long something took. */
+static void gat_time(struct cnt_times *t, int64_t ms)
+{
+	cnt_time(t, (double)ms / 1000);
+}
+
 /* Answers with the metrics. */
 static void gat_on_metrics(void *arg, struct srv_req *r)
 {
 	const struct gat *g = arg;
+	const uint64_t now[] = {srv_stats(g->srv).open, g->leader != NULL};
 	GString *text = g_string_new(NULL);
 	struct ups_header type = {(char *)"Content-Type",
 				  (char *)"text/plain; version=0.0.4"};
 	struct evbuffer *body = evbuffer_new();
 
 	cnt_text(text, gat_counters, g->counts, GAT_COUNTS, "");
-	g_string_append_printf(text,
-			       "# TYPE endive_entry_open gauge\n"
-			       "endive_entry_open %" PRIu64 "\n"
-			       "# TYPE endive_entry_leader gauge\n"
-			       "endive_entry_leader %d\n",
-			       srv_stats(g->srv).open, g->leader != NULL);
+	cnt_text(text, gat_gauges, now, G_N_ELEMENTS(now), "");
+	cnt_times_text(text, "endive_entry_answer_seconds",
+		       "Requests, until a leader's answer", &g->answers);
+	cnt_times_text(text, "endive_entry_refusal_seconds",
+		       "Requests, until they were refused", &g->refusals);
+	cnt_times_text(text, "endive_entry_leaderless_seconds",
+		       "Times without a leader", &g->leaderless);
 	cnt_process(text);
 	evbuffer_add(body, text->str, text->len);
 	srv_reply(r, 200, &type, 1, body);
@@ -547,6 +571,7 @@
 		   (int)CLAMP(gone_s, GAT_RETRY_MIN_S, GAT_RETRY_MAX_S));
 
 	g->counts[c->sent ? GAT_UNKNOWN : GAT_REFUSED]++;
+	gat_time(&g->refusals, tmr_now(g->tmr) - c->came_ms);
 	msg(c->sent ? MSG_GAT_UNKNOWN : MSG_GAT_REFUSED,
 	    "method=%s path=%s why=\"no leader\" held_ms=%" PRId64, c->method,
 	    c->path, tmr_now(g->tmr) - c->came_ms);
--- a/src/hub.c
+++ b/src/hub.c
@@ -2,7 +2,6 @@
 
 #include <inttypes.h>
 
-#include "cnt.h"
 #include "err.h"
 #include "msg.h"
 #include "proto.h"
@@ -51,29 +50,6 @@
 	.gone = hub_no_gone,
 };
 
-static const struct cnt_def hub_counters[HUB_COUNTS] = {
-	[HUB_CALLS] = {"endive_calls_total", "counter",
-		       "Calls of callers, workers and operators"},
-	[HUB_JOBS] = {"endive_jobs_accepted_total", "counter", "Jobs accepted"},
-	[HUB_STARTS] = {"endive_starts_total", "counter",
-			"Runs of tasks ordered"},
-	[HUB_ENDS] = {"endive_ends_total", "counter", "Runs of tasks over"},
-	[HUB_FAILED_RUNS] = {"endive_runs_failed_total", "counter",
-			     "Runs that failed"},
-	[HUB_LOST_RUNS] = {"endive_runs_lost_total", "counter",
-			   "Runs lost with their worker or lease"},
-	[HUB_STOPS] = {"endive_stops_total", "counter", "Runs stopped by us"},
-	[HUB_CANCELS] = {"endive_cancels_total", "counter", "Jobs cancelled"},
-	[HUB_BATCHES] = {"endive_log_entries_total", "counter",
-			 "Entries proposed to the log"},
-	[HUB_READS] = {"endive_reads_total", "counter",
-		       "Rounds that confirmed a read"},
-	[HUB_LEADS] = {"endive_leads_total", "counter",
-		       "Times this replica began to lead"},
-	[HUB_PACES] = {"endive_paces_total", "counter",
-		       "Runs slowed down or let go"},
-};
-
 /*
  * Starts a control daemon on config's loop; config's parts must outlive it.
  * NULL with the step that failed.
@@ -340,30 +316,12 @@
 static void hub_on_metrics(void *arg, struct srv_req *r)
 {
 	const struct hub *h = arg;
-	struct wkr_stats s = wkr_stats(h->wkr);
 	GString *text = g_string_new(NULL);
 	struct ups_header type = {(char *)"Content-Type",
 				  (char *)"text/plain; version=0.0.4"};
 	struct evbuffer *body = evbuffer_new();
 
-	cnt_text(text, hub_counters, h->counts, HUB_COUNTS, "");
-	g_string_append_printf(
-		text,
-		"# TYPE endive_leading gauge\nendive_leading %d\n"
-		"# TYPE endive_jobs_live gauge\nendive_jobs_live %u\n"
-		"# TYPE endive_workers gauge\nendive_workers %u\n"
-		"# TYPE endive_syncs_total counter\nendive_syncs_total %" PRIu64
-		"\n# TYPE endive_sync_us gauge\nendive_sync_us %" PRId64
-		"\n# TYPE endive_orders_unanswered_total counter\n"
-		"endive_orders_unanswered_total %" PRIu64
-		"\n# TYPE endive_starts_refused_total counter\n"
-		"endive_starts_refused_total %" PRIu64
-		"\n# TYPE endive_lapses_total counter\n"
-		"endive_lapses_total %" PRIu64 "\n",
-		h->leading, jtb_live(h->jtb)->len,
-		g_hash_table_size(jtb_workers(h->jtb)), rep_syncs(h->rep),
-		rep_sync_us(h->rep), s.unanswered, s.refused, s.lapses);
-	cnt_process(text);
+	hub_tell_metrics(h, text);
 	evbuffer_add(body, text->str, text->len);
 	srv_reply(r, 200, &type, 1, body);
 	evbuffer_free(body);
--- a/src/hub_call.c
+++ b/src/hub_call.c
@@ -111,6 +111,7 @@
 	if (c->answered)
 		return;
 	c->answered = true;
+	hub_time(h, HUB_ANSWER, tmr_now(h->tmr) - c->came_ms);
 	if (c->conn)
 		hub_answer_wire(c, a);
 	else if (c->req)
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -1,6 +1,7 @@
 #ifndef HUB_INT_H
 #define HUB_INT_H
 
+#include "cnt.h"
 #include "est.h"
 #include "flo.h"
 #include "hub.h"
@@ -14,8 +15,8 @@
 /*
  * Files of the control daemon, each using only those before it: hub_call
  * (calls and their answers), hub_log (commands and reads on their way),
- * hub_plan (what runs, on the leader), hub_vm (upkeep of VMs), hub_take (what faces ask for), hub
- * (the daemon itself).
+ * hub_plan (what runs, on the leader), hub_vm (upkeep of VMs), hub_take (what
+ * faces ask for), hub_tell (metrics), hub (the daemon itself).
  */
 
 struct hub_call {
@@ -40,6 +41,12 @@
 	hub_then then;
 };
 
+/* A batch or a read on its way through the log. */
+struct hub_flight {
+	GArray *waits; /* struct hub_wait */
+	int64_t since_ms;
+};
+
 /* What /metrics counts. */
 enum hub_count {
 	HUB_CALLS,
@@ -54,9 +61,25 @@
 	HUB_READS,
 	HUB_LEADS,
 	HUB_PACES,
+	HUB_MOVES,
+	HUB_UPKEEPS,
+	HUB_UPKEEPS_DONE,
+	HUB_UNKNOWN_CALLS,
 	HUB_COUNTS
 };
 
+/* Whose times /metrics shows. */
+enum hub_time {
+	HUB_ANSWER, /* a call's, until its answer */
+	HUB_FIRST_START, /* a job's, until its first run is ordered */
+	HUB_COMPLETED, /* a completed job's, until its end is stored */
+	HUB_LATE, /* what a completed job took beyond its objective */
+	HUB_RUN, /* from an order to the end of a run that is done */
+	HUB_COMMIT, /* of a batch, until it is stored by a majority */
+	HUB_READ, /* until a majority has confirmed that we lead */
+	HUB_TIMES
+};
+
 struct hub {
 	struct hub_config config;
 	struct tmr *tmr;
@@ -77,9 +100,9 @@
 	struct pk_out batch; /* commands not proposed yet, one after another */
 	uint32_t batch_n;
 	GArray *batch_waits; /* struct hub_wait */
-	GHashTable *flights; /* log index: GArray of struct hub_wait */
+	GHashTable *flights; /* log index: struct hub_flight */
 	GArray *read_waits; /* struct hub_wait, for the next read */
-	GHashTable *reads; /* tag: GArray of struct hub_wait */
+	GHashTable *reads; /* tag: struct hub_flight */
 	uint64_t next_tag;
 	uint64_t flush_timer;
 	int64_t flushed_ms;
@@ -93,6 +116,7 @@
 	uint64_t tick;
 	int64_t drain_until;
 	uint64_t counts[HUB_COUNTS];
+	struct cnt_times times[HUB_TIMES];
 };
 
 /* hub_call */
@@ -121,5 +145,8 @@
 void hub_vm_lead(struct hub *h, uint64_t term);
 void hub_vm_rest(struct hub *h);
 void hub_vm_tick(struct hub *h, int64_t now);
+/* hub_tell */
+void hub_time(struct hub *h, enum hub_time what, int64_t ms);
+void hub_tell_metrics(const struct hub *h, GString *out);
 
 #endif
--- a/src/hub_log.c
+++ b/src/hub_log.c
@@ -17,7 +17,8 @@
 static void hub_flush_reads(struct hub *h);
 static void hub_go_on(struct hub *h, GArray *waits, bool ok);
 static GArray *hub_waits_new(void);
-static void hub_waits_free(gpointer p);
+static struct hub_flight *hub_flight_new(const struct hub *h, GArray *waits);
+static void hub_flight_free(struct hub_flight *f);
 
 /* Begins without commands. */
 void hub_log_init(struct hub *h)
@@ -88,26 +89,28 @@
 /* The batch at that place of the log was applied. */
 void hub_log_applied(struct hub *h, uint64_t index)
 {
-	gpointer key = NULL;
-	gpointer waits = NULL;
+	struct hub_flight *f = g_hash_table_lookup(h->flights, &index);
 
-	if (!g_hash_table_lookup_extended(h->flights, &index, &key, &waits))
+	if (!f)
 		return;
 	g_hash_table_remove(h->flights, &index);
-	hub_go_on(h, waits, true);
-	hub_waits_free(waits);
+	hub_time(h, HUB_COMMIT, tmr_now(h->tmr) - f->since_ms);
+	hub_go_on(h, f->waits, true);
+	hub_flight_free(f);
 }
 
 /* The read of that tag may be served, or leadership was lost. */
 void hub_log_read(struct hub *h, uint64_t tag, bool ok)
 {
-	GArray *waits = g_hash_table_lookup(h->reads, &tag);
+	struct hub_flight *f = g_hash_table_lookup(h->reads, &tag);
 
-	if (!waits)
+	if (!f)
 		return;
 	g_hash_table_remove(h->reads, &tag);
-	hub_go_on(h, waits, ok);
-	hub_waits_free(waits);
+	if (ok)
+		hub_time(h, HUB_READ, tmr_now(h->tmr) - f->since_ms);
+	hub_go_on(h, f->waits, ok);
+	hub_flight_free(f);
 	if (ok && h->read_waits->len)
 		hub_flush_soon(h);
 }
@@ -120,8 +123,10 @@
 
 	lists = g_list_concat(lists, g_hash_table_get_values(h->reads));
 	for (i = lists; i; i = i->next) {
-		hub_go_on(h, i->data, false);
-		hub_waits_free(i->data);
+		struct hub_flight *f = i->data;
+
+		hub_go_on(h, f->waits, false);
+		hub_flight_free(f);
 	}
 	g_list_free(lists);
 	g_hash_table_remove_all(h->flights);
@@ -182,7 +187,7 @@
 	}
 	h->counts[HUB_BATCHES]++;
 	g_hash_table_insert(h->flights, g_memdup2(&index, sizeof(index)),
-			    h->batch_waits);
+			    hub_flight_new(h, h->batch_waits));
 	h->batch_waits = hub_waits_new();
 	msgpack_sbuffer_clear(&h->batch.buf);
 	h->batch_n = 0;
@@ -198,7 +203,7 @@
 	h->next_tag++;
 	h->counts[HUB_READS]++;
 	g_hash_table_insert(h->reads, g_memdup2(&tag, sizeof(tag)),
-			    h->read_waits);
+			    hub_flight_new(h, h->read_waits));
 	h->read_waits = hub_waits_new();
 	if (!rep_read(h->rep, tag))
 		hub_log_read(h, tag, false);
@@ -216,8 +221,10 @@
 			w->then(h, w->c);
 		else if (!ok && !w->c->answered && w->c->door == HUB_CONTROL)
 			hub_status(h, w->c, 503);
-		else if (!ok)
+		else if (!ok && !w->c->answered) {
+			h->counts[HUB_UNKNOWN_CALLS]++;
 			hub_call_gone(w->c);
+		}
 		hub_call_unref(w->c);
 	}
 }
@@ -228,8 +235,19 @@
 	return g_array_new(FALSE, FALSE, sizeof(struct hub_wait));
 }
 
-/* Frees such a list. */
-static void hub_waits_free(gpointer p)
+/* Takes a list of those who wait for what goes out now. */
+static struct hub_flight *hub_flight_new(const struct hub *h, GArray *waits)
+{
+	struct hub_flight *f = g_new0(struct hub_flight, 1);
+
+	f->waits = waits;
+	f->since_ms = tmr_now(h->tmr);
+	return f;
+}
+
+/* Frees it with its list. */
+static void hub_flight_free(struct hub_flight *f)
 {
-	g_array_free(p, TRUE);
+	g_array_free(f->waits, TRUE);
+	g_free(f);
 }
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -19,6 +19,7 @@
 static void hub_run_began(void *arg, struct jtb_run *run);
 static void hub_run_ends(void *arg, struct jtb_run *run, enum jtb_end how);
 static void hub_job_changed(void *arg, struct jtb_job *job);
+static void hub_job_times(struct hub *h, const struct jtb_job *job);
 static void hub_worker_changed(void *arg, struct jtb_worker *w);
 static void hub_worker_gone(void *arg, struct jtb_worker *w);
 static void hub_config_changed(void *arg);
@@ -148,8 +149,11 @@
 		return;
 	h->counts[HUB_STARTS]++;
 	run->ordered_ms = tmr_now(h->tmr);
-	if (!run->job->begun_ms)
+	if (!run->job->begun_ms) {
 		run->job->begun_ms = hub_wall_ms();
+		hub_time(h, HUB_FIRST_START,
+			 run->job->begun_ms - run->job->accepted_ms);
+	}
 	jtb_name_of(run, &n);
 	jtb_name_text(&n, task, sizeof(task));
 	msg(MSG_HUB_START, "task=%s attempt=%u worker=%s used_cpu=%u", task,
@@ -175,7 +179,9 @@
 	turn->parts[run->step].tasks[run->index].free_ms = tmr_now(h->tmr);
 	jtb_name_of(run, &n);
 	jtb_name_text(&n, task, sizeof(task));
-	if (how != JTB_DONE)
+	if (how == JTB_DONE)
+		hub_time(h, HUB_RUN, tmr_now(h->tmr) - run->ordered_ms);
+	else
 		msg(MSG_HUB_END,
 		    "task=%s attempt=%u worker=%s how=%s "
 		    "took_ms=%" PRId64 " percent=%d",
@@ -195,6 +201,7 @@
 	if (!h->leading)
 		return;
 	if (jtb_ended(job)) {
+		hub_job_times(h, job);
 		msg(MSG_HUB_JOB_END,
 		    "job=%s queue=%s state=%s waited_ms=%" PRId64
 		    " after_ms=%" PRId64 " chain_ms=%u objective_ms=%" PRId64,
@@ -207,6 +214,17 @@
 	hub_dirty_job(h, job);
 }
 
+/* Counts how long a completed job took, and how much too long. */
+static void hub_job_times(struct hub *h, const struct jtb_job *job)
+{
+	int64_t took = job->ended_ms - job->accepted_ms;
+
+	if (job->state != JTB_COMPLETED)
+		return;
+	hub_time(h, HUB_COMPLETED, took);
+	hub_time(h, HUB_LATE, MAX(0, took - hub_objective_ms(h, job)));
+}
+
 /* A worker is new or told something else of itself. */
 static void hub_worker_changed(void *arg, struct jtb_worker *w)
 {
--- /dev/null
+++ b/src/hub_tell.c
@@ -0,0 +1,124 @@
+#include "hub_int.h"
+
+#include <inttypes.h>
+
+/* What a control daemon tells monitoring of itself. */
+
+static void hub_tell_state(const struct hub *h, GString *out);
+
+static const struct cnt_def hub_counters[HUB_COUNTS] = {
+	[HUB_CALLS] = {"endive_calls_total", "counter",
+		       "Calls of callers, workers and operators"},
+	[HUB_JOBS] = {"endive_jobs_accepted_total", "counter", "Jobs accepted"},
+	[HUB_STARTS] = {"endive_starts_total", "counter",
+			"Runs of tasks ordered"},
+	[HUB_ENDS] = {"endive_ends_total", "counter", "Runs of tasks over"},
+	[HUB_FAILED_RUNS] = {"endive_runs_failed_total", "counter",
+			     "Runs that failed"},
+	[HUB_LOST_RUNS] = {"endive_runs_lost_total", "counter",
+			   "Runs lost with their worker or lease"},
+	[HUB_STOPS] = {"endive_stops_total", "counter", "Runs stopped by us"},
+	[HUB_CANCELS] = {"endive_cancels_total", "counter", "Jobs cancelled"},
+	[HUB_BATCHES] = {"endive_log_entries_total", "counter",
+			 "Entries proposed to the log"},
+	[HUB_READS] = {"endive_reads_total", "counter",
+		       "Rounds that confirmed a read"},
+	[HUB_LEADS] = {"endive_leads_total", "counter",
+		       "Times this replica began to lead"},
+	[HUB_PACES] = {"endive_paces_total", "counter",
+		       "Runs slowed down or let go"},
+	[HUB_MOVES] = {"endive_vm_moves_total", "counter",
+		       "Orders to move a VM to another pool, with repeats"},
+	[HUB_UPKEEPS] = {"endive_vm_upkeeps_total", "counter",
+			 "Orders for a VM's upkeep, with repeats"},
+	[HUB_UPKEEPS_DONE] = {"endive_vm_upkeeps_done_total", "counter",
+			      "VMs whose upkeep was done"},
+	[HUB_UNKNOWN_CALLS] = {"endive_calls_unknown_total", "counter",
+			       "Calls that a lost leadership left unanswered"},
+};
+
+static const struct {
+	const char *name;
+	const char *help;
+} hub_times[HUB_TIMES] = {
+	[HUB_ANSWER] = {"endive_call_seconds", "Calls, until their answer"},
+	[HUB_FIRST_START] = {"endive_job_first_start_seconds",
+			     "Jobs, from acceptance to their first start"},
+	[HUB_COMPLETED] = {"endive_job_seconds",
+			   "Completed jobs, from acceptance to their end"},
+	[HUB_LATE] = {"endive_job_late_seconds",
+		      "What completed jobs took beyond their objective"},
+	[HUB_RUN] = {"endive_run_seconds",
+		     "Runs that are done, from their order to their end"},
+	[HUB_COMMIT] = {"endive_commit_seconds",
+			"Log entries, until a majority has stored them"},
+	[HUB_READ] = {"endive_read_seconds",
+		      "Reads, until a majority has confirmed the leader"},
+};
+
+/* Counts how long something took. */
+void hub_time(struct hub *h, enum hub_time what, int64_t ms)
+{
+	cnt_time(&h->times[what], (double)ms / 1000);
+}
+
+/* Appends all metrics in the text form that monitoring reads. */
+void hub_tell_metrics(const struct hub *h, GString *out)
+{
+	const struct wkr_stats *s = wkr_stats(h->wkr);
+	size_t i;
+
+	cnt_text(out, hub_counters, h->counts, HUB_COUNTS, "");
+	hub_tell_state(h, out);
+	for (i = 0; i < HUB_TIMES; i++)
+		cnt_times_text(out, hub_times[i].name, hub_times[i].help,
+			       &h->times[i]);
+	cnt_times_text(out, "endive_order_seconds",
+		       "Orders to workers, until their answer", &s->answers);
+	cnt_times_text(out, "endive_lease_margin_seconds",
+		       "What was left of workers' leases when renewed",
+		       &s->margin);
+	cnt_times_text(out, "endive_sync_seconds", "Syncs of the data folder",
+		       rep_sync_times(h->rep));
+	cnt_times_text(out, "endive_leaderless_seconds",
+		       "Times without a leader, as this replica saw them",
+		       rep_leaderless(h->rep));
+	cnt_process(out);
+}
+
+/* Appends how things stand now, and what other parts count. */
+static void hub_tell_state(const struct hub *h, GString *out)
+{
+	const struct wkr_stats *s = wkr_stats(h->wkr);
+	const struct cnt_def defs[] = {
+		{"endive_leading", "gauge", "1 on the replica that leads"},
+		{"endive_jobs_live", "gauge", "Jobs that aren't over"},
+		{"endive_workers", "gauge", "Workers in the table"},
+		{"endive_vms_moving", "gauge", "VMs on their way to a pool"},
+		{"endive_syncs_total", "counter", "Syncs of the data folder"},
+		{"endive_sync_us", "gauge", "Moving mean of a sync, us"},
+		{"endive_worker_connects_total", "counter",
+		 "Connections opened to workers"},
+		{"endive_orders_unanswered_total", "counter",
+		 "Calls to workers without an answer"},
+		{"endive_starts_refused_total", "counter",
+		 "Starts that a worker refused"},
+		{"endive_lapses_total", "counter",
+		 "Workers given up since their lease was over"},
+	};
+	const uint64_t values[] = {
+		h->leading,
+		jtb_live(h->jtb)->len,
+		g_hash_table_size(jtb_workers(h->jtb)),
+		flo_moving(h->flo),
+		rep_syncs(h->rep),
+		(uint64_t)rep_sync_us(h->rep),
+		wkr_connects(h->wkr),
+		s->unanswered,
+		s->refused,
+		s->lapses,
+	};
+
+	G_STATIC_ASSERT(G_N_ELEMENTS(defs) == G_N_ELEMENTS(values));
+	cnt_text(out, defs, values, G_N_ELEMENTS(values), "");
+}
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -213,6 +213,7 @@
 {
 	struct hub *h = arg;
 
+	h->counts[HUB_UPKEEPS]++;
 	vms_upkeep(h->vms, vm->vm, w->no);
 }
 
@@ -222,6 +223,7 @@
 {
 	struct hub *h = arg;
 
+	h->counts[HUB_UPKEEPS_DONE] += state == JTB_VM_DONE;
 	msg(MSG_HUB_WAVE, "wave=%" PRIu64 " vm=%s state=%s worker=%s", w->no,
 	    vm->vm, state == JTB_VM_DONE ? "done" : "begins",
 	    worker_before ? worker_before : "");
@@ -257,6 +259,7 @@
 {
 	struct hub *h = arg;
 
+	h->counts[HUB_MOVES]++;
 	vms_move(h->vms, vm, pool);
 }
 
--- a/src/rep.c
+++ b/src/rep.c
@@ -75,6 +75,7 @@
 	}
 	for (p = r->seeds; *p; p++)
 		rep_peer_at(r, *p);
+	r->leaderless_ms = tmr_now(config->tmr);
 	r->tick = tmr_every(config->tmr, REP_TICK_MS, rep_tick, r);
 	r->upkeep = tmr_every(config->tmr, REP_UPKEEP_MS, rep_upkeep, r);
 	rep_kick(r);
@@ -194,6 +195,18 @@
 	return vot_syncs(r->vot);
 }
 
+/* How long syncs took. */
+const struct cnt_times *rep_sync_times(const struct rep *r)
+{
+	return vot_sync_times(r->vot);
+}
+
+/* How long no leader was known, each time that one was found. */
+const struct cnt_times *rep_leaderless(const struct rep *r)
+{
+	return &r->leaderless;
+}
+
 /* Moving mean of a sync's time, us. */
 int64_t rep_sync_us(const struct rep *r)
 {
@@ -424,6 +437,12 @@
 		leader = 0;
 	if (leader == r->told_leader)
 		return;
+	if (!leader)
+		r->leaderless_ms = tmr_now(r->config.tmr);
+	else if (!r->told_leader)
+		cnt_time(&r->leaderless,
+			 (double)(tmr_now(r->config.tmr) - r->leaderless_ms) /
+				 1000);
 	r->told_leader = leader;
 	for (i = 0; i < r->conns->len; i++)
 		rep_tell_leader(r, g_ptr_array_index(r->conns, i));
--- a/src/rep.h
+++ b/src/rep.h
@@ -64,6 +64,8 @@
 uint64_t rep_term(const struct rep *r);
 char *rep_leader_addr(const struct rep *r);
 const struct cns_members *rep_members(const struct rep *r);
+const struct cnt_times *rep_sync_times(const struct rep *r);
+const struct cnt_times *rep_leaderless(const struct rep *r);
 uint64_t rep_syncs(const struct rep *r);
 int64_t rep_sync_us(const struct rep *r);
 
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -70,7 +70,9 @@
 	uint64_t lead_term;
 	enum cns_role role;
 	uint64_t role_term;
-	uint64_t told_leader;
+	uint64_t told_leader; /* 0: none is known */
+	int64_t leaderless_ms; /* since when none is */
+	struct cnt_times leaderless; /* how long none was */
 	uint64_t syncs; /* of vot, as last looked at */
 	int slow_syncs; /* in a row */
 	int64_t slow_ms; /* when leadership was last given up for it */
--- a/src/vot.c
+++ b/src/vot.c
@@ -24,6 +24,7 @@
 	uint64_t snapshots;
 	int64_t sync_us; /* moving mean of a sync's time */
 	int64_t last_sync_us;
+	struct cnt_times sync_times;
 	bool pumping;
 	bool failed;
 };
@@ -136,6 +137,12 @@
 	return v->snapshots;
 }
 
+/* How long syncs took. */
+const struct cnt_times *vot_sync_times(const struct vot *v)
+{
+	return &v->sync_times;
+}
+
 /* Moving mean of a sync's time, us. */
 int64_t vot_sync_us(const struct vot *v)
 {
@@ -217,6 +224,7 @@
 
 	v->last_sync_us = g_get_monotonic_time() - from;
 	v->syncs++;
+	cnt_time(&v->sync_times, (double)v->last_sync_us / G_USEC_PER_SEC);
 	v->sync_us += (v->last_sync_us - v->sync_us) / VOT_MEAN;
 	return ok;
 }
--- a/src/vot.h
+++ b/src/vot.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "cns.h"
+#include "cnt.h"
 #include "pk.h"
 #include "sto.h"
 
@@ -47,6 +48,7 @@
 uint64_t vot_id(const struct vot *v);
 bool vot_failed(const struct vot *v);
 uint64_t vot_applied(const struct vot *v);
+const struct cnt_times *vot_sync_times(const struct vot *v);
 uint64_t vot_syncs(const struct vot *v);
 uint64_t vot_snapshots(const struct vot *v);
 int64_t vot_sync_us(const struct vot *v);
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -3,6 +3,8 @@
 static struct wkr_link *wkr_link_of(const struct jtb_worker *w);
 static void wkr_link_close(struct wkr_link *l);
 static void wkr_link_free(gpointer p);
+static void wkr_granted(struct wkr_link *l, int64_t now);
+static bool wkr_holds_any(const struct wkr_link *l);
 static void wkr_call_free(struct wkr_call *c);
 static void wkr_on_end(void *arg, enum ups_end end, const struct ups_answer *a);
 static void wkr_tick(void *arg, int64_t now);
@@ -244,12 +246,15 @@
 }
 
 /* Counters since the start. */
-struct wkr_stats wkr_stats(const struct wkr *k)
+const struct wkr_stats *wkr_stats(const struct wkr *k)
 {
-	struct wkr_stats s = k->stats;
+	return &k->stats;
+}
 
-	s.connects = ups_stats(k->ups).connects;
-	return s;
+/* Connections to workers since the start. */
+uint64_t wkr_connects(const struct wkr *k)
+{
+	return ups_stats(k->ups).connects;
 }
 
 /* The session with a worker, or NULL. */
@@ -318,10 +323,34 @@
 	r.body = c->body;
 	l->k->stats.orders[o->kind]++;
 	if (o->until_ms)
-		l->granted_at = c->sent_ms;
+		wkr_granted(l, c->sent_ms);
 	c->ups = ups_start(l->k->ups, &r, &wkr_ups_ops, c);
 }
 
+/* A lease goes out: all that runs there lives by the newest one. */
+static void wkr_granted(struct wkr_link *l, int64_t now)
+{
+	int64_t left = l->granted_at + l->k->lease_ms - now;
+
+	if (l->granted_at > l->k->led_since && wkr_holds_any(l))
+		cnt_time(&l->k->stats.margin, MAX(0.0, (double)left / 1000));
+	l->granted_at = now;
+}
+
+/* Whether anything runs there under an earlier lease. */
+static bool wkr_holds_any(const struct wkr_link *l)
+{
+	guint i;
+
+	for (i = 0; i < l->w->runs->len; i++) {
+		const struct jtb_run *run = g_ptr_array_index(l->w->runs, i);
+
+		if (run->phase == WKR_ON)
+			return true;
+	}
+	return false;
+}
+
 /* Ends a call. */
 static void wkr_call_free(struct wkr_call *c)
 {
@@ -347,6 +376,10 @@
 
 		body = lstr_n(evbuffer_pullup(a->body, -1), len);
 	}
+	if (end == UPS_WHOLE && c->kind != WKR_HOLD)
+		cnt_time(&l->k->stats.answers,
+			 (double)(tmr_now(l->k->config.tmr) - c->sent_ms) /
+				 1000);
 	if (end != UPS_WHOLE) {
 		wkr_unanswered(l, c, end != UPS_NOT_SENT);
 	} else if (c->kind == WKR_HOLD) {
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cnt.h"
 #include "jtb.h"
 #include "tmr.h"
 #include "ups.h"
@@ -127,7 +128,8 @@
 	uint64_t unanswered;
 	uint64_t refused; /* starts */
 	uint64_t lapses; /* workers given up since their lease was over */
-	uint64_t connects;
+	struct cnt_times answers; /* how long orders took to be answered */
+	struct cnt_times margin; /* what was left of leases when renewed */
 };
 
 struct wkr *wkr_new(const struct wkr_config *config, const struct wkr_ops *ops,
@@ -148,6 +150,7 @@
 bool wkr_usable(const struct wkr *k, const struct jtb_worker *w);
 int64_t wkr_silent_since(const struct wkr *k, const struct jtb_worker *w);
 bool wkr_reached(const struct wkr *k, const struct jtb_worker *w);
-struct wkr_stats wkr_stats(const struct wkr *k);
+const struct wkr_stats *wkr_stats(const struct wkr *k);
+uint64_t wkr_connects(const struct wkr *k);
 
 #endif
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -6,6 +6,7 @@
 wire=$JOBS_PORT
 control=$((JOBS_PORT + 1))
 callers=$((JOBS_PORT + 2))
+metrics=$((JOBS_PORT + 4))
 seeds=127.0.0.1:$control,127.0.0.2:$control,127.0.0.3:$control
 entries=127.0.0.4:$callers
 
@@ -41,6 +42,7 @@
 	zone = z$1
 	wire = 127.0.0.$1:$wire
 	control = 127.0.0.$1:$control
+	metrics = 127.0.0.$1:$metrics
 	data = $tmp/data$1
 	seeds = $seeds
 	bootstrap = $2
@@ -58,6 +60,7 @@
 	wire = 127.0.0.$1:$wire
 	callers = 127.0.0.$1:$callers
 	ready = 127.0.0.$1:$((callers + 1))
+	metrics = 127.0.0.$1:$metrics
 	seeds = $seeds
 	open-network = true
 	log-level = info
@@ -65,6 +68,12 @@
 	jobs_run "e$1" "$BIN/endive-gated" --settings "$tmp/e$1.conf"
 }
 
+# NO METRIC: its value on the daemon at 127.0.0.NO
+jobs_metric() {
+	curl -s "http://127.0.0.$1:$metrics/metrics" |
+		awk -v name="$2" '$1 == name { print $2 }'
+}
+
 # NO [FLAG...]
 jobs_worker() {
 	no=$1
--- a/tests/system/jobs_test.sh
+++ b/tests/system/jobs_test.sh
@@ -24,6 +24,16 @@
 "$BIN/endive-job" --to "$entries" --jobs 10 || fail "calm"
 done_once
 
+# Monitoring sees what it took: each histogram has counted something.
+leader=$(jobs_leader) || fail "no leader"
+for name in call job job_first_start job_late run commit read order \
+	lease_margin sync leaderless; do
+	n=$(jobs_metric "$leader" "endive_${name}_seconds_count")
+	[ "${n:-0}" -gt 0 ] || fail "endive_${name}_seconds: ${n:-none}"
+done
+n=$(jobs_metric 4 endive_entry_answer_seconds_count)
+[ "${n:-0}" -ge 10 ] || fail "endive_entry_answer_seconds: ${n:-none}"
+
 # A leader is killed while jobs run; they go on under the next one.
 "$BIN/endive-job" --to "$entries" --jobs 20 --first 1000 --seconds 60 \
 	>"$tmp/out" 2>&1 &
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -432,6 +432,75 @@
 	assert_true(b->until_ms < WORKER_MS);
 }
 
+/* Margins that were counted, and of them those of leases all but over. */
+static uint64_t margins(const struct bed *b, uint64_t *none)
+{
+	const struct cnt_times *t = &wkr_stats(b->wkr)->margin;
+	uint64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < CNT_CELLS; i++)
+		n += t->cells[i];
+	*none = t->cells[0];
+	return n;
+}
+
+/*
+ * Monitoring sees how long orders take, and how near to its end each lease is
+ * when it is renewed.
+ */
+static void orders_and_leases_are_timed(void **state)
+{
+	const struct wkr_stats *s;
+	struct bed *b = *state;
+	uint64_t orders = 0;
+	uint64_t none;
+	uint64_t n;
+	size_t i;
+
+	b->lists = true;
+	start(b);
+	net_run(b->base, SETTLE_MS);
+	s = wkr_stats(b->wkr);
+	n = margins(b, &none);
+	assert_true(n > 0);
+	assert_true(s->margin.sum_s * 1000 <= (double)n * LEASE_MS);
+	assert_true(s->margin.sum_s * 1000 > (double)n * LEASE_MS / 2);
+	for (i = 0; i < CNT_CELLS; i++)
+		orders += s->answers.cells[i];
+	assert_int_equal(orders, s->orders[WKR_START] + s->orders[WKR_STOP]);
+}
+
+/*
+ * A worker without work needs no lease: that its last one is long over when
+ * the next work comes is no lease nearly missed.
+ */
+static void a_lease_of_no_work_has_no_margin(void **state)
+{
+	struct jtb_name n = {.id = "j"};
+	struct bed *b = *state;
+	struct pk_out o;
+	uint64_t none;
+
+	start(b);
+	wait_for(b, &b->starts);
+	pk_out_init(&o);
+	jtb_put_end(&o, "w", 0, &n, 1, JTB_LOST, lstr_n("", 0), 1);
+	apply(b, &o);
+	assert_int_equal(jtb_worker(b->jtb, "w")->runs->len, 0);
+	net_run(b->base, LEASE_MS + SETTLE_MS);
+	pk_out_init(&o);
+	jtb_put_start(&o, &n, 2, "w");
+	apply(b, &o);
+	b->run = jtb_find_run(b->jtb, &n, 2, "w");
+	assert_non_null(b->run);
+	wkr_run(b->wkr, b->run);
+	net_run(b->base, SETTLE_MS);
+	assert_int_equal(b->starts, 2);
+	margins(b, &none);
+	assert_int_equal(none, 0);
+}
+
 /* A start is good from now on, for no longer than a worker takes. */
 static void a_start_has_a_lease(void **state)
 {
@@ -707,6 +776,8 @@
 		T(a_run_that_is_nowhere_is_told_as_lost),
 		T(a_leader_that_stood_still_starts_nothing),
 		T(a_start_has_a_lease),
+		T(orders_and_leases_are_timed),
+		T(a_lease_of_no_work_has_no_margin),
 		T(leases_of_the_old_leader_are_waited_for),
 		T(a_silent_worker_gets_no_lease),
 		T(a_worker_that_was_given_up_is_told_to_start_nothing),
