Under load the lines of a job are shown whole or not at all

Change: msg_rate chooses by the job's id, the same for all messages, so that what a busy message shows a calm one shows as well; ends of failed and late jobs, and refusals, are left out only beyond 200 a second. job-ended tells how many runs beyond the first its tasks had, and no longer takes the first start under a new leader for the job's first (found by reading a traced job: it said 1,688 ms where a start stood at 904 ms).

Tests: msg_rate_test; the one on whole jobs fails with each line taken by itself.

--- a/src/gat.c
+++ b/src/gat.c
@@ -572,9 +572,9 @@
 
 	g->counts[c->sent ? GAT_UNKNOWN : GAT_REFUSED]++;
 	gat_time(&g->refusals, tmr_now(g->tmr) - c->came_ms);
-	msg(c->sent ? MSG_GAT_UNKNOWN : MSG_GAT_REFUSED,
-	    "method=%s path=%s why=\"no leader\" held_ms=%" PRId64, c->method,
-	    c->path, tmr_now(g->tmr) - c->came_ms);
+	msg_job_fails(c->sent ? MSG_GAT_UNKNOWN : MSG_GAT_REFUSED, c->path,
+		      "method=%s path=%s why=\"no leader\" held_ms=%" PRId64,
+		      c->method, c->path, tmr_now(g->tmr) - c->came_ms);
 	srv_reply(c->req, c->sent ? 504 : 503, &after, 1, NULL);
 	g_hash_table_remove(g->calls, &c->no);
 }
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -15,11 +15,13 @@
 /* How often ended jobs are looked through, and how many go at once. */
 #define HUB_FORGET_MS 5000
 #define HUB_FORGET_MAX 500
+/* A job's first start was an earlier leader's, who alone knew its time. */
+#define HUB_BEGUN_BEFORE (-1)
 
 static void hub_run_began(void *arg, struct jtb_run *run);
 static void hub_run_ends(void *arg, struct jtb_run *run, enum jtb_end how);
 static void hub_job_changed(void *arg, struct jtb_job *job);
-static void hub_job_times(struct hub *h, const struct jtb_job *job);
+static void hub_job_over(struct hub *h, const struct jtb_job *job);
 static void hub_worker_changed(void *arg, struct jtb_worker *w);
 static void hub_worker_gone(void *arg, struct jtb_worker *w);
 static void hub_config_changed(void *arg);
@@ -89,6 +91,7 @@
 
 		if (jtb_ended(job))
 			hub_stop_job(h, job);
+		job->begun_ms = job->started ? HUB_BEGUN_BEFORE : 0;
 	}
 	msg(MSG_HUB_LEAD,
 	    "term=%" PRIu64 " config=%" PRIu64 " workers=%u live=%u", term,
@@ -156,8 +159,9 @@
 	}
 	jtb_name_of(run, &n);
 	jtb_name_text(&n, task, sizeof(task));
-	msg(MSG_HUB_START, "task=%s attempt=%u worker=%s used_cpu=%u", task,
-	    run->attempt, run->worker->info.id, run->worker->used_cpu);
+	msg_job(MSG_HUB_START, run->job->spec.id,
+		"task=%s attempt=%u worker=%s used_cpu=%u", task, run->attempt,
+		run->worker->info.id, run->worker->used_cpu);
 	wkr_run(h->wkr, run);
 	if (jtb_ended(run->job))
 		hub_stop(h, run, "job is over");
@@ -182,11 +186,12 @@
 	if (how == JTB_DONE)
 		hub_time(h, HUB_RUN, tmr_now(h->tmr) - run->ordered_ms);
 	else
-		msg(MSG_HUB_END,
-		    "task=%s attempt=%u worker=%s how=%s "
-		    "took_ms=%" PRId64 " percent=%d",
-		    task, run->attempt, run->worker->info.id, jtb_end_name(how),
-		    tmr_now(h->tmr) - run->ordered_ms, run->percent);
+		msg_job(MSG_HUB_END, run->job->spec.id,
+			"task=%s attempt=%u worker=%s how=%s "
+			"took_ms=%" PRId64 " percent=%d",
+			task, run->attempt, run->worker->info.id,
+			jtb_end_name(how), tmr_now(h->tmr) - run->ordered_ms,
+			run->percent);
 	hub_learn(h, run, how);
 	wkr_run_over(h->wkr, run, how);
 	hub_dirty(h, run->worker->info.pool);
@@ -201,28 +206,33 @@
 	if (!h->leading)
 		return;
 	if (jtb_ended(job)) {
-		hub_job_times(h, job);
-		msg(MSG_HUB_JOB_END,
-		    "job=%s queue=%s state=%s waited_ms=%" PRId64
-		    " after_ms=%" PRId64 " chain_ms=%u objective_ms=%" PRId64,
-		    job->spec.id, job->spec.queue, jtb_state_name(job->state),
-		    job->begun_ms ? job->begun_ms - job->accepted_ms : -1,
-		    job->ended_ms - job->accepted_ms, job->chain_ms,
-		    hub_objective_ms(h, job));
+		hub_job_over(h, job);
 		hub_stop_job(h, job);
 	}
 	hub_dirty_job(h, job);
 }
 
-/* Counts how long a completed job took, and how much too long. */
-static void hub_job_times(struct hub *h, const struct jtb_job *job)
+/* Tells how a job ended, and where its time went. */
+static void hub_job_over(struct hub *h, const struct jtb_job *job)
 {
+	int64_t objective = hub_objective_ms(h, job);
 	int64_t took = job->ended_ms - job->accepted_ms;
-
-	if (job->state != JTB_COMPLETED)
-		return;
-	hub_time(h, HUB_COMPLETED, took);
-	hub_time(h, HUB_LATE, MAX(0, took - hub_objective_ms(h, job)));
+	int64_t waited =
+		job->begun_ms > 0 ? job->begun_ms - job->accepted_ms : -1;
+	bool fails = job->state == JTB_FAILED ||
+		     (job->state == JTB_COMPLETED && took > objective);
+
+	if (job->state == JTB_COMPLETED) {
+		hub_time(h, HUB_COMPLETED, took);
+		hub_time(h, HUB_LATE, MAX(0, took - objective));
+	}
+	msg_job_at(__FILE__, __LINE__, MSG_HUB_JOB_END, job->spec.id,
+		   fails ? MSG_FAILURE : MSG_SAMPLED,
+		   "job=%s queue=%s state=%s waited_ms=%" PRId64
+		   " after_ms=%" PRId64 " chain_ms=%u objective_ms=%" PRId64
+		   " again=%u",
+		   job->spec.id, job->spec.queue, jtb_state_name(job->state),
+		   waited, took, job->chain_ms, objective, jtb_runs_again(job));
 }
 
 /* A worker is new or told something else of itself. */
@@ -322,9 +332,10 @@
 	struct hub *h = arg;
 
 	h->counts[HUB_PACES]++;
-	msg(MSG_HUB_PACE, "job=%s step=%u index=%u worker=%s percent=%d",
-	    run->job->spec.id, run->step, run->index, run->worker->info.id,
-	    percent);
+	msg_job(MSG_HUB_PACE, run->job->spec.id,
+		"job=%s step=%u index=%u worker=%s percent=%d",
+		run->job->spec.id, run->step, run->index, run->worker->info.id,
+		percent);
 	wkr_pace(h->wkr, run, percent);
 }
 
@@ -424,11 +435,11 @@
 	if (run->stop)
 		return;
 	h->counts[HUB_STOPS]++;
-	msg(MSG_HUB_STOP,
-	    "job=%s turn=%u step=%u index=%u attempt=%u "
-	    "worker=%s percent=%d why=\"%s\"",
-	    run->job->spec.id, run->turn, run->step, run->index, run->attempt,
-	    run->worker->info.id, run->percent, why);
+	msg_job(MSG_HUB_STOP, run->job->spec.id,
+		"job=%s turn=%u step=%u index=%u attempt=%u "
+		"worker=%s percent=%d why=\"%s\"",
+		run->job->spec.id, run->turn, run->step, run->index,
+		run->attempt, run->worker->info.id, run->percent, why);
 	wkr_stop(h->wkr, run);
 }
 
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -14,9 +14,10 @@
 		hub_then then)
 {
 	h->counts[HUB_JOBS]++;
-	msg(MSG_HUB_JOB, "job=%s queue=%s steps=%u config=%" PRIu64 " live=%u",
-	    spec->id, spec->queue, spec->n_steps, jtb_config(h->jtb)->version,
-	    jtb_live(h->jtb)->len);
+	msg_job(MSG_HUB_JOB, spec->id,
+		"job=%s queue=%s steps=%u config=%" PRIu64 " live=%u", spec->id,
+		spec->queue, spec->n_steps, jtb_config(h->jtb)->version,
+		jtb_live(h->jtb)->len);
 	jtb_put_job(hub_put(h), spec, hub_wall_ms());
 	hub_commit(h, c, then);
 }
@@ -26,7 +27,7 @@
 		hub_then then)
 {
 	h->counts[HUB_CANCELS]++;
-	msg(MSG_HUB_CANCEL, "job=%s", id);
+	msg_job(MSG_HUB_CANCEL, id, "job=%s", id);
 	jtb_put_cancel(hub_put(h), id, hub_wall_ms());
 	hub_commit(h, c, then);
 }
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -251,6 +251,24 @@
 	       (after & job->turns[turn].done) == after;
 }
 
+/* Runs of a job beyond the first of each task. */
+uint32_t jtb_runs_again(const struct jtb_job *job)
+{
+	uint32_t again = 0;
+	uint32_t t;
+	uint32_t s;
+	uint32_t i;
+
+	for (t = 0; t < job->n_turns; t++) {
+		const struct jtb_part *parts = job->turns[t].parts;
+
+		for (s = 0; parts && s < job->spec.n_steps; s++)
+			for (i = 0; i < job->spec.steps[s].count; i++)
+				again += MAX(parts[s].tasks[i].attempt, 1) - 1;
+	}
+	return again;
+}
+
 /* A task's place; the turn's parts come into being with its first start. */
 struct jtb_task *jtb_task_at(const struct jtb_job *job,
 			     const struct jtb_name *n, bool make)
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -151,7 +151,7 @@
 	int64_t ended_ms;
 	int64_t over_ms; /* owner's: when first seen as over; 0: not yet */
 	double scale; /* owner's: time its work takes over its guesses; 0: 1 */
-	int64_t begun_ms; /* owner's: its first start since 1970; 0: not known */
+	int64_t begun_ms; /* owner's: its first start since 1970; 0: none */
 	struct jtb_turn *turns; /* of each repeat; at least one */
 	uint32_t n_turns;
 	uint32_t turns_done;
@@ -276,6 +276,7 @@
 uint32_t jtb_pending(const struct jtb *t, const char *queue);
 struct jtb_run *jtb_find_run(const struct jtb *t, const struct jtb_name *name,
 			     uint32_t attempt, const char *worker);
+uint32_t jtb_runs_again(const struct jtb_job *job);
 bool jtb_step_due(const struct jtb_job *job, uint32_t turn, uint32_t step,
 		  int64_t wall_ms);
 void jtb_plan(struct jtb_job *job, const struct jtb_name *n,
--- a/src/msg.c
+++ b/src/msg.c
@@ -9,28 +9,18 @@
 #include <time.h>
 #include <unistd.h>
 
-/*
- * Lines of one message a second before the rest is only counted: a flood of
- * one fault must not fill a small VM's disk nor hold up the loop.
- */
-#define MSG_RATE 50
-
 /* A message: its level and its name, which no two share. */
 struct msg_def {
 	enum msg_level level;
 	const char *name;
 };
 
-/* What was logged of one message within the current second. */
-struct msg_rate {
-	time_t second;
-	unsigned int lines;
-	unsigned int dropped;
-};
-
 static const char *msg_layout(const log4c_layout_t *layout,
 			      const log4c_logging_event_t *ev);
 static int msg_append(log4c_appender_t *app, const log4c_logging_event_t *ev);
+static void msg_take(const char *file, int line, enum msg_id id,
+		     const char *job, enum msg_keep keep, const char *fmt,
+		     va_list ap) G_GNUC_PRINTF(6, 0);
 static void msg_write(const char *file, int line, enum msg_id id,
 		      const char *text);
 static void msg_never_wait(void);
@@ -186,35 +176,47 @@
 	return FALSE;
 }
 
-/*
- * Logs message id with key=value text, reported with the place it arose.
- * Beyond MSG_RATE lines a second it is counted and the count is told later.
- */
+/* Logs message id with key=value text, with the place it arose. */
 void msg_at(const char *file, int line, enum msg_id id, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	msg_take(file, line, id, NULL, MSG_PLAIN, fmt, ap);
+	va_end(ap);
+}
+
+/* The same of a job; what is left out of a flood is chosen by the job. */
+void msg_job_at(const char *file, int line, enum msg_id id, const char *job,
+		enum msg_keep keep, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	msg_take(file, line, id, job, keep, fmt, ap);
+	va_end(ap);
+}
+
+/* Writes a line unless it is left out; tells of those that were. */
+static void msg_take(const char *file, int line, enum msg_id id,
+		     const char *job, enum msg_keep keep, const char *fmt,
+		     va_list ap)
 {
 	struct msg_rate *rate = &msg_rates[id];
-	time_t now;
+	unsigned int dropped;
 	char text[1024];
-	va_list ap;
 
 	if (msg_table[id].level < msg_lowest)
 		return;
-	now = time(NULL);
-	if (rate->second != now) {
-		if (rate->dropped) {
-			g_snprintf(text, sizeof(text), "of=%s lines=%u",
-				   msg_table[id].name, rate->dropped);
-			msg_write(file, line, MSG_SUPPRESSED, text);
-		}
-		*rate = (struct msg_rate){.second = now};
+	dropped = msg_rate_second(rate, time(NULL));
+	if (dropped) {
+		g_snprintf(text, sizeof(text), "of=%s lines=%u",
+			   msg_table[id].name, dropped);
+		msg_write(file, line, MSG_SUPPRESSED, text);
 	}
-	if (++rate->lines > MSG_RATE) {
-		rate->dropped++;
+	if (!msg_rate_take(rate, job, keep))
 		return;
-	}
-	va_start(ap, fmt);
 	g_vsnprintf(text, sizeof(text), fmt, ap);
-	va_end(ap);
 	msg_write(file, line, id, text);
 }
 
--- a/src/msg.h
+++ b/src/msg.h
@@ -3,6 +3,8 @@
 
 #include <glib.h>
 
+#include "msg_rate.h"
+
 enum msg_level {
 	MSG_DEBUG,
 	MSG_INFO,
@@ -82,6 +84,8 @@
 void msg_done(void);
 void msg_at(const char *file, int line, enum msg_id id, const char *fmt, ...)
 	G_GNUC_PRINTF(4, 5);
+void msg_job_at(const char *file, int line, enum msg_id id, const char *job,
+		enum msg_keep keep, const char *fmt, ...) G_GNUC_PRINTF(6, 7);
 unsigned long msg_lines_left_out(void);
 enum msg_level msg_level_of(enum msg_id id);
 const char *msg_name_of(enum msg_id id);
@@ -90,4 +94,12 @@
 /* Logs a message of the table; the rest is key=value text as for printf. */
 #define msg(id, ...) msg_at(__FILE__, __LINE__, (id), __VA_ARGS__)
 
+/* Logs a message of a job as it should be; under load only of some jobs. */
+#define msg_job(id, job, ...) \
+	msg_job_at(__FILE__, __LINE__, (id), (job), MSG_SAMPLED, __VA_ARGS__)
+
+/* Logs how a job fails its caller: never left out for the sake of others. */
+#define msg_job_fails(id, job, ...) \
+	msg_job_at(__FILE__, __LINE__, (id), (job), MSG_FAILURE, __VA_ARGS__)
+
 #endif
