VMs to be taken are ranked once a tick

A new bench (flo_bench: 350 VMs, a wave, a burst begins) showed one tick of 80, 87 and 103 ms of a whole core, 250 ms of a leader's third of one: for each VM taken, each pool's VMs were all gone through, each with searches by name in moves, upkeep and waves.

Change: flo ranks each pool's VMs once a tick and takes from the end; moves and the list of VMs are found by name in hash tables; a wave is searched only once it is near its end.

--- /dev/null
+++ b/bench/flo_bench.c
@@ -0,0 +1,188 @@
+#include <stdio.h>
+#include <time.h>
+
+#include "flo_int.h"
+#include "upk.h"
+
+/*
+ * The longest step of the loop that moving VMs takes on a leader of 350: the
+ * tick in which a burst begins, all other pools are idle, and a wave of upkeep
+ * is on. The baseline is 10 ms, the longest that a step of the loop may take.
+ */
+
+#define VMS 350
+#define POOLS 5
+#define WAVE_VMS 140
+#define STEP_MS 10.0
+#define WALL_MS 1000000
+
+static double now_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+	return (double)t.tv_sec * 1e3 + (double)t.tv_nsec / 1e6;
+}
+
+static void order(void *arg, const char *vm, const char *pool)
+{
+}
+
+static void stop(void *arg, struct jtb_run *run, const char *why)
+{
+}
+
+static bool may_stop(void *arg, const struct jtb_run *run)
+{
+	return false;
+}
+
+static bool held(void *arg, const char *vm)
+{
+	const struct upk *u = arg;
+
+	return upk_holds(u, vm) || upk_urgent(u, vm, WALL_MS);
+}
+
+/* Applies n commands. */
+static void apply(struct jtb *t, struct pk_out *cmds, uint32_t n)
+{
+	struct pk_out o;
+
+	pk_out_init(&o);
+	pk_arr(&o, n);
+	msgpack_sbuffer_write(&o.buf, cmds->buf.data, cmds->buf.size);
+	if (!jtb_apply(t, pk_out_view(&o)))
+		fprintf(stderr, "flo_bench: a command was not taken\n");
+	pk_out_done(&o);
+	pk_out_done(cmds);
+}
+
+static void put_config(struct jtb *t)
+{
+	struct jtb_config *c = jtb_config_new();
+	struct pk_out o;
+	int i;
+
+	c->version = 1;
+	c->document = g_bytes_new("doc", 3);
+	for (i = 0; i < POOLS; i++) {
+		struct jtb_pool *p = g_new0(struct jtb_pool, 1);
+		struct jtb_queue *q = g_new0(struct jtb_queue, 1);
+
+		p->name = g_strdup_printf("pool%d", i);
+		jtb_config_add_pool(c, p);
+		q->name = g_strdup_printf("queue%d", i);
+		q->host = g_strdup("h");
+		q->prefix = g_strdup_printf("/%d/", i);
+		q->pool = g_strdup(p->name);
+		q->attempts = 3;
+		q->stretch = 1.5;
+		q->slack_ms = 500;
+		jtb_config_add_queue(c, q);
+	}
+	pk_out_init(&o);
+	jtb_put_config(&o, c);
+	apply(t, &o, 1);
+	jtb_config_free(c);
+}
+
+/* Lists the VMs, puts a worker on each, and a wave over some. */
+static void put_vms(struct jtb *t, struct vms *v)
+{
+	GPtrArray *list = g_ptr_array_new_with_free_func(vms_vm_free);
+	struct jtb_wave *w = jtb_wave_new(1);
+	char *labels[] = {NULL};
+	struct pk_out o;
+	int i;
+
+	pk_out_init(&o);
+	for (i = 0; i < VMS; i++) {
+		struct vms_vm *vm = g_new0(struct vms_vm, 1);
+		struct jtb_worker_info info = {
+			.addr = (char *)"127.0.0.1:1",
+			.zone = (char *)"z",
+			.labels = labels,
+			.cpu = 16000,
+			.mem_mb = 64000,
+		};
+
+		vm->name = g_strdup_printf("machine-%05x", i * 7919);
+		vm->pool = g_strdup_printf("pool%d", i % POOLS);
+		vm->worker = g_strdup_printf("i-%010x", i * 7919);
+		vm->state = VMS_UP;
+		vm->cpu = 16000;
+		vm->mem_mb = 64000;
+		g_ptr_array_add(list, vm);
+		info.id = vm->worker;
+		info.pool = vm->pool;
+		jtb_put_worker(&o, &info);
+	}
+	apply(t, &o, VMS);
+	pk_out_init(&o);
+	w->from_ms = WALL_MS;
+	w->within_ms = 60000;
+	w->at_once = 50;
+	for (i = 0; i < WAVE_VMS; i++) {
+		struct vms_vm *vm = g_ptr_array_index(list, VMS - 1 - i);
+
+		jtb_wave_add(w, vm->name);
+	}
+	jtb_put_wave(&o, w);
+	apply(t, &o, 1);
+	jtb_wave_free(w);
+	vms_put_list(v, list, WALL_MS);
+}
+
+static void put_burst(struct jtb *t)
+{
+	struct jtb_step step = {
+		.count = 5000, .cpu = 1000, .mem_mb = 100, .guess_ms = 3000};
+	struct jtb_spec s = {.id = "burst",
+			     .queue = (char *)"queue0",
+			     .text = (char *)"",
+			     .steps = &step,
+			     .n_steps = 1};
+	struct pk_out o;
+
+	pk_out_init(&o);
+	jtb_put_job(&o, &s, WALL_MS);
+	apply(t, &o, 1);
+}
+
+int main(void)
+{
+	static const struct flo_ops ops = {.order = order,
+					   .stop = stop,
+					   .may_stop = may_stop,
+					   .held = held};
+	struct event_base *base = event_base_new();
+	struct tmr *tmr = tmr_new_manual(WALL_MS);
+	struct jtb *t = jtb_new(NULL, NULL);
+	struct vms *v = vms_new(&(struct vms_config){.base = base, .tmr = tmr},
+				NULL, NULL);
+	struct upk *u = upk_new(t, v, NULL, NULL);
+	struct flo *f = flo_new(t, v, &ops, u);
+	double from;
+
+	put_config(t);
+	put_vms(t, v);
+	flo_tick(f, WALL_MS, WALL_MS);
+	put_burst(t);
+	from = now_ms();
+	flo_tick(f, WALL_MS + 100, WALL_MS + 100);
+	printf("flo/%d/burst-begins\t%.3f\tms\t%.1f\n", VMS, now_ms() - from,
+	       STEP_MS);
+	from = now_ms();
+	flo_tick(f, WALL_MS + 200, WALL_MS + 200);
+	printf("flo/%d/burst-goes-on\t%.3f\tms\t%.1f\n", VMS, now_ms() - from,
+	       STEP_MS);
+	fprintf(stderr, "flo_bench: %u VMs on their way\n", flo_moving(f));
+	flo_free(f);
+	upk_free(u);
+	vms_free(v);
+	jtb_free(t);
+	tmr_free(tmr);
+	event_base_free(base);
+	return 0;
+}
--- a/src/flo.c
+++ b/src/flo.c
@@ -19,6 +19,8 @@
 				  const struct flo_pool *to);
 static const struct vms_vm *flo_choose(const struct flo *f,
 				       const struct flo_pool *from);
+static void flo_rank(struct flo *f);
+static int flo_spare_order(gconstpointer a, gconstpointer b);
 static double flo_cost(const struct flo *f, const struct vms_vm *vm);
 
 /* Pools of jtb's configuration over the VMs of vms; both must outlive it. */
@@ -32,6 +34,7 @@
 	f->ops = ops;
 	f->arg = arg;
 	f->moves = g_ptr_array_new_with_free_func(flo_move_free);
+	f->by_vm = g_hash_table_new(g_str_hash, g_str_equal);
 	f->pools = g_ptr_array_new_with_free_func(flo_pool_free);
 	return f;
 }
@@ -41,6 +44,7 @@
 {
 	if (!f)
 		return;
+	g_hash_table_destroy(f->by_vm);
 	g_ptr_array_free(f->moves, TRUE);
 	g_ptr_array_free(f->pools, TRUE);
 	g_free(f);
@@ -54,6 +58,7 @@
 {
 	guint i;
 
+	g_hash_table_remove_all(f->by_vm);
 	g_ptr_array_set_size(f->moves, 0);
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
@@ -72,6 +77,7 @@
 		return;
 	flo_go_on(f, now_ms);
 	flo_measure(f, now_ms, wall_ms);
+	flo_rank(f);
 	flo_fill(f, now_ms);
 	flo_spread(f, now_ms);
 	/* what is empty already is ordered in this tick */
@@ -192,21 +198,14 @@
 	struct flo_pool *pool = p;
 
 	g_free(pool->name);
+	g_array_free(pool->spare, TRUE);
 	g_free(pool);
 }
 
 /* The move that a VM is on, or NULL. */
 struct flo_move *flo_move_of(const struct flo *f, const char *vm)
 {
-	guint i;
-
-	for (i = 0; i < f->moves->len; i++) {
-		struct flo_move *m = g_ptr_array_index(f->moves, i);
-
-		if (strcmp(m->vm, vm) == 0)
-			return m;
-	}
-	return NULL;
+	return g_hash_table_lookup(f->by_vm, vm);
 }
 
 /* What is known of a pool, begun here if it is new. */
@@ -218,6 +217,7 @@
 		return p;
 	p = g_new0(struct flo_pool, 1);
 	p->name = g_strdup(name);
+	p->spare = g_array_new(FALSE, FALSE, sizeof(struct flo_spare));
 	g_ptr_array_add(f->pools, p);
 	return p;
 }
@@ -270,8 +270,10 @@
 		struct flo_move *m = g_ptr_array_index(f->moves, i - 1);
 
 		flo_go_on_move(f, m, now);
-		if (m->over)
-			g_ptr_array_remove_index_fast(f->moves, i - 1);
+		if (!m->over)
+			continue;
+		g_hash_table_remove(f->by_vm, m->vm);
+		g_ptr_array_remove_index_fast(f->moves, i - 1);
 	}
 }
 
@@ -402,6 +404,8 @@
 	m->to = g_strdup(to->name);
 	m->from_ms = now;
 	g_ptr_array_add(f->moves, m);
+	g_hash_table_insert(f->by_vm, m->vm, m);
+	g_array_set_size(from->spare, from->spare->len - 1);
 	from->cores -= vm->cpu / 1000.0;
 	from->vms--;
 	from->going++;
@@ -442,26 +446,56 @@
 /* The VM of a pool that is missed least, or NULL. */
 static const struct vms_vm *flo_choose(const struct flo *f,
 				       const struct flo_pool *from)
+{
+	return from->spare->len ? g_array_index(from->spare, struct flo_spare,
+						from->spare->len - 1)
+					  .vm
+				: NULL;
+}
+
+/*
+ * Puts the VMs of each pool in the order in which they may be taken, once a
+ * tick. To look through all of them for each that is taken held the loop up for
+ * 80 to 103 ms of a whole core just as a burst began, with 350 VMs of which 268
+ * were fetched; this way that tick takes 0.2 ms (flo_bench).
+ */
+static void flo_rank(struct flo *f)
 {
 	GPtrArray *all = vms_all(f->vms);
-	const struct vms_vm *best = NULL;
-	double best_cost = 0;
 	guint i;
 
+	for (i = 0; i < f->pools->len; i++) {
+		struct flo_pool *p = g_ptr_array_index(f->pools, i);
+
+		g_array_set_size(p->spare, 0);
+	}
 	for (i = 0; i < all->len; i++) {
 		const struct vms_vm *vm = g_ptr_array_index(all, i);
-		double cost;
+		struct flo_spare s = {.vm = vm, .place = i};
 
-		if (strcmp(vm->pool, from->name) != 0 || vm->state != VMS_UP ||
-		    flo_move_of(f, vm->name) || f->ops->held(f->arg, vm->name))
-			continue;
-		cost = flo_cost(f, vm);
-		if (cost < 0 || (best && cost >= best_cost))
+		if (vm->state != VMS_UP || flo_move_of(f, vm->name) ||
+		    f->ops->held(f->arg, vm->name))
 			continue;
-		best = vm;
-		best_cost = cost;
+		s.cost = flo_cost(f, vm);
+		if (s.cost >= 0)
+			g_array_append_val(flo_pool_at(f, vm->pool)->spare, s);
 	}
-	return best;
+	for (i = 0; i < f->pools->len; i++) {
+		struct flo_pool *p = g_ptr_array_index(f->pools, i);
+
+		g_array_sort(p->spare, flo_spare_order);
+	}
+}
+
+/* Those missed least come last, where they are taken from. */
+static int flo_spare_order(gconstpointer a, gconstpointer b)
+{
+	const struct flo_spare *x = a;
+	const struct flo_spare *y = b;
+
+	if (x->cost != y->cost)
+		return x->cost > y->cost ? -1 : 1;
+	return (x->place < y->place) - (x->place > y->place);
 }
 
 /*
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -83,12 +83,20 @@
 	bool over;
 };
 
+/* A VM that may be taken from its pool. */
+struct flo_spare {
+	const struct vms_vm *vm;
+	double cost; /* of taking it */
+	guint place; /* in the list of VMs */
+};
+
 struct flo {
 	struct jtb *jtb;
 	const struct vms *vms;
 	const struct flo_ops *ops;
 	void *arg;
 	GPtrArray *moves; /* struct flo_move */
+	GHashTable *by_vm; /* the same, by VM */
 	GPtrArray *pools; /* struct flo_pool */
 	int64_t ticked_ms;
 	uint64_t seen; /* jobs before this one are in the rates */
--- a/src/upk.c
+++ b/src/upk.c
@@ -165,11 +165,13 @@
 
 	for (i = 0; i < waves->len; i++) {
 		const struct jtb_wave *w = g_ptr_array_index(waves, i);
-		const struct jtb_wave_vm *v =
-			w->completed ? NULL : upk_vm_of(w, vm);
+		const struct jtb_wave_vm *v;
 
-		if (v && v->state == JTB_VM_WAITS &&
-		    w->from_ms + w->within_ms - wall_ms < 2 * UPK_CYCLE_MS)
+		if (w->completed ||
+		    w->from_ms + w->within_ms - wall_ms >= 2 * UPK_CYCLE_MS)
+			continue;
+		v = upk_vm_of(w, vm);
+		if (v && v->state == JTB_VM_WAITS)
 			return true;
 	}
 	return false;
--- a/src/vms.c
+++ b/src/vms.c
@@ -28,6 +28,8 @@
 	struct ups *ups;
 	GPtrArray *calls; /* struct vms_call */
 	GPtrArray *vms; /* struct vms_vm, the newest whole list */
+	GHashTable *by_name; /* the same, by its VMs' names */
+	GHashTable *by_worker; /* and by what is on them */
 	GPtrArray *incoming; /* pages of the next one */
 	bool listing;
 	int64_t list_from; /* when the list being read was asked for */
@@ -37,6 +39,7 @@
 	uint64_t sent;
 };
 
+static void vms_index(struct vms *v);
 static bool vms_may_order(const struct vms *v, const char *vm);
 static void vms_ask_page(struct vms *v, const char *page);
 static struct vms_call *vms_send(struct vms *v, const struct vms_order *o);
@@ -62,6 +65,8 @@
 	ups_set_reuse(v->ups, VMS_REUSE_MS);
 	v->calls = g_ptr_array_new();
 	v->vms = g_ptr_array_new_with_free_func(vms_vm_free);
+	v->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	v->by_worker = g_hash_table_new(g_str_hash, g_str_equal);
 	return v;
 }
 
@@ -73,6 +78,8 @@
 	vms_rest(v);
 	ups_free(v->ups);
 	g_ptr_array_free(v->calls, TRUE);
+	g_hash_table_destroy(v->by_name);
+	g_hash_table_destroy(v->by_worker);
 	g_ptr_array_free(v->vms, TRUE);
 	g_free(v);
 }
@@ -101,6 +108,7 @@
 	v->listing = false;
 	v->listed_ms = 0;
 	g_ptr_array_set_size(v->vms, 0);
+	vms_index(v);
 }
 
 /* Reads the list anew, unless it is being read. */
@@ -120,6 +128,25 @@
 	g_ptr_array_free(v->vms, TRUE);
 	v->vms = list;
 	v->listed_ms = asked_ms;
+	vms_index(v);
+}
+
+/* Makes the newest list's VMs be found by name and by worker. */
+static void vms_index(struct vms *v)
+{
+	guint i;
+
+	g_hash_table_remove_all(v->by_name);
+	g_hash_table_remove_all(v->by_worker);
+	for (i = 0; i < v->vms->len; i++) {
+		struct vms_vm *vm = g_ptr_array_index(v->vms, i);
+
+		if (!g_hash_table_contains(v->by_name, vm->name))
+			g_hash_table_insert(v->by_name, vm->name, vm);
+		if (*vm->worker &&
+		    !g_hash_table_contains(v->by_worker, vm->worker))
+			g_hash_table_insert(v->by_worker, vm->worker, vm);
+	}
 }
 
 /* Orders the upkeep of a VM that is due in a wave. */
@@ -163,29 +190,13 @@
 /* A VM by name, or NULL. */
 const struct vms_vm *vms_find(const struct vms *v, const char *name)
 {
-	guint i;
-
-	for (i = 0; i < v->vms->len; i++) {
-		const struct vms_vm *vm = g_ptr_array_index(v->vms, i);
-
-		if (strcmp(vm->name, name) == 0)
-			return vm;
-	}
-	return NULL;
+	return g_hash_table_lookup(v->by_name, name);
 }
 
 /* The VM that a worker is on, or NULL. */
 const struct vms_vm *vms_of_worker(const struct vms *v, const char *worker)
 {
-	guint i;
-
-	for (i = 0; i < v->vms->len; i++) {
-		const struct vms_vm *vm = g_ptr_array_index(v->vms, i);
-
-		if (strcmp(vm->worker, worker) == 0)
-			return vm;
-	}
-	return NULL;
+	return g_hash_table_lookup(v->by_worker, worker);
 }
 
 /* When the newest whole list was asked for; 0: there is none. */
