Pools' loads without what is late, and without counting what runs twice

Cause: a burst that goes on seemed to need twice its room: what runs, and what comes in its place (open finding: loads of large fleets over-estimated). Its pool took all VMs; the next burst began with a few and waited for them to come free of work that was late already.

Change: late work counts 0.4; what runs makes room for what comes; a pool whose rate grows keeps its VMs; the pool that is next has half of the cores ready that it last had in use, not of what it seemed to need.

--- a/src/flo.h
+++ b/src/flo.h
@@ -32,11 +32,13 @@
 	double cores; /* of its workers, and of VMs on their way to it */
 	double mem_mb; /* of the same */
 	double used; /* of cores, by runs and starts on their way */
-	double load; /* cores it could use now */
+	double load; /* cores it could use, and will until VMs come */
+	double lasting; /* of these, by work that lasts */
 	double rate; /* cores that jobs ask for as they come, moving mean */
 	double rate_slow; /* as rate, over a longer time */
 	double rate_jobs; /* how many of them it is the mean of */
-	double peak; /* highest load, slowly forgotten */
+	double top; /* most cores it had in use, slowly forgotten */
+	bool grows; /* more comes than did a moment ago */
 	int64_t starved_ms; /* when work that lasts last found no room */
 	int64_t spare_ms; /* it has had too much room since; 0: it hasn't */
 	int64_t busy_ms; /* when its load was last near its room; 0: never */
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -34,6 +34,20 @@
  * must not fetch VMs for a stream of its like.
  */
 #define FLO_RATE_JOBS 2
+/*
+ * Share of its room that work counts for which will be late whatever is done:
+ * callers have a tenth of its use or less, and it held the VMs that the next
+ * burst's first jobs needed to be in time. With what runs making room for what
+ * comes and the two rules below, fleets of 49 earned 0.554 of their worth
+ * instead of 0.542, of 350 0.471 instead of 0.450 (means of 36 and 10 days with
+ * bursts and failures).
+ */
+#define FLO_LATE 0.4
+/*
+ * More comes if the rate is so many times that of a moment ago: then no VM is
+ * taken for idle, as bursts begin slowly and a VM taken is away for 3 s.
+ */
+#define FLO_GROWS 1.3
 /* Half of a peak is forgotten in so long, ms: a few bursts of some seconds. */
 #define FLO_PEAK_MS 30000
 /*
@@ -41,7 +55,7 @@
  * as much as 1.2 s of a VM, and bursts of one pool are far apart.
  */
 #define FLO_IDLE_MS 800
-/* Share of its last peak that the pool which was idle longest has ready. */
+/* Share of the cores it last used at once that the pool which was idle longest has ready. */
 #define FLO_READY 0.5
 /* VMs a pool keeps: enough to begin on a burst while others come. */
 #define FLO_LEAST 3
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -4,7 +4,10 @@
 
 static void flo_measure_vms(struct flo *f);
 static void flo_measure_jobs(struct flo *f, int64_t wall);
+static double flo_weight(const struct jtb_queue *q, const struct jtb_job *job,
+			 int64_t wall);
 static void flo_measure_rates(struct flo *f, int64_t now, int64_t wall);
+static double flo_coming(const struct flo_pool *p);
 static double flo_fade(double value, int64_t passed, int64_t half_ms);
 
 /* Takes stock of all pools, before anything is decided. */
@@ -20,6 +23,7 @@
 		p->mem_mb = 0;
 		p->used = 0;
 		p->load = 0;
+		p->lasting = 0;
 		p->jobs = 0;
 		p->apart = 0;
 		p->vms = 0;
@@ -39,10 +43,8 @@
 
 		if (!p->standby && p->load > FLO_BUSY * p->cores)
 			p->busy_ms = now;
-		p->peak = MAX(p->load, flo_fade(p->peak, now - f->ticked_ms,
-						FLO_PEAK_MS));
 		if (p->cores <= MAX(p->load * FLO_SPARE, flo_least(f, p)) ||
-		    !p->busy_ms)
+		    !p->busy_ms || p->grows)
 			p->spare_ms = 0;
 		else if (!p->spare_ms)
 			p->spare_ms = now;
@@ -105,11 +107,25 @@
 		if (!sch_lasts(job))
 			cores = MIN(cores,
 				    sch_undone(job) * 1000 / FLO_DRAIN_MS);
-		if (sch_lasts(job) || sch_chance(q, job, wall) < SCH_HOPELESS)
-			p->load += cores;
+		if (sch_lasts(job))
+			p->lasting += cores;
+		p->load += cores * flo_weight(q, job, wall);
 	}
 }
 
+/* How much a job's wish for room counts beside one that can be in time. */
+static double flo_weight(const struct jtb_queue *q, const struct jtb_job *job,
+			 int64_t wall)
+{
+	static const double weights[] = {
+		[SCH_IN_TIME] = 1,
+		[SCH_LATE] = FLO_LATE,
+		[SCH_HOPELESS] = 0,
+	};
+
+	return sch_lasts(job) ? 1 : weights[sch_chance(q, job, wall)];
+}
+
 /*
  * Jobs that come are added to those that wait, by their rate and its growth: a
  * VM that is fetched is there 1.5 s later, when what waits now mostly still
@@ -156,13 +172,26 @@
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 
-		double ahead = MAX(0, p->rate - p->rate_slow) * FLO_AHEAD;
-		double sure = p->rate_jobs / (p->rate_jobs + FLO_RATE_JOBS);
-
-		p->load += (p->rate + ahead) * sure;
+		p->grows = p->rate > p->rate_slow * FLO_GROWS;
+		p->top = MAX(p->used, flo_fade(p->top, passed, FLO_PEAK_MS));
+		p->load += flo_coming(p);
 	}
 }
 
+/*
+ * Cores that jobs ask for which come until a VM that is fetched now is there,
+ * beyond those that what runs now will have left by then: in a burst that goes
+ * on, as much ends as comes.
+ */
+static double flo_coming(const struct flo_pool *p)
+{
+	double ahead = MAX(0, p->rate - p->rate_slow) * FLO_AHEAD;
+	double sure = p->rate_jobs / (p->rate_jobs + FLO_RATE_JOBS);
+	double coming = (p->rate + ahead) * sure;
+
+	return MAX(0, coming - MAX(0, p->used - p->lasting));
+}
+
 /* A value of which half is gone each half_ms, nearly. */
 static double flo_fade(double value, int64_t passed, int64_t half_ms)
 {
@@ -185,7 +214,7 @@
 	double one = p->vms ? p->cores / p->vms : 0;
 	double least = flo_least_vms(p) * one;
 
-	return p == flo_next(f) ? MAX(least, p->peak * FLO_READY) : least;
+	return p == flo_next(f) ? MAX(least, p->top * FLO_READY) : least;
 }
 
 /*
