--- a/bench/flo_bench.c
+++ b/bench/flo_bench.c
@@ -1,8 +1,6 @@
-#include <stdio.h>
-#include <time.h>
-
 #include "flo_int.h"
 #include "upk.h"
+#include "table.h"
 
 /*
  * The longest step of the loop that moving VMs takes on a leader of 350: the
@@ -16,14 +14,6 @@
 #define STEP_MS 10.0
 #define WALL_MS 1000000
 
-static double now_ms(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec * 1e3 + (double)t.tv_nsec / 1e6;
-}
-
 static void order(void *arg, const char *vm, const char *pool)
 {
 }
@@ -44,20 +34,6 @@
 	return upk_holds(u, vm) || upk_urgent(u, vm, WALL_MS);
 }
 
-/* Applies n commands. */
-static void apply(struct jtb *t, struct pk_out *cmds, uint32_t n)
-{
-	struct pk_out o;
-
-	pk_out_init(&o);
-	pk_arr(&o, n);
-	msgpack_sbuffer_write(&o.buf, cmds->buf.data, cmds->buf.size);
-	if (!jtb_apply(t, pk_out_view(&o)))
-		fprintf(stderr, "flo_bench: a command was not taken\n");
-	pk_out_done(&o);
-	pk_out_done(cmds);
-}
-
 static void put_config(struct jtb *t)
 {
 	struct jtb_config *c = jtb_config_new();
@@ -83,7 +59,7 @@
 	}
 	pk_out_init(&o);
 	jtb_put_config(&o, c);
-	apply(t, &o, 1);
+	bench_apply(t, &o, 1);
 	jtb_config_free(c);
 }
 
@@ -118,7 +94,7 @@
 		info.pool = vm->pool;
 		jtb_put_worker(&o, &info);
 	}
-	apply(t, &o, VMS);
+	bench_apply(t, &o, VMS);
 	pk_out_init(&o);
 	w->from_ms = WALL_MS;
 	w->within_ms = 60000;
@@ -129,7 +105,7 @@
 		jtb_wave_add(w, vm->name);
 	}
 	jtb_put_wave(&o, w);
-	apply(t, &o, 1);
+	bench_apply(t, &o, 1);
 	jtb_wave_free(w);
 	vms_put_list(v, list, WALL_MS);
 }
@@ -147,7 +123,7 @@
 
 	pk_out_init(&o);
 	jtb_put_job(&o, &s, WALL_MS);
-	apply(t, &o, 1);
+	bench_apply(t, &o, 1);
 }
 
 int main(void)
@@ -169,14 +145,14 @@
 	put_vms(t, v);
 	flo_tick(f, WALL_MS, WALL_MS);
 	put_burst(t);
-	from = now_ms();
+	from = bench_now_ms();
 	flo_tick(f, WALL_MS + 100, WALL_MS + 100);
-	printf("flo/%d/burst-begins\t%.3f\tms\t%.1f\n", VMS, now_ms() - from,
-	       STEP_MS);
-	from = now_ms();
+	printf("flo/%d/burst-begins\t%.3f\tms\t%.1f\n", VMS,
+	       bench_now_ms() - from, STEP_MS);
+	from = bench_now_ms();
 	flo_tick(f, WALL_MS + 200, WALL_MS + 200);
-	printf("flo/%d/burst-goes-on\t%.3f\tms\t%.1f\n", VMS, now_ms() - from,
-	       STEP_MS);
+	printf("flo/%d/burst-goes-on\t%.3f\tms\t%.1f\n", VMS,
+	       bench_now_ms() - from, STEP_MS);
 	fprintf(stderr, "flo_bench: %u VMs on their way\n", flo_moving(f));
 	flo_free(f);
 	upk_free(u);
--- a/bench/sch_bench.c
+++ b/bench/sch_bench.c
@@ -1,7 +1,5 @@
-#include <stdio.h>
-#include <time.h>
-
 #include "sch.h"
+#include "table.h"
 
 /*
  * One plan of a pool whose VMs are full while jobs wait: the work that a
@@ -19,14 +17,6 @@
 #define WALL_MS 1000000
 #define PLANS 20
 
-static double now_ms(void)
-{
-	struct timespec t;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
-	return (double)t.tv_sec * 1e3 + (double)t.tv_nsec / 1e6;
-}
-
 static bool usable(void *arg, const struct jtb_worker *w)
 {
 	return true;
@@ -47,20 +37,6 @@
 	jtb_plan(job, n, w);
 }
 
-/* Applies n commands. */
-static void apply(struct jtb *t, struct pk_out *cmds, uint32_t n)
-{
-	struct pk_out o;
-
-	pk_out_init(&o);
-	pk_arr(&o, n);
-	msgpack_sbuffer_write(&o.buf, cmds->buf.data, cmds->buf.size);
-	if (!jtb_apply(t, pk_out_view(&o)))
-		fprintf(stderr, "sch_bench: a command was not taken\n");
-	pk_out_done(&o);
-	pk_out_done(cmds);
-}
-
 static void put_config(struct jtb *t)
 {
 	struct jtb_config *c = jtb_config_new();
@@ -90,7 +66,7 @@
 	}
 	pk_out_init(&o);
 	jtb_put_config(&o, c);
-	apply(t, &o, 1);
+	bench_apply(t, &o, 1);
 	jtb_config_free(c);
 }
 
@@ -116,7 +92,7 @@
 		g_free(info.id);
 		g_free(info.pool);
 	}
-	apply(t, &o, WORKERS);
+	bench_apply(t, &o, WORKERS);
 }
 
 static void put_jobs(struct jtb *t, uint32_t per_worker)
@@ -141,7 +117,7 @@
 		g_snprintf(queue, sizeof(queue), "queue%d", i % POOLS);
 		jtb_put_job(&o, &s, WALL_MS);
 	}
-	apply(t, &o, JOBS);
+	bench_apply(t, &o, JOBS);
 }
 
 static void measure(const char *what, uint32_t per_worker)
@@ -165,16 +141,16 @@
 	put_config(t);
 	put_workers(t);
 	put_jobs(t, per_worker);
-	from = now_ms();
+	from = bench_now_ms();
 	sch_plan(&v, "pool0");
-	first = now_ms() - from;
-	from = now_ms();
+	first = bench_now_ms() - from;
+	from = bench_now_ms();
 	for (i = 0; i < PLANS; i++)
 		sch_plan(&v, "pool0");
 	printf("sch/%d/%s-first\t%.3f\tms\t%.1f\n", WORKERS, what, first,
 	       STEP_MS);
 	printf("sch/%d/%s-again\t%.3f\tms\t%.1f\n", WORKERS, what,
-	       (now_ms() - from) / PLANS, STEP_MS);
+	       (bench_now_ms() - from) / PLANS, STEP_MS);
 	g_hash_table_destroy(closed);
 	jtb_free(t);
 }
