Which VM a pool misses least is a file of its own

flo.c had grown to 530 lines, and its list of VMs to be taken was called by the same word as VMs to spare. Blocks were moved as they were (flo_pick).

--- a/src/flo.c
+++ b/src/flo.c
@@ -17,11 +17,6 @@
 			  const struct jtb_run *run, int64_t now);
 static struct flo_pool *flo_giver(const struct flo *f,
 				  const struct flo_pool *to);
-static const struct vms_vm *flo_choose(const struct flo *f,
-				       const struct flo_pool *from);
-static void flo_rank(struct flo *f);
-static int flo_spare_order(gconstpointer a, gconstpointer b);
-static double flo_cost(const struct flo *f, const struct vms_vm *vm);
 
 /* Pools of jtb's configuration over the VMs of vms; both must outlive it. */
 struct flo *flo_new(struct jtb *jtb, const struct vms *vms,
@@ -198,7 +193,7 @@
 	struct flo_pool *pool = p;
 
 	g_free(pool->name);
-	g_array_free(pool->spare, TRUE);
+	g_array_free(pool->picks, TRUE);
 	g_free(pool);
 }
 
@@ -217,7 +212,7 @@
 		return p;
 	p = g_new0(struct flo_pool, 1);
 	p->name = g_strdup(name);
-	p->spare = g_array_new(FALSE, FALSE, sizeof(struct flo_spare));
+	p->picks = g_array_new(FALSE, FALSE, sizeof(struct flo_pick));
 	g_ptr_array_add(f->pools, p);
 	return p;
 }
@@ -248,7 +243,7 @@
 		while (p->vms > flo_least_vms(p) &&
 		       p->cores * (p->vms - 1) / p->vms >
 			       MAX(p->load * FLO_SPARE, flo_least(f, p)) &&
-		       (vm = flo_choose(f, p))) {
+		       (vm = flo_choose(p))) {
 			struct flo_pool *to = off;
 
 			if (next && next != p &&
@@ -383,7 +378,7 @@
 static bool flo_give(struct flo *f, struct flo_pool *to, int64_t now)
 {
 	struct flo_pool *from = flo_giver(f, to);
-	const struct vms_vm *vm = from ? flo_choose(f, from) : NULL;
+	const struct vms_vm *vm = from ? flo_choose(from) : NULL;
 
 	if (!vm)
 		return false;
@@ -405,7 +400,7 @@
 	m->from_ms = now;
 	g_ptr_array_add(f->moves, m);
 	g_hash_table_insert(f->by_vm, m->vm, m);
-	g_array_set_size(from->spare, from->spare->len - 1);
+	g_array_set_size(from->picks, from->picks->len - 1);
 	from->cores -= vm->cpu / 1000.0;
 	from->vms--;
 	from->going++;
@@ -430,7 +425,7 @@
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 		double one = p->vms ? p->cores / p->vms : 0;
 
-		if (p == to || !p->vms || !flo_choose(f, p))
+		if (p == to || !p->vms || !flo_choose(p))
 			continue;
 		if (p->standby)
 			return p;
@@ -442,89 +437,3 @@
 	}
 	return best;
 }
-
-/* The VM of a pool that is missed least, or NULL. */
-static const struct vms_vm *flo_choose(const struct flo *f,
-				       const struct flo_pool *from)
-{
-	return from->spare->len ? g_array_index(from->spare, struct flo_spare,
-						from->spare->len - 1)
-					  .vm
-				: NULL;
-}
-
-/*
- * Puts the VMs of each pool in the order in which they may be taken, once a
- * tick. To look through all of them for each that is taken held the loop up for
- * 80 to 103 ms of a whole core just as a burst began, with 350 VMs of which 268
- * were fetched; this way that tick takes 0.2 ms (flo_bench).
- */
-static void flo_rank(struct flo *f)
-{
-	GPtrArray *all = vms_all(f->vms);
-	guint i;
-
-	for (i = 0; i < f->pools->len; i++) {
-		struct flo_pool *p = g_ptr_array_index(f->pools, i);
-
-		g_array_set_size(p->spare, 0);
-	}
-	for (i = 0; i < all->len; i++) {
-		const struct vms_vm *vm = g_ptr_array_index(all, i);
-		struct flo_spare s = {.vm = vm, .place = i};
-
-		if (vm->state != VMS_UP || flo_move_of(f, vm->name) ||
-		    f->ops->held(f->arg, vm->name))
-			continue;
-		s.cost = flo_cost(f, vm);
-		if (s.cost >= 0)
-			g_array_append_val(flo_pool_at(f, vm->pool)->spare, s);
-	}
-	for (i = 0; i < f->pools->len; i++) {
-		struct flo_pool *p = g_ptr_array_index(f->pools, i);
-
-		g_array_sort(p->spare, flo_spare_order);
-	}
-}
-
-/* Those missed least come last, where they are taken from. */
-static int flo_spare_order(gconstpointer a, gconstpointer b)
-{
-	const struct flo_spare *x = a;
-	const struct flo_spare *y = b;
-
-	if (x->cost != y->cost)
-		return x->cost > y->cost ? -1 : 1;
-	return (x->place < y->place) - (x->place > y->place);
-}
-
-/*
- * What taking a VM away costs; below 0: it must stay. One that is kept free
- * for work that lasts looks idle and isn't. The VM that is empty soonest costs
- * least: until then it has room that nobody uses.
- */
-static double flo_cost(const struct flo *f, const struct vms_vm *vm)
-{
-	const struct jtb_worker *w = jtb_worker(f->jtb, vm->worker);
-	double cost = 0;
-	double empty_ms = 0;
-	guint i;
-
-	if (!w)
-		return *vm->worker ? -1 : 0;
-	if (w->kept_ms && f->ticked_ms - w->kept_ms < FLO_KEPT_MS)
-		return -1;
-	for (i = 0; i < w->runs->len; i++) {
-		const struct jtb_run *run = g_ptr_array_index(w->runs, i);
-		const struct jtb_step *s = &run->job->spec.steps[run->step];
-
-		/* Work that lasts stays where it is. */
-		if (s->flags & JTB_LASTS)
-			return -1;
-		if (!(s->flags & JTB_SAVES))
-			empty_ms =
-				MAX(empty_ms, flo_left_ms(run, f->ticked_ms));
-		cost += 1;
-	}
-	return cost + empty_ms;
-}
--- a/src/flo.h
+++ b/src/flo.h
@@ -44,7 +44,7 @@
 	int64_t busy_ms; /* when its load was last near its room; 0: never */
 	guint jobs; /* live */
 	guint apart; /* VMs that one of its steps needs, not two tasks on one */
-	GArray *spare; /* struct flo_spare, those to be taken first last */
+	GArray *picks; /* struct flo_pick, those to be taken first last */
 	guint vms;
 	guint coming;
 	guint going;
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -98,7 +98,7 @@
 };
 
 /* A VM that may be taken from its pool. */
-struct flo_spare {
+struct flo_pick {
 	const struct vms_vm *vm;
 	double cost; /* of taking it */
 	guint place; /* in the list of VMs */
@@ -122,6 +122,8 @@
 guint flo_least_vms(const struct flo_pool *p);
 double flo_least(const struct flo *f, const struct flo_pool *p);
 struct flo_pool *flo_next(const struct flo *f);
+void flo_rank(struct flo *f);
+const struct vms_vm *flo_choose(const struct flo_pool *from);
 int64_t flo_left_ms(const struct jtb_run *run, int64_t now);
 
 #endif
