Tests for safeguards of this change that survived being taken out

Twenty were taken out one at a time; four had no failing test: room that work that lasts doesn't make, a VM taken twice in one tick, the order in which two leaders speak, and a wave that is completed (still without one: the search it saves changes nothing but time). One more, a call's replica forgotten when its connection ends, shows only in how long the caller waits: no test.

--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -309,6 +309,48 @@
 	assert_true(running >= 10);
 }
 
+/* Work that lasts stays where it is: it makes no room for what comes. */
+static void work_that_lasts_makes_no_room(void **state)
+{
+	struct jtb_step s = {
+		.count = 10, .cpu = 1000, .guess_ms = 1000, .flags = JTB_LASTS};
+	struct bed *b = *state;
+	double alone;
+	uint32_t i;
+
+	alone = load_of_stream(b, false);
+	teardown(state);
+	setup(state);
+	b = *state;
+	vm_add(b, "vm1", "p", "w1");
+	jobs_job(b->jtb, "lasts", &s, 1, JOBS_WALL_MS);
+	for (i = 0; i < s.count; i++)
+		jobs_start(b->jtb, "lasts", 0, i, 1, "w1");
+	assert_float_equal(load_of_stream(b, false), alone + 10, 0.5);
+}
+
+/*
+ * A burst takes all there is in one tick. One VM taken twice would be counted
+ * as two on their way, and the pool would go without the second.
+ */
+static void no_vm_is_taken_twice(void **state)
+{
+	struct bed *b = *state;
+	guint held = 0;
+	char vm[8];
+	int i;
+
+	givers(b, 8, NULL);
+	burst(b);
+	tick(b);
+	for (i = 1; i <= 8; i++) {
+		g_snprintf(vm, sizeof(vm), "vm%d", i);
+		held += flo_holds(b->flo, vm);
+	}
+	assert_true(held > 1);
+	assert_int_equal(flo_moving(b->flo), held);
+}
+
 /* VMs on their way after the pool's rate went by these jobs a tick. */
 static guint moving_after(struct bed *b, const int *jobs, size_t n)
 {
@@ -731,6 +773,8 @@
 		T(late_work_counts_less),
 		T(work_without_use_counts_nothing),
 		T(what_runs_makes_room_for_what_comes),
+		T(work_that_lasts_makes_no_room),
+		T(no_vm_is_taken_twice),
 		T(a_pool_whose_load_grows_keeps_its_vms),
 		T(what_is_ready_follows_what_was_in_use),
 		T(a_new_leader_knows_what_came_long_ago),
--- a/tests/unit/gat_test.c
+++ b/tests/unit/gat_test.c
@@ -315,21 +315,36 @@
 	expect(b, fd, "HTTP/1.1 504", "Retry-After:");
 }
 
-/* A replica that was frozen still thinks that it leads; the newer term counts. */
-static void the_newer_leader_counts(void **state)
+/* Two replicas say that they lead: which of them gets a request. */
+static void expect_leader(struct bed *b, uint64_t first, uint64_t second,
+			  int leader)
 {
-	struct bed *b = *state;
+	struct replica *r = &b->replicas[leader];
 	int fd;
 
-	lead(&b->replicas[0], 1);
-	lead(&b->replicas[1], 2);
+	lead(&b->replicas[0], first);
+	lead(&b->replicas[1], second);
 	fd = ask(b);
-	wait_calls(&b->replicas[1], 1);
-	assert_int_equal(b->replicas[0].calls, 0);
-	answer(&b->replicas[1], 200, 0, "");
+	wait_calls(r, 1);
+	assert_int_equal(b->replicas[1 - leader].calls, 0);
+	answer(r, 200, 0, "");
 	expect(b, fd, "HTTP/1.1 200", NULL);
 }
 
+/*
+ * A replica that was frozen while another took its place still says that it
+ * leads. What is sent there waits for an answer that doesn't come.
+ */
+static void the_newer_leader_counts(void **state)
+{
+	expect_leader(*state, 1, 2, 1);
+}
+
+static void an_older_leader_that_speaks_later_does_not(void **state)
+{
+	expect_leader(*state, 2, 1, 0);
+}
+
 /* One that says that it doesn't lead did nothing: the request is sent again. */
 static void a_replica_that_does_not_lead_is_left(void **state)
 {
@@ -374,6 +389,7 @@
 		T(a_request_goes_on_to_the_next_leader),
 		T(a_sent_request_without_an_answer_is_unknown),
 		T(the_newer_leader_counts),
+		T(an_older_leader_that_speaks_later_does_not),
 		T(a_replica_that_does_not_lead_is_left),
 		T(a_caller_may_leave),
 	};
