A job now and then is no growth, and what was in use fades with time

And what a pool had in use faded by 0.5 s at most between two looks, also where a replica leads again after a minute.

Change: no rate grows up to two jobs in half a second; the whole time counts.

Tests: one each, both failed first.

--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -31,7 +31,8 @@
 #define FLO_AHEAD 4.5
 /*
  * Jobs in that time by which half of the rate is believed: one large job alone
- * must not fetch VMs for a stream of its like.
+ * must not fetch VMs for a stream of its like. Up to so many, no rate grows: a
+ * job now and then in between two bursts kept all VMs of the last one.
  */
 #define FLO_RATE_JOBS 2
 /*
@@ -55,7 +56,10 @@
  * as much as 1.2 s of a VM, and bursts of one pool are far apart.
  */
 #define FLO_IDLE_MS 800
-/* Share of the cores it last used at once that the pool which was idle longest has ready. */
+/*
+ * Share of the cores it last used at once that the pool which was idle longest
+ * has ready.
+ */
 #define FLO_READY 0.5
 /* VMs a pool keeps: enough to begin on a burst while others come. */
 #define FLO_LEAST 3
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -172,8 +172,10 @@
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 
-		p->grows = p->rate > p->rate_slow * FLO_GROWS;
-		p->top = MAX(p->used, flo_fade(p->top, passed, FLO_PEAK_MS));
+		p->grows = p->rate > p->rate_slow * FLO_GROWS &&
+			   p->rate_jobs > FLO_RATE_JOBS;
+		p->top = MAX(p->used,
+			     flo_fade(p->top, now - f->ticked_ms, FLO_PEAK_MS));
 		p->load += flo_coming(p);
 	}
 }
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -415,6 +415,32 @@
 	assert_float_equal(flo_least(b->flo, p), 200, 0.01);
 }
 
+/* What was in use when this replica last led, long ago, is mostly forgotten. */
+static void what_was_in_use_long_ago_fades(void **state)
+{
+	struct bed *b = *state;
+
+	vm_add(b, "vm1", "p", "w1");
+	ticks(b, 1);
+	flo_pool_at(b->flo, "p")->top = 400;
+	b->now += 2 * FLO_PEAK_MS;
+	ticks(b, 1);
+	assert_true(flo_pool(b->flo, "p")->top < 200);
+}
+
+/*
+ * A pool in between two bursts is asked for a small job now and then. Each looks
+ * like the begin of a burst; its VMs must go all the same.
+ */
+static void a_job_now_and_then_is_no_growth(void **state)
+{
+	static const int jobs[] = {1, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0,
+				   0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0,
+				   0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0};
+
+	assert_true(moving_after(*state, jobs, G_N_ELEMENTS(jobs)) > 0);
+}
+
 /* What upkeep holds stays where it is. */
 static void a_held_vm_stays(void **state)
 {
@@ -777,6 +803,8 @@
 		T(no_vm_is_taken_twice),
 		T(a_pool_whose_load_grows_keeps_its_vms),
 		T(what_is_ready_follows_what_was_in_use),
+		T(what_was_in_use_long_ago_fades),
+		T(a_job_now_and_then_is_no_growth),
 		T(a_new_leader_knows_what_came_long_ago),
 		T(a_held_vm_stays),
 		T(a_vm_is_emptied_before_its_move),
