--- a/src/cnt.c
+++ b/src/cnt.c
@@ -48,6 +48,12 @@
 	t->sum_s += seconds;
 }
 
+/* Counts a time told in ms, as most clocks here tell it. */
+void cnt_time_ms(struct cnt_times *t, int64_t ms)
+{
+	cnt_time(t, (double)ms / 1000);
+}
+
 /*
  * Appends times as a histogram in the text form that monitoring reads: each
  * line counts what took no longer than its bound.
--- a/src/cnt.h
+++ b/src/cnt.h
@@ -24,6 +24,7 @@
 void cnt_text(GString *out, const struct cnt_def *defs, const uint64_t *values,
 	      size_t n, const char *labels);
 void cnt_time(struct cnt_times *t, double seconds);
+void cnt_time_ms(struct cnt_times *t, int64_t ms);
 void cnt_times_text(GString *out, const char *name, const char *help,
 		    const struct cnt_times *t);
 void cnt_process(GString *out);
--- a/src/gat_call.c
+++ b/src/gat_call.c
@@ -19,12 +19,6 @@
 static struct gat_call *gat_call_new(struct gat *g, struct srv_req *r);
 static void gat_give_up(struct gat *g, struct gat_call *c);
 
-/* Counts how long something took. */
-void gat_time(struct cnt_times *t, int64_t ms)
-{
-	cnt_time(t, (double)ms / 1000);
-}
-
 /* A caller's request: sent on, or refused at once. */
 void gat_on_request(void *arg, struct srv_req *r)
 {
@@ -139,7 +133,7 @@
 	evbuffer_add(buf, body.p, body.len);
 	g->counts[GAT_ANSWERS]++;
 	g->counts[GAT_TURNED_AWAY] += after > 0;
-	gat_time(&g->answers, tmr_now(g->tmr) - c->came_ms);
+	cnt_time_ms(&g->answers, tmr_now(g->tmr) - c->came_ms);
 	srv_reply(c->req, status, h, n, buf);
 	evbuffer_free(buf);
 	g_hash_table_remove(g->calls, &no);
@@ -187,7 +181,7 @@
 		   (int)CLAMP(gone_s, GAT_RETRY_MIN_S, GAT_RETRY_MAX_S));
 
 	g->counts[c->sent ? GAT_UNKNOWN : GAT_REFUSED]++;
-	gat_time(&g->refusals, tmr_now(g->tmr) - c->came_ms);
+	cnt_time_ms(&g->refusals, tmr_now(g->tmr) - c->came_ms);
 	msg_job_fails(c->sent ? MSG_GAT_UNKNOWN : MSG_GAT_REFUSED, c->path,
 		      "method=%s path=%s why=\"no leader\" held_ms=%" PRId64,
 		      c->method, c->path, tmr_now(g->tmr) - c->came_ms);
--- a/src/gat_core.c
+++ b/src/gat_core.c
@@ -120,7 +120,7 @@
 	if (g->leader && !best)
 		g->leaderless_ms = tmr_now(g->tmr);
 	if (!g->leader && best)
-		gat_time(&g->leaderless, tmr_now(g->tmr) - g->leaderless_ms);
+		cnt_time_ms(&g->leaderless, tmr_now(g->tmr) - g->leaderless_ms);
 	g->leader = best;
 	if (!best)
 		return;
--- a/src/gat_int.h
+++ b/src/gat_int.h
@@ -77,7 +77,6 @@
 };
 
 /* gat_call */
-void gat_time(struct cnt_times *t, int64_t ms);
 void gat_on_request(void *arg, struct srv_req *r);
 void gat_call_free(gpointer p);
 void gat_call_send(struct gat *g, struct gat_call *c);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -219,12 +219,14 @@
 	int64_t took = job->ended_ms - job->accepted_ms;
 	int64_t waited =
 		job->begun_ms > 0 ? job->begun_ms - job->accepted_ms : -1;
+	/* of a queue that is gone nobody can say what is late */
+	int64_t late = objective ? MAX(0, took - objective) : 0;
 	bool fails = job->state == JTB_FAILED ||
-		     (job->state == JTB_COMPLETED && took > objective);
+		     (job->state == JTB_COMPLETED && late > 0);
 
 	if (job->state == JTB_COMPLETED) {
 		hub_time(h, HUB_COMPLETED, took);
-		hub_time(h, HUB_LATE, MAX(0, took - objective));
+		hub_time(h, HUB_LATE, late);
 	}
 	msg_job_at(__FILE__, __LINE__, MSG_HUB_JOB_END, job->spec.id,
 		   fails ? MSG_FAILURE : MSG_SAMPLED,
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -28,9 +28,9 @@
 	[HUB_PACES] = {"endive_paces_total", "counter",
 		       "Runs slowed down or let go"},
 	[HUB_MOVES] = {"endive_vm_moves_total", "counter",
-		       "Orders to move a VM to another pool, with repeats"},
+		       "Moves of VMs to a pool asked for, with repeats"},
 	[HUB_UPKEEPS] = {"endive_vm_upkeeps_total", "counter",
-			 "Orders for a VM's upkeep, with repeats"},
+			 "Upkeeps of VMs asked for, with repeats"},
 	[HUB_UPKEEPS_DONE] = {"endive_vm_upkeeps_done_total", "counter",
 			      "VMs whose upkeep was done"},
 	[HUB_UNKNOWN_CALLS] = {"endive_calls_unknown_total", "counter",
@@ -59,7 +59,7 @@
 /* Counts how long something took. */
 void hub_time(struct hub *h, enum hub_time what, int64_t ms)
 {
-	cnt_time(&h->times[what], (double)ms / 1000);
+	cnt_time_ms(&h->times[what], ms);
 }
 
 /* Appends all metrics in the text form that monitoring reads. */
--- a/src/msg_rate.c
+++ b/src/msg_rate.c
@@ -13,6 +13,9 @@
  */
 #define MSG_RATE_MOST 200
 
+/* 2^32 over the golden ratio: a product with it spreads neighbours apart. */
+#define MSG_RATE_SPREAD 2654435761u
+
 static bool msg_rate_shows(const struct msg_rate *r, const char *job);
 
 /*
@@ -53,7 +56,7 @@
 static bool msg_rate_shows(const struct msg_rate *r, const char *job)
 {
 	/* the low bits of g_str_hash alone are uneven for ids alike */
-	uint32_t spread = g_str_hash(job) * 2654435761u;
+	uint32_t spread = g_str_hash(job) * MSG_RATE_SPREAD;
 
 	return (spread >> 16) % MSG_RATE_ALL < r->share;
 }
--- a/src/rep.c
+++ b/src/rep.c
@@ -440,9 +440,8 @@
 	if (!leader)
 		r->leaderless_ms = tmr_now(r->config.tmr);
 	else if (!r->told_leader)
-		cnt_time(&r->leaderless,
-			 (double)(tmr_now(r->config.tmr) - r->leaderless_ms) /
-				 1000);
+		cnt_time_ms(&r->leaderless,
+			    tmr_now(r->config.tmr) - r->leaderless_ms);
 	r->told_leader = leader;
 	for (i = 0; i < r->conns->len; i++)
 		rep_tell_leader(r, g_ptr_array_index(r->conns, i));
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -333,7 +333,7 @@
 	int64_t left = l->granted_at + l->k->lease_ms - now;
 
 	if (l->granted_at > l->k->led_since && wkr_holds_any(l))
-		cnt_time(&l->k->stats.margin, MAX(0.0, (double)left / 1000));
+		cnt_time_ms(&l->k->stats.margin, MAX(0, left));
 	l->granted_at = now;
 }
 
@@ -377,9 +377,8 @@
 		body = lstr_n(evbuffer_pullup(a->body, -1), len);
 	}
 	if (end == UPS_WHOLE && c->kind != WKR_HOLD)
-		cnt_time(&l->k->stats.answers,
-			 (double)(tmr_now(l->k->config.tmr) - c->sent_ms) /
-				 1000);
+		cnt_time_ms(&l->k->stats.answers,
+			    tmr_now(l->k->config.tmr) - c->sent_ms);
 	if (end != UPS_WHOLE) {
 		wkr_unanswered(l, c, end != UPS_NOT_SENT);
 	} else if (c->kind == WKR_HOLD) {
--- a/tests/unit/gat_test.c
+++ b/tests/unit/gat_test.c
@@ -240,6 +240,17 @@
 	return fd;
 }
 
+/* A caller hands a job in, and it has come to the first replica, which leads. */
+static int ask_leader(struct bed *b)
+{
+	int fd;
+
+	lead(&b->replicas[0], 1);
+	fd = ask(b);
+	wait_calls(&b->replicas[0], 1);
+	return fd;
+}
+
 /* The whole answer; the test fails if none comes. */
 static void expect(struct bed *b, int fd, const char *first, const char *part)
 {
@@ -257,11 +268,8 @@
 {
 	struct bed *b = *state;
 	struct replica *r = &b->replicas[0];
-	int fd;
+	int fd = ask_leader(b);
 
-	lead(r, 1);
-	fd = ask(b);
-	wait_calls(r, 1);
 	assert_string_equal(r->path->str, "/q/1");
 	answer(r, 429, 7, "later");
 	expect(b, fd, "HTTP/1.1 429", "Retry-After: 7");
@@ -287,11 +295,8 @@
 static void a_request_goes_on_to_the_next_leader(void **state)
 {
 	struct bed *b = *state;
-	int fd;
+	int fd = ask_leader(b);
 
-	lead(&b->replicas[0], 1);
-	fd = ask(b);
-	wait_calls(&b->replicas[0], 1);
 	replica_die(&b->replicas[0]);
 	lead(&b->replicas[1], 2);
 	wait_calls(&b->replicas[1], 1);
@@ -306,11 +311,8 @@
 static void a_sent_request_without_an_answer_is_unknown(void **state)
 {
 	struct bed *b = *state;
-	int fd;
+	int fd = ask_leader(b);
 
-	lead(&b->replicas[0], 1);
-	fd = ask(b);
-	wait_calls(&b->replicas[0], 1);
 	replica_die(&b->replicas[0]);
 	expect(b, fd, "HTTP/1.1 504", "Retry-After:");
 }
@@ -349,11 +351,8 @@
 static void a_replica_that_does_not_lead_is_left(void **state)
 {
 	struct bed *b = *state;
-	int fd;
+	int fd = ask_leader(b);
 
-	lead(&b->replicas[0], 1);
-	fd = ask(b);
-	wait_calls(&b->replicas[0], 1);
 	answer(&b->replicas[0], 421, 0, "");
 	lead(&b->replicas[1], 2);
 	wait_calls(&b->replicas[1], 1);
@@ -365,11 +364,8 @@
 static void a_caller_may_leave(void **state)
 {
 	struct bed *b = *state;
-	int fd;
+	int fd = ask_leader(b);
 
-	lead(&b->replicas[0], 1);
-	fd = ask(b);
-	wait_calls(&b->replicas[0], 1);
 	close(fd);
 	net_run(b->base, SETTLE_MS);
 	answer(&b->replicas[0], 200, 0, "late");
