A replica without a leader says what its quorum lacks

A replica that knows no leader for 3 s now logs voter-leaderless with voters, reached and needed, again every 3 s, and /metrics has the same.

--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -90,8 +90,15 @@
 static void hub_tell_state(const struct hub *h, GString *out)
 {
 	const struct wkr_stats *s = wkr_stats(h->wkr);
+	struct rep_quorum q = rep_quorum(h->rep);
 	const struct cnt_def defs[] = {
 		{"endive_leading", "gauge", "1 on the replica that leads"},
+		{"endive_voters", "gauge", "Replicas that vote"},
+		{"endive_voters_reached", "gauge",
+		 "Of these, heard by this replica, itself too"},
+		{"endive_voters_needed", "gauge", "Voters that make a quorum"},
+		{"endive_leaderless_ms", "gauge",
+		 "Time without a leader until now, ms; 0: one is known"},
 		{"endive_jobs_live", "gauge", "Jobs that aren't over"},
 		{"endive_workers", "gauge", "Workers in the table"},
 		{"endive_vms_moving", "gauge", "VMs on their way to a pool"},
@@ -108,6 +115,10 @@
 	};
 	const uint64_t values[] = {
 		h->leading,
+		(uint64_t)q.voters,
+		(uint64_t)q.reached,
+		(uint64_t)q.needed,
+		(uint64_t)q.leaderless_ms,
 		jtb_live(h->jtb)->len,
 		g_hash_table_size(jtb_workers(h->jtb)),
 		flo_moving(h->flo),
--- a/src/msg.h
+++ b/src/msg.h
@@ -39,6 +39,7 @@
 	/* ctl: control daemon */
 	MSG_CTL_ROLE,
 	MSG_CTL_MEMBER,
+	MSG_REP_LEADERLESS,
 	MSG_CTL_FOREIGN,
 	MSG_CTL_RECOVERED,
 	/* cns, sto: consensus and data folder */
--- a/src/rep.c
+++ b/src/rep.c
@@ -505,5 +505,6 @@
 			rep_hello(r, p->conn);
 	if (cns_role(r->cns) == CNS_LEADER)
 		rep_members_tick(r, now);
+	rep_missed_tick(r, now);
 	rep_pump(r);
 }
--- a/src/rep.h
+++ b/src/rep.h
@@ -50,6 +50,14 @@
 	long long voters_min; /* never fewer by our own doing */
 };
 
+/* What of a quorum a replica can see. */
+struct rep_quorum {
+	int voters;
+	int reached; /* of these, that were heard of late; us too */
+	int needed;
+	int64_t leaderless_ms; /* 0: a leader is known */
+};
+
 struct rep *rep_new(const struct rep_config *config, const struct rep_ops *ops,
 		    void *arg, GError **err);
 void rep_free(struct rep *r);
@@ -64,6 +72,7 @@
 uint64_t rep_term(const struct rep *r);
 char *rep_leader_addr(const struct rep *r);
 const struct cns_members *rep_members(const struct rep *r);
+struct rep_quorum rep_quorum(const struct rep *r);
 const struct cnt_times *rep_sync_times(const struct rep *r);
 const struct cnt_times *rep_leaderless(const struct rep *r);
 uint64_t rep_syncs(const struct rep *r);
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -43,6 +43,12 @@
 #define REP_SNAP_ENTRIES 20000
 #define REP_SNAP_BYTES (12u << 20)
 
+/*
+ * Between two lines of a replica that knows no leader: longer than any election
+ * takes, so that each of them tells of a quorum that isn't there.
+ */
+#define REP_MISSED_MS 3000
+
 /* Another replica that we know an address of. */
 struct rep_peer {
 	struct rep *r;
@@ -72,6 +78,7 @@
 	uint64_t role_term;
 	uint64_t told_leader; /* 0: none is known */
 	int64_t leaderless_ms; /* since when none is */
+	int64_t missed_ms; /* when that was last logged */
 	struct cnt_times leaderless; /* how long none was */
 	uint64_t syncs; /* of vot, as last looked at */
 	int slow_syncs; /* in a row */
@@ -80,6 +87,7 @@
 
 struct rep_peer *rep_peer_at(struct rep *r, const char *addr);
 void rep_members_tick(struct rep *r, int64_t now);
+void rep_missed_tick(struct rep *r, int64_t now);
 void rep_hello(struct rep *r, struct wire_conn *conn);
 void rep_tell_leader(struct rep *r, struct wire_conn *conn);
 void rep_in_up(void *arg, struct wire_conn *conn);
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -54,6 +54,53 @@
 	}
 }
 
+/* What of a quorum this replica can see now. */
+struct rep_quorum rep_quorum(const struct rep *r)
+{
+	const struct cns_members *s = cns_members(r->cns);
+	int64_t now = tmr_now(r->config.tmr);
+	struct rep_quorum q = {0};
+	int i;
+
+	for (i = 0; i < s->n; i++) {
+		const struct rep_peer *p =
+			g_hash_table_lookup(r->peers, s->m[i].addr);
+
+		if (!s->m[i].voter)
+			continue;
+		q.voters++;
+		if (s->m[i].id == r->id)
+			q.reached++;
+		else if (p && p->id == s->m[i].id &&
+			 now - p->heard_ms <= REP_SILENCE_MS)
+			q.reached++;
+	}
+	q.needed = q.voters / 2 + 1;
+	if (!r->told_leader)
+		q.leaderless_ms = MAX(1, now - r->leaderless_ms);
+	return q;
+}
+
+/*
+ * Tells from time to time that no leader is known, and what a quorum lacks: a
+ * fleet that stands still for want of folders would else say nothing at all.
+ */
+void rep_missed_tick(struct rep *r, int64_t now)
+{
+	struct rep_quorum q;
+
+	if (r->told_leader ||
+	    now - MAX(r->leaderless_ms, r->missed_ms) < REP_MISSED_MS)
+		return;
+	r->missed_ms = now;
+	q = rep_quorum(r);
+	msg(MSG_REP_LEADERLESS,
+	    "role=%s term=%" G_GUINT64_FORMAT " for_ms=%" G_GINT64_FORMAT
+	    " voters=%d reached=%d needed=%d",
+	    cns_role_name(cns_role(r->cns)), cns_term(r->cns), q.leaderless_ms,
+	    q.voters, q.reached, q.needed);
+}
+
 /* Takes a replica out of the members. */
 static bool rep_drop_member(struct rep *r, uint64_t id, const char *why)
 {
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -261,6 +261,40 @@
 	assert_int_equal(rep_members(leader(b)->rep)->n, REPLICAS);
 }
 
+/*
+ * Two of three replicas have lost their folders for good, so no leader can be
+ * chosen any more and every caller is refused. The one that is left must say
+ * what it lacks, as it does nothing else that an operator could see.
+ */
+static void a_replica_says_what_its_quorum_lacks(void **state)
+{
+	struct bed *b = *state;
+	struct node *left = leader(b);
+	struct rep_quorum q;
+	int i;
+	int ms;
+
+	say(b, "one ");
+	q = rep_quorum(left->rep);
+	assert_int_equal(q.voters, REPLICAS);
+	assert_int_equal(q.needed, 2);
+	assert_int_equal(q.leaderless_ms, 0);
+	for (i = 0; i < REPLICAS; i++)
+		if (&b->nodes[i] != left)
+			g_clear_pointer(&b->nodes[i].rep, rep_free);
+	for (ms = 0; ms < WAIT_MS && q.reached != 1; ms++) {
+		net_run(b->base, 1);
+		q = rep_quorum(left->rep);
+	}
+	assert_int_equal(q.reached, 1);
+	assert_int_equal(q.voters, REPLICAS);
+	for (ms = 0; ms < WAIT_MS && !q.leaderless_ms; ms++) {
+		net_run(b->base, 1);
+		q = rep_quorum(left->rep);
+	}
+	assert_true(q.leaderless_ms > 0);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -269,6 +303,7 @@
 		T(a_command_comes_out_on_all),
 		T(leadership_is_handed_over),
 		T(nobody_is_taken_out_after_all_stood_still),
+		T(a_replica_says_what_its_quorum_lacks),
 	};
 
 	return cmocka_run_group_tests_name("rep", tests, NULL, NULL);
