--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -2,6 +2,8 @@
 
 /* The other replicas: connections, greetings, and who is a member. */
 
+static bool rep_reached(const struct rep *r, const struct cns_member *m,
+			int64_t now);
 static bool rep_drop_member(struct rep *r, uint64_t id, const char *why);
 static void rep_on_hello(struct rep *r, struct pk_in *in);
 
@@ -54,6 +56,16 @@
 	}
 }
 
+/* Whether a member was heard of late, as the folder that it is. */
+static bool rep_reached(const struct rep *r, const struct cns_member *m,
+			int64_t now)
+{
+	const struct rep_peer *p = g_hash_table_lookup(r->peers, m->addr);
+
+	return m->id == r->id ||
+	       (p && p->id == m->id && now - p->heard_ms <= REP_SILENCE_MS);
+}
+
 /* What of a quorum this replica can see now. */
 struct rep_quorum rep_quorum(const struct rep *r)
 {
@@ -63,17 +75,10 @@
 	int i;
 
 	for (i = 0; i < s->n; i++) {
-		const struct rep_peer *p =
-			g_hash_table_lookup(r->peers, s->m[i].addr);
-
 		if (!s->m[i].voter)
 			continue;
 		q.voters++;
-		if (s->m[i].id == r->id)
-			q.reached++;
-		else if (p && p->id == s->m[i].id &&
-			 now - p->heard_ms <= REP_SILENCE_MS)
-			q.reached++;
+		q.reached += rep_reached(r, &s->m[i], now);
 	}
 	q.needed = q.voters / 2 + 1;
 	if (!r->told_leader)
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -280,8 +280,10 @@
 	assert_int_equal(q.needed, 2);
 	assert_int_equal(q.leaderless_ms, 0);
 	for (i = 0; i < REPLICAS; i++)
-		if (&b->nodes[i] != left)
-			g_clear_pointer(&b->nodes[i].rep, rep_free);
+		if (&b->nodes[i] != left) {
+			rep_free(b->nodes[i].rep);
+			b->nodes[i].rep = NULL;
+		}
 	for (ms = 0; ms < WAIT_MS && q.reached != 1; ms++) {
 		net_run(b->base, 1);
 		q = rep_quorum(left->rep);
