--- a/src/sto.c
+++ b/src/sto.c
@@ -10,8 +10,13 @@
  * holds 20,000 changes, half a day's of the fleet in two years.
  */
 #define STO_SEG_MAX (4u << 20)
+/* A log file's number in a folder that is being made. */
+#define STO_FIRST 1
+/* Bytes of a log file that holds no more than its head, at most. */
+#define STO_HEAD_MAX 64
 
 static bool sto_empty(struct sto *s);
+static bool sto_half_made(struct sto *s, uint64_t no);
 static bool sto_set_aside(struct sto *s, uint64_t new_id, GError **err);
 static bool sto_make(struct sto *s, const char *node, uint64_t new_id,
 		     GError **err);
@@ -208,7 +213,7 @@
 	return false;
 }
 
-/* Whether nothing of ours is in the folder. */
+/* Whether nothing of ours is in the folder, or a folder that was never made. */
 static bool sto_empty(struct sto *s)
 {
 	char **names = s->io.list(s->io.arg);
@@ -218,13 +223,30 @@
 
 	for (i = 0; names[i]; i++)
 		if (strcmp(names[i], STO_NAME_IDENTITY) == 0 ||
-		    sto_number(names[i], STO_PREFIX_LOG, &no) ||
-		    sto_number(names[i], STO_PREFIX_SNAP, &no))
+		    sto_number(names[i], STO_PREFIX_SNAP, &no) ||
+		    (sto_number(names[i], STO_PREFIX_LOG, &no) &&
+		     !sto_half_made(s, no)))
 			empty = false;
 	g_strfreev(names);
 	return empty;
 }
 
+/*
+ * Whether a log file is what sto_make leaves when power goes before there is
+ * an identity: the first, with no more than a head. Nobody was answered then.
+ */
+static bool sto_half_made(struct sto *s, uint64_t no)
+{
+	char *name = sto_name(STO_PREFIX_LOG, no);
+	GBytes *b = s->io.read(s->io.arg, name);
+	bool half = no == STO_FIRST && b && g_bytes_get_size(b) <= STO_HEAD_MAX;
+
+	if (b)
+		g_bytes_unref(b);
+	g_free(name);
+	return half;
+}
+
 /*
  * Renames all content, for whoever wants to look into it; only the newest set
  * is kept. The identity goes first and is synced: whatever of the rest a crash
@@ -309,12 +331,14 @@
 /* Removes what crashes left half done. */
 static void sto_tidy(struct sto *s)
 {
+	uint64_t first = g_array_index(s->segs, struct sto_seg, 0).no;
 	char **names = s->io.list(s->io.arg);
 	uint64_t no;
 	size_t i;
 
 	for (i = 0; names[i]; i++)
 		if (strcmp(names[i], STO_NAME_TMP) == 0 ||
+		    (sto_number(names[i], STO_PREFIX_LOG, &no) && no < first) ||
 		    (sto_number(names[i], STO_PREFIX_SNAP, &no) &&
 		     no != s->snap_index))
 			s->io.remove(s->io.arg, names[i]);
@@ -325,7 +349,7 @@
 static bool sto_begin(struct sto *s, uint64_t reset, uint64_t term,
 		      GError **err)
 {
-	struct sto_seg seg = {.no = 1};
+	struct sto_seg seg = {.no = STO_FIRST};
 	GByteArray *bytes = s->pending;
 	struct pk_out o;
 	char *name;
--- a/src/sto_load.c
+++ b/src/sto_load.c
@@ -20,6 +20,7 @@
 static void sto_load_snap(struct sto_reader *r);
 static void sto_take_snap(struct sto_reader *r, struct lstr body);
 static void sto_load_logs(struct sto_reader *r);
+static void sto_skip_gap(struct sto_reader *r);
 static void sto_load_log(struct sto_reader *r, struct sto_seg *seg);
 static void sto_take(struct sto_reader *r, struct sto_seg *seg,
 		     const struct sto_rec *rec);
@@ -168,8 +169,7 @@
 		uint64_t no = g_array_index(numbers, uint64_t, i);
 
 		if (i > 0 && no != seg.no + 1)
-			sto_damage(r, "log file %" G_GUINT64_FORMAT " is gone",
-				   seg.no + 1);
+			sto_skip_gap(r);
 		seg = (struct sto_seg){.no = no};
 		r->last = i == numbers->len - 1;
 		sto_load_log(r, &seg);
@@ -179,6 +179,20 @@
 	g_array_free(numbers, TRUE);
 }
 
+/*
+ * Files before a gap were on the way out: of several that a snapshot makes
+ * needless, a loss of power during their removal keeps any. The head after the
+ * gap tells whether the snapshot has all that was before it, and repeats the
+ * vote; if not, a file was lost that is needed.
+ */
+static void sto_skip_gap(struct sto_reader *r)
+{
+	g_array_set_size(r->s->segs, 0);
+	g_array_set_size(r->out->entries, 0);
+	r->reset = 0;
+	r->gone = 0;
+}
+
 static void sto_load_log(struct sto_reader *r, struct sto_seg *seg)
 {
 	struct sto *s = r->s;
