--- a/tests/prop/cns_prop.cc
+++ b/tests/prop/cns_prop.cc
@@ -50,6 +50,8 @@
 		/* One disk at a time: two of three are beyond any promise. */
 		if (s.repaired())
 			s.replace(n.place);
+	} else if (dice < 991) {
+		s.power_loss(n.place);
 	} else {
 		s.repair();
 	}
@@ -93,6 +95,59 @@
 		RC_TAG(s.reads_done > 0 ? "read" : "no read");
 	});
 
+	/*
+	 * Callers find a leader again. All lose power at any moment of a repair
+	 * or a hand-over, and where nothing was amiss one of them its disk;
+	 * all start again, slowly or at once. Whoever has a disk is enough.
+	 */
+	ok &= rc::check("a leader comes back after a loss of power", [] {
+		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
+		auto n = *rc::gen::element(3, 3, 4, 5);
+		auto losses = *rc::gen::inRange(1, 8);
+		Sim s(seed, n);
+
+		s.run(3000);
+		while (losses-- > 0) {
+			int place = (int)s.upto(n);
+			Node *l = s.leader();
+
+			if (l)
+				s.propose(*l);
+			if (l && s.chance(0.3) &&
+			    cns_hand_over(l->c) == CNS_DONE)
+				s.pump(*l);
+			for (int i = (int)s.upto(8); i > 0; i--) {
+				s.run(10 * s.upto(8));
+				s.repair();
+			}
+			s.power_loss(place);
+			for (auto &node : s.nodes) {
+				if (!node->c)
+					s.start(*node);
+				s.run(10 * s.upto(100));
+			}
+		}
+		s.settle();
+	});
+
+	/*
+	 * Callers wait for a leader on machines so busy that each turn of a
+	 * voter comes late. A late turn is a reason to listen once more before
+	 * standing for election, but not for ever.
+	 */
+	ok &= rc::check("voters that always run late elect a leader", [] {
+		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
+		auto late_ms = *rc::gen::inRange(260, 480);
+		Sim s(seed);
+		int64_t end = s.now + 60000;
+
+		while (!s.leader() && s.now < end) {
+			s.tick(late_ms);
+			s.deliver_all();
+		}
+		RC_ASSERT((s.leader() != nullptr));
+	});
+
 	/*
 	 * Operators see a leader that goes on. A voter sits behind a cut for
 	 * long and its timeouts pass over and over; then the cut heals. Had
--- a/tests/prop/cns_sim.h
+++ b/tests/prop/cns_sim.h
@@ -448,6 +448,21 @@
 		nodes[place] = fresh(place);
 		start(*nodes[place]);
 	}
+	/*
+	 * Power of all goes at one moment, and the disk at a place with it if
+	 * nothing else is being repaired. Nobody is started.
+	 */
+	void power_loss(int place)
+	{
+		bool sound = repaired();
+
+		forget_net();
+		for (auto &n : nodes)
+			if (n->c)
+				crash(*n);
+		if (sound)
+			nodes[place] = fresh(place);
+	}
 	std::string dump()
 	{
 		std::string out;
