--- a/src/sto_load.c
+++ b/src/sto_load.c
@@ -21,6 +21,7 @@
 static void sto_load_snap(struct sto_reader *r);
 static void sto_take_snap(struct sto_reader *r, struct lstr body);
 static void sto_load_logs(struct sto_reader *r);
+static void sto_skip_gap(struct sto_reader *r);
 static void sto_load_log(struct sto_reader *r, struct sto_seg *seg);
 static void sto_sync_tail(struct sto_reader *r, const char *name, off_t len);
 static void sto_take(struct sto_reader *r, struct sto_seg *seg,
@@ -175,8 +176,7 @@
 		uint64_t no = g_array_index(numbers, uint64_t, i);
 
 		if (i > 0 && no != seg.no + 1)
-			sto_damage(r, "log file %" G_GUINT64_FORMAT " is gone",
-				   seg.no + 1);
+			sto_skip_gap(r);
 		seg = (struct sto_seg){.no = no};
 		r->last = i == numbers->len - 1;
 		sto_load_log(r, &seg);
@@ -186,6 +186,20 @@
 	g_array_free(numbers, TRUE);
 }
 
+/*
+ * Files before a gap were on the way out: of several that a snapshot makes
+ * needless, a loss of power during their removal keeps any. The head after the
+ * gap tells whether the snapshot has all that was before it, and repeats the
+ * vote; if not, a file was lost that is needed.
+ */
+static void sto_skip_gap(struct sto_reader *r)
+{
+	g_array_set_size(r->s->segs, 0);
+	g_array_set_size(r->out->entries, 0);
+	r->reset = 0;
+	r->gone = 0;
+}
+
 static void sto_load_log(struct sto_reader *r, struct sto_seg *seg)
 {
 	struct sto *s = r->s;
@@ -207,6 +221,9 @@
 		else
 			sto_take(r, seg, &rec);
 	}
+	if (got == STO_READ_BAD && r->last &&
+	    sto_rec_unsynced(seg->no, lstr_n(p ? p : "", len), at))
+		got = STO_READ_TORN;
 	if (got == STO_READ_BAD || (got == STO_READ_TORN && !r->last))
 		sto_damage(r, "%s is damaged at byte %zu", name, at);
 	if (!r->damage && got == STO_READ_TORN)
@@ -217,6 +234,7 @@
 		s->io.remove(s->io.arg, name);
 	else
 		g_array_append_val(s->segs, *seg);
+	sto_rec_done(&rec);
 	if (b)
 		g_bytes_unref(b);
 	g_free(name);
