--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -789,12 +789,42 @@
 	assert_false(flo_holds(b->flo, "vm1"));
 }
 
+/*
+ * Accepted work never runs: its pool lost its last VM, and nobody fetches
+ * another for work that is so late that it counts nothing, or that fills.
+ */
+static void work_that_counts_nothing_gets_a_vm(void **state)
+{
+	static const uint32_t flags[] = {0, JTB_FILLS};
+	struct bed *b = *state;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(flags); i++) {
+		struct jtb_step s = {.count = 1,
+				     .cpu = 1000,
+				     .guess_ms = 100,
+				     .flags = flags[i]};
+
+		teardown(state);
+		setup(state);
+		b = *state;
+		vm_add(b, "vm1", "off", "");
+		ticks(b, 10);
+		assert_int_equal(b->orders, 0);
+		jobs_job(b->jtb, "j", &s, 1, JOBS_WALL_MS - 600000);
+		ticks(b, 3);
+		assert_int_equal(b->orders, 1);
+		assert_true(flo_holds(b->flo, "vm1"));
+	}
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		T(a_vm_that_is_off_is_fetched),
+		T(work_that_counts_nothing_gets_a_vm),
 		T(what_waits_and_what_comes_add_up),
 		T(late_work_counts_less),
 		T(work_without_use_counts_nothing),
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -448,6 +448,33 @@
 	assert_false(jtb_name_parse(LSTR("a.1.2.3.4"), &back));
 }
 
+/*
+ * Work is never tried again though it is owed: a command that can't be read
+ * stands before its start in a batch. The rest of the batch was left out, the
+ * start stayed proposed for good, and what is proposed is not planned again.
+ */
+static void a_bad_command_spoils_only_itself(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb_name n = {.id = "a"};
+	struct pk_out o;
+
+	two_steps(t, "a");
+	jtb_plan(jtb_job(t, "a"), &n, jtb_worker(t, "w1"));
+	pk_out_init(&o);
+	pk_arr(&o, 4);
+	pk_arr(&o, 1);
+	pk_u(&o, 99);
+	pk_u(&o, 7);
+	pk_arr(&o, 1);
+	pk_cstr(&o, "not a command");
+	jtb_put_start(&o, &n, 1, "w1");
+	assert_false(jtb_apply(t, pk_out_view(&o)));
+	pk_out_done(&o);
+	assert_non_null(jtb_part(jtb_job(t, "a"), 0, 0)->tasks[0].run);
+	assert_false(jtb_part(jtb_job(t, "a"), 0, 0)->tasks[0].planned);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -465,6 +492,7 @@
 		T(queues_are_found_among_many),
 		T(a_start_in_the_old_pool_doesnt_count),
 		T(one_end_of_a_gang_is_all_of_it),
+		T(a_bad_command_spoils_only_itself),
 		T(work_that_lasts_never_fails),
 		T(only_ended_jobs_are_forgotten),
 		T(a_change_of_leader_gives_room_back_once),
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -430,6 +430,138 @@
 	assert_string_equal(b->log->str, "l.0.0@w2 ");
 }
 
+/* So many jobs that no worker can ever take; they are late soonest. */
+static void impossible(struct bed *b, int n, struct jtb_step *s)
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		g_snprintf(id, sizeof(id), "x%d", i);
+		jobs_job(b->jtb, id, s, 1, b->wall - 60000);
+	}
+}
+
+/*
+ * A pool stands idle and its jobs wait for good: before them rank many that no
+ * worker can take, as each asks for a label that none has, or for more than
+ * any has. What failed to be placed was taken as a sign that the pool is full.
+ */
+static void work_for_nobody_holds_up_nobody(void **state)
+{
+	struct bed *b = *state;
+	char label[] = "kind-none";
+	struct jtb_step label_step = {
+		.count = 1, .cpu = 100, .guess_ms = 10, .label = label};
+	struct jtb_step large = {.count = 1, .cpu = 5000, .guess_ms = 10};
+
+	jobs_worker(b->jtb, "w", 2000, false);
+	impossible(b, 60, &label_step);
+	job(b, "a", 1, 1000, 1000, 0, 60000);
+	plan(b);
+	assert_string_equal(b->log->str, "a.0.0@w ");
+	large.flags = JTB_LASTS;
+	jobs_end(b->jtb, "a", 0, 0, 1, "w", JTB_DONE);
+	jobs_job(b->jtb, "y", &large, 1, b->wall);
+	job(b, "b", 1, 1000, 1000, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "b.0.0@w ");
+}
+
+/*
+ * The same by many jobs that one worker could take if work that lasts didn't
+ * hold a part of it for good.
+ */
+static void large_work_doesnt_hold_up_small(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step large = {.count = 1, .cpu = 2000, .guess_ms = 10};
+
+	jobs_worker(b->jtb, "w", 2000, false);
+	job(b, "l", 1, 500, 0, JTB_LASTS, 0);
+	plan(b);
+	impossible(b, 60, &large);
+	job(b, "a", 1, 1000, 1000, 0, 60000);
+	plan(b);
+	assert_string_equal(b->log->str, "a.0.0@w ");
+}
+
+/*
+ * Work that lasts is without a run for good though a worker has room for it.
+ * The worker is kept free for other work that lasts, which can't ever fit, as
+ * a third holds half of the worker until it is cancelled.
+ */
+static void a_worker_is_kept_only_if_it_can_free_up(void **state)
+{
+	struct bed *b = *state;
+
+	jobs_worker(b->jtb, "w", 2000, false);
+	job(b, "held", 1, 1000, 0, JTB_LASTS, 0);
+	plan(b);
+	job(b, "large", 1, 1500, 0, JTB_LASTS, 0);
+	job(b, "small", 1, 500, 0, JTB_LASTS, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "small.0.0@w ");
+}
+
+/*
+ * Work that lasts is without a run for good: all workers of its pool are
+ * closed, and none of them can be emptied since so much of its step is away
+ * already. Nobody asked for another VM, as a pool without a worker that may be
+ * used wasn't looked at.
+ */
+static void a_pool_that_is_closed_asks_for_room(void **state)
+{
+	struct bed *b = *state;
+
+	jobs_worker(b->jtb, "w", 2000, false);
+	g_hash_table_add(b->closed, (gpointer) "w");
+	job(b, "s", 1, 1000, 100, 0, 0);
+	plan(b);
+	assert_int_equal(b->starved, 0);
+	job(b, "l", 1, 1000, 0, JTB_LASTS, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	assert_int_equal(b->starved, 1);
+}
+
+/*
+ * A repeated gang whose members must be kept apart starts once and never
+ * again: its pool shrinks below what it needs after its first time, since
+ * only that was looked at.
+ */
+static void each_turn_is_kept_apart(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {.count = 2,
+			     .cpu = 100,
+			     .guess_ms = 10,
+			     .per_worker = 1,
+			     .flags = JTB_GANG};
+	struct jtb_spec spec = {
+		.id = "r",
+		.queue = (char *)"q",
+		.text = (char *)"t",
+		.steps = &s,
+		.n_steps = 1,
+		.repeats = 2,
+		.first_ms = JOBS_WALL_MS,
+		.every_ms = 5000,
+	};
+	struct pk_out o;
+
+	jobs_worker(b->jtb, "w1", 2000, false);
+	jobs_worker(b->jtb, "w2", 2000, false);
+	pk_out_init(&o);
+	jtb_put_job(&o, &spec, b->wall);
+	jobs_apply(b->jtb, &o);
+	plan(b);
+	jobs_end(b->jtb, "r", 0, 0, 1, "w1", JTB_DONE);
+	assert_int_equal(jtb_job(b->jtb, "r")->turns_done, 1);
+	b->wall += 5000;
+	assert_int_equal(sch_apart(jtb_job(b->jtb, "r"), b->wall), 2);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -453,6 +585,11 @@
 		T(a_gang_starts_whole_or_not),
 		T(a_time_is_waited_for),
 		T(a_vm_due_for_upkeep_is_avoided),
+		T(work_for_nobody_holds_up_nobody),
+		T(large_work_doesnt_hold_up_small),
+		T(a_worker_is_kept_only_if_it_can_free_up),
+		T(a_pool_that_is_closed_asks_for_room),
+		T(each_turn_is_kept_apart),
 	};
 
 	return cmocka_run_group_tests_name("sch", tests, NULL, NULL);
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -518,6 +518,37 @@
 	assert_false(upk_may_stop(b->upk, run));
 }
 
+/*
+ * Work that lasts is without a run for good, and the wave stands still. A wave
+ * that is late closes all workers of a pool. A run on each of two has failed
+ * meanwhile and can't begin anywhere; so the other run of each step may not be
+ * stopped, and neither worker is ever empty.
+ */
+static void a_pool_is_not_closed_for_good(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {
+		.count = 2, .cpu = 1000, .may_miss = 1, .flags = JTB_LASTS};
+	bool open = false;
+	int i;
+
+	vm_add(b, "vm2", "w2");
+	jobs_job(b->jtb, "a", &s, 1, JOBS_WALL_MS);
+	jobs_job(b->jtb, "b", &s, 1, JOBS_WALL_MS);
+	jobs_start(b->jtb, "a", 0, 0, 1, "w1");
+	jobs_start(b->jtb, "b", 0, 1, 1, "w2");
+	wave(b, 2, 1000);
+	tick(b);
+	assert_true(closed(b, "w1") && closed(b, "w2"));
+	for (i = 0; i < 100 && !open; i++) {
+		tick(b);
+		open = !closed(b, "w1") || !closed(b, "w2");
+	}
+	assert_true(open);
+	assert_int_equal(b->stops, 0);
+	assert_int_equal(b->orders, 0);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -537,6 +568,7 @@
 		T(another_lifetime_is_emptied_anew),
 		T(a_vm_on_its_way_is_waited_for),
 		T(work_that_lasts_keeps_its_budget),
+		T(a_pool_is_not_closed_for_good),
 	};
 
 	return cmocka_run_group_tests_name("upk", tests, NULL, NULL);
