A command that can't be read spoils only itself

Callers would see accepted work stand still for good while its pool has room. jtb_apply left out the rest of a batch behind the first command that it couldn't read. A start among the rest stayed proposed, and what is proposed is planned by nobody; an end left its worker unasked for ever (await_no), with no lease renewed and no lapse noticed, since it counts as answering; a worker that was given up stayed so. All of these wait for their command to come out of the log and have no other way on. Ruled out: a timeout on each of the three, which would order a task anew whose start may yet come out of the log. Each element of a batch is taken by itself, also one that is no array at all; the answer is still false, so that the odd command is logged.

--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -4,6 +4,7 @@
 
 typedef bool (*jtb_cmd_fn)(struct jtb *t, struct pk_in *in);
 
+static bool jtb_do(struct jtb *t, struct pk_in *cmd);
 static bool jtb_do_config(struct jtb *t, struct pk_in *in);
 static bool jtb_do_job(struct jtb *t, struct pk_in *in);
 static bool jtb_do_cancel(struct jtb *t, struct pk_in *in);
@@ -37,7 +38,12 @@
 	[JTB_CMD_VM] = jtb_do_vm,	  [JTB_CMD_FORGET] = jtb_do_forget,
 };
 
-/* Applies a batch of commands; false: some of it isn't a command. */
+/*
+ * Applies a batch of commands; false: some of it isn't a command. That one
+ * does nothing and those behind it are applied: what they are about waits for
+ * them, a start as proposed, a worker that was given up, ends that a worker
+ * is asked about no more before they are stored, and would wait for good.
+ */
 bool jtb_apply(struct jtb *t, struct lstr batch)
 {
 	struct pk_in in;
@@ -45,17 +51,26 @@
 
 	if (!pk_in_init(&in, batch))
 		return false;
-	while (pk_in_left(&in) && ok) {
-		struct pk_in cmd = pk_get_arr(&in);
-		uint64_t kind = pk_get_u(&cmd);
+	while (pk_in_left(&in)) {
+		struct pk_in one = in;
+		struct pk_in cmd = pk_get_arr(&one);
 
-		ok = pk_in_ok(&cmd) && kind < G_N_ELEMENTS(jtb_cmds) &&
-		     jtb_cmds[kind] && jtb_cmds[kind](t, &cmd);
+		pk_skip(&in);
+		ok = jtb_do(t, &cmd) && ok;
 	}
 	pk_in_done(&in);
 	return ok;
 }
 
+/* Applies one command; false: it isn't one. */
+static bool jtb_do(struct jtb *t, struct pk_in *cmd)
+{
+	uint64_t kind = pk_get_u(cmd);
+
+	return pk_in_ok(cmd) && kind < G_N_ELEMENTS(jtb_cmds) &&
+	       jtb_cmds[kind] && jtb_cmds[kind](t, cmd);
+}
+
 /* Puts a configuration in force, if it is newer. */
 static bool jtb_do_config(struct jtb *t, struct pk_in *in)
 {
--- a/src/pk.c
+++ b/src/pk.c
@@ -107,6 +107,13 @@
 	return in->arr.size - in->at;
 }
 
+/* Passes over the next field, of whatever kind. */
+void pk_skip(struct pk_in *in)
+{
+	if (in->at < in->arr.size)
+		in->at++;
+}
+
 /* Next field as unsigned number. */
 uint64_t pk_get_u(struct pk_in *in)
 {
--- a/src/pk.h
+++ b/src/pk.h
@@ -44,6 +44,7 @@
 bool pk_in_init(struct pk_in *in, struct lstr bytes);
 void pk_in_done(struct pk_in *in);
 uint32_t pk_in_left(const struct pk_in *in);
+void pk_skip(struct pk_in *in);
 uint64_t pk_get_u(struct pk_in *in);
 int64_t pk_get_i(struct pk_in *in);
 bool pk_get_bool(struct pk_in *in);
