Work that can't be placed holds up nobody behind it

Callers would see jobs wait for good, late ones first, in a pool that stands idle. A plan ended after 40 jobs that found no place, taken as the sign of a full pool. Jobs that no worker can take (a label that none has, more than any has, more than work that lasts leaves of any) never leave the queue, so 40 of them shut out all that ranks behind; among late work the oldest ranks first, which is just these. Ruled out: not counting those that fit no empty worker, which leaves the case of large work beside work that lasts. A plan now goes through all jobs and remembers sizes that found no room; what is no smaller is passed over, as rooms only shrink within a plan.

--- a/bench/sch_bench.c
+++ b/bench/sch_bench.c
@@ -95,13 +95,14 @@
 	bench_apply(t, &o, WORKERS);
 }
 
-static void put_jobs(struct jtb *t, uint32_t per_worker)
+static void put_jobs(struct jtb *t, uint32_t per_worker, const char *label)
 {
 	struct jtb_step step = {.count = TASKS,
 				.cpu = 500,
 				.mem_mb = 100,
 				.guess_ms = 3000,
-				.per_worker = per_worker};
+				.per_worker = per_worker,
+				.label = (char *)label};
 	struct pk_out o;
 	int i;
 
@@ -120,7 +121,7 @@
 	bench_apply(t, &o, JOBS);
 }
 
-static void measure(const char *what, uint32_t per_worker)
+static void measure(const char *what, uint32_t per_worker, const char *label)
 {
 	struct jtb *t = jtb_new(NULL, NULL);
 	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
@@ -140,7 +141,7 @@
 
 	put_config(t);
 	put_workers(t);
-	put_jobs(t, per_worker);
+	put_jobs(t, per_worker, label);
 	from = bench_now_ms();
 	sch_plan(&v, "pool0");
 	first = bench_now_ms() - from;
@@ -157,7 +158,8 @@
 
 int main(void)
 {
-	measure("plan-any", 0);
-	measure("plan-apart", 2);
+	measure("plan-any", 0, NULL);
+	measure("plan-apart", 2, NULL);
+	measure("plan-nobody", 0, "kind-none");
 	return 0;
 }
--- a/src/sch.c
+++ b/src/sch.c
@@ -7,7 +7,10 @@
  * would mostly meet the same cause.
  */
 #define SCH_AGAIN_MS 50
-/* Jobs that fail to be placed in one plan until it ends: the pool is full. */
+/*
+ * Sizes of tasks that a plan remembers as finding no room. Beyond them each
+ * step is tried on every worker, which only costs time.
+ */
 #define SCH_MISSES_MAX 40
 
 /* Which jobs go before which. */
@@ -27,12 +30,21 @@
 	double value; /* higher goes first within a rank */
 };
 
+/* What a task needs that no worker has left. */
+struct sch_miss {
+	uint32_t cpu;
+	uint32_t mem_mb;
+	uint32_t gpus;
+};
+
 /* The workers of one pool, while it is planned. */
 struct sch_pool {
 	const struct sch_view *v;
 	const char *name;
 	GPtrArray *workers; /* struct jtb_worker that may be given work */
 	GPtrArray *kept; /* of these, kept free for work that lasts */
+	struct sch_miss misses[SCH_MISSES_MAX];
+	uint32_t n_misses;
 	uint32_t started;
 };
 
@@ -40,10 +52,10 @@
 static GArray *sch_cands(struct sch_pool *p);
 static void sch_rank(const struct sch_view *v, struct sch_cand *c);
 static int sch_order(gconstpointer a, gconstpointer b);
-static bool sch_job(struct sch_pool *p, struct sch_cand *c);
-static bool sch_part(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
+static void sch_job(struct sch_pool *p, struct sch_cand *c);
+static void sch_part(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
 		     uint32_t step);
-static bool sch_gang(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
+static void sch_gang(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
 		     uint32_t step);
 static struct jtb_worker *sch_place(struct sch_pool *p,
 				    const struct jtb_job *job, uint32_t step);
@@ -51,6 +63,8 @@
 		     uint32_t step);
 static bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s);
 static bool sch_fits(const struct jtb_worker *w, const struct jtb_step *s);
+static bool sch_missed(const struct sch_pool *p, const struct jtb_step *s);
+static void sch_miss(struct sch_pool *p, const struct jtb_step *s);
 static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
 			const struct jtb_step *s);
 static bool sch_has_lasting(const struct jtb_worker *w);
@@ -66,16 +80,14 @@
 {
 	struct sch_pool p = {.v = v, .name = pool};
 	GArray *cands;
-	uint32_t misses = 0;
 	guint i;
 
 	p.kept = g_ptr_array_new();
 	sch_workers(&p);
 	cands = sch_cands(&p);
 	g_array_sort(cands, sch_order);
-	for (i = 0; i < cands->len && misses < SCH_MISSES_MAX; i++)
-		if (!sch_job(&p, &g_array_index(cands, struct sch_cand, i)))
-			misses++;
+	for (i = 0; i < cands->len; i++)
+		sch_job(&p, &g_array_index(cands, struct sch_cand, i));
 	g_array_free(cands, TRUE);
 	g_ptr_array_free(p.workers, TRUE);
 	g_ptr_array_free(p.kept, TRUE);
@@ -156,11 +168,10 @@
 	return (x->job->seq > y->job->seq) - (x->job->seq < y->job->seq);
 }
 
-/* Starts what can be of a job; false: something found no room. */
-static bool sch_job(struct sch_pool *p, struct sch_cand *c)
+/* Starts what can be of a job. */
+static void sch_job(struct sch_pool *p, struct sch_cand *c)
 {
 	struct jtb_job *job = c->job;
-	bool all = true;
 	uint32_t t;
 	uint32_t s;
 
@@ -171,17 +182,59 @@
 			if (job->turns[t].done & (1ULL << s) ||
 			    !jtb_step_due(job, t, s, p->v->wall_ms))
 				continue;
+			if (!(job->spec.steps[s].flags & JTB_LASTS) &&
+			    sch_missed(p, &job->spec.steps[s]))
+				continue;
 			if (job->spec.steps[s].flags & JTB_GANG)
-				all = sch_gang(p, job, t, s) && all;
+				sch_gang(p, job, t, s);
 			else
-				all = sch_part(p, job, t, s) && all;
+				sch_part(p, job, t, s);
 		}
 	}
-	return all;
 }
 
-/* Plans the tasks of one step that wait; false: one found no room. */
-static bool sch_part(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
+/*
+ * Whether tasks of that size have found no room in this plan: rooms only
+ * shrink while it goes on, so that no larger one needs to be tried. Made for
+ * bursts in which hundreds of jobs wait for a full pool. To end the plan after
+ * so many of them instead left those behind unlooked at for good where the
+ * first ones can never be placed, and it is the late ones that come first.
+ */
+static bool sch_missed(const struct sch_pool *p, const struct jtb_step *s)
+{
+	uint32_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
+	uint32_t i;
+
+	for (i = 0; i < p->n_misses; i++)
+		if (cpu >= p->misses[i].cpu &&
+		    s->mem_mb >= p->misses[i].mem_mb &&
+		    s->gpus >= p->misses[i].gpus)
+			return true;
+	return false;
+}
+
+/* Remembers that a task found no place, if it was for want of room alone. */
+static void sch_miss(struct sch_pool *p, const struct jtb_step *s)
+{
+	guint i;
+
+	if (p->n_misses == SCH_MISSES_MAX || sch_missed(p, s))
+		return;
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		if (sch_fits(w, s) && !g_ptr_array_find(p->kept, w, NULL))
+			return;
+	}
+	p->misses[p->n_misses++] = (struct sch_miss){
+		.cpu = s->flags & JTB_FILLS ? 0 : s->cpu,
+		.mem_mb = s->mem_mb,
+		.gpus = s->gpus,
+	};
+}
+
+/* Plans the tasks of one step that wait. */
+static void sch_part(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
 		     uint32_t step)
 {
 	const struct jtb_part *part = jtb_part(job, turn, step);
@@ -190,7 +243,7 @@
 	struct jtb_worker *w;
 
 	if (part && part->n_done + part->n_runs + part->n_planned >= count)
-		return true;
+		return;
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
 	sch_count_same(p, job, turn, step);
 	for (n.index = 0; n.index < count; n.index++) {
@@ -207,18 +260,19 @@
 			p->v->starved(p->v->arg, p->name);
 			sch_keep(p, job, step);
 		}
-		if (!w)
-			return false;
+		if (!w) {
+			sch_miss(p, &job->spec.steps[step]);
+			return;
+		}
 		p->started++;
 		w->same_step++;
 		p->v->start(p->v->arg, job, &n, task ? task->attempt + 1 : 1,
 			    w);
 	}
-	return true;
 }
 
 /* All of a gang in one go, with one number, or none of it. */
-static bool sch_gang(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
+static void sch_gang(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
 		     uint32_t step)
 {
 	const struct jtb_part *part = jtb_part(job, turn, step);
@@ -230,11 +284,11 @@
 	uint32_t i;
 
 	if (part && part->n_runs + part->n_planned + part->n_done)
-		return true;
+		return;
 	for (i = 0; part && i < count; i++) {
 		attempt = MAX(attempt, part->tasks[i].attempt);
 		if (p->v->now_ms - part->tasks[i].free_ms < SCH_AGAIN_MS)
-			return true;
+			return;
 	}
 	places = g_ptr_array_new();
 	sch_count_same(p, job, turn, step);
@@ -265,7 +319,8 @@
 			    g_ptr_array_index(places, n.index));
 	}
 	g_ptr_array_free(places, TRUE);
-	return room;
+	if (!room)
+		sch_miss(p, &job->spec.steps[step]);
 }
 
 /* The best worker for a task of the step, or NULL. */
