A worker is kept free only where it can free up

Callers would see work that lasts without a run for good though a worker has room for it. Of work that lasts and finds no place one worker is kept free in each plan, the same each time, chosen by its size and the room it has now. Where other work that lasts holds too much of that worker the room never comes: the worker was kept for good, and what would have fitted passed over it. It also was kept in place of one whose short work would have made room. Ruled out: letting go of a worker after a while, which only goes round.

--- a/src/sch.c
+++ b/src/sch.c
@@ -63,6 +63,7 @@
 		     uint32_t step);
 static bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s);
 static bool sch_fits(const struct jtb_worker *w, const struct jtb_step *s);
+static bool sch_could_fit(const struct jtb_worker *w, const struct jtb_step *s);
 static bool sch_missed(const struct sch_pool *p, const struct jtb_step *s);
 static void sch_miss(struct sch_pool *p, const struct jtb_step *s);
 static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
@@ -353,7 +354,9 @@
 /*
  * Work that lasts found no room: one worker gets nothing else until it fits,
  * the same in every plan. Short work that fills each gap as soon as it opens
- * would else keep out for good what needs two cores at once.
+ * would else keep out for good what needs two cores at once. Other work that
+ * lasts never makes room: a worker kept free beside too much of it would stay
+ * so for good, and have no room for what does fit.
  */
 static void sch_keep(struct sch_pool *p, const struct jtb_job *job,
 		     uint32_t step)
@@ -367,8 +370,7 @@
 		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
 		double room = (double)w->info.cpu - w->used_cpu - w->plan_cpu;
 
-		if (w->info.cpu < s->cpu || w->info.mem_mb < s->mem_mb ||
-		    w->info.gpus < s->gpus || !sch_allowed(w, s) ||
+		if (!sch_could_fit(w, s) || !sch_allowed(w, s) ||
 		    g_ptr_array_find(p->kept, w, NULL))
 			continue;
 		if (w->kept_for == job->seq + 1)
@@ -403,6 +405,28 @@
 	       w->used_gpus + w->plan_gpus + s->gpus <= w->info.gpus;
 }
 
+/* Whether a task fits beside what runs on a worker until it is cancelled. */
+static bool sch_could_fit(const struct jtb_worker *w, const struct jtb_step *s)
+{
+	uint64_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
+	uint64_t mem_mb = s->mem_mb;
+	uint64_t gpus = s->gpus;
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const struct jtb_run *r = g_ptr_array_index(w->runs, i);
+		const struct jtb_step *other = &r->job->spec.steps[r->step];
+
+		if (!(other->flags & JTB_LASTS) || r->stop)
+			continue;
+		cpu += other->flags & JTB_FILLS ? 0 : other->cpu;
+		mem_mb += other->mem_mb;
+		gpus += other->gpus;
+	}
+	return cpu <= w->info.cpu && mem_mb <= w->info.mem_mb &&
+	       gpus <= w->info.gpus;
+}
+
 /*
  * Spreads: the worker with the most room left, so that one that fails takes
  * little with it; where the data is counts for more than that.
