A pool without a usable worker asks for room too

Callers would see work that lasts without a run for good. A plan of a pool whose workers are all closed, silent or shunned ended before it looked at its jobs, so nobody was told that work that lasts found no room there. The sizes of pools count such workers as room, and fetched no VM; where the workers are closed and wait for just this work to run again before they may be emptied, nothing ever changed. Ruled out: leaving closed workers out of a pool's room, which fetches VMs for each worker that is emptied, as moves are meant to save.

--- a/src/sch.c
+++ b/src/sch.c
@@ -49,6 +49,8 @@
 };
 
 static void sch_workers(struct sch_pool *p);
+static void sch_nobody(struct sch_pool *p);
+static bool sch_lasts_waiting(const struct jtb_job *job, int64_t wall_ms);
 static GArray *sch_cands(struct sch_pool *p);
 static void sch_rank(const struct sch_view *v, struct sch_cand *c);
 static int sch_order(gconstpointer a, gconstpointer b);
@@ -85,11 +87,15 @@
 
 	p.kept = g_ptr_array_new();
 	sch_workers(&p);
-	cands = sch_cands(&p);
-	g_array_sort(cands, sch_order);
-	for (i = 0; i < cands->len; i++)
-		sch_job(&p, &g_array_index(cands, struct sch_cand, i));
-	g_array_free(cands, TRUE);
+	if (p.workers->len) {
+		cands = sch_cands(&p);
+		g_array_sort(cands, sch_order);
+		for (i = 0; i < cands->len; i++)
+			sch_job(&p, &g_array_index(cands, struct sch_cand, i));
+		g_array_free(cands, TRUE);
+	} else {
+		sch_nobody(&p);
+	}
 	g_ptr_array_free(p.workers, TRUE);
 	g_ptr_array_free(p.kept, TRUE);
 	return p.started;
@@ -110,6 +116,48 @@
 			g_ptr_array_add(p->workers, w);
 }
 
+/*
+ * A pool without a worker that may be given work starts nothing, and still
+ * says that work that lasts waits in it: where all its workers are closed and
+ * what runs on them may not be stopped before that work runs again, another
+ * VM is the only way on.
+ */
+static void sch_nobody(struct sch_pool *p)
+{
+	GPtrArray *live = jtb_live(p->v->jtb);
+	guint i;
+
+	for (i = 0; i < live->len; i++) {
+		const struct jtb_job *job = g_ptr_array_index(live, i);
+		const char *pool = jtb_pool_of(p->v->jtb, job);
+
+		if (jtb_ended(job) || !pool || strcmp(pool, p->name) != 0 ||
+		    !sch_lasts_waiting(job, p->v->wall_ms))
+			continue;
+		p->v->starved(p->v->arg, p->name);
+		return;
+	}
+}
+
+/* Whether work that lasts is due and has no run on its way. */
+static bool sch_lasts_waiting(const struct jtb_job *job, int64_t wall_ms)
+{
+	uint32_t t;
+	uint32_t s;
+
+	for (t = 0; t < job->n_turns && wall_ms >= jtb_turn_due(job, t); t++)
+		for (s = 0; s < job->spec.n_steps; s++) {
+			const struct jtb_part *part = jtb_part(job, t, s);
+
+			if (job->spec.steps[s].flags & JTB_LASTS &&
+			    jtb_step_due(job, t, s, wall_ms) &&
+			    (!part || part->n_runs + part->n_planned <
+					      job->spec.steps[s].count))
+				return true;
+		}
+	return false;
+}
+
 /* The jobs of a pool that aren't over. */
 static GArray *sch_cands(struct sch_pool *p)
 {
@@ -118,7 +166,7 @@
 	GArray *cands = g_array_new(FALSE, FALSE, sizeof(struct sch_cand));
 	guint i;
 
-	for (i = 0; i < live->len && p->workers->len; i++) {
+	for (i = 0; i < live->len; i++) {
 		struct sch_cand c = {.job = g_ptr_array_index(live, i)};
 
 		if (jtb_ended(c.job))
