A pool keeps what each turn of a repeated job needs apart

Callers would see a repeated job start once and then never again. The number of VMs that tasks kept apart need was taken from the first turn alone. Once that was done it was 0, the pool shrank to its least, and a gang of more members than that, one to a VM, found no place in any later turn. All turns that are due count now; one that is done needs none.

--- a/src/sch_job.c
+++ b/src/sch_job.c
@@ -48,22 +48,31 @@
 	return MAX(undone, 0);
 }
 
-/* Workers that the tasks of a job's steps need which must be kept apart. */
+/*
+ * Workers that the tasks of a job's steps need which must be kept apart, in
+ * any of the times that are due: a gang of a later one is placed whole or not
+ * at all, as that of the first.
+ */
 uint32_t sch_apart(const struct jtb_job *job, int64_t wall_ms)
 {
 	uint32_t most = 0;
+	uint32_t t;
 	uint32_t s;
 
-	for (s = 0; s < job->spec.n_steps; s++) {
-		const struct jtb_step *step = &job->spec.steps[s];
-		const struct jtb_turn *turn = &job->turns[0];
-		uint32_t left = step->count;
-
-		if (!step->per_worker || !jtb_step_due(job, 0, s, wall_ms))
-			continue;
-		left -= turn->parts ? turn->parts[s].n_done : 0;
-		most = MAX(most,
-			   (left + step->per_worker - 1) / step->per_worker);
+	for (t = 0; t < job->n_turns && wall_ms >= jtb_turn_due(job, t); t++) {
+		const struct jtb_turn *turn = &job->turns[t];
+
+		for (s = 0; s < job->spec.n_steps; s++) {
+			const struct jtb_step *step = &job->spec.steps[s];
+			uint32_t left = step->count;
+
+			if (!step->per_worker ||
+			    !jtb_step_due(job, t, s, wall_ms))
+				continue;
+			left -= turn->parts ? turn->parts[s].n_done : 0;
+			most = MAX(most, (left + step->per_worker - 1) /
+						 step->per_worker);
+		}
 	}
 	return most;
 }
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -557,6 +557,7 @@
 	jobs_apply(b->jtb, &o);
 	plan(b);
 	jobs_end(b->jtb, "r", 0, 0, 1, "w1", JTB_DONE);
+	jobs_end(b->jtb, "r", 0, 0, 1, "w2", JTB_DONE);
 	assert_int_equal(jtb_job(b->jtb, "r")->turns_done, 1);
 	b->wall += 5000;
 	assert_int_equal(sch_apart(jtb_job(b->jtb, "r"), b->wall), 2);
