--- a/src/flo.c
+++ b/src/flo.c
@@ -353,6 +353,9 @@
 		return true;
 	if (p->apart && p->vms <= p->apart)
 		return true;
+	/* also work that counts nothing is owed, and runs on one VM at last */
+	if (p->due && !p->vms)
+		return true;
 	return !p->coming && p->starved_ms &&
 	       f->ticked_ms - p->starved_ms < FLO_STARVED_MS;
 }
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -4,6 +4,7 @@
 
 static void flo_measure_vms(struct flo *f);
 static void flo_measure_jobs(struct flo *f, int64_t wall);
+static bool flo_due(const struct jtb_job *job, int64_t wall);
 static double flo_weight(const struct jtb_queue *q, const struct jtb_job *job,
 			 int64_t wall);
 static void flo_measure_rates(struct flo *f, int64_t now, int64_t wall);
@@ -25,6 +26,7 @@
 		p->load = 0;
 		p->lasting = 0;
 		p->jobs = 0;
+		p->due = 0;
 		p->apart = 0;
 		p->vms = 0;
 		p->coming = 0;
@@ -99,6 +101,7 @@
 			continue;
 		p = flo_pool_at(f, q->pool);
 		p->jobs++;
+		p->due += flo_due(job, wall);
 		p->apart = MAX(p->apart, sch_apart(job, wall));
 		cores = sch_usable_cores(job, wall,
 					 p->cores && p->mem_mb
@@ -113,6 +116,20 @@
 	}
 }
 
+/* Whether a job has tasks that could run now, whatever they are worth. */
+static bool flo_due(const struct jtb_job *job, int64_t wall)
+{
+	uint32_t t;
+	uint32_t s;
+
+	for (t = 0; t < job->n_turns && wall >= jtb_turn_due(job, t); t++)
+		for (s = 0; s < job->spec.n_steps; s++)
+			if (!(job->turns[t].done & 1ULL << s) &&
+			    jtb_step_due(job, t, s, wall))
+				return true;
+	return false;
+}
+
 /* How much a job's wish for room counts beside one that can be in time. */
 static double flo_weight(const struct jtb_queue *q, const struct jtb_job *job,
 			 int64_t wall)
