A pool that a wave has closed altogether opens one worker

Callers would see work that lasts without a run for good, and the operator a wave that stands still. A late wave closes as many VMs as it may, which can be all of a pool. A run that fails then can begin nowhere; so the others of its step may not be stopped for their upkeep, and if that is so on each worker, none is ever empty. The two wait for each other until the leader changes, and then do so again. Ruled out: leaving one worker of each pool out of a wave, as pools of one VM would never have their upkeep; stopping what may not be missed. A worker whose runs may not be stopped, of a pool with no worker open, may be given work for 2 s, one at a time, after the same patience as a run that is waited for.

--- a/src/upk.c
+++ b/src/upk.c
@@ -15,6 +15,11 @@
 #define UPK_KEPT_MS 1000
 /* Work that isn't done by then is stopped, and done again elsewhere, ms. */
 #define UPK_PATIENCE_MS 2500
+/*
+ * A worker of a pool that is closed altogether is opened for so long, ms: work
+ * that lasts begins in 0.7 s once a plan, five a second, has given it a place.
+ */
+#define UPK_OPEN_MS 2000
 
 /*
  * A VM that no list has shown for so long never comes back, ms. One that has
@@ -33,6 +38,7 @@
 	bool noted; /* its order is in the table, or on its way there */
 	bool fenced; /* a later leader has taken it over */
 	bool over; /* its end is on its way to the table */
+	int64_t open_until; /* its worker may be given work till then */
 };
 
 struct upk {
@@ -61,6 +67,10 @@
 		       int64_t now);
 static void upk_empty(struct upk *u, struct jtb_wave *w, struct upk_job *j,
 		      struct jtb_wave_vm *v, int64_t now);
+static bool upk_opened(const struct upk *u, struct upk_job *j,
+		       const struct jtb_worker *worker, int64_t now);
+static bool upk_may_not_stop(const struct upk *u, const struct jtb_worker *w);
+static bool upk_pool_closed(const struct upk *u, const char *pool);
 static void upk_clear(struct upk *u, struct jtb_worker *w, int64_t waited);
 static struct jtb_wave_vm *upk_vm_of(const struct jtb_wave *w, const char *vm);
 
@@ -222,7 +232,8 @@
 	for (i = 0; i < u->jobs->len; i++) {
 		const struct upk_job *j = g_ptr_array_index(u->jobs, i);
 
-		g_hash_table_add(ids, j->worker);
+		if (!j->open_until)
+			g_hash_table_add(ids, j->worker);
 	}
 	/* A leader before us may have ordered it, and be heard late. */
 	for (i = 0; i < waves->len; i++)
@@ -474,6 +485,8 @@
 		j->from_ms = now;
 		return;
 	}
+	if (upk_opened(u, j, worker, now))
+		return;
 	/* also a start that was on its way when the worker was closed */
 	if (worker && worker->runs->len && !j->agreed_ms) {
 		upk_clear(u, worker, now - j->from_ms);
@@ -493,6 +506,62 @@
 	}
 }
 
+/*
+ * Opens a worker for a while whose pool is closed altogether and that can't be
+ * emptied: what lasts on it may not be stopped while others of its step are
+ * away, and these can begin nowhere. Without it both wait for each other for
+ * good, as no worker is ever empty. Opened workers are closed anew, and then
+ * it is the turn of another; those whose upkeep is ordered stay closed.
+ */
+static bool upk_opened(const struct upk *u, struct upk_job *j,
+		       const struct jtb_worker *worker, int64_t now)
+{
+	if (j->open_until && now < j->open_until)
+		return true;
+	if (j->open_until) {
+		j->open_until = 0;
+		j->from_ms = now;
+		return false;
+	}
+	if (!worker || j->noted || now - j->from_ms <= UPK_PATIENCE_MS ||
+	    !upk_may_not_stop(u, worker) ||
+	    !upk_pool_closed(u, worker->info.pool))
+		return false;
+	j->open_until = now + UPK_OPEN_MS;
+	return true;
+}
+
+/* Whether something on a worker must not be stopped now. */
+static bool upk_may_not_stop(const struct upk *u, const struct jtb_worker *w)
+{
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const struct jtb_run *run = g_ptr_array_index(w->runs, i);
+
+		if (!run->stop && !upk_may_stop(u, run))
+			return true;
+	}
+	return false;
+}
+
+/* Whether all workers of a pool are closed for their upkeep. */
+static bool upk_pool_closed(const struct upk *u, const char *pool)
+{
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	bool closed = true;
+	GHashTableIter it;
+	struct jtb_worker *w;
+
+	upk_closed(u, ids);
+	g_hash_table_iter_init(&it, jtb_workers(u->jtb));
+	while (closed && g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		closed = strcmp(w->info.pool, pool) != 0 || w->info.draining ||
+			 g_hash_table_contains(ids, w->info.id);
+	g_hash_table_destroy(ids);
+	return closed;
+}
+
 /*
  * Stops what runs on a worker: what lasts as soon as it may, the rest when
  * it took too long.
