Where a task may run stands in a file of its own

sch_place has the workers of a pool, their room and what is remembered of it; sch has the plans. What says why something doesn't run is to ask the same functions.

--- /dev/null
+++ b/src/sch_int.h
@@ -0,0 +1,59 @@
+#ifndef SCH_INT_H
+#define SCH_INT_H
+
+#include "sch.h"
+
+/*
+ * Files of the scheduler, each using only those before it: sch_job (what a
+ * job needs), sch_place (where a task may run), sch (plans), hld (why
+ * something owed doesn't run).
+ */
+
+/*
+ * A run that was refused or lost is tried again after so long, ms: at once it
+ * would mostly meet the same cause.
+ */
+#define SCH_AGAIN_MS 50
+
+/*
+ * Sizes of tasks that a plan remembers as finding no room. Beyond them each
+ * step is tried on every worker, which only costs time.
+ */
+#define SCH_MISSES_MAX 40
+
+/* What a task needs that no worker has left. */
+struct sch_miss {
+	uint32_t cpu;
+	uint32_t mem_mb;
+	uint32_t gpus;
+};
+
+/* The workers of one pool, while it is planned. */
+struct sch_pool {
+	const struct sch_view *v;
+	const char *name;
+	GPtrArray *workers; /* struct jtb_worker that may be given work */
+	GPtrArray *kept; /* of these, kept free for work that lasts */
+	struct sch_miss misses[SCH_MISSES_MAX];
+	uint32_t n_misses;
+	uint32_t started;
+};
+
+void sch_pool_init(struct sch_pool *p, const struct sch_view *v,
+		   const char *name);
+void sch_pool_done(struct sch_pool *p);
+struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
+			     uint32_t step);
+bool sch_places(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
+		uint32_t step, GPtrArray *places);
+void sch_keep(struct sch_pool *p, const struct jtb_job *job, uint32_t step);
+bool sch_missed(const struct sch_pool *p, const struct jtb_step *s);
+void sch_miss(struct sch_pool *p, const struct jtb_step *s);
+bool sch_has_label(const struct jtb_worker *w, const char *label);
+bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s);
+bool sch_fits(const struct jtb_worker *w, const struct jtb_step *s);
+bool sch_is_kept(const struct sch_pool *p, const struct jtb_worker *w);
+void sch_count_same(struct sch_pool *p, const struct jtb_job *job,
+		    uint32_t turn, uint32_t step);
+
+#endif
--- /dev/null
+++ b/src/sch_place.c
@@ -0,0 +1,301 @@
+#include "sch_int.h"
+
+/* Where a task may run: the workers of a pool, their room, and which is best. */
+
+static void sch_workers(struct sch_pool *p);
+static bool sch_could_fit(const struct jtb_worker *w, const struct jtb_step *s);
+static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
+			const struct jtb_step *s);
+static bool sch_has_lasting(const struct jtb_worker *w);
+
+/* Begins to look at a pool: its workers that may be given work. */
+void sch_pool_init(struct sch_pool *p, const struct sch_view *v,
+		   const char *name)
+{
+	*p = (struct sch_pool){.v = v, .name = name};
+	p->kept = g_ptr_array_new();
+	sch_workers(p);
+}
+
+/* Ends it. */
+void sch_pool_done(struct sch_pool *p)
+{
+	g_ptr_array_free(p->workers, TRUE);
+	g_ptr_array_free(p->kept, TRUE);
+}
+
+/* The workers of a pool that may be given work. */
+static void sch_workers(struct sch_pool *p)
+{
+	GHashTableIter it;
+	struct jtb_worker *w;
+
+	p->workers = g_ptr_array_new();
+	g_hash_table_iter_init(&it, jtb_workers(p->v->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		if (strcmp(w->info.pool, p->name) == 0 &&
+		    !g_hash_table_contains(p->v->closed, w->info.id) &&
+		    p->v->usable(p->v->arg, w))
+			g_ptr_array_add(p->workers, w);
+}
+
+/* The best worker for a task of the step, or NULL. */
+struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
+			     uint32_t step)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	struct jtb_worker *best = NULL;
+	double best_score = 0;
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+		double score;
+
+		if (!sch_fits(w, s) || !sch_allowed(w, s) || sch_is_kept(p, w))
+			continue;
+		score = sch_score(p, w, s);
+		if (w->kept_for == job->seq + 1)
+			score += 20;
+		if (!best || score > best_score) {
+			best = w;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/*
+ * Workers for all tasks of a step at once, one each in places; false: not all
+ * of them have room. Room is taken while the others are looked for.
+ */
+bool sch_places(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
+		uint32_t step, GPtrArray *places)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	struct jtb_worker *w = NULL;
+	guint i;
+
+	sch_count_same(p, job, turn, step);
+	while (places->len < s->count && (w = sch_place(p, job, step))) {
+		w->plan_cpu += s->cpu;
+		w->plan_mem += s->mem_mb;
+		w->plan_gpus += s->gpus;
+		w->same_step++;
+		g_ptr_array_add(places, w);
+	}
+	for (i = 0; i < places->len; i++) {
+		w = g_ptr_array_index(places, i);
+		w->plan_cpu -= s->cpu;
+		w->plan_mem -= s->mem_mb;
+		w->plan_gpus -= s->gpus;
+	}
+	return places->len == s->count;
+}
+
+/*
+ * Work that lasts found no room: one worker gets nothing else until it fits,
+ * the same in every plan. Short work that fills each gap as soon as it opens
+ * would else keep out for good what needs two cores at once. Other work that
+ * lasts never makes room: a worker kept free beside too much of it would stay
+ * so for good, and have no room for what does fit.
+ */
+void sch_keep(struct sch_pool *p, const struct jtb_job *job, uint32_t step)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	struct jtb_worker *best = NULL;
+	double best_room = 0;
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+		double room = (double)w->info.cpu - w->used_cpu - w->plan_cpu;
+
+		if (!sch_could_fit(w, s) || !sch_allowed(w, s) ||
+		    sch_is_kept(p, w))
+			continue;
+		if (w->kept_for == job->seq + 1)
+			room += w->info.cpu;
+		if (best && room <= best_room)
+			continue;
+		best = w;
+		best_room = room;
+	}
+	if (!best)
+		return;
+	best->kept_for = job->seq + 1;
+	best->kept_ms = p->v->now_ms;
+	g_ptr_array_add(p->kept, best);
+}
+
+/* Whether a worker is kept free for work that lasts in this plan. */
+bool sch_is_kept(const struct sch_pool *p, const struct jtb_worker *w)
+{
+	return g_ptr_array_find(p->kept, w, NULL);
+}
+
+/* Whether a worker may run the step at all, room or not. */
+bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s)
+{
+	if (s->label && !sch_has_label(w, s->label))
+		return false;
+	return !s->per_worker || w->same_step < s->per_worker;
+}
+
+/* Whether a task fits into what a worker has left. */
+bool sch_fits(const struct jtb_worker *w, const struct jtb_step *s)
+{
+	uint32_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
+
+	return w->used_cpu + w->plan_cpu + cpu <= w->info.cpu &&
+	       w->used_mem + w->plan_mem + s->mem_mb <= w->info.mem_mb &&
+	       w->used_gpus + w->plan_gpus + s->gpus <= w->info.gpus;
+}
+
+/* Whether a task fits beside what runs on a worker until it is cancelled. */
+static bool sch_could_fit(const struct jtb_worker *w, const struct jtb_step *s)
+{
+	uint64_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
+	uint64_t mem_mb = s->mem_mb;
+	uint64_t gpus = s->gpus;
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const struct jtb_run *r = g_ptr_array_index(w->runs, i);
+		const struct jtb_step *other = &r->job->spec.steps[r->step];
+
+		if (!(other->flags & JTB_LASTS) || r->stop)
+			continue;
+		cpu += other->flags & JTB_FILLS ? 0 : other->cpu;
+		mem_mb += other->mem_mb;
+		gpus += other->gpus;
+	}
+	return cpu <= w->info.cpu && mem_mb <= w->info.mem_mb &&
+	       gpus <= w->info.gpus;
+}
+
+/*
+ * Spreads: the worker with the most room left, so that one that fails takes
+ * little with it; where the data is counts for more than that.
+ */
+static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
+			const struct jtb_step *s)
+{
+	double cpu = w->info.cpu ? w->info.cpu : 1;
+	double score = 1 - (w->used_cpu + w->plan_cpu) / cpu;
+	guint i;
+
+	if (s->rack && sch_has_label(w, s->rack))
+		score += 10;
+	if (s->flags & JTB_LASTS && p->v->leaving(p->v->arg, w))
+		score -= 20;
+	/*
+	 * Work that lasts keeps together, so that most VMs are free of it and
+	 * can follow the load to other pools.
+	 */
+	if (s->flags & JTB_LASTS && sch_has_lasting(w))
+		score += 3;
+	if (!(s->flags & JTB_FILLS) && !s->tail_ms)
+		return score;
+	/* What fills idle processors disturbs what serves beside it. */
+	for (i = 0; i < w->runs->len; i++) {
+		const struct jtb_run *r = g_ptr_array_index(w->runs, i);
+		const struct jtb_step *other = &r->job->spec.steps[r->step];
+
+		if (s->flags & JTB_FILLS && other->tail_ms)
+			score -= 2;
+		if (s->flags & JTB_FILLS && other->flags & JTB_FILLS)
+			score -= 0.5;
+		if (s->tail_ms && other->flags & JTB_FILLS)
+			score -= 2;
+	}
+	return score;
+}
+
+/* Whether work that lasts runs on a worker. */
+static bool sch_has_lasting(const struct jtb_worker *w)
+{
+	guint i;
+
+	for (i = 0; i < w->runs->len; i++) {
+		const struct jtb_run *r = g_ptr_array_index(w->runs, i);
+
+		if (r->job->spec.steps[r->step].flags & JTB_LASTS)
+			return true;
+	}
+	return false;
+}
+
+/* Whether a worker has a label. */
+bool sch_has_label(const struct jtb_worker *w, const char *label)
+{
+	return g_strv_contains((const char *const *)w->info.labels, label);
+}
+
+/*
+ * Counts for each worker how many tasks of a step it runs or is about to run:
+ * once before the step's tasks are placed, since to count for each task and
+ * worker took 100 ms for 400 tasks on 70 VMs.
+ */
+void sch_count_same(struct sch_pool *p, const struct jtb_job *job,
+		    uint32_t turn, uint32_t step)
+{
+	const struct jtb_part *part = jtb_part(job, turn, step);
+	uint32_t i;
+
+	if (!job->spec.steps[step].per_worker)
+		return;
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		w->same_step = 0;
+	}
+	for (i = 0; part && i < job->spec.steps[step].count; i++) {
+		const struct jtb_task *task = &part->tasks[i];
+
+		if (task->run)
+			task->run->worker->same_step++;
+		else if (task->planned && task->planned_on)
+			task->planned_on->same_step++;
+	}
+}
+
+/*
+ * Whether tasks of that size have found no room in this plan: rooms only
+ * shrink while it goes on, so that no larger one needs to be tried. Made for
+ * bursts in which hundreds of jobs wait for a full pool. To end the plan after
+ * so many of them instead left those behind unlooked at for good where the
+ * first ones can never be placed, and it is the late ones that come first.
+ */
+bool sch_missed(const struct sch_pool *p, const struct jtb_step *s)
+{
+	uint32_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
+	uint32_t i;
+
+	for (i = 0; i < p->n_misses; i++)
+		if (cpu >= p->misses[i].cpu &&
+		    s->mem_mb >= p->misses[i].mem_mb &&
+		    s->gpus >= p->misses[i].gpus)
+			return true;
+	return false;
+}
+
+/* Remembers that a task found no place, if it was for want of room alone. */
+void sch_miss(struct sch_pool *p, const struct jtb_step *s)
+{
+	guint i;
+
+	if (p->n_misses == SCH_MISSES_MAX || sch_missed(p, s))
+		return;
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		if (sch_fits(w, s) && !sch_is_kept(p, w))
+			return;
+	}
+	p->misses[p->n_misses++] = (struct sch_miss){
+		.cpu = s->flags & JTB_FILLS ? 0 : s->cpu,
+		.mem_mb = s->mem_mb,
+		.gpus = s->gpus,
+	};
+}
