--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -563,6 +563,36 @@
 	assert_int_equal(sch_apart(jtb_job(b->jtb, "r"), b->wall), 2);
 }
 
+/*
+ * A gang that runs on processors which others leave idle never starts: it was
+ * placed as if each member needed a processor for itself.
+ */
+static void a_gang_that_fills_takes_no_processor(void **state)
+{
+	struct bed *b = *state;
+
+	jobs_worker(b->jtb, "w", 2000, false);
+	job(b, "g", 4, 1000, 300, JTB_GANG | JTB_FILLS, 0);
+	plan(b);
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 4);
+	assert_int_equal(jtb_worker(b->jtb, "w")->plan_cpu, 0);
+}
+
+/*
+ * A gang that lasts is without a run for good: nobody was told that it found
+ * no room, so that its pool was given no other VM.
+ */
+static void a_gang_that_lasts_asks_for_room(void **state)
+{
+	struct bed *b = *state;
+
+	jobs_worker(b->jtb, "w", 2000, false);
+	job(b, "g", 3, 1000, 0, JTB_GANG | JTB_LASTS, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	assert_int_equal(b->starved, 1);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -586,6 +616,8 @@
 		T(a_gang_starts_whole_or_not),
 		T(a_time_is_waited_for),
 		T(a_vm_due_for_upkeep_is_avoided),
+		T(a_gang_that_fills_takes_no_processor),
+		T(a_gang_that_lasts_asks_for_room),
 		T(work_for_nobody_holds_up_nobody),
 		T(large_work_doesnt_hold_up_small),
 		T(a_worker_is_kept_only_if_it_can_free_up),
