A gang that fills is placed as it runs

Callers would see such a gang wait for good. Its members were placed as if each took its processors from the worker, though a run that fills takes none: a gang of more than a worker's or a pool's idle cores found no place. Room is taken while the members are placed as it is once they run. sch_test a_gang_that_fills_takes_no_processor failed before and passes; the other red one is open.

--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -73,12 +73,13 @@
 		uint32_t step, GPtrArray *places)
 {
 	const struct jtb_step *s = &job->spec.steps[step];
+	uint32_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
 	struct jtb_worker *w = NULL;
 	guint i;
 
 	sch_count_same(p, job, turn, step);
 	while (places->len < s->count && (w = sch_place(p, job, step))) {
-		w->plan_cpu += s->cpu;
+		w->plan_cpu += cpu;
 		w->plan_mem += s->mem_mb;
 		w->plan_gpus += s->gpus;
 		w->same_step++;
@@ -86,7 +87,7 @@
 	}
 	for (i = 0; i < places->len; i++) {
 		w = g_ptr_array_index(places, i);
-		w->plan_cpu -= s->cpu;
+		w->plan_cpu -= cpu;
 		w->plan_mem -= s->mem_mb;
 		w->plan_gpus -= s->gpus;
 	}
