A gang that lasts and finds no room asks for a VM

Callers would see it without a run for good. Pools get one more VM at a time while work that lasts finds no room in them; that was told for single tasks and not for a gang, which is placed in another way. Ruled out: keeping workers free for a gang, which takes as many out of use as it has members and still may leave it one short. sch_test a_gang_that_lasts_asks_for_room failed before; 25 of 25 pass.

--- a/src/sch.c
+++ b/src/sch.c
@@ -246,6 +246,8 @@
 			    g_ptr_array_index(places, n.index));
 	}
 	g_ptr_array_free(places, TRUE);
+	if (!room && job->spec.steps[step].flags & JTB_LASTS)
+		p->v->starved(p->v->arg, p->name);
 	if (!room)
 		sch_miss(p, &job->spec.steps[step]);
 }
