Why something owed doesn't run has a name

hld says of each task that is owed and has no run the one reason that holds it back, by the same functions as a plan places tasks with (sch_place): what of the task itself is the matter, or of the worker of its pool that comes nearest to taking it. None means that the next plan starts it. Runs that aren't (given up, ended and not stored, on a silent worker) are asked for from the owner.

--- /dev/null
+++ b/src/hld.c
@@ -0,0 +1,499 @@
+#include "hld.h"
+
+#include "sch_int.h"
+
+/*
+ * A worker counts as kept free for work that lasts if a plan has kept it
+ * within this, ms: plans are made five times a second without a cause.
+ */
+#define HLD_KEPT_MS 400
+/* Work held back for so long is told of, ms: rules allow 6 s with room. */
+#define HLD_TELL_MS 3000
+/* And again after so long, if nothing changed. */
+#define HLD_TELL_AGAIN_MS 10000
+/*
+ * Sizes of tasks whose reason is remembered within one look, by pool, and
+ * reasons worked out in one look beyond those, so that no mix of sizes takes
+ * a leader's time: the rest keeps what was last seen of it.
+ */
+#define HLD_SEEN 256
+#define HLD_FRESH_MAX 300
+
+static const struct {
+	const char *name;
+	/*
+	 * Longest that it may hold something back while there is room for it,
+	 * ms; 0: as long as it is so. Two plans; a batch and its log; an order
+	 * with a retry; a lease on a slow clock and that of a leader before;
+	 * the longest shun; what is waited for until a VM is empty.
+	 */
+	int64_t most_ms;
+} hld_defs[HLD_REASONS] = {
+	[HLD_NONE] = {"none", 400},
+	[HLD_OVER] = {"over", 0},
+	[HLD_RUNS] = {"runs", 0},
+	[HLD_NOT_DUE] = {"not-due", 0},
+	[HLD_STEP] = {"earlier-step", 0},
+	[HLD_QUEUE] = {"queue-gone", 0},
+	[HLD_PROPOSED] = {"start-not-stored", 1000},
+	[HLD_ORDERED] = {"ordered", 2000},
+	[HLD_STOPPING] = {"being-stopped", 2000},
+	[HLD_SILENT] = {"lease-not-over", 7000},
+	[HLD_ENDING] = {"end-not-stored", 1000},
+	[HLD_GANG] = {"rest-of-gang", 0},
+	[HLD_JUST_ENDED] = {"just-ended", 400},
+	[HLD_TICKET] = {"needs-ticket", 0},
+	[HLD_NO_WORKER] = {"no-worker", 0},
+	[HLD_LABEL] = {"no-label", 0},
+	[HLD_TOO_LARGE] = {"too-large", 0},
+	[HLD_DRAINING] = {"draining", 0},
+	[HLD_UNREACHED] = {"unreached", 0},
+	[HLD_SHUNNED] = {"shunned", 16000},
+	[HLD_MOVING] = {"closed-for-move", 5000},
+	[HLD_UPKEEP] = {"closed-for-upkeep", 5000},
+	[HLD_APART] = {"kept-apart", 0},
+	[HLD_NO_ROOM] = {"no-room", 0},
+	[HLD_KEPT] = {"kept-for-other", 5000},
+	[HLD_GANG_ROOM] = {"no-room-for-gang", 0},
+};
+
+/* A pool during one look. */
+struct hld_pool {
+	struct sch_pool sch;
+	GPtrArray *all; /* struct jtb_worker, also what may not be used */
+	struct {
+		const struct jtb_step *step; /* NULL: none yet */
+		enum hld_reason why;
+	} seen[HLD_SEEN];
+};
+
+/* One look at all that is owed. */
+struct hld_look {
+	const struct hld_view *v;
+	struct hld_sum *sum;
+	hld_tell tell;
+	void *arg;
+	GHashTable *pools; /* struct hld_pool */
+	int fresh; /* reasons worked out */
+};
+
+static enum hld_reason hld_own(const struct hld_view *v,
+			       const struct jtb_job *job,
+			       const struct jtb_name *n);
+static enum hld_reason hld_step(const struct hld_view *v,
+				const struct jtb_job *job, uint32_t turn,
+				uint32_t step);
+static enum hld_reason hld_place(const struct hld_view *v, struct hld_pool *p,
+				 const struct jtb_job *job, uint32_t turn,
+				 uint32_t step);
+static enum hld_reason hld_worker(const struct hld_view *v,
+				  const struct jtb_job *job,
+				  const struct jtb_step *s,
+				  const struct jtb_worker *w);
+static enum hld_reason hld_barred(const struct hld_view *v,
+				  const struct jtb_worker *w);
+static bool hld_kept(const struct hld_view *v, const struct jtb_job *job,
+		     const struct jtb_worker *w);
+static struct hld_pool *hld_pool_new(const struct hld_view *v,
+				     const char *name);
+static void hld_pool_free(gpointer arg);
+static void hld_look_job(struct hld_look *l, struct jtb_job *job);
+static enum hld_reason hld_look_part(struct hld_look *l, struct jtb_job *job,
+				     uint32_t turn, uint32_t step);
+static void hld_look_lasting(struct hld_look *l, struct jtb_job *job,
+			     uint32_t turn, uint32_t step);
+static struct jtb_held *hld_held(struct jtb_job *job);
+static enum hld_reason hld_seen(struct hld_look *l, struct jtb_job *job,
+				uint32_t turn, uint32_t step);
+static bool hld_alike(const struct jtb_step *a, const struct jtb_step *b);
+static struct hld_pool *hld_pool_of(struct hld_look *l,
+				    const struct jtb_job *job);
+static void hld_note(struct hld_look *l, const struct jtb_job *job,
+		     const struct jtb_name *n, struct jtb_held *h,
+		     enum hld_reason why);
+
+/* A reason's name in logs and metrics. */
+const char *hld_name(enum hld_reason why)
+{
+	return hld_defs[why].name;
+}
+
+/* Longest that a reason may hold back what has room, ms; 0: any time. */
+int64_t hld_most_ms(enum hld_reason why)
+{
+	return hld_defs[why].most_ms;
+}
+
+/* Whether a task that a reason holds back is owed now. */
+bool hld_is_owed(enum hld_reason why)
+{
+	return why != HLD_OVER && why != HLD_RUNS && why != HLD_NOT_DUE &&
+	       why != HLD_STEP;
+}
+
+/* Why a task doesn't run; HLD_RUNS or HLD_OVER if it does or needn't. */
+enum hld_reason hld_task(const struct hld_view *v, struct jtb_job *job,
+			 const struct jtb_name *n)
+{
+	enum hld_reason why = hld_own(v, job, n);
+	struct hld_pool *p;
+
+	if (why != HLD_NONE)
+		return why;
+	p = hld_pool_new(v, jtb_pool_of(v->sch->jtb, job));
+	why = hld_place(v, p, job, n->turn, n->step);
+	hld_pool_free(p);
+	return why;
+}
+
+/* What of the task itself holds it back; HLD_NONE: it waits for a worker. */
+static enum hld_reason hld_own(const struct hld_view *v,
+			       const struct jtb_job *job,
+			       const struct jtb_name *n)
+{
+	const struct jtb_step *s = &job->spec.steps[n->step];
+	const struct jtb_part *part = jtb_part(job, n->turn, n->step);
+	const struct jtb_task *task = part ? &part->tasks[n->index] : NULL;
+	enum hld_reason why = hld_step(v, job, n->turn, n->step);
+
+	if (task && task->done)
+		return HLD_OVER;
+	if (task && task->run)
+		return v->run(v->sch->arg, task->run);
+	if (why != HLD_NONE)
+		return why;
+	if (task && task->planned)
+		return HLD_PROPOSED;
+	if (s->flags & JTB_GANG && part &&
+	    part->n_runs + part->n_planned + part->n_done)
+		return HLD_GANG;
+	if (task && v->sch->now_ms - task->free_ms < SCH_AGAIN_MS)
+		return HLD_JUST_ENDED;
+	return HLD_NONE;
+}
+
+/* What holds back all tasks of a step alike, but for its pool. */
+static enum hld_reason hld_step(const struct hld_view *v,
+				const struct jtb_job *job, uint32_t turn,
+				uint32_t step)
+{
+	const struct jtb_queue *q =
+		jtb_queue(jtb_config(v->sch->jtb), job->spec.queue);
+
+	if (jtb_ended(job) || job->turns[turn].done & 1ULL << step)
+		return HLD_OVER;
+	if (v->sch->wall_ms < jtb_turn_due(job, turn))
+		return HLD_NOT_DUE;
+	if (!jtb_step_due(job, turn, step, v->sch->wall_ms))
+		return HLD_STEP;
+	if (!q)
+		return HLD_QUEUE;
+	return q->advised ? HLD_TICKET : HLD_NONE;
+}
+
+/* What the workers of its pool hold a task of a step back for. */
+static enum hld_reason hld_place(const struct hld_view *v, struct hld_pool *p,
+				 const struct jtb_job *job, uint32_t turn,
+				 uint32_t step)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	enum hld_reason best = HLD_NO_WORKER;
+	GPtrArray *places;
+	guint i;
+
+	sch_count_same(&p->sch, job, turn, step);
+	for (i = 0; i < p->all->len && best != HLD_NONE; i++) {
+		enum hld_reason why =
+			hld_worker(v, job, s, g_ptr_array_index(p->all, i));
+
+		best = why == HLD_NONE ? why : MAX(best, why);
+	}
+	if (best != HLD_NONE || !(s->flags & JTB_GANG))
+		return best;
+	places = g_ptr_array_new();
+	if (!sch_places(&p->sch, job, turn, step, places))
+		best = HLD_GANG_ROOM;
+	g_ptr_array_free(places, TRUE);
+	return best;
+}
+
+/* Why a worker doesn't take a task, by what a plan goes by. */
+static enum hld_reason hld_worker(const struct hld_view *v,
+				  const struct jtb_job *job,
+				  const struct jtb_step *s,
+				  const struct jtb_worker *w)
+{
+	if (s->label && !sch_has_label(w, s->label))
+		return HLD_LABEL;
+	if ((!(s->flags & JTB_FILLS) && w->info.cpu < s->cpu) ||
+	    w->info.mem_mb < s->mem_mb || w->info.gpus < s->gpus)
+		return HLD_TOO_LARGE;
+	if (!sch_usable(v->sch, w))
+		return hld_barred(v, w);
+	if (!sch_allowed(w, s))
+		return HLD_APART;
+	if (!sch_fits(w, s))
+		return HLD_NO_ROOM;
+	return hld_kept(v, job, w) ? HLD_KEPT : HLD_NONE;
+}
+
+/* Why a worker may not be given work. */
+static enum hld_reason hld_barred(const struct hld_view *v,
+				  const struct jtb_worker *w)
+{
+	enum hld_reason why = v->bar(v->sch->arg, w);
+
+	if (why != HLD_NONE)
+		return why;
+	return g_hash_table_contains(v->upkeep, w->info.id) ? HLD_UPKEEP
+							    : HLD_MOVING;
+}
+
+/* Whether a worker is kept free for other work that lasts. */
+static bool hld_kept(const struct hld_view *v, const struct jtb_job *job,
+		     const struct jtb_worker *w)
+{
+	return w->kept_for && w->kept_for != job->seq + 1 &&
+	       v->sch->now_ms - w->kept_ms <= HLD_KEPT_MS;
+}
+
+/* Takes stock of a pool's workers. */
+static struct hld_pool *hld_pool_new(const struct hld_view *v, const char *name)
+{
+	struct hld_pool *p = g_new0(struct hld_pool, 1);
+	GHashTableIter it;
+	struct jtb_worker *w;
+
+	sch_pool_init(&p->sch, v->sch, name);
+	p->all = g_ptr_array_new();
+	g_hash_table_iter_init(&it, jtb_workers(v->sch->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		if (strcmp(w->info.pool, name) == 0)
+			g_ptr_array_add(p->all, w);
+	return p;
+}
+
+/* Frees what was seen of a pool. */
+static void hld_pool_free(gpointer arg)
+{
+	struct hld_pool *p = arg;
+
+	sch_pool_done(&p->sch);
+	g_ptr_array_free(p->all, TRUE);
+	g_free(p);
+}
+
+/*
+ * Looks at all that is owed, once a second by a leader: adds up what each
+ * reason holds back, and tells of what has waited for long. Tasks of a step
+ * share what their pool says of them; those that last are looked at one by
+ * one, as each of them is owed at every moment.
+ */
+void hld_look(const struct hld_view *v, struct hld_sum *sum, hld_tell tell,
+	      void *arg)
+{
+	struct hld_look l = {.v = v, .sum = sum, .tell = tell, .arg = arg};
+	GPtrArray *live = jtb_live(v->sch->jtb);
+	guint i;
+
+	memset(sum->tasks, 0, sizeof(sum->tasks));
+	sum->longest_ms = 0;
+	l.pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					hld_pool_free);
+	for (i = 0; i < live->len; i++)
+		hld_look_job(&l, g_ptr_array_index(live,
+						   (sum->at + i) % live->len));
+	sum->at += HLD_FRESH_MAX;
+	g_hash_table_destroy(l.pools);
+}
+
+/* A new leader counts from its own first look. */
+void hld_forget(const struct jtb *t)
+{
+	GPtrArray *live = jtb_live(t);
+	guint i;
+
+	for (i = 0; i < live->len; i++) {
+		struct jtb_job *job = g_ptr_array_index(live, i);
+
+		g_clear_pointer(&job->held, g_free);
+	}
+}
+
+/*
+ * Looks at one job. As a whole it is held back while something of it is due
+ * and nothing of it runs or is about to.
+ */
+static void hld_look_job(struct hld_look *l, struct jtb_job *job)
+{
+	enum hld_reason first = HLD_OVER;
+	bool moves = job->n_runs > 0;
+	uint32_t t;
+	uint32_t s;
+
+	if (jtb_ended(job))
+		return;
+	for (t = 0;
+	     t < job->n_turns && l->v->sch->wall_ms >= jtb_turn_due(job, t);
+	     t++) {
+		for (s = 0; s < job->spec.n_steps; s++) {
+			const struct jtb_part *part = jtb_part(job, t, s);
+			enum hld_reason why;
+
+			if (job->spec.steps[s].flags & JTB_LASTS) {
+				hld_look_lasting(l, job, t, s);
+				continue;
+			}
+			moves = moves || (part && part->n_planned);
+			why = hld_look_part(l, job, t, s);
+			if (!hld_is_owed(first))
+				first = why;
+		}
+	}
+	if (moves)
+		first = HLD_RUNS;
+	if (job->held || hld_is_owed(first))
+		hld_note(l, job, NULL, hld_held(job), first);
+}
+
+/* Adds a step's tasks that wait to the sum; returns what holds them back. */
+static enum hld_reason hld_look_part(struct hld_look *l, struct jtb_job *job,
+				     uint32_t turn, uint32_t step)
+{
+	const struct jtb_part *part = jtb_part(job, turn, step);
+	uint32_t waits = job->spec.steps[step].count;
+	enum hld_reason why = hld_step(l->v, job, turn, step);
+
+	if (part) {
+		uint32_t busy = part->n_done + part->n_runs + part->n_planned;
+
+		l->sum->tasks[HLD_PROPOSED] += part->n_planned;
+		waits -= MIN(waits, busy);
+		if (waits && why == HLD_NONE && busy &&
+		    job->spec.steps[step].flags & JTB_GANG)
+			why = HLD_GANG;
+	}
+	if (!waits)
+		return HLD_OVER;
+	if (why == HLD_NONE)
+		why = hld_seen(l, job, turn, step);
+	l->sum->tasks[why] += waits;
+	return why;
+}
+
+/* Looks at each task of a step that lasts. */
+static void hld_look_lasting(struct hld_look *l, struct jtb_job *job,
+			     uint32_t turn, uint32_t step)
+{
+	struct jtb_held *held = hld_held(job) + 1;
+	struct jtb_name n = {.turn = turn, .step = step};
+	uint32_t s;
+
+	for (s = 0; s < step; s++)
+		if (job->spec.steps[s].flags & JTB_LASTS)
+			held += job->spec.steps[s].count;
+	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
+	for (; n.index < job->spec.steps[step].count; n.index++) {
+		enum hld_reason why = hld_own(l->v, job, &n);
+
+		if (why == HLD_NONE)
+			why = hld_seen(l, job, turn, step);
+		l->sum->tasks[why] += hld_is_owed(why);
+		hld_note(l, job, &n, &held[n.index], why);
+	}
+}
+
+/* What is kept of a job: of the whole, then of each task that lasts. */
+static struct jtb_held *hld_held(struct jtb_job *job)
+{
+	uint32_t n = 1;
+	uint32_t s;
+
+	for (s = 0; s < job->spec.n_steps && !job->held; s++)
+		if (job->spec.steps[s].flags & JTB_LASTS)
+			n += job->spec.steps[s].count;
+	if (!job->held)
+		job->held = g_new0(struct jtb_held, n);
+	return job->held;
+}
+
+/*
+ * What a job's pool holds a step back for. Steps of one size and label share
+ * the answer, unless they must be kept apart, come together or may have a
+ * worker kept for them.
+ */
+static enum hld_reason hld_seen(struct hld_look *l, struct jtb_job *job,
+				uint32_t turn, uint32_t step)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	uint32_t own = s->flags & (JTB_GANG | JTB_LASTS);
+	struct hld_pool *p = hld_pool_of(l, job);
+	guint cell = (s->cpu * 31 + s->mem_mb * 17 + s->gpus * 7 +
+		      (s->label ? g_str_hash(s->label) : 0) +
+		      (s->flags & JTB_FILLS)) %
+		     HLD_SEEN;
+	enum hld_reason why;
+
+	if (!own && !s->per_worker && p->seen[cell].step &&
+	    hld_alike(p->seen[cell].step, s))
+		return p->seen[cell].why;
+	if (!(s->flags & JTB_LASTS) && l->fresh >= HLD_FRESH_MAX)
+		return job->held && hld_is_owed(job->held->why) ? job->held->why
+								: HLD_NO_ROOM;
+	l->fresh++;
+	why = hld_place(l->v, p, job, turn, step);
+	if (!own && !s->per_worker) {
+		p->seen[cell].step = s;
+		p->seen[cell].why = why;
+	}
+	return why;
+}
+
+/* Whether a pool's answer for one step is that for another. */
+static bool hld_alike(const struct jtb_step *a, const struct jtb_step *b)
+{
+	return a->cpu == b->cpu && a->mem_mb == b->mem_mb &&
+	       a->gpus == b->gpus &&
+	       (a->flags & JTB_FILLS) == (b->flags & JTB_FILLS) &&
+	       g_strcmp0(a->label, b->label) == 0;
+}
+
+/* The pool of a job whose queue is there, begun with the first of them. */
+static struct hld_pool *hld_pool_of(struct hld_look *l,
+				    const struct jtb_job *job)
+{
+	const char *name = jtb_pool_of(l->v->sch->jtb, job);
+	struct hld_pool *p = g_hash_table_lookup(l->pools, name);
+
+	if (p)
+		return p;
+	p = hld_pool_new(l->v, name);
+	g_hash_table_insert(l->pools, (gpointer)name, p);
+	return p;
+}
+
+/* Notes what holds something back now, and tells of it if it is due. */
+static void hld_note(struct hld_look *l, const struct jtb_job *job,
+		     const struct jtb_name *n, struct jtb_held *h,
+		     enum hld_reason why)
+{
+	int64_t now = l->v->sch->now_ms;
+
+	if (!hld_is_owed(why)) {
+		*h = (struct jtb_held){0};
+		return;
+	}
+	if (!h->owed_ms)
+		h->owed_ms = now;
+	if (h->why != why || !h->since_ms) {
+		h->since_ms = now;
+		h->told_ms = 0;
+	}
+	h->why = (uint8_t)why;
+	l->sum->longest_ms = MAX(l->sum->longest_ms, now - h->owed_ms);
+	if (now - h->owed_ms < HLD_TELL_MS ||
+	    (h->told_ms && now - h->told_ms < HLD_TELL_AGAIN_MS))
+		return;
+	h->told_ms = now;
+	l->tell(l->arg, job, n, why, now - h->since_ms, now - h->owed_ms);
+}
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -143,6 +143,14 @@
 	uint64_t done; /* steps, one bit each */
 };
 
+/* Since when something owed is held back for one reason; owner's. */
+struct jtb_held {
+	int64_t owed_ms; /* it has had no run since; 0: it has, or isn't owed */
+	int64_t since_ms; /* that reason holds it since */
+	int64_t told_ms; /* when it was last told of; 0: not yet */
+	uint8_t why; /* enum hld_reason */
+};
+
 struct jtb_job {
 	struct jtb_spec spec;
 	enum jtb_job_state state;
@@ -157,6 +165,8 @@
 	uint32_t turns_done;
 	uint32_t n_runs;
 	bool started; /* a run of it has begun once */
+	/* owner's, or NULL: of the job, then of each task that lasts */
+	struct jtb_held *held;
 	double work; /* core-seconds by its guesses, one turn */
 	uint32_t chain_ms; /* longest chain of its steps by its guesses */
 };
--- a/src/jtb_type.c
+++ b/src/jtb_type.c
@@ -206,6 +206,7 @@
 		g_free(job->turns[t].parts);
 	}
 	g_free(job->turns);
+	g_free(job->held);
 	jtb_spec_clear(&job->spec);
 	g_free(job);
 }
--- a/src/sch_int.h
+++ b/src/sch_int.h
@@ -42,6 +42,7 @@
 void sch_pool_init(struct sch_pool *p, const struct sch_view *v,
 		   const char *name);
 void sch_pool_done(struct sch_pool *p);
+bool sch_usable(const struct sch_view *v, const struct jtb_worker *w);
 struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
 			     uint32_t step);
 bool sch_places(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -33,12 +33,17 @@
 	p->workers = g_ptr_array_new();
 	g_hash_table_iter_init(&it, jtb_workers(p->v->jtb));
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
-		if (strcmp(w->info.pool, p->name) == 0 &&
-		    !g_hash_table_contains(p->v->closed, w->info.id) &&
-		    p->v->usable(p->v->arg, w))
+		if (strcmp(w->info.pool, p->name) == 0 && sch_usable(p->v, w))
 			g_ptr_array_add(p->workers, w);
 }
 
+/* Whether new work may be given to a worker. */
+bool sch_usable(const struct sch_view *v, const struct jtb_worker *w)
+{
+	return !g_hash_table_contains(v->closed, w->info.id) &&
+	       v->usable(v->arg, w);
+}
+
 /* The best worker for a task of the step, or NULL. */
 struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
 			     uint32_t step)
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -220,13 +220,22 @@
 		wkr_hold_after(l, 0);
 }
 
-/* Whether new work may be given to a worker. */
-bool wkr_usable(const struct wkr *k, const struct jtb_worker *w)
+/* What keeps a worker from being given new work. */
+enum wkr_bar wkr_bar(const struct wkr *k, const struct jtb_worker *w)
 {
 	const struct wkr_link *l = wkr_link_of(w);
 
-	return l && l->known && !l->failed_since && !l->given_up &&
-	       !w->info.draining && l->shun_until <= tmr_now(k->config.tmr);
+	if (w->info.draining)
+		return WKR_DRAINS;
+	if (!l || !l->known || l->failed_since || l->given_up)
+		return WKR_UNHEARD;
+	return l->shun_until > tmr_now(k->config.tmr) ? WKR_SHUNNED : WKR_FREE;
+}
+
+/* Whether new work may be given to a worker. */
+bool wkr_usable(const struct wkr *k, const struct jtb_worker *w)
+{
+	return wkr_bar(k, w) == WKR_FREE;
 }
 
 /* Since when a worker hasn't answered; 0: it has, or wasn't asked yet. */
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -26,6 +26,14 @@
 	WKR_DROPPED, /* given up here; its end is on its way to the log */
 };
 
+/* What keeps a worker from being given new work. */
+enum wkr_bar {
+	WKR_FREE, /* nothing */
+	WKR_DRAINS, /* it has said that it leaves */
+	WKR_UNHEARD, /* it doesn't answer, or hasn't yet */
+	WKR_SHUNNED, /* it failed or refused too much a moment ago */
+};
+
 /* What a worker answers to an order. */
 enum wkr_answer {
 	WKR_YES,
@@ -147,6 +155,7 @@
 void wkr_ask(struct wkr *k, struct jtb_worker *w);
 void wkr_leaves(struct wkr *k, struct jtb_worker *w);
 void wkr_clock(struct wkr *k, struct jtb_worker *w, int64_t clock_ms);
+enum wkr_bar wkr_bar(const struct wkr *k, const struct jtb_worker *w);
 bool wkr_usable(const struct wkr *k, const struct jtb_worker *w);
 int64_t wkr_silent_since(const struct wkr *k, const struct jtb_worker *w);
 bool wkr_reached(const struct wkr *k, const struct jtb_worker *w);
