What is owed and held back is logged and counted

Operators saw that accepted work didn't run and not why: nothing said which of some twenty causes it was. Once a second the leader looks at all that is due. What has waited for 3 s has a line (msg=held-back) with its reason, since when, and how long it waits: each task of work that lasts, other work by job and sampled; again when the reason changes, else every 10 s; at most 200 lines a second. /metrics has a gauge for each reason and the longest wait.

--- a/src/hld.c
+++ b/src/hld.c
@@ -17,7 +17,7 @@
  * a leader's time: the rest keeps what was last seen of it.
  */
 #define HLD_SEEN 256
-#define HLD_FRESH_MAX 300
+#define HLD_FRESH_MAX 100
 
 static const struct {
 	const char *name;
@@ -79,7 +79,7 @@
 
 static enum hld_reason hld_own(const struct hld_view *v,
 			       const struct jtb_job *job,
-			       const struct jtb_name *n);
+			       const struct jtb_name *n, enum hld_reason step);
 static enum hld_reason hld_step(const struct hld_view *v,
 				const struct jtb_job *job, uint32_t turn,
 				uint32_t step);
@@ -97,6 +97,7 @@
 static struct hld_pool *hld_pool_new(const struct hld_view *v,
 				     const char *name);
 static void hld_pool_free(gpointer arg);
+static void hld_look_silent(const struct hld_view *v, struct hld_sum *sum);
 static void hld_look_job(struct hld_look *l, struct jtb_job *job);
 static enum hld_reason hld_look_part(struct hld_look *l, struct jtb_job *job,
 				     uint32_t turn, uint32_t step);
@@ -135,7 +136,8 @@
 enum hld_reason hld_task(const struct hld_view *v, struct jtb_job *job,
 			 const struct jtb_name *n)
 {
-	enum hld_reason why = hld_own(v, job, n);
+	enum hld_reason why =
+		hld_own(v, job, n, hld_step(v, job, n->turn, n->step));
 	struct hld_pool *p;
 
 	if (why != HLD_NONE)
@@ -146,22 +148,24 @@
 	return why;
 }
 
-/* What of the task itself holds it back; HLD_NONE: it waits for a worker. */
+/*
+ * What of the task itself holds it back; HLD_NONE: it waits for a worker. step
+ * is what holds back all tasks of its step.
+ */
 static enum hld_reason hld_own(const struct hld_view *v,
 			       const struct jtb_job *job,
-			       const struct jtb_name *n)
+			       const struct jtb_name *n, enum hld_reason step)
 {
 	const struct jtb_step *s = &job->spec.steps[n->step];
 	const struct jtb_part *part = jtb_part(job, n->turn, n->step);
 	const struct jtb_task *task = part ? &part->tasks[n->index] : NULL;
-	enum hld_reason why = hld_step(v, job, n->turn, n->step);
 
 	if (task && task->done)
 		return HLD_OVER;
 	if (task && task->run)
 		return v->run(v->sch->arg, task->run);
-	if (why != HLD_NONE)
-		return why;
+	if (step != HLD_NONE)
+		return step;
 	if (task && task->planned)
 		return HLD_PROPOSED;
 	if (s->flags & JTB_GANG && part &&
@@ -305,6 +309,50 @@
 						   (sum->at + i) % live->len));
 	sum->at += HLD_FRESH_MAX;
 	g_hash_table_destroy(l.pools);
+	hld_look_silent(v, sum);
+}
+
+/* Adds what hangs on workers that don't answer; what lasts is in already. */
+static void hld_look_silent(const struct hld_view *v, struct hld_sum *sum)
+{
+	GHashTableIter it;
+	struct jtb_worker *w;
+	guint i;
+
+	g_hash_table_iter_init(&it, jtb_workers(v->sch->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
+		if (!w->runs->len || v->bar(v->sch->arg, w) != HLD_UNREACHED)
+			continue;
+		for (i = 0; i < w->runs->len; i++) {
+			const struct jtb_run *r = g_ptr_array_index(w->runs, i);
+
+			sum->tasks[HLD_SILENT] += !(
+				r->job->spec.steps[r->step].flags & JTB_LASTS);
+		}
+	}
+}
+
+/* Appends what is held back in the text form that monitoring reads. */
+void hld_text(const struct hld_sum *sum, GString *out)
+{
+	int i;
+
+	g_string_append(out, "# HELP endive_held_tasks Tasks that wait, by "
+			     "what holds them back\n"
+			     "# TYPE endive_held_tasks gauge\n");
+	for (i = 0; i < HLD_REASONS; i++)
+		if (i != HLD_OVER && i != HLD_RUNS)
+			g_string_append_printf(out,
+					       "endive_held_tasks{why=\"%s\"} "
+					       "%" G_GUINT64_FORMAT "\n",
+					       hld_name(i), sum->tasks[i]);
+	g_string_append_printf(
+		out,
+		"# HELP endive_held_longest_seconds Longest that work which is "
+		"due has been without a run\n"
+		"# TYPE endive_held_longest_seconds gauge\n"
+		"endive_held_longest_seconds %.1f\n",
+		(double)sum->longest_ms / 1000);
 }
 
 /* A new leader counts from its own first look. */
@@ -316,7 +364,8 @@
 	for (i = 0; i < live->len; i++) {
 		struct jtb_job *job = g_ptr_array_index(live, i);
 
-		g_clear_pointer(&job->held, g_free);
+		g_free(job->held);
+		job->held = NULL;
 	}
 }
 
@@ -387,6 +436,8 @@
 {
 	struct jtb_held *held = hld_held(job) + 1;
 	struct jtb_name n = {.turn = turn, .step = step};
+	enum hld_reason all = hld_step(l->v, job, turn, step);
+	enum hld_reason pool = HLD_OVER;
 	uint32_t s;
 
 	for (s = 0; s < step; s++)
@@ -394,10 +445,11 @@
 			held += job->spec.steps[s].count;
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
 	for (; n.index < job->spec.steps[step].count; n.index++) {
-		enum hld_reason why = hld_own(l->v, job, &n);
+		enum hld_reason why = hld_own(l->v, job, &n, all);
 
-		if (why == HLD_NONE)
-			why = hld_seen(l, job, turn, step);
+		if (why == HLD_NONE && pool == HLD_OVER)
+			pool = hld_seen(l, job, turn, step);
+		why = why == HLD_NONE ? pool : why;
 		l->sum->tasks[why] += hld_is_owed(why);
 		hld_note(l, job, &n, &held[n.index], why);
 	}
--- a/src/hld.h
+++ b/src/hld.h
@@ -77,5 +77,6 @@
 void hld_look(const struct hld_view *v, struct hld_sum *sum, hld_tell tell,
 	      void *arg);
 void hld_forget(const struct jtb *t);
+void hld_text(const struct hld_sum *sum, GString *out);
 
 #endif
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -5,6 +5,7 @@
 #include "est.h"
 #include "flo.h"
 #include "gcm.h"
+#include "hld.h"
 #include "hub.h"
 #include "rep.h"
 #include "sch.h"
@@ -16,8 +17,9 @@
 /*
  * Files of the control daemon, each using only those before it: hub_call
  * (calls and their answers), hub_log (commands and reads on their way),
- * hub_plan (what runs, on the leader), hub_vm (upkeep of VMs), hub_take (what
- * faces ask for), hub_tell (metrics), hub (the daemon itself).
+ * hub_plan (what runs, on the leader), hub_held (why something doesn't), hub_vm
+ * (upkeep of VMs), hub_take (what faces ask for), hub_tell (metrics), hub (the
+ * daemon itself).
  */
 
 struct hub_call {
@@ -113,6 +115,8 @@
 	int64_t led_ms; /* when we last began to lead */
 	struct est *est; /* how long tasks take */
 	GHashTable *dirty; /* pools to be planned */
+	struct hld_sum held; /* what is owed and doesn't run */
+	int64_t held_ms; /* when that was last looked at */
 	uint64_t plan_timer;
 	uint64_t tick;
 	int64_t drain_until;
@@ -139,7 +143,11 @@
 void hub_plan_rest(struct hub *h);
 void hub_plan_tick(struct hub *h, int64_t now);
 void hub_plan_all(struct hub *h);
+void hub_view(struct hub *h, GHashTable *closed, struct sch_view *v);
 void hub_stop(void *arg, struct jtb_run *run, const char *why);
+/* hub_held */
+void hub_held_lead(struct hub *h);
+void hub_held_tick(struct hub *h, int64_t now);
 /* hub_vm */
 void hub_vm_init(struct hub *h);
 void hub_vm_free(struct hub *h);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -86,6 +86,7 @@
 	est_clear(h->est);
 	wkr_lead(h->wkr, term);
 	hub_vm_lead(h, term);
+	hub_held_lead(h);
 	for (i = 0; i < live->len; i++) {
 		struct jtb_job *job = g_ptr_array_index(live, i);
 
@@ -103,6 +104,7 @@
 void hub_plan_rest(struct hub *h)
 {
 	h->leading = false;
+	h->held = (struct hld_sum){0};
 	wkr_rest(h->wkr);
 	hub_vm_rest(h);
 	jtb_unplan_all(h->jtb);
@@ -125,6 +127,7 @@
 	hub_scale(h);
 	hub_vm_tick(h, now);
 	hub_forget(h, now);
+	hub_held_tick(h, now);
 	hub_plan_all(h);
 }
 
@@ -372,22 +375,13 @@
 static void hub_plan(struct hub *h)
 {
 	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
-	struct sch_view v = {
-		.jtb = h->jtb,
-		.closed = closed,
-		.now_ms = tmr_now(h->tmr),
-		.wall_ms = hub_wall_ms(),
-		.arg = h,
-		.usable = hub_usable,
-		.leaving = hub_leaving,
-		.start = hub_start,
-		.starved = hub_starved,
-	};
+	struct sch_view v;
 	GHashTableIter it;
 	char *pool;
 
 	upk_closed(h->upk, closed);
 	flo_closed(h->flo, closed);
+	hub_view(h, closed, &v);
 	g_hash_table_iter_init(&it, h->dirty);
 	while (g_hash_table_iter_next(&it, (gpointer *)&pool, NULL))
 		sch_plan(&v, pool);
@@ -395,6 +389,22 @@
 	g_hash_table_destroy(closed);
 }
 
+/* What plans go by now; closed are workers that are being emptied. */
+void hub_view(struct hub *h, GHashTable *closed, struct sch_view *v)
+{
+	*v = (struct sch_view){
+		.jtb = h->jtb,
+		.closed = closed,
+		.now_ms = tmr_now(h->tmr),
+		.wall_ms = hub_wall_ms(),
+		.arg = h,
+		.usable = hub_usable,
+		.leaving = hub_leaving,
+		.start = hub_start,
+		.starved = hub_starved,
+	};
+}
+
 /* Whether a worker may be given work now. */
 static bool hub_usable(void *arg, const struct jtb_worker *w)
 {
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -70,6 +70,7 @@
 
 	cnt_text(out, hub_counters, h->counts, HUB_COUNTS, "");
 	hub_tell_state(h, out);
+	hld_text(&h->held, out);
 	for (i = 0; i < HUB_TIMES; i++)
 		cnt_times_text(out, hub_times[i].name, hub_times[i].help,
 			       &h->times[i]);
--- a/src/msg.c
+++ b/src/msg.c
@@ -73,6 +73,7 @@
 	[MSG_HUB_ODD] = {MSG_WARN, "not-understood"},
 	[MSG_HUB_POOL] = {MSG_INFO, "pool"},
 	[MSG_HUB_PACE] = {MSG_INFO, "pace"},
+	[MSG_HUB_HELD] = {MSG_NOTICE, "held-back"},
 	/* wkr: sessions with workers */
 	[MSG_WKR_LOST] = {MSG_NOTICE, "worker-silent"},
 	[MSG_WKR_BACK] = {MSG_NOTICE, "worker-back"},
--- a/src/msg.h
+++ b/src/msg.h
@@ -65,6 +65,7 @@
 	MSG_HUB_ODD,
 	MSG_HUB_POOL,
 	MSG_HUB_PACE,
+	MSG_HUB_HELD,
 	/* wkr: sessions with workers */
 	MSG_WKR_LOST,
 	MSG_WKR_BACK,
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -796,7 +796,7 @@
 static void work_that_counts_nothing_gets_a_vm(void **state)
 {
 	static const uint32_t flags[] = {0, JTB_FILLS};
-	struct bed *b = *state;
+	struct bed *b;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(flags); i++) {
--- a/tests/unit/hld_test.c
+++ b/tests/unit/hld_test.c
@@ -278,6 +278,34 @@
 	assert_int_equal(b->sum.longest_ms, 0);
 }
 
+static void what_is_held_back_is_shown(void **state)
+{
+	struct bed *b = *state;
+	GString *out = g_string_new(NULL);
+
+	job(b, "a", (struct jtb_step){.count = 3});
+	jobs_worker(b->jtb, "w", 1000, false);
+	jobs_start(b->jtb, "a", 0, 0, 1, "w");
+	b->bar = HLD_UNREACHED;
+	look(b, 0);
+	look(b, 1500);
+	hld_text(&b->sum, out);
+	assert_non_null(
+		strstr(out->str, "\nendive_held_tasks{why=\"unreached\"} 2\n"));
+	assert_non_null(strstr(
+		out->str, "\nendive_held_tasks{why=\"lease-not-over\"} 1\n"));
+	assert_non_null(
+		strstr(out->str, "\nendive_held_longest_seconds 0.0\n"));
+	jobs_gone(b->jtb, "w", false);
+	look(b, 0);
+	look(b, 1500);
+	g_string_truncate(out, 0);
+	hld_text(&b->sum, out);
+	assert_non_null(
+		strstr(out->str, "\nendive_held_longest_seconds 1.5\n"));
+	g_string_free(out, TRUE);
+}
+
 static void each_reason_has_a_name(void **state)
 {
 	int i;
@@ -300,6 +328,7 @@
 		T(what_is_not_due_is_not_owed),
 		T(a_gang_is_held_back_whole),
 		T(what_waits_for_long_is_told),
+		T(what_is_held_back_is_shown),
 		cmocka_unit_test(each_reason_has_a_name),
 	};
 
