Lines on orders about VMs that were sent and given up

What operators saw: on one deployment a VM was moved by a leader of an older term after a later one had given it an order; our log told neither when the order went out nor what became of it.

Hypotheses: (1) the order lay in the kernel's send buffer behind a cut and was sent again when the cut healed, though the leader had given the call up; (2) a leader that still believed in itself wrote it late; (3) a call whose connection was still being made was written late. What tells them apart: when the order was handed to the call, how long ago the leader knew then that it leads, and how many bytes the other side hadn't acknowledged when it was given up.

Change: vm-order-sent (info) and vm-order-dropped (notice) with these; ups_held tells the bytes.

--- a/src/ups.c
+++ b/src/ups.c
@@ -3,6 +3,8 @@
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <errno.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -230,6 +232,25 @@
 	ups_call_free(call);
 }
 
+/*
+ * Bytes of a call that wait here or that the target's side hasn't
+ * acknowledged: a cut holds them up. -1: not known.
+ */
+int64_t ups_held(const struct ups_call *call)
+{
+	struct bufferevent *bev;
+	int queued = 0;
+
+	if (!call->conn)
+		return -1;
+	bev = evhttp_connection_get_bufferevent(call->conn->ev);
+	if (bufferevent_getfd(bev) < 0 ||
+	    ioctl(bufferevent_getfd(bev), SIOCOUTQ, &queued) != 0)
+		return -1;
+	return queued +
+	       (int64_t)evbuffer_get_length(bufferevent_get_output(bev));
+}
+
 /*
  * Uses idle connections for longer, for callers whose requests may safely be
  * sent again.
--- a/src/ups.h
+++ b/src/ups.h
@@ -74,6 +74,7 @@
 			   const struct ups_ops *ops, void *arg);
 void ups_more(struct ups_call *call);
 void ups_cancel(struct ups_call *call);
+int64_t ups_held(const struct ups_call *call);
 void ups_set_reuse(struct ups *u, int64_t ms);
 void ups_forget(struct ups *u, const char *addr);
 struct ups_stats ups_stats(const struct ups *u);
--- a/src/vms.c
+++ b/src/vms.c
@@ -1,5 +1,9 @@
 #include "vms.h"
 
+#include <inttypes.h>
+
+#include "msg.h"
+
 /* The service answers within some ms, and within a second where it is slow. */
 #define VMS_ANSWER_MS 1500
 #define VMS_CONNECT_MS 500
@@ -99,6 +103,13 @@
 	while (v->calls->len) {
 		struct vms_call *c = g_ptr_array_steal_index_fast(v->calls, 0);
 
+		if (c->vm)
+			msg(MSG_VMS_DROPPED,
+			    "vm=%s fence=%" PRIu64 " after_ms=%" PRId64
+			    " held=%" PRId64,
+			    c->vm, v->fence,
+			    tmr_now(v->config.tmr) - c->sent_ms,
+			    ups_held(c->ups));
 		ups_cancel(c->ups);
 		vms_call_free(c);
 	}
@@ -273,6 +284,10 @@
 	v->sent++;
 	g_ptr_array_add(v->calls, c);
 	c->ups = ups_start(v->ups, &r, &vms_ups_ops, c);
+	if (c->vm)
+		msg(MSG_VMS_SENT,
+		    "vm=%s fence=%" PRIu64 " sure_age_ms=%" PRId64, c->vm,
+		    o.fence, c->sent_ms - v->ops->sure(v->arg));
 	g_free(path);
 	return c;
 }
