--- a/tests/unit/ups_test.c
+++ b/tests/unit/ups_test.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <errno.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +13,8 @@
 
 #define WAIT_MS 3000
 #define MAX_ANSWER 100
+/* More than the kernel holds for a target that doesn't read. */
+#define HELD_BYTES (16 << 20)
 
 #define OK_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 
@@ -398,6 +401,80 @@
 	close(next);
 }
 
+/* Reads what is there; true: the sender broke the connection off. */
+static bool read_to_reset(struct bed *b, int fd, size_t *got)
+{
+	static char buf[1 << 16];
+	ssize_t n;
+	int i;
+
+	*got = 0;
+	for (i = 0; i < WAIT_MS;) {
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		if (n > 0) {
+			*got += (size_t)n;
+			continue;
+		}
+		if (n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+			return n < 0 && errno == ECONNRESET;
+		net_run(b->base, 1);
+		i++;
+	}
+	return false;
+}
+
+/*
+ * A target carries out seconds later what its caller has given up. A cut holds
+ * the request up in the caller's kernel; the caller gives up and closes; the
+ * cut heals and the kernel sends on what it was told to send. Here a target
+ * that doesn't read stands for the cut: what it hasn't got by the time of the
+ * end must never come.
+ */
+static void what_is_held_up_is_lost_with_its_call(void **state)
+{
+	static const struct {
+		bool cancelled;
+		int64_t timeout_ms;
+	} ends[] = {{true, WAIT_MS}, {false, 150}};
+	struct bed *b = *state;
+	char *bytes = g_malloc0(HELD_BYTES);
+	struct ups_request r = {
+		.addr = b->addr,
+		.method = EVHTTP_REQ_POST,
+		.uri = "/a",
+		.connect_ms = 100,
+		.max_answer = MAX_ANSWER,
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+		struct ups_call *call;
+		size_t got;
+		int fd;
+
+		r.body = evbuffer_new();
+		evbuffer_add(r.body, bytes, HELD_BYTES);
+		r.timeout_ms = ends[i].timeout_ms;
+		b->ended = false;
+		call = ups_start(b->ups, &r, &bed_ops, b);
+		fd = net_accept(b->base, b->listener, WAIT_MS);
+		net_run(b->base, 50);
+		if (ends[i].cancelled) {
+			assert_true(ups_held(call) > 0);
+			ups_cancel(call);
+		} else {
+			wait_end(b);
+			assert_int_equal(b->end, UPS_TIMEOUT);
+		}
+		net_run(b->base, 10);
+		assert_true(read_to_reset(b, fd, &got));
+		assert_true(got < HELD_BYTES);
+		close(fd);
+		evbuffer_free(r.body);
+	}
+	g_free(bytes);
+}
+
 int main(void)
 {
 #define T(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
@@ -413,6 +490,7 @@
 		T(without_connection_nothing_was_sent),
 		T(larger_answers_come_in_parts),
 		T(a_cancelled_call_is_silent),
+		T(what_is_held_up_is_lost_with_its_call),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
