What is given up ends with a reset

Cause: a call that is given up (cancelled with the lead, timed out, badly answered) was closed plainly, and the kernel went on sending the request behind the cut until it was acknowledged.

Ruled out: a late write. The trace shows held=189, the whole order, in the kernel as the call was given up, and no write after that.

Change: a connection whose request got no whole answer is closed with a linger time of 0: what wasn't acknowledged is dropped, and nothing is sent again. For calls to workers and targets as well: what was given up is nobody's wish any more.

--- a/src/ups.c
+++ b/src/ups.c
@@ -101,6 +101,7 @@
 static struct ups_conn *ups_conn_open(struct ups *u, const char *addr);
 static void ups_conn_free(struct ups_conn *c);
 static void ups_conn_close(struct ups_conn *c);
+static void ups_conn_abort(struct ups_conn *c);
 static void ups_conn_put(struct ups_conn *c);
 static int ups_conn_event(struct ups_conn *c, enum ups_event event);
 static void ups_sent(struct evbuffer *buf, const struct evbuffer_cb_info *info,
@@ -152,8 +153,10 @@
 	while (u->conns->len) {
 		struct ups_conn *c = g_ptr_array_steal_index_fast(u->conns, 0);
 
-		if (c->call)
+		if (c->call) {
+			ups_conn_abort(c);
 			ups_call_free(c->call);
+		}
 		ups_conn_free(c);
 	}
 	g_ptr_array_free(u->conns, TRUE);
@@ -224,6 +227,7 @@
 void ups_cancel(struct ups_call *call)
 {
 	if (call->conn) {
+		ups_conn_abort(call->conn);
 		ups_conn_event(call->conn, UPS_EV_CANCELLED);
 		call->conn->call = NULL;
 		ups_conn_close(call->conn);
@@ -381,6 +385,23 @@
 	tmr_once(c->u->tmr, 0, ups_conn_late_free, c);
 }
 
+/*
+ * Has a connection end with a reset. A plain close leaves what the target
+ * hasn't acknowledged to the kernel, which goes on sending it: behind a cut
+ * for as long as the cut lasts, and what was given up is carried out then. A
+ * reset drops it.
+ */
+static void ups_conn_abort(struct ups_conn *c)
+{
+	const struct linger at_once = {.l_onoff = 1};
+	evutil_socket_t fd =
+		bufferevent_getfd(evhttp_connection_get_bufferevent(c->ev));
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
+}
+
 static void ups_conn_put(struct ups_conn *c)
 {
 	GPtrArray *idle = g_hash_table_lookup(c->u->hosts, c->addr);
@@ -572,6 +593,8 @@
 	else
 		ups_conn_event(c, end == UPS_TIMEOUT ? UPS_EV_TIMEOUT
 						     : UPS_EV_FAILED);
+	if (!clean)
+		ups_conn_abort(c);
 	c->call = NULL;
 	call->conn = NULL;
 	if (req)
