Orders about VMs are looked at as they are written, and broken off

Cause: the look whether we lead came before the connection was made, up to 500 ms before the write; an order without answer waited until the leader had noticed by itself; and the kernel of a leader that stands still sends again for minutes.

Change: ups asks its caller as the request is written: on a new connection within the call that writes, on one that is there it writes by itself right after the look. vms writes until 300 ms after it last knew that it leads, breaks off after 450 ms, and bounds what the kernel sends again to 200 ms (TCP_USER_TIMEOUT), which also holds for a process that stands still, and for its end (linger time 0 from the start).

--- a/src/ups.c
+++ b/src/ups.c
@@ -4,6 +4,7 @@
 #include <event2/keyvalq_struct.h>
 #include <errno.h>
 #include <linux/sockios.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
@@ -61,6 +62,7 @@
 	GPtrArray *conns; /* all */
 	struct ups_stats stats;
 	int64_t reuse_ms;
+	int64_t held_ms; /* 0: as long as the kernel likes */
 	uint64_t tick;
 };
 
@@ -94,6 +96,8 @@
 	uint64_t connect_timer;
 	uint64_t deadline_timer;
 	uint64_t end_timer;
+	struct event *write; /* calls that are asked for as they are written */
+	bool refused;
 };
 
 static struct ups_conn *ups_conn_take(struct ups *u, const char *addr);
@@ -106,6 +110,9 @@
 static int ups_conn_event(struct ups_conn *c, enum ups_event event);
 static void ups_sent(struct evbuffer *buf, const struct evbuffer_cb_info *info,
 		     void *arg);
+static void ups_look(struct ups_conn *c);
+static void ups_on_write(evutil_socket_t unused, short what, void *arg);
+static void ups_conn_bound(struct ups_conn *c);
 static bool ups_connected(const struct ups_conn *c);
 static int ups_on_headers(struct evhttp_request *req, void *arg);
 static bool ups_framing_ok(struct ups_call *call, struct evhttp_request *req);
@@ -187,6 +194,8 @@
 	if (!call->conn)
 		call->conn = ups_conn_open(u, r->addr);
 	call->conn->call = call;
+	if (ops->may)
+		call->write = event_new(u->base, -1, 0, ups_on_write, call);
 	call->req = evhttp_request_new(ups_on_done, call);
 	evhttp_request_set_header_cb(call->req, ups_on_headers);
 	evhttp_request_set_chunked_cb(call->req, ups_on_part);
@@ -207,6 +216,8 @@
 		/* evhttp has freed the request. */
 		call->req = NULL;
 		ups_finish(call, UPS_NOT_SENT);
+	} else if (!call->reused) {
+		ups_conn_bound(call->conn);
 	}
 	return call;
 }
@@ -264,6 +275,16 @@
 	u->reuse_ms = ms;
 }
 
+/*
+ * Bounds how long the kernel sends a request again that isn't acknowledged, ms;
+ * for calls that must not arrive late. It holds while this process stands
+ * still, and at its end.
+ */
+void ups_set_held(struct ups *u, int64_t ms)
+{
+	u->held_ms = ms;
+}
+
 /* Closes idle connections to a target that gets no new work. */
 void ups_forget(struct ups *u, const char *addr)
 {
@@ -434,12 +455,75 @@
 {
 	struct ups_conn *c = arg;
 
+	if (info->n_added && c->call && c->call->write)
+		ups_look(c);
 	if (info->n_deleted == 0 || c->state != UPS_CONNECTING || !c->call)
 		return;
 	tmr_cancel(c->u->tmr, c->call->connect_timer);
 	ups_conn_event(c, UPS_EV_CONNECTED);
 }
 
+/*
+ * A request is about to be written: on a new connection at once, by the
+ * bufferevent that has just connected, so that this is the last moment to look;
+ * on one that is there in the loop's next turn, and ups_on_write comes first.
+ */
+static void ups_look(struct ups_conn *c)
+{
+	struct ups_call *call = c->call;
+
+	if (!call->refused && !call->ops->may(call->arg)) {
+		call->refused = true;
+		/* evhttp can't be stopped here, but its socket can */
+		shutdown(bufferevent_getfd(
+				 evhttp_connection_get_bufferevent(c->ev)),
+			 SHUT_RDWR);
+	}
+	event_active(call->write, EV_WRITE, 0);
+}
+
+/*
+ * Looks once more and writes the request in the same breath. What is left for
+ * later would be written without a look, so it is given up; a request that is
+ * asked for is far smaller than what a socket takes.
+ */
+static void ups_on_write(evutil_socket_t unused, short what, void *arg)
+{
+	struct ups_call *call = arg;
+	struct bufferevent *bev;
+	struct evbuffer *out;
+
+	if (call->over)
+		return;
+	bev = evhttp_connection_get_bufferevent(call->conn->ev);
+	out = bufferevent_get_output(bev);
+	if (evbuffer_get_length(out) == 0)
+		return;
+	if (call->refused || !call->ops->may(call->arg)) {
+		ups_finish(call, UPS_NOT_SENT);
+		return;
+	}
+	evbuffer_unfreeze(out, 1);
+	evbuffer_write(out, bufferevent_getfd(bev));
+	evbuffer_freeze(out, 1);
+	if (evbuffer_get_length(out))
+		ups_finish(call, UPS_CUT);
+}
+
+/* Sets a new connection's bounds in the kernel. */
+static void ups_conn_bound(struct ups_conn *c)
+{
+	unsigned int ms = (unsigned int)c->u->held_ms;
+	evutil_socket_t fd =
+		bufferevent_getfd(evhttp_connection_get_bufferevent(c->ev));
+
+	if (!ms || fd < 0)
+		return;
+	/* also what the end of this process would leave to the kernel */
+	ups_conn_abort(c);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 static bool ups_connected(const struct ups_conn *c)
 {
 	struct sockaddr_storage ss;
@@ -626,6 +710,8 @@
 
 	ups_stop_timers(call);
 	tmr_cancel(call->u->tmr, call->end_timer);
+	if (call->write)
+		event_free(call->write);
 	if (call->req) {
 		/* evhttp frees the request; its call-backs must not come. */
 		call->over = true;
--- a/src/ups.h
+++ b/src/ups.h
@@ -53,6 +53,11 @@
 };
 
 struct ups_ops {
+	/*
+	 * whether the request may be written, asked as it is written; false:
+	 * no byte leaves. NULL: always
+	 */
+	bool (*may)(void *arg);
 	/* the answer is larger than max_answer: its start, from now in parts */
 	void (*start)(void *arg, const struct ups_answer *a);
 	/* the next part; false: stop reading until ups_more */
@@ -76,6 +81,7 @@
 void ups_cancel(struct ups_call *call);
 int64_t ups_held(const struct ups_call *call);
 void ups_set_reuse(struct ups *u, int64_t ms);
+void ups_set_held(struct ups *u, int64_t ms);
 void ups_forget(struct ups *u, const char *addr);
 struct ups_stats ups_stats(const struct ups *u);
 const char *ups_header_find(const struct ups_answer *a, const char *name);
--- a/src/vms.c
+++ b/src/vms.c
@@ -11,10 +11,19 @@
 #define VMS_ANSWER_MAX (320 << 10)
 #define VMS_REUSE_MS 10000
 /*
- * No orders from a leader that doesn't know for so long whether it leads, ms:
- * the shortest time in which another can have taken its place.
+ * Others elect no leader for 600 ms from the moment T up to which a quorum took
+ * us for theirs, and the next leader orders nothing in its first 100 ms. So an
+ * order is written until T + 300 ms, and broken off at T + 450 ms if it got no
+ * answer by then; a kernel whose process stands still sends it again for 200 ms
+ * at most. The 250 ms from the last of these to the next leader's first order
+ * are for what is in the network, for a look that comes a turn late, and for
+ * clocks that differ by 2 %. While a quorum answers, T is some 100 ms ago.
  */
-#define VMS_UNSURE_MS 600
+#define VMS_UNSURE_MS 300
+#define VMS_BREAK_MS 450
+#define VMS_HELD_MS 200
+/* How often orders on their way are looked at, ms. */
+#define VMS_LOOK_MS 25
 
 struct vms_call {
 	struct vms *v;
@@ -39,12 +48,19 @@
 	int64_t list_from; /* when the list being read was asked for */
 	int64_t listed_ms; /* when the newest whole one was; 0: none */
 	uint64_t fence;
+	uint64_t look_timer;
 	bool leading;
 	uint64_t sent;
 };
 
 static void vms_index(struct vms *v);
+static bool vms_sure(const struct vms *v, int64_t for_ms);
 static bool vms_may_order(const struct vms *v, const char *vm);
+static bool vms_may_write(void *arg);
+static void vms_look(void *arg, int64_t now);
+static struct vms_call *vms_any_order(const struct vms *v);
+static void vms_look_later(struct vms *v);
+static void vms_drop(struct vms_call *c);
 static void vms_ask_page(struct vms *v, const char *page);
 static struct vms_call *vms_send(struct vms *v, const struct vms_order *o);
 static void vms_on_end(void *arg, enum ups_end end, const struct ups_answer *a);
@@ -53,6 +69,7 @@
 static void vms_call_free(struct vms_call *c);
 
 static const struct ups_ops vms_ups_ops = {
+	.may = vms_may_write,
 	.end = vms_on_end,
 };
 
@@ -67,6 +84,7 @@
 	v->arg = arg;
 	v->ups = ups_new(config->base, config->tmr);
 	ups_set_reuse(v->ups, VMS_REUSE_MS);
+	ups_set_held(v->ups, VMS_HELD_MS);
 	v->calls = g_ptr_array_new();
 	v->vms = g_ptr_array_new_with_free_func(vms_vm_free);
 	v->by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -100,19 +118,10 @@
 void vms_rest(struct vms *v)
 {
 	v->leading = false;
-	while (v->calls->len) {
-		struct vms_call *c = g_ptr_array_steal_index_fast(v->calls, 0);
-
-		if (c->vm)
-			msg(MSG_VMS_DROPPED,
-			    "vm=%s fence=%" PRIu64 " after_ms=%" PRId64
-			    " held=%" PRId64,
-			    c->vm, v->fence,
-			    tmr_now(v->config.tmr) - c->sent_ms,
-			    ups_held(c->ups));
-		ups_cancel(c->ups);
-		vms_call_free(c);
-	}
+	tmr_cancel(v->config.tmr, v->look_timer);
+	v->look_timer = 0;
+	while (v->calls->len)
+		vms_drop(g_ptr_array_steal_index_fast(v->calls, 0));
 	if (v->incoming)
 		g_ptr_array_free(v->incoming, TRUE);
 	v->incoming = NULL;
@@ -233,6 +242,14 @@
 	g_free(vm);
 }
 
+/* Whether we lead, and knew so no longer ago than that. */
+static bool vms_sure(const struct vms *v, int64_t for_ms)
+{
+	int64_t unsure = tmr_now(v->config.tmr) - v->ops->sure(v->arg);
+
+	return v->leading && unsure <= for_ms;
+}
+
 /*
  * Whether an order for a VM may go out. A leader that stood still, and was
  * replaced meanwhile, would give orders by turns with the other until it learns
@@ -240,9 +257,74 @@
  */
 static bool vms_may_order(const struct vms *v, const char *vm)
 {
-	int64_t unsure = tmr_now(v->config.tmr) - v->ops->sure(v->arg);
+	return vms_sure(v, VMS_UNSURE_MS) && !vms_asked(v, vm);
+}
+
+/* The same as it is written: its connection may have taken long to come. */
+static bool vms_may_write(void *arg)
+{
+	const struct vms_call *c = arg;
+
+	return c->kind == VMS_LIST || vms_sure(c->v, VMS_UNSURE_MS);
+}
+
+/*
+ * Breaks off the orders that got no answer while we were surely the leader. A
+ * cut may hold them up until another leads, which takes less time than we need
+ * to see that we were replaced.
+ */
+static void vms_look(void *arg, int64_t now)
+{
+	struct vms *v = arg;
+	struct vms_call *c = vms_any_order(v);
+
+	v->look_timer = 0;
+	for (; c && !vms_sure(v, VMS_BREAK_MS); c = vms_any_order(v)) {
+		enum vms_kind kind = c->kind;
+		char *vm = g_strdup(c->vm);
+
+		g_ptr_array_remove(v->calls, c);
+		vms_drop(c);
+		v->ops->answered(v->arg, kind, vm, VMS_UNANSWERED);
+		g_free(vm);
+	}
+	if (c)
+		vms_look_later(v);
+}
 
-	return v->leading && unsure <= VMS_UNSURE_MS && !vms_asked(v, vm);
+/* An order that has no answer yet, or NULL. */
+static struct vms_call *vms_any_order(const struct vms *v)
+{
+	guint i;
+
+	for (i = 0; i < v->calls->len; i++) {
+		struct vms_call *c = g_ptr_array_index(v->calls, i);
+
+		if (c->kind != VMS_LIST)
+			return c;
+	}
+	return NULL;
+}
+
+/* Has the orders on their way looked at soon. */
+static void vms_look_later(struct vms *v)
+{
+	if (!v->look_timer)
+		v->look_timer =
+			tmr_once(v->config.tmr, VMS_LOOK_MS, vms_look, v);
+}
+
+/* Gives a call up; what of it lies in the kernel is dropped. */
+static void vms_drop(struct vms_call *c)
+{
+	if (c->vm)
+		msg(MSG_VMS_DROPPED,
+		    "vm=%s fence=%" PRIu64 " after_ms=%" PRId64
+		    " held=%" PRId64,
+		    c->vm, c->v->fence, tmr_now(c->v->config.tmr) - c->sent_ms,
+		    ups_held(c->ups));
+	ups_cancel(c->ups);
+	vms_call_free(c);
 }
 
 /* Asks for a page of the list. */
@@ -284,10 +366,12 @@
 	v->sent++;
 	g_ptr_array_add(v->calls, c);
 	c->ups = ups_start(v->ups, &r, &vms_ups_ops, c);
-	if (c->vm)
+	if (c->vm) {
+		vms_look_later(v);
 		msg(MSG_VMS_SENT,
 		    "vm=%s fence=%" PRIu64 " sure_age_ms=%" PRId64, c->vm,
 		    o.fence, c->sent_ms - v->ops->sure(v->arg));
+	}
 	g_free(path);
 	return c;
 }
