--- a/src/ups.c
+++ b/src/ups.c
@@ -3,6 +3,9 @@
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <errno.h>
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -59,6 +62,7 @@
 	GPtrArray *conns; /* all */
 	struct ups_stats stats;
 	int64_t reuse_ms;
+	int64_t held_ms; /* 0: as long as the kernel likes */
 	uint64_t tick;
 };
 
@@ -92,6 +96,8 @@
 	uint64_t connect_timer;
 	uint64_t deadline_timer;
 	uint64_t end_timer;
+	struct event *write; /* calls that are asked for as they are written */
+	bool refused;
 };
 
 static struct ups_conn *ups_conn_take(struct ups *u, const char *addr);
@@ -99,10 +105,14 @@
 static struct ups_conn *ups_conn_open(struct ups *u, const char *addr);
 static void ups_conn_free(struct ups_conn *c);
 static void ups_conn_close(struct ups_conn *c);
+static void ups_conn_abort(struct ups_conn *c);
 static void ups_conn_put(struct ups_conn *c);
 static int ups_conn_event(struct ups_conn *c, enum ups_event event);
 static void ups_sent(struct evbuffer *buf, const struct evbuffer_cb_info *info,
 		     void *arg);
+static void ups_look(struct ups_conn *c);
+static void ups_on_write(evutil_socket_t unused, short what, void *arg);
+static void ups_conn_bound(struct ups_conn *c);
 static bool ups_connected(const struct ups_conn *c);
 static int ups_on_headers(struct evhttp_request *req, void *arg);
 static bool ups_framing_ok(struct ups_call *call, struct evhttp_request *req);
@@ -150,8 +160,10 @@
 	while (u->conns->len) {
 		struct ups_conn *c = g_ptr_array_steal_index_fast(u->conns, 0);
 
-		if (c->call)
+		if (c->call) {
+			ups_conn_abort(c);
 			ups_call_free(c->call);
+		}
 		ups_conn_free(c);
 	}
 	g_ptr_array_free(u->conns, TRUE);
@@ -182,6 +194,8 @@
 	if (!call->conn)
 		call->conn = ups_conn_open(u, r->addr);
 	call->conn->call = call;
+	if (ops->may)
+		call->write = event_new(u->base, -1, 0, ups_on_write, call);
 	call->req = evhttp_request_new(ups_on_done, call);
 	evhttp_request_set_header_cb(call->req, ups_on_headers);
 	evhttp_request_set_chunked_cb(call->req, ups_on_part);
@@ -202,6 +216,8 @@
 		/* evhttp has freed the request. */
 		call->req = NULL;
 		ups_finish(call, UPS_NOT_SENT);
+	} else if (!call->reused) {
+		ups_conn_bound(call->conn);
 	}
 	return call;
 }
@@ -222,6 +238,7 @@
 void ups_cancel(struct ups_call *call)
 {
 	if (call->conn) {
+		ups_conn_abort(call->conn);
 		ups_conn_event(call->conn, UPS_EV_CANCELLED);
 		call->conn->call = NULL;
 		ups_conn_close(call->conn);
@@ -230,6 +247,25 @@
 	ups_call_free(call);
 }
 
+/*
+ * Bytes of a call that wait here or that the target's side hasn't
+ * acknowledged: a cut holds them up. -1: not known.
+ */
+int64_t ups_held(const struct ups_call *call)
+{
+	struct bufferevent *bev;
+	int queued = 0;
+
+	if (!call->conn)
+		return -1;
+	bev = evhttp_connection_get_bufferevent(call->conn->ev);
+	if (bufferevent_getfd(bev) < 0 ||
+	    ioctl(bufferevent_getfd(bev), SIOCOUTQ, &queued) != 0)
+		return -1;
+	return queued +
+	       (int64_t)evbuffer_get_length(bufferevent_get_output(bev));
+}
+
 /*
  * Uses idle connections for longer, for callers whose requests may safely be
  * sent again.
@@ -239,6 +275,16 @@
 	u->reuse_ms = ms;
 }
 
+/*
+ * Bounds how long the kernel sends a request again that isn't acknowledged, ms;
+ * for calls that must not arrive late. It holds while this process stands
+ * still, and at its end.
+ */
+void ups_set_held(struct ups *u, int64_t ms)
+{
+	u->held_ms = ms;
+}
+
 /* Closes idle connections to a target that gets no new work. */
 void ups_forget(struct ups *u, const char *addr)
 {
@@ -360,6 +406,23 @@
 	tmr_once(c->u->tmr, 0, ups_conn_late_free, c);
 }
 
+/*
+ * Has a connection end with a reset. A plain close leaves what the target
+ * hasn't acknowledged to the kernel, which goes on sending it: behind a cut
+ * for as long as the cut lasts, and what was given up is carried out then. A
+ * reset drops it.
+ */
+static void ups_conn_abort(struct ups_conn *c)
+{
+	const struct linger at_once = {.l_onoff = 1};
+	evutil_socket_t fd =
+		bufferevent_getfd(evhttp_connection_get_bufferevent(c->ev));
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
+}
+
 static void ups_conn_put(struct ups_conn *c)
 {
 	GPtrArray *idle = g_hash_table_lookup(c->u->hosts, c->addr);
@@ -392,12 +455,75 @@
 {
 	struct ups_conn *c = arg;
 
+	if (info->n_added && c->call && c->call->write)
+		ups_look(c);
 	if (info->n_deleted == 0 || c->state != UPS_CONNECTING || !c->call)
 		return;
 	tmr_cancel(c->u->tmr, c->call->connect_timer);
 	ups_conn_event(c, UPS_EV_CONNECTED);
 }
 
+/*
+ * A request is about to be written: on a new connection at once, by the
+ * bufferevent that has just connected, so that this is the last moment to look;
+ * on one that is there in the loop's next turn, and ups_on_write comes first.
+ */
+static void ups_look(struct ups_conn *c)
+{
+	struct ups_call *call = c->call;
+
+	if (!call->refused && !call->ops->may(call->arg)) {
+		call->refused = true;
+		/* evhttp can't be stopped here, but its socket can */
+		shutdown(bufferevent_getfd(
+				 evhttp_connection_get_bufferevent(c->ev)),
+			 SHUT_RDWR);
+	}
+	event_active(call->write, EV_WRITE, 0);
+}
+
+/*
+ * Looks once more and writes the request in the same breath. What is left for
+ * later would be written without a look, so it is given up; a request that is
+ * asked for is far smaller than what a socket takes.
+ */
+static void ups_on_write(evutil_socket_t unused, short what, void *arg)
+{
+	struct ups_call *call = arg;
+	struct bufferevent *bev;
+	struct evbuffer *out;
+
+	if (call->over)
+		return;
+	bev = evhttp_connection_get_bufferevent(call->conn->ev);
+	out = bufferevent_get_output(bev);
+	if (evbuffer_get_length(out) == 0)
+		return;
+	if (call->refused || !call->ops->may(call->arg)) {
+		ups_finish(call, UPS_NOT_SENT);
+		return;
+	}
+	evbuffer_unfreeze(out, 1);
+	evbuffer_write(out, bufferevent_getfd(bev));
+	evbuffer_freeze(out, 1);
+	if (evbuffer_get_length(out))
+		ups_finish(call, UPS_CUT);
+}
+
+/* Sets a new connection's bounds in the kernel. */
+static void ups_conn_bound(struct ups_conn *c)
+{
+	unsigned int ms = (unsigned int)c->u->held_ms;
+	evutil_socket_t fd =
+		bufferevent_getfd(evhttp_connection_get_bufferevent(c->ev));
+
+	if (!ms || fd < 0)
+		return;
+	/* also what the end of this process would leave to the kernel */
+	ups_conn_abort(c);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 static bool ups_connected(const struct ups_conn *c)
 {
 	struct sockaddr_storage ss;
@@ -551,6 +677,8 @@
 	else
 		ups_conn_event(c, end == UPS_TIMEOUT ? UPS_EV_TIMEOUT
 						     : UPS_EV_FAILED);
+	if (!clean)
+		ups_conn_abort(c);
 	c->call = NULL;
 	call->conn = NULL;
 	if (req)
@@ -582,6 +710,8 @@
 
 	ups_stop_timers(call);
 	tmr_cancel(call->u->tmr, call->end_timer);
+	if (call->write)
+		event_free(call->write);
 	if (call->req) {
 		/* evhttp frees the request; its call-backs must not come. */
 		call->over = true;
