A wave that names no VM is completed

Cause: a wave is marked as completed when the table takes what became of its last VM. One that names none is never told of anything, so it stayed open for good, and the list of VMs was asked for all the time.

Ruled out: refusing it at the door; an operator who sends a list that has become empty means that there is nothing left to do.

Change: such a wave is completed as it is taken.

Test: jtb_test a_wave_of_no_vm_is_completed failed before the change.

--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -258,6 +258,9 @@
 
 	if (!w)
 		return false;
+	/* of no VM: nothing would ever say so later */
+	if (!w->vms->len)
+		w->completed = true;
 	if (jtb_wave(t, w->no))
 		jtb_wave_free(w);
 	else
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -353,6 +353,23 @@
 	assert_true(jtb_wave(t, 3)->completed);
 }
 
+/*
+ * A wave never ends: it names no VM, and it is told as completed once the last
+ * of its VMs is done.
+ */
+static void a_wave_of_no_vm_is_completed(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb_wave *w = jtb_wave_new(3);
+	struct pk_out o;
+
+	pk_out_init(&o);
+	jtb_put_wave(&o, w);
+	jobs_apply(t, &o);
+	jtb_wave_free(w);
+	assert_true(jtb_wave(t, 3)->completed);
+}
+
 static GBytes *snapshot(const struct jtb *t)
 {
 	struct pk_out o;
@@ -470,6 +487,7 @@
 		T(a_change_of_leader_gives_room_back_once),
 		T(a_job_is_kept_whatever_the_time_of_day),
 		T(a_vm_of_a_wave_never_goes_back),
+		T(a_wave_of_no_vm_is_completed),
 		T(a_snapshot_holds_all_of_the_table),
 		T(a_snapshot_keeps_the_order_of_jobs),
 		T(names_read_back_as_written),
