A VM that two waves name is in the hands of one at a time

Cause: what upkeep keeps of a VM was looked up by its name alone. With two waves over the same VM, the one that came first in the table went on with a VM that the other had begun: it noted it as begun in itself, more of its VMs were down than it allows, and the other wave kept the VM for good and never ended.

Ruled out: that the service refuses it; it has the VM as due in both waves.

Change: a wave goes on only with what it has begun itself; a VM in another wave's hands waits and doesn't count as one of its own.

Test: upk_test two_waves_share_no_vm failed before the change.

--- a/src/upk.c
+++ b/src/upk.c
@@ -46,6 +46,8 @@
 
 static void upk_job_free(gpointer p);
 static struct upk_job *upk_job_of(const struct upk *u, const char *vm);
+static struct upk_job *upk_own(const struct upk *u, const struct jtb_wave *w,
+			       const char *vm);
 static void upk_ordered(const struct jtb_wave *w, GHashTable *ids);
 static void upk_wave(struct upk *u, struct jtb_wave *w, int64_t now,
 		     int64_t wall);
@@ -293,6 +295,18 @@
 	return NULL;
 }
 
+/*
+ * The same, if this wave has begun it: a VM that two waves name is in the hands
+ * of one at a time.
+ */
+static struct upk_job *upk_own(const struct upk *u, const struct jtb_wave *w,
+			       const char *vm)
+{
+	struct upk_job *j = upk_job_of(u, vm);
+
+	return j && j->wave == w->no ? j : NULL;
+}
+
 /* Goes on with one wave. */
 static void upk_wave(struct upk *u, struct jtb_wave *w, int64_t now,
 		     int64_t wall)
@@ -305,7 +319,7 @@
 	upk_settle(u, w, now);
 	for (i = 0; i < w->vms->len; i++) {
 		struct jtb_wave_vm *v = g_ptr_array_index(w->vms, i);
-		struct upk_job *j = upk_job_of(u, v->vm);
+		struct upk_job *j = upk_own(u, w, v->vm);
 
 		left += v->state != JTB_VM_DONE;
 		open += j != NULL || v->state == JTB_VM_BEGUN;
@@ -333,7 +347,7 @@
 	for (i = 0; i < w->vms->len; i++) {
 		struct jtb_wave_vm *v = g_ptr_array_index(w->vms, i);
 		const struct vms_vm *vm = vms_find(u->vms, v->vm);
-		struct upk_job *j = upk_job_of(u, v->vm);
+		struct upk_job *j = upk_own(u, w, v->vm);
 		bool over = false;
 
 		if (v->state == JTB_VM_DONE)
@@ -348,7 +362,7 @@
 			if (j)
 				j->over = true;
 			u->ops->note(u->arg, w, v, JTB_VM_DONE, NULL);
-		} else if (v->state == JTB_VM_BEGUN && !j) {
+		} else if (v->state == JTB_VM_BEGUN && !upk_job_of(u, v->vm)) {
 			j = g_new0(struct upk_job, 1);
 			j->vm = g_strdup(v->vm);
 			j->worker = g_strdup(v->worker_before ? v->worker_before
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -147,9 +147,10 @@
 		tick(b);
 }
 
-static void wave(struct bed *b, uint32_t at_once, int64_t within_ms)
+static void wave_no(struct bed *b, uint64_t no, uint32_t at_once,
+		    int64_t within_ms)
 {
-	struct jtb_wave *w = jtb_wave_new(WAVE);
+	struct jtb_wave *w = jtb_wave_new(no);
 	struct pk_out o;
 	guint i;
 
@@ -167,6 +168,11 @@
 	jtb_wave_free(w);
 }
 
+static void wave(struct bed *b, uint32_t at_once, int64_t within_ms)
+{
+	wave_no(b, WAVE, at_once, within_ms);
+}
+
 static int setup(void **state)
 {
 	struct bed *b = g_new0(struct bed, 1);
@@ -458,6 +464,32 @@
 	assert_true(closed(b, "w1b"));
 }
 
+/*
+ * Two waves name the same VMs. One is noted in the wave that didn't begin it:
+ * more of that wave are down than it allows, and the other never ends.
+ */
+static void two_waves_share_no_vm(void **state)
+{
+	struct bed *b = *state;
+
+	vm_add(b, "vm2", "w2");
+	wave_no(b, WAVE, 1, WITHIN_MS);
+	wave_no(b, WAVE + 1, 1, WITHIN_MS);
+	ticks(b, 3);
+	assert_int_equal(b->orders, 2);
+	have_upkeep(b, "vm1");
+	have_upkeep(b, "vm2");
+	ticks(b, 10);
+	have_upkeep(b, "vm1");
+	have_upkeep(b, "vm2");
+	ticks(b, 10);
+	assert_int_equal(b->done, 4);
+	assert_true(jtb_wave(b->jtb, WAVE)->completed);
+	assert_true(jtb_wave(b->jtb, WAVE + 1)->completed);
+	assert_false(upk_holds(b->upk, "vm1"));
+	assert_false(upk_holds(b->upk, "vm2"));
+}
+
 /* Two leaders give one VM orders by turns. */
 static void a_later_leader_has_taken_it_over(void **state)
 {
@@ -535,6 +567,7 @@
 		T(a_vm_not_listed_for_a_moment_isnt_gone),
 		T(a_vm_that_an_earlier_leader_ordered_gets_no_work),
 		T(another_lifetime_is_emptied_anew),
+		T(two_waves_share_no_vm),
 		T(a_vm_on_its_way_is_waited_for),
 		T(work_that_lasts_keeps_its_budget),
 	};
