A VM that fails beside its order is emptied anew

Cause: an upkeep's order may be carried out late, and its answer may be lost. When the VM failed by itself meanwhile and came back with another worker, only the lifetime from before was closed: the new one got work, the order was given again after 600 ms, and the work was thrown away with the VM.

Ruled out: a late order alone. The order was also given anew, by us, onto a VM that ran something.

Change: until the order is agreed to, whatever lifetime comes up on the VM is closed and emptied as well, and the order isn't repeated before. What the order ends is still the lifetime it was given for (upk_worker): an answer that comes late mustn't take the newer one out of the table. While such a VM has no known lifetime, workers that no list shows yet get nothing; that is until the next list. A VM that is switched off has none, so that it closes nobody.

Not covered: a VM that is down for less than the age of a list (700 ms), and back with work, looks as if it had never been down.

Test: upk_test another_lifetime_after_the_order_is_emptied failed before the change.

--- a/src/upk.c
+++ b/src/upk.c
@@ -25,7 +25,8 @@
 /* A VM that is being emptied or is down. */
 struct upk_job {
 	char *vm;
-	char *worker;
+	char *worker; /* lifetime that its order ends */
+	char *later; /* another that came up before that; or NULL */
 	uint64_t wave;
 	int64_t from_ms;
 	int64_t ordered_ms; /* 0: not yet */
@@ -49,6 +50,10 @@
 static struct upk_job *upk_own(const struct upk *u, const struct jtb_wave *w,
 			       const char *vm);
 static void upk_ordered(const struct jtb_wave *w, GHashTable *ids);
+static bool upk_unlisted(const struct upk *u, const struct upk_job *j);
+static void upk_close_unlisted(const struct upk *u, GHashTable *ids);
+static bool upk_another_came(const struct upk *u, struct upk_job *j,
+			     int64_t now);
 static void upk_wave(struct upk *u, struct jtb_wave *w, int64_t now,
 		     int64_t wall);
 static void upk_drop_done(struct upk *u);
@@ -214,23 +219,60 @@
 
 /*
  * Adds the ids of workers that get nothing new since they are being emptied to
- * a set, which borrows them until upk is told or looks at anything again.
+ * a set, which borrows them until upk is told or looks at anything again, or a
+ * worker leaves the table.
  */
 void upk_closed(const struct upk *u, GHashTable *ids)
 {
 	GPtrArray *waves = jtb_waves(u->jtb);
+	bool unlisted = false;
 	guint i;
 
 	for (i = 0; i < u->jobs->len; i++) {
 		const struct upk_job *j = g_ptr_array_index(u->jobs, i);
 
 		g_hash_table_add(ids, j->worker);
+		if (j->later)
+			g_hash_table_add(ids, j->later);
+		unlisted |= upk_unlisted(u, j);
 	}
+	if (unlisted)
+		upk_close_unlisted(u, ids);
 	/* A leader before us may have ordered it, and be heard late. */
 	for (i = 0; i < waves->len; i++)
 		upk_ordered(g_ptr_array_index(waves, i), ids);
 }
 
+/*
+ * Whether a VM's order may yet be carried out while nobody knows what has come
+ * up on it: it went down by itself before its order was agreed to.
+ */
+static bool upk_unlisted(const struct upk *u, const struct upk_job *j)
+{
+	const struct vms_vm *vm = vms_find(u->vms, j->vm);
+	const struct jtb_pool *p =
+		vm ? jtb_pool(jtb_config(u->jtb), vm->pool) : NULL;
+
+	if (!j->noted || j->agreed_ms || j->over || (p && p->standby))
+		return false;
+	return !vm || !*vm->worker;
+}
+
+/*
+ * Adds the workers that no list shows yet: one of them may be on such a VM, and
+ * its work would be thrown away with it. They wait for the next list only.
+ */
+static void upk_close_unlisted(const struct upk *u, GHashTable *ids)
+{
+	GHashTableIter it;
+	struct jtb_worker *w;
+
+	g_hash_table_iter_init(&it, jtb_workers(u->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		if (!vms_of_worker(u->vms, w->info.id))
+			g_hash_table_add(ids, w->info.id);
+}
+
 /* Adds the workers of a wave's VMs whose upkeep was ordered. */
 static void upk_ordered(const struct jtb_wave *w, GHashTable *ids)
 {
@@ -278,6 +320,7 @@
 
 	g_free(j->vm);
 	g_free(j->worker);
+	g_free(j->later);
 	g_free(j);
 }
 
@@ -475,19 +518,12 @@
 static void upk_empty(struct upk *u, struct jtb_wave *w, struct upk_job *j,
 		      struct jtb_wave_vm *v, int64_t now)
 {
-	struct jtb_worker *worker = jtb_worker(u->jtb, j->worker);
 	const struct vms_vm *vm = vms_find(u->vms, j->vm);
+	struct jtb_worker *worker;
 
-	if (j->fenced || j->over)
-		return;
-	/* another lifetime came up by itself: it must be emptied anew */
-	if (!j->noted && vm && *vm->worker &&
-	    strcmp(vm->worker, j->worker) != 0) {
-		g_free(j->worker);
-		j->worker = g_strdup(vm->worker);
-		j->from_ms = now;
+	if (j->fenced || j->over || upk_another_came(u, j, now))
 		return;
-	}
+	worker = jtb_worker(u->jtb, j->later ? j->later : j->worker);
 	/* also a start that was on its way when the worker was closed */
 	if (worker && worker->runs->len && !j->agreed_ms) {
 		upk_clear(u, worker, now - j->from_ms);
@@ -507,6 +543,27 @@
 	}
 }
 
+/*
+ * Whether another lifetime came up by itself on a VM that is being emptied: it
+ * must be emptied anew. Also after the order was given, as nobody knows when it
+ * is carried out until it is agreed to; then it is the order's own doing.
+ */
+static bool upk_another_came(const struct upk *u, struct upk_job *j,
+			     int64_t now)
+{
+	const struct vms_vm *vm = vms_find(u->vms, j->vm);
+	char **is = j->noted ? &j->later : &j->worker;
+
+	if (!vm || !*vm->worker || j->agreed_ms ||
+	    strcmp(vm->worker, j->worker) == 0 ||
+	    g_strcmp0(vm->worker, *is) == 0)
+		return false;
+	g_free(*is);
+	*is = g_strdup(vm->worker);
+	j->from_ms = now;
+	return true;
+}
+
 /*
  * Stops what runs on a worker: what lasts as soon as it may, the rest when
  * it took too long.
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -464,6 +464,45 @@
 	assert_true(closed(b, "w1b"));
 }
 
+/*
+ * Work is thrown away with its VM, after the order: the VM failed by itself
+ * before that was carried out, and came back with another worker.
+ */
+static void another_lifetime_after_the_order_is_emptied(void **state)
+{
+	struct bed *b = *state;
+
+	wave(b, 1, WITHIN_MS);
+	ticks(b, 3);
+	assert_int_equal(b->orders, 1);
+	upk_answered(b->upk, "vm1", VMS_UNANSWERED, b->now);
+	jobs_gone(b->jtb, "w1", true);
+	vm_of(b, "vm1")->state = VMS_DOWN;
+	*vm_of(b, "vm1")->worker = '\0';
+	ticks(b, 3);
+	/* up again, and known before a list shows on which VM it is */
+	jobs_worker(b->jtb, "w1b", 16000, false);
+	assert_true(closed(b, "w1b"));
+	g_free(vm_of(b, "vm1")->worker);
+	vm_of(b, "vm1")->worker = g_strdup("w1b");
+	vm_of(b, "vm1")->state = VMS_UP;
+	short_job(b, "a");
+	jobs_start(b->jtb, "a", 0, 0, 2, "w1b");
+	tick(b);
+	b->orders = 0;
+	ticks(b, 10);
+	assert_true(closed(b, "w1b"));
+	assert_int_equal(b->orders, 0);
+	jobs_end(b->jtb, "a", 0, 0, 2, "w1b", JTB_DONE);
+	ticks(b, 10);
+	assert_true(b->orders > 0);
+	/* what the order ends is still the lifetime it was given for */
+	assert_string_equal(upk_worker(b->upk, "vm1"), "w1");
+	upk_answered(b->upk, "vm1", VMS_YES, b->now);
+	ticks(b, 2);
+	assert_int_equal(b->done, 1);
+}
+
 /*
  * Two waves name the same VMs. One is noted in the wave that didn't begin it:
  * more of that wave are down than it allows, and the other never ends.
@@ -490,6 +529,116 @@
 	assert_false(upk_holds(b->upk, "vm2"));
 }
 
+/*
+ * An image that never comes up: the wave must lose no VM more than may be down
+ * at once, however late it is, and whoever leads.
+ */
+static void a_bad_image_takes_no_more_than_at_once(void **state)
+{
+	struct bed *b = *state;
+	int i;
+
+	for (i = 2; i <= 6; i++) {
+		char vm[8];
+		char w[8];
+
+		g_snprintf(vm, sizeof(vm), "vm%d", i);
+		g_snprintf(w, sizeof(w), "w%d", i);
+		vm_add(b, vm, w);
+	}
+	wave(b, 2, 5000);
+	ticks(b, 3);
+	assert_int_equal(b->orders, 2);
+	for (i = 0; i < (int)b->list->len; i++) {
+		struct vms_vm *vm = g_ptr_array_index(b->list, i);
+
+		if (!upk_holds(b->upk, vm->name))
+			continue;
+		upk_answered(b->upk, vm->name, VMS_YES, b->now);
+		jobs_gone(b->jtb, vm->worker, true);
+		*vm->worker = '\0';
+		vm->state = i ? VMS_DOWN : VMS_UPKEEP;
+	}
+	b->orders = 0;
+	ticks(b, 100);
+	upk_lead(b->upk);
+	ticks(b, 100);
+	for (i = 0; i < (int)b->list->len; i++) {
+		const struct vms_vm *vm = g_ptr_array_index(b->list, i);
+
+		assert_true((vm->state == VMS_UP) !=
+			    upk_holds(b->upk, vm->name));
+	}
+	assert_int_equal(b->done, 0);
+}
+
+/*
+ * A zone is cut off while a VM of it has its upkeep and another is being
+ * emptied. Silence is held against nobody: nothing that lasts is stopped beside
+ * it, nothing more is begun, and after the cut the wave goes on where it was.
+ */
+static void a_cut_is_waited_for(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {
+		.count = 2, .cpu = 1000, .may_miss = 1, .flags = JTB_LASTS};
+	const struct jtb_part *part;
+
+	vm_add(b, "vm2", "w2");
+	jobs_job(b->jtb, "l", &s, 1, JOBS_WALL_MS);
+	jobs_start(b->jtb, "l", 0, 0, 1, "w1");
+	jobs_start(b->jtb, "l", 0, 1, 1, "w2");
+	part = &jtb_job(b->jtb, "l")->turns[0].parts[0];
+	part->tasks[0].run->percent = 100;
+	part->tasks[1].run->percent = 100;
+	b->unreached = true;
+	wave(b, 2, 1);
+	ticks(b, 600);
+	assert_int_equal(b->stops, 0);
+	assert_int_equal(b->orders, 0);
+	assert_int_equal(b->done, 0);
+	b->unreached = false;
+	ticks(b, 3);
+	assert_int_equal(b->stops, 1);
+}
+
+/*
+ * VMs are being emptied when another task of what lasts is lost. What isn't
+ * stopped yet goes on: were it stopped, too, our own act would break the
+ * budget. Its upkeep waits until the other is back.
+ */
+static void a_failure_while_emptying_keeps_the_rest(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {
+		.count = 2, .cpu = 1000, .may_miss = 1, .flags = JTB_LASTS};
+	const struct jtb_part *part;
+
+	vm_add(b, "vm2", "w2");
+	jobs_job(b->jtb, "l", &s, 1, JOBS_WALL_MS);
+	jobs_start(b->jtb, "l", 0, 0, 1, "w1");
+	jobs_start(b->jtb, "l", 0, 1, 1, "w2");
+	part = &jtb_job(b->jtb, "l")->turns[0].parts[0];
+	part->tasks[0].run->percent = 100;
+	wave(b, 2, 1);
+	ticks(b, 5);
+	assert_true(closed(b, "w1"));
+	assert_true(closed(b, "w2"));
+	/* the second has just begun; the first must stay, then it is lost */
+	assert_false(part->tasks[0].run->stop);
+	jobs_end(b->jtb, "l", 0, 1, 1, "w2", JTB_LOST);
+	ticks(b, 50);
+	assert_false(part->tasks[0].run->stop);
+	assert_string_equal(b->ordered, "vm2");
+	have_upkeep(b, "vm2");
+	ticks(b, 3);
+	assert_false(part->tasks[0].run->stop);
+	jobs_start(b->jtb, "l", 0, 1, 2, "w2");
+	part->tasks[1].run->percent = 100;
+	ticks(b, 3);
+	assert_true(part->tasks[0].run->stop);
+}
+
 /* Two leaders give one VM orders by turns. */
 static void a_later_leader_has_taken_it_over(void **state)
 {
@@ -567,7 +716,11 @@
 		T(a_vm_not_listed_for_a_moment_isnt_gone),
 		T(a_vm_that_an_earlier_leader_ordered_gets_no_work),
 		T(another_lifetime_is_emptied_anew),
+		T(another_lifetime_after_the_order_is_emptied),
 		T(two_waves_share_no_vm),
+		T(a_bad_image_takes_no_more_than_at_once),
+		T(a_cut_is_waited_for),
+		T(a_failure_while_emptying_keeps_the_rest),
 		T(a_vm_on_its_way_is_waited_for),
 		T(work_that_lasts_keeps_its_budget),
 	};
