--- a/tests/unit/jobs_make.h
+++ b/tests/unit/jobs_make.h
@@ -5,7 +5,10 @@
 
 #include "jtb.h"
 
-/* Small job tables for tests: one pool "p", one queue "q", workers, jobs. */
+/*
+ * Small job tables for tests: one pool "p", one queue "q", workers, jobs. Both
+ * C and C++ read this.
+ */
 
 #define JOBS_WALL_MS 5000000000LL
 
@@ -53,18 +56,17 @@
 			       bool draining)
 {
 	char *labels[] = {(char *)"kind-a", (char *)"rack-1", NULL};
-	struct jtb_worker_info info = {
-		.id = (char *)id,
-		.pool = (char *)"p",
-		.addr = (char *)"127.0.0.1:1",
-		.zone = (char *)"z",
-		.labels = labels,
-		.cpu = cpu,
-		.mem_mb = 64000,
-		.draining = draining,
-	};
+	struct jtb_worker_info info = {};
 	struct pk_out o;
 
+	info.id = (char *)id;
+	info.pool = (char *)"p";
+	info.addr = (char *)"127.0.0.1:1";
+	info.zone = (char *)"z";
+	info.labels = labels;
+	info.cpu = cpu;
+	info.mem_mb = 64000;
+	info.draining = draining;
 	pk_out_init(&o);
 	jtb_put_worker(&o, &info);
 	jobs_apply(t, &o);
@@ -74,14 +76,13 @@
 static inline void jobs_job(struct jtb *t, const char *id,
 			    struct jtb_step *steps, uint32_t n, int64_t wall)
 {
-	struct jtb_spec spec = {
-		.queue = (char *)"q",
-		.text = (char *)"text",
-		.steps = steps,
-		.n_steps = n,
-	};
+	struct jtb_spec spec = {};
 	struct pk_out o;
 
+	spec.queue = (char *)"q";
+	spec.text = (char *)"text";
+	spec.steps = steps;
+	spec.n_steps = n;
 	g_strlcpy(spec.id, id, sizeof(spec.id));
 	pk_out_init(&o);
 	jtb_put_job(&o, &spec, wall);
@@ -92,9 +93,11 @@
 			      uint32_t index, uint32_t attempt,
 			      const char *worker)
 {
-	struct jtb_name n = {.step = step, .index = index};
+	struct jtb_name n = {};
 	struct pk_out o;
 
+	n.step = step;
+	n.index = index;
 	g_strlcpy(n.id, id, sizeof(n.id));
 	pk_out_init(&o);
 	jtb_put_start(&o, &n, attempt, worker);
@@ -105,9 +108,11 @@
 			    uint32_t index, uint32_t attempt,
 			    const char *worker, enum jtb_end how)
 {
-	struct jtb_name n = {.step = step, .index = index};
+	struct jtb_name n = {};
 	struct pk_out o;
 
+	n.step = step;
+	n.index = index;
 	g_strlcpy(n.id, id, sizeof(n.id));
 	pk_out_init(&o);
 	jtb_put_end(&o, worker, 1, &n, attempt, how, lstr_n("", 0),
