Voters that always run late elect a leader

Callers of a fleet whose control machines are so busy that each turn of a voter's loop comes more than half a patience late had no leader for good. Each late tick set the election timeout anew, since the leader's messages may lie unread; with every tick late nobody ever stood, and if somebody did, it asked again before it had read the answers.

Ruled out: no wait after a late tick (a voter that was frozen stands though the leader lives); a longer patience (the lease of work is short).

A late tick is now excused once until a leader is heard again, and a candidate waits two to four late ticks for its votes, at random, so that candidates in step don't split them for ever. Ticks in time change nothing.

--- a/src/cns_core.c
+++ b/src/cns_core.c
@@ -75,6 +75,7 @@
 	c->rand = g_rand_new_with_seed(config->seed);
 	c->now = config->now_ms;
 	c->heard_ms = c->now - config->election_ms;
+	c->spared_ms = c->heard_ms - 1;
 	c->log = cns_entries_new();
 	c->changes = g_array_new(FALSE, TRUE, sizeof(struct cns_change));
 	c->reads = g_array_new(FALSE, TRUE, sizeof(struct cns_read_wait));
@@ -146,7 +147,9 @@
 /*
  * Moves the clock, which never goes back. A step longer than half of the
  * patience means that we stood still (SIGSTOP, a paused VM): then the leader
- * was perhaps heard and lies unread in a socket, so we wait once more.
+ * was perhaps heard and lies unread in a socket, so we wait once more. Not
+ * again until a leader was heard: voters whose turns all come late would else
+ * never elect one. Votes asked for may lie unread as well, for a few turns.
  */
 void cns_tick(struct cns *c, int64_t now_ms)
 {
@@ -161,8 +164,13 @@
 			cns_beat(c);
 		return;
 	}
-	if (slept)
+	if (slept && c->spared_ms != c->heard_ms) {
+		c->spared_ms = c->heard_ms;
 		cns_rearm(c);
+	} else if (slept && c->late_turns > 0) {
+		c->late_turns--;
+		return;
+	}
 	if (now_ms >= c->deadline)
 		cns_event(c, CNS_EV_TIMEOUT);
 }
--- a/src/cns_election.c
+++ b/src/cns_election.c
@@ -185,6 +185,8 @@
 	 * now, so the next try comes sooner than the first did.
 	 */
 	c->deadline = c->now + e / 4 + g_rand_int_range(c->rand, 0, (gint32)e);
+	c->late_turns = CNS_LATE_TURNS +
+			g_rand_int_range(c->rand, 0, CNS_LATE_TURNS + 1);
 	for (i = 0; i < c->n_peers; i++) {
 		c->peers[i].granted = false;
 		if (!cns_is_voter(c, c->peers[i].id))
--- a/src/cns_int.h
+++ b/src/cns_int.h
@@ -12,6 +12,13 @@
 /* Entries kept behind a snapshot, for members only a little behind. */
 #define CNS_KEEP 256
 
+/*
+ * Late ticks that a candidate waits at least: one until the others have read
+ * the question, one until it has read the answer. As many again at random, for
+ * candidates that run in step else split the votes for ever.
+ */
+#define CNS_LATE_TURNS 2
+
 enum cns_event {
 	CNS_EV_TIMEOUT,
 	CNS_EV_PRE_WON,
@@ -65,6 +72,8 @@
 	uint64_t leader;
 	int64_t now;
 	int64_t heard_ms; /* when the leader was heard last */
+	int64_t spared_ms; /* heard_ms when a late tick was last excused */
+	int late_turns; /* late ticks to wait for votes asked for */
 	int64_t deadline; /* of an election timeout */
 	int64_t beat_due;
 	int64_t check_due;
