The emulator checks all that is owed, not only what lasts

Starts and ends go through a log now, which a lost leader loses starts of. Workers are cut off for less than their lease or more, some ends are told late, some jobs are gangs or repeated by the clock. Each 200 ms, right after a plan, each task that is due, has no run, and has room for it twice over, is looked at: the rule idle is broken if that lasts for 6 s, or longer for one reason (hld) than that reason may take. What is looked at before the plan instead showed tasks without a reason whose room work of a higher rank was about to take; the leader's look follows a plan too.

--- a/src/hld.c
+++ b/src/hld.c
@@ -24,7 +24,8 @@
 	/*
 	 * Longest that it may hold something back while there is room for it,
 	 * ms; 0: as long as it is so. Two plans; a batch and its log; an order
-	 * with a retry; a lease on a slow clock and that of a leader before;
+	 * or a stop with a retry; a lease on a slow clock after that of a
+	 * leader before; an end whose telling is lost, and then the leader;
 	 * the longest shun; what is waited for until a VM is empty.
 	 */
 	int64_t most_ms;
@@ -38,8 +39,8 @@
 	[HLD_PROPOSED] = {"start-not-stored", 1000},
 	[HLD_ORDERED] = {"ordered", 2000},
 	[HLD_STOPPING] = {"being-stopped", 2000},
-	[HLD_SILENT] = {"lease-not-over", 7000},
-	[HLD_ENDING] = {"end-not-stored", 1000},
+	[HLD_SILENT] = {"lease-not-over", 12000},
+	[HLD_ENDING] = {"end-not-stored", 3000},
 	[HLD_GANG] = {"rest-of-gang", 0},
 	[HLD_JUST_ENDED] = {"just-ended", 400},
 	[HLD_TICKET] = {"needs-ticket", 0},
--- a/src/hld.h
+++ b/src/hld.h
@@ -14,7 +14,7 @@
  * that order, and so do the checks of a plan.
  */
 enum hld_reason {
-	HLD_NONE, /* nothing: the next plan starts it */
+	HLD_NONE, /* nothing: a plan that is made now starts it */
 	/* it isn't owed */
 	HLD_OVER, /* it is done, or its job is over */
 	HLD_RUNS,
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -117,6 +117,7 @@
 	GHashTable *dirty; /* pools to be planned */
 	struct hld_sum held; /* what is owed and doesn't run */
 	int64_t held_ms; /* when that was last looked at */
+	bool looks; /* the next plan is of all pools: it may be looked at */
 	uint64_t plan_timer;
 	uint64_t tick;
 	int64_t drain_until;
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -127,8 +127,8 @@
 	hub_scale(h);
 	hub_vm_tick(h, now);
 	hub_forget(h, now);
-	hub_held_tick(h, now);
 	hub_plan_all(h);
+	h->looks = true;
 }
 
 /* All pools are to be planned. */
@@ -387,6 +387,10 @@
 		sch_plan(&v, pool);
 	g_hash_table_remove_all(h->dirty);
 	g_hash_table_destroy(closed);
+	/* right after a plan of all pools: what has no reason then is a fault */
+	if (h->looks)
+		hub_held_tick(h, v.now_ms);
+	h->looks = false;
 }
 
 /* What plans go by now; closed are workers that are being emptied. */
--- a/src/sim.c
+++ b/src/sim.c
@@ -61,6 +61,10 @@
 		.guess_off = 0.5,
 		.crashes = 6,
 		.failovers = 4,
+		.cuts = 4,
+		.late_ends = 0.02,
+		.gangs = 0.1,
+		.repeats = 0.03,
 		.cancel = 0.05,
 		.wave = true,
 	};
@@ -73,9 +77,12 @@
 	int64_t trouble = config->length_ms / 8;
 	int crashes = config->crashes;
 	int failovers = config->failovers;
+	int cuts = config->cuts;
 
 	sim_open(&s);
 	while (s.now < config->length_ms) {
+		sim_store(&s);
+		sim_cuts_go_on(&s);
 		sim_progress(&s);
 		if (s.now % 100 == 0)
 			sim_demand(&s);
@@ -84,7 +91,6 @@
 			upk_tick(s.upk, s.now, SIM_EPOCH_MS + s.now);
 			if (config->order == SIM_PRODUCT)
 				flo_tick(s.flo, s.now, SIM_EPOCH_MS + s.now);
-			sim_check_idle(&s);
 			sim_cancel(&s);
 		}
 		if (s.now == 2000 && config->wave)
@@ -94,7 +100,12 @@
 		if (s.now && s.now % trouble == SIM_STEP_MS * 5 &&
 		    failovers-- > 0)
 			sim_failover(&s);
-		sim_plan(&s);
+		if (s.now && s.now % trouble == SIM_STEP_MS * 10 && cuts-- > 0)
+			sim_cut(&s);
+		if (!config->no_plans_ms || s.now < config->no_plans_ms)
+			sim_plan(&s);
+		if (s.now % SIM_LOOK_MS == 0)
+			sim_check_idle(&s);
 		s.now += SIM_STEP_MS;
 	}
 	sim_settle(&s);
@@ -139,6 +150,7 @@
 	s->machines = g_ptr_array_new();
 	s->runs = g_ptr_array_new_with_free_func(sim_run_free);
 	s->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->log = g_ptr_array_new_with_free_func(sim_cmd_free);
 	s->idle =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim_config_put(s);
@@ -173,6 +185,7 @@
 	g_ptr_array_free(s->machines, TRUE);
 	g_ptr_array_free(s->runs, TRUE);
 	g_hash_table_destroy(s->done);
+	g_ptr_array_free(s->log, TRUE);
 	g_hash_table_destroy(s->idle);
 	flo_free(s->flo);
 	upk_free(s->upk);
@@ -236,7 +249,22 @@
 static void sim_plan(struct sim *s)
 {
 	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
-	struct sch_view v = {
+	struct sch_view v;
+	char pool[16];
+	int p;
+
+	sim_view(s, &v, closed);
+	for (p = 0; p < s->config.pools; p++) {
+		g_snprintf(pool, sizeof(pool), "pool%d", p);
+		sch_plan(&v, pool);
+	}
+	g_hash_table_destroy(closed);
+}
+
+/* What plans go by now; closed takes the workers that are being emptied. */
+void sim_view(struct sim *s, struct sch_view *v, GHashTable *closed)
+{
+	*v = (struct sch_view){
 		.jtb = s->jtb,
 		.closed = closed,
 		.now_ms = s->now + 1000,
@@ -247,22 +275,14 @@
 		.start = sim_start,
 		.starved = sim_starved,
 	};
-	char pool[16];
-	int p;
-
 	upk_closed(s->upk, closed);
 	flo_closed(s->flo, closed);
-	for (p = 0; p < s->config.pools; p++) {
-		g_snprintf(pool, sizeof(pool), "pool%d", p);
-		sch_plan(&v, pool);
-	}
-	g_hash_table_destroy(closed);
 }
 
 /* Whether a worker may be given work now. */
 static bool sim_usable(void *arg, const struct jtb_worker *w)
 {
-	return !w->info.draining;
+	return !w->info.draining && !sim_is_cut(arg, w->info.id);
 }
 
 /* Whether a worker is being emptied. */
@@ -281,45 +301,49 @@
 	flo_starved(s->flo, pool, s->now);
 }
 
-/* A task is started: stored, told to its worker, and checked. */
+/* A start is proposed. */
 static void sim_start(void *arg, struct jtb_job *job, const struct jtb_name *n,
 		      uint32_t attempt, struct jtb_worker *w)
 {
-	struct sim *s = arg;
-	const struct jtb_step *step = &job->spec.steps[n->step];
-	struct sim_run *r = g_new0(struct sim_run, 1);
+	jtb_plan(job, n, w);
+	sim_propose(arg, SIM_CMD_START, n, attempt, JTB_LOST, w->info.id,
+		    SIM_LOG_MS);
+}
+
+/* A start is stored: its worker is told, and it is checked. */
+void sim_run_new(struct sim *s, const struct jtb_name *n, uint32_t attempt,
+		 const char *worker)
+{
+	struct jtb_run *known = jtb_find_run(s->jtb, n, attempt, worker);
 	double off = 1 + s->config.guess_off * (2 * g_rand_double(s->rand) - 1);
-	struct pk_out o;
-	struct jtb_run *known;
+	struct sim_run *r;
 
-	sim_batch(&o);
-	jtb_put_start(&o, n, attempt, w->info.id);
-	sim_apply(s, &o);
-	known = jtb_find_run(s->jtb, n, attempt, w->info.id);
-	g_assert(known);
+	if (!known)
+		return;
 	known->ordered_ms = s->now;
 	known->percent = -1;
+	r = g_new0(struct sim_run, 1);
 	*r = (struct sim_run){
 		.name = *n,
 		.attempt = attempt,
 		.from_ms = s->now,
-		.ends_ms = step->flags & JTB_LASTS
-				   ? -1
-				   : s->now + (int64_t)(step->guess_ms * off),
 		.fails = g_rand_double(s->rand) < s->config.fail,
-		.step = *step,
-		.worker = g_strdup(w->info.id),
+		.step = known->job->spec.steps[n->step],
+		.worker = g_strdup(worker),
 	};
+	r->ends_ms = r->step.flags & JTB_LASTS
+			     ? -1
+			     : s->now + (int64_t)(r->step.guess_ms * off);
 	g_ptr_array_add(s->runs, r);
 	s->result.starts++;
-	sim_check_start(s, r, job, w);
+	sim_check_start(s, r, known->job, known->worker);
 	if (s->config.break_rule && s->result.starts == 100)
 		sim_check_start(s,
 				&(struct sim_run){.name = *n,
 						  .attempt = attempt + 1,
-						  .step = *step,
+						  .step = r->step,
 						  .worker = r->worker},
-				job, w);
+				known->job, known->worker);
 }
 
 /* A run is stopped. */
@@ -346,9 +370,11 @@
 	for (j = 0; j < s->runs->len; j++) {
 		struct sim_run *r = g_ptr_array_index(s->runs, j);
 
-		if (r->attempt == run->attempt && !r->stop_ms &&
-		    jtb_name_same(&r->name, &n))
-			r->stop_ms = s->now + SIM_STOP_MS;
+		if (r->attempt != run->attempt || r->stop_ms ||
+		    !jtb_name_same(&r->name, &n))
+			continue;
+		r->stop_ms = s->now + SIM_STOP_MS;
+		r->stop_how = JTB_STOPPED;
 	}
 }
 
@@ -400,7 +426,7 @@
 /* Whether a worker answers. */
 static bool sim_reached(void *arg, const struct jtb_worker *w)
 {
-	return true;
+	return !sim_is_cut(arg, w->info.id);
 }
 
 /* A VM is moved: its worker ends and comes back in the other pool. */
--- a/src/sim.h
+++ b/src/sim.h
@@ -25,7 +25,7 @@
 	SIM_MIXED, /* completed with a task that isn't done */
 	SIM_UNASKED, /* a start of a job that was cancelled before */
 	SIM_AVAIL, /* more of a lasting step taken away than may be */
-	SIM_IDLE, /* lasting work without a run for too long, with room */
+	SIM_IDLE, /* what is owed without a run for too long, with room */
 	SIM_LOST, /* a job that was accepted is gone from the table */
 	SIM_RULES
 };
@@ -44,9 +44,16 @@
 	double guess_off; /* guesses are off by up to this share */
 	int crashes; /* workers that crash, in all */
 	int failovers; /* leaders that are lost, in all */
+	int cuts; /* workers that are silent for a while, in all */
+	double late_ends; /* share of ends whose first telling is lost */
+	double gangs; /* share of jobs whose first step is a gang */
+	double repeats; /* share of jobs that are repeated by the clock */
 	double cancel; /* share of jobs that are cancelled */
 	bool wave; /* half of the VMs have their upkeep */
-	bool break_rule; /* the checker is shown a fault; for its own test */
+	/* the checker is shown a fault; for its own tests */
+	bool break_rule; /* a task is started twice */
+	bool keep_proposed; /* starts lost with a leader stay proposed */
+	int64_t no_plans_ms; /* nothing is planned any more from then on; 0 */
 };
 
 struct sim_result {
--- a/src/sim_check.c
+++ b/src/sim_check.c
@@ -3,7 +3,15 @@
 /* The checker: each start, each end of a day and idle room against the rules. */
 
 static void sim_settle_job(struct sim *s, const struct jtb_job *job);
-static bool sim_room(const struct sim *s, const struct jtb_job *job);
+static void sim_settle_tasks(struct sim *s, const struct jtb_job *job);
+static bool sim_room(const struct sim *s, const struct jtb_job *job,
+		     uint32_t turn, uint32_t step);
+static void sim_check_part(struct sim *s, const struct hld_view *v,
+			   struct jtb_job *job, uint32_t turn, uint32_t step);
+static void sim_check_task(struct sim *s, const struct jtb_name *n,
+			   enum hld_reason why, bool room);
+static enum hld_reason sim_bar(void *arg, const struct jtb_worker *w);
+static enum hld_reason sim_run_stands(void *arg, const struct jtb_run *run);
 
 /* Adds up what the jobs became. */
 void sim_settle(struct sim *s)
@@ -34,11 +42,14 @@
 		jtb_queue(jtb_config(s->jtb), job->spec.queue);
 	int64_t took = job->ended_ms - job->accepted_ms;
 	int64_t limit = sch_objective_ms(q, job);
-	char name[JTB_ID_MAX + 40];
-	struct jtb_name n = {0};
 
 	if (sch_lasts(job) || job->state == JTB_CANCELLED)
 		return;
+	if (job->state == JTB_COMPLETED)
+		sim_settle_tasks(s, job);
+	/* what comes by the clock is no wish for room at once */
+	if (job->spec.repeats)
+		return;
 	s->result.jobs++;
 	s->owed += 1 + job->work;
 	if (job->state != JTB_COMPLETED)
@@ -49,13 +60,24 @@
 		s->earned += 1 + job->work;
 	else if (took <= SIM_LATE_FACTOR * limit)
 		s->earned += SIM_LATE_WORTH * (1 + job->work);
+}
+
+/* Checks that all tasks of a completed job were done, in each turn. */
+static void sim_settle_tasks(struct sim *s, const struct jtb_job *job)
+{
+	char name[JTB_ID_MAX + 40];
+	struct jtb_name n = {0};
+
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
-	for (n.step = 0; n.step < job->spec.n_steps; n.step++) {
-		for (n.index = 0; n.index < job->spec.steps[n.step].count;
-		     n.index++) {
-			jtb_name_text(&n, name, sizeof(name));
-			if (!g_hash_table_contains(s->done, name))
-				sim_broken(s, SIM_MIXED, name);
+	for (n.turn = 0; n.turn < job->n_turns; n.turn++) {
+		for (n.step = 0; n.step < job->spec.n_steps; n.step++) {
+			for (n.index = 0;
+			     n.index < job->spec.steps[n.step].count;
+			     n.index++) {
+				jtb_name_text(&n, name, sizeof(name));
+				if (!g_hash_table_contains(s->done, name))
+					sim_broken(s, SIM_MIXED, name);
+			}
 		}
 	}
 }
@@ -103,76 +125,176 @@
 	if (strcmp(q->pool, w->info.pool) != 0 ||
 	    (step->per_worker && same > step->per_worker))
 		sim_broken(s, SIM_ROUTE, text);
-	if (!jtb_step_due(job, 0, r->name.step, SIM_EPOCH_MS + s->now))
+	if (!jtb_step_due(job, r->name.turn, r->name.step,
+			  SIM_EPOCH_MS + s->now))
 		sim_broken(s, SIM_ORDER, text);
-	if (job->turns[0].parts[r->name.step].tasks[r->name.index].fails >=
-		    q->attempts &&
+	if (job->turns[r->name.turn]
+			    .parts[r->name.step]
+			    .tasks[r->name.index]
+			    .fails >= q->attempts &&
 	    !(step->flags & JTB_LASTS))
 		sim_broken(s, SIM_BUDGET, text);
 	if (jtb_ended(job))
 		sim_broken(s, SIM_UNASKED, text);
 }
 
-/* Whether two workers could take a task of a lasting step at this moment. */
-static bool sim_room(const struct sim *s, const struct jtb_job *job)
+/*
+ * Whether workers could take a task of a step twice over at this moment, of a
+ * gang all its members; also workers that we have closed.
+ */
+static bool sim_room(const struct sim *s, const struct jtb_job *job,
+		     uint32_t turn, uint32_t step)
 {
-	const struct jtb_step *step = &job->spec.steps[0];
+	const struct jtb_step *need = &job->spec.steps[step];
+	uint32_t twice = 2 * (need->flags & JTB_GANG ? need->count : 1);
 	const char *pool = jtb_pool_of(s->jtb, job);
 	GHashTableIter it;
 	struct jtb_worker *w;
-	int found = 0;
+	uint32_t found = 0;
 	guint i;
 
 	g_hash_table_iter_init(&it, jtb_workers(s->jtb));
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
 		uint32_t same = 0;
+		uint32_t fits;
 
 		if (strcmp(w->info.pool, pool) != 0 ||
-		    w->used_cpu + step->cpu > w->info.cpu ||
-		    w->used_mem + step->mem_mb > w->info.mem_mb)
+		    sim_is_cut(s, w->info.id))
 			continue;
 		for (i = 0; i < w->runs->len; i++) {
 			const struct jtb_run *r = g_ptr_array_index(w->runs, i);
 
-			same += r->job == job;
+			same += r->job == job && r->turn == turn &&
+				r->step == step;
 		}
-		found += same < step->per_worker;
+		fits = MIN((w->info.cpu - w->used_cpu - w->plan_cpu) /
+				   need->cpu,
+			   (w->info.mem_mb - w->used_mem - w->plan_mem) /
+				   need->mem_mb);
+		if (need->per_worker)
+			fits = MIN(fits, need->per_worker -
+						 MIN(same, need->per_worker));
+		found += need->flags & JTB_GANG ? fits : MIN(fits, 1);
 	}
-	return found >= 2;
+	return found >= twice;
 }
 
-/* Work that lasts must not be without a run while there is room for it. */
+/*
+ * What is owed must not be without a run while there is room for it twice
+ * over: not for SIM_IDLE_MS in all, nor for longer by one reason than that
+ * reason may take.
+ */
 void sim_check_idle(struct sim *s)
 {
+	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
 	GPtrArray *live = jtb_live(s->jtb);
-	char text[JTB_ID_MAX + 40];
+	struct sch_view plan;
+	struct hld_view v = {
+		.sch = &plan,
+		.moving = g_hash_table_new(g_str_hash, g_str_equal),
+		.upkeep = g_hash_table_new(g_str_hash, g_str_equal),
+		.bar = sim_bar,
+		.run = sim_run_stands,
+	};
+	uint32_t t;
+	uint32_t p;
 	guint i;
 
+	sim_view(s, &plan, closed);
+	upk_closed(s->upk, v.upkeep);
+	flo_closed(s->flo, v.moving);
 	for (i = 0; i < live->len; i++) {
-		const struct jtb_job *job = g_ptr_array_index(live, i);
-		struct jtb_name n = {0};
+		struct jtb_job *job = g_ptr_array_index(live, i);
 
-		if (!sch_lasts(job))
-			continue;
-		g_strlcpy(n.id, job->spec.id, sizeof(n.id));
-		for (n.index = 0; n.index < job->spec.steps[0].count;
-		     n.index++) {
-			const struct jtb_part *part = job->turns[0].parts;
-			int64_t *since;
-
-			jtb_name_text(&n, text, sizeof(text));
-			since = g_hash_table_lookup(s->idle, text);
-			if ((part && part->tasks[n.index].run) ||
-			    !sim_room(s, job)) {
-				g_hash_table_remove(s->idle, text);
-			} else if (!since) {
-				g_hash_table_insert(s->idle, g_strdup(text),
-						    g_memdup2(&s->now,
-							      sizeof(s->now)));
-			} else if (s->now - *since > SIM_IDLE_MS) {
-				sim_broken(s, SIM_IDLE, text);
-				*since = s->now;
-			}
-		}
+		for (t = 0; t < job->n_turns; t++)
+			for (p = 0; p < job->spec.n_steps; p++)
+				sim_check_part(s, &v, job, t, p);
+	}
+	g_hash_table_destroy(closed);
+	g_hash_table_destroy(v.moving);
+	g_hash_table_destroy(v.upkeep);
+}
+
+/* Looks at each task of a step in one turn. */
+static void sim_check_part(struct sim *s, const struct hld_view *v,
+			   struct jtb_job *job, uint32_t turn, uint32_t step)
+{
+	const struct jtb_part *part = jtb_part(job, turn, step);
+	bool room = !jtb_ended(job) &&
+		    jtb_step_due(job, turn, step, v->sch->wall_ms) &&
+		    sim_room(s, job, turn, step);
+	struct jtb_name n = {.turn = turn, .step = step};
+
+	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
+	for (n.index = 0; n.index < job->spec.steps[step].count; n.index++) {
+		bool over = part && part->tasks[n.index].done;
+
+		sim_check_task(s, &n,
+			       room && !over ? hld_task(v, job, &n) : HLD_OVER,
+			       room);
+	}
+}
+
+/* Looks at one task and what holds it back. */
+static void sim_check_task(struct sim *s, const struct jtb_name *n,
+			   enum hld_reason why, bool room)
+{
+	char text[JTB_ID_MAX + 40];
+	char what[JTB_ID_MAX + 80];
+	struct sim_idle *idle;
+	int64_t most = hld_most_ms(why);
+
+	jtb_name_text(n, text, sizeof(text));
+	idle = g_hash_table_lookup(s->idle, text);
+	/* the rest of a gang may run on, and a silent worker its work */
+	if (!room || !hld_is_owed(why) || why == HLD_GANG) {
+		if (idle)
+			g_hash_table_remove(s->idle, text);
+		return;
+	}
+	if (!idle) {
+		idle = g_new0(struct sim_idle, 1);
+		*idle = (struct sim_idle){
+			.from_ms = s->now, .why_ms = s->now, .why = why};
+		g_hash_table_insert(s->idle, g_strdup(text), idle);
+	}
+	if (why == HLD_SILENT)
+		idle->from_ms = s->now;
+	if (idle->why != why)
+		idle->why_ms = s->now;
+	idle->why = why;
+	if (s->now - idle->from_ms <= SIM_IDLE_MS &&
+	    (!most || s->now - idle->why_ms <= most))
+		return;
+	g_snprintf(what, sizeof(what), "%s: %s", text, hld_name(why));
+	sim_broken(s, SIM_IDLE, what);
+	idle->from_ms = s->now;
+	idle->why_ms = s->now;
+}
+
+/* Why a worker may not be given work, but for being emptied. */
+static enum hld_reason sim_bar(void *arg, const struct jtb_worker *w)
+{
+	if (w->info.draining)
+		return HLD_DRAINING;
+	return sim_is_cut(arg, w->info.id) ? HLD_UNREACHED : HLD_NONE;
+}
+
+/* How a run of the table stands in the world. */
+static enum hld_reason sim_run_stands(void *arg, const struct jtb_run *run)
+{
+	const struct sim *s = arg;
+	struct jtb_name n;
+	guint i;
+
+	if (sim_is_cut(s, run->worker->info.id))
+		return HLD_SILENT;
+	jtb_name_of(run, &n);
+	for (i = 0; i < s->runs->len; i++) {
+		const struct sim_run *r = g_ptr_array_index(s->runs, i);
+
+		if (r->attempt == run->attempt && jtb_name_same(&r->name, &n))
+			return run->stop ? HLD_STOPPING : HLD_RUNS;
 	}
+	return HLD_ENDING;
 }
--- a/src/sim_int.h
+++ b/src/sim_int.h
@@ -7,6 +7,7 @@
 #include <stdio.h>
 
 #include "flo.h"
+#include "hld.h"
 #include "sch.h"
 #include "upk.h"
 
@@ -23,8 +24,21 @@
 #define SIM_LASTING_MS 700
 /* A stop takes that long, ms. */
 #define SIM_STOP_MS 300
-/* Work that lasts may be without a run for that long while there is room. */
+/* What is owed may be without a run for that long while there is room. */
 #define SIM_IDLE_MS 6000
+/* A command is stored that long after it was proposed, ms. */
+#define SIM_LOG_MS 20
+/* An end whose first telling is lost is told again after that, ms. */
+#define SIM_AGAIN_MS 700
+/* Without a word from the leader runs end after that, ms; */
+#define SIM_LEASE_MS 5000
+/* and the leader takes them for over after that, by a slow clock. */
+#define SIM_LAPSE_MS 5350
+/* Shortest and longest time that a worker is cut off, ms. */
+#define SIM_CUT_LEAST_MS 1000
+#define SIM_CUT_MOST_MS 9000
+/* A gang whose members aren't all there by then ends, ms. */
+#define SIM_ALONE_MS 1000
 /* Room and memory of a VM. */
 #define SIM_CPU 16000
 #define SIM_MEM_MB 65536
@@ -42,6 +56,7 @@
 	int64_t ends_ms; /* -1: lasts */
 	bool fails;
 	int64_t stop_ms; /* is over by then; 0: not told */
+	enum jtb_end stop_how;
 	struct jtb_step step; /* its texts are not kept */
 	char *worker;
 };
@@ -49,9 +64,36 @@
 struct sim_vm {
 	struct vms_vm vm;
 	int64_t busy_until; /* moving, in upkeep or down until */
+	int64_t cut_ms; /* its worker is cut off since; 0: it isn't */
+	int64_t cut_until;
+	bool given_up; /* its runs are taken for over, or about to be */
 	char *next_pool; /* when it comes back */
 };
 
+enum sim_cmd_kind {
+	SIM_CMD_START,
+	SIM_CMD_END,
+	SIM_CMD_LAPSE,
+};
+
+/* A command on its way through the log. */
+struct sim_cmd {
+	enum sim_cmd_kind kind;
+	int64_t due_ms;
+	struct jtb_name name;
+	uint32_t attempt;
+	enum jtb_end how;
+	char *worker;
+	int64_t wall_ms;
+};
+
+/* Since when something owed has no run though there is room. */
+struct sim_idle {
+	int64_t from_ms; /* since any reason */
+	int64_t why_ms; /* since this one */
+	enum hld_reason why;
+};
+
 struct sim {
 	struct sim_config config;
 	struct sim_result result;
@@ -65,7 +107,9 @@
 	GPtrArray *machines; /* struct sim_vm */
 	GPtrArray *runs; /* struct sim_run */
 	GHashTable *done; /* names of tasks that ended as done */
-	GHashTable *idle; /* lasting task: since when it has no run, int64_t */
+	GPtrArray *log; /* struct sim_cmd, not stored yet */
+	GHashTable *idle; /* task: struct sim_idle */
+	int64_t led_ms; /* when the last leader began */
 	int64_t now;
 	uint64_t next_id;
 	uint64_t accepted;
@@ -76,6 +120,7 @@
 void sim_batch(struct pk_out *o);
 void sim_apply(struct sim *s, struct pk_out *cmd);
 void sim_add_vm(struct sim *s, const char *pool);
+void sim_runs_gone(struct sim *s, const char *worker);
 void sim_worker_down(struct sim *s, struct sim_vm *m);
 void sim_list(struct sim *s);
 void sim_demand(struct sim *s);
@@ -91,6 +136,17 @@
 void sim_check_start(struct sim *s, const struct sim_run *r,
 		     const struct jtb_job *job, const struct jtb_worker *w);
 void sim_check_idle(struct sim *s);
+void sim_propose(struct sim *s, enum sim_cmd_kind kind,
+		 const struct jtb_name *name, uint32_t attempt,
+		 enum jtb_end how, const char *worker, int64_t after_ms);
+void sim_store(struct sim *s);
+void sim_cmd_free(gpointer p);
+void sim_run_new(struct sim *s, const struct jtb_name *n, uint32_t attempt,
+		 const char *worker);
+void sim_cut(struct sim *s);
+void sim_cuts_go_on(struct sim *s);
+bool sim_is_cut(const struct sim *s, const char *worker);
+void sim_view(struct sim *s, struct sch_view *v, GHashTable *closed);
 struct sim_vm *sim_vm_named(struct sim *s, const char *name);
 
 #endif
--- a/src/sim_trouble.c
+++ b/src/sim_trouble.c
@@ -2,12 +2,52 @@
 
 /* Troubles of a day: changes of leader, crashes, cancelled jobs, upkeep. */
 
+/*
+ * Starts on their way through the log are lost with their leader; ends are
+ * told again by their workers, and what lapsed is seen again by its list.
+ */
+static void sim_lose_log(struct sim *s)
+{
+	guint i;
+
+	for (i = s->log->len; i > 0; i--) {
+		struct sim_cmd *c = g_ptr_array_index(s->log, i - 1);
+
+		if (c->kind == SIM_CMD_END)
+			c->due_ms = MAX(c->due_ms, s->now + SIM_AGAIN_MS);
+		else if (c->kind == SIM_CMD_START)
+			g_ptr_array_remove_index(s->log, i - 1);
+	}
+}
+
 /* The leader is lost: the next one has what a snapshot holds, no more. */
 void sim_failover(struct sim *s)
 {
 	struct pk_out o;
+	guint i;
 	bool ok;
 
+	if (g_rand_boolean(s->rand))
+		sim_lose_log(s);
+	for (i = 0; i < s->log->len; i++) {
+		struct sim_cmd *c = g_ptr_array_index(s->log, i);
+
+		/* what was stored comes out before another leads */
+		if (c->kind != SIM_CMD_END)
+			c->due_ms = s->now;
+	}
+	sim_store(s);
+	for (i = 0; i < s->machines->len; i++) {
+		struct sim_vm *m = g_ptr_array_index(s->machines, i);
+
+		m->given_up = false;
+	}
+	s->led_ms = s->now;
+	if (s->config.keep_proposed) {
+		upk_lead(s->upk);
+		flo_lead(s->flo);
+		return;
+	}
 	pk_out_init(&o);
 	jtb_snapshot(s->jtb, &o);
 	ok = jtb_restore(s->jtb, pk_out_view(&o));
@@ -18,6 +58,63 @@
 	flo_lead(s->flo);
 }
 
+/* A worker is cut off, for less than its lease or more. */
+void sim_cut(struct sim *s)
+{
+	struct sim_vm *m = g_ptr_array_index(
+		s->machines,
+		g_rand_int_range(s->rand, 0, (gint32)s->machines->len));
+
+	if (m->vm.state != VMS_UP || !*m->vm.worker || m->cut_ms)
+		return;
+	m->cut_ms = s->now;
+	m->cut_until = s->now + g_rand_int_range(s->rand, SIM_CUT_LEAST_MS,
+						 SIM_CUT_MOST_MS);
+}
+
+/* Workers that are cut off end their runs, are given up, and come back. */
+void sim_cuts_go_on(struct sim *s)
+{
+	guint i;
+
+	for (i = 0; i < s->machines->len; i++) {
+		struct sim_vm *m = g_ptr_array_index(s->machines, i);
+		int64_t from = MAX(m->cut_ms, s->led_ms);
+
+		if (!m->cut_ms)
+			continue;
+		if (s->now - m->cut_ms == SIM_LEASE_MS)
+			sim_runs_gone(s, m->vm.worker);
+		if (s->now - from > SIM_LAPSE_MS && !m->given_up) {
+			m->given_up = true;
+			sim_propose(s, SIM_CMD_LAPSE, &(struct jtb_name){0}, 0,
+				    JTB_LOST, m->vm.worker, SIM_LOG_MS);
+		}
+		if (s->now < m->cut_until)
+			continue;
+		/* its list shows at once what it lost */
+		if (!m->given_up && s->now - m->cut_ms >= SIM_LEASE_MS)
+			sim_propose(s, SIM_CMD_LAPSE, &(struct jtb_name){0}, 0,
+				    JTB_LOST, m->vm.worker, SIM_LOG_MS);
+		m->cut_ms = 0;
+		m->given_up = false;
+	}
+}
+
+/* Whether a worker is cut off. */
+bool sim_is_cut(const struct sim *s, const char *worker)
+{
+	guint i;
+
+	for (i = 0; i < s->machines->len; i++) {
+		const struct sim_vm *m = g_ptr_array_index(s->machines, i);
+
+		if (m->cut_ms && strcmp(m->vm.worker, worker) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* A worker crashes with all it runs. */
 void sim_crash(struct sim *s)
 {
@@ -52,8 +149,10 @@
 	for (i = 0; i < s->runs->len; i++) {
 		struct sim_run *r = g_ptr_array_index(s->runs, i);
 
-		if (strcmp(r->name.id, job->spec.id) == 0)
-			r->stop_ms = s->now + SIM_STOP_MS;
+		if (strcmp(r->name.id, job->spec.id) != 0)
+			continue;
+		r->stop_ms = s->now + SIM_STOP_MS;
+		r->stop_how = JTB_STOPPED;
 	}
 }
 
--- a/tests/unit/sim_test.c
+++ b/tests/unit/sim_test.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 #include <cmocka.h>
 
 #include "sim.h"
@@ -44,6 +45,34 @@
 	assert_true(r.broken[SIM_TWICE] > 0);
 }
 
+/*
+ * Work stands still for good. A leader is lost with starts on their way to the
+ * log, and the next one takes them for proposed yet: what gives them up with
+ * leadership is taken out.
+ */
+static void the_checker_sees_a_start_that_stays_proposed(void **state)
+{
+	struct sim_config c = day(1);
+	struct sim_result r;
+
+	c.keep_proposed = true;
+	r = sim_play(&c);
+	assert_true(r.broken[SIM_IDLE] > 0);
+	assert_non_null(strstr(r.first, "start-not-stored"));
+}
+
+/* And where nothing stands in its way and it isn't started. */
+static void the_checker_sees_a_plan_that_isnt_made(void **state)
+{
+	struct sim_config c = day(1);
+	struct sim_result r;
+
+	c.no_plans_ms = DAY_MS / 2;
+	r = sim_play(&c);
+	assert_true(r.broken[SIM_IDLE] > 0);
+	assert_non_null(strstr(r.first, ": none"));
+}
+
 static void a_day_is_the_same_each_time(void **state)
 {
 	struct sim_config c = day(7);
@@ -80,6 +109,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(no_rule_is_broken_on_troubled_days),
 		cmocka_unit_test(the_checker_sees_a_doubled_task),
+		cmocka_unit_test(the_checker_sees_a_start_that_stays_proposed),
+		cmocka_unit_test(the_checker_sees_a_plan_that_isnt_made),
 		cmocka_unit_test(a_day_is_the_same_each_time),
 		cmocka_unit_test(vms_that_follow_the_load_serve_more),
 	};
