When we last knew that we lead counts from what a quorum answered

An answer that comes late made it worse; so did a voter that forgot its patience in a restart, or dated a message that lay in its socket before it stood still. A leader that hands over lost its place at once and went on.

Change: sure is when the newest heartbeat that a quorum has answered was sent. Voters count their patience from when they took a message in, and vote for nobody for one patience after a restart. A leader that hands over orders no VM until its word can't be on its way any more; an heir that stood still takes no notice of it. A new leader orders no VM in its first 100 ms. Leases of work count from the same moment.

The wait: none beside these 100 ms, since the election's patience is the wait; before, a leader ordered as soon as it had a list.

--- a/src/cns_core.c
+++ b/src/cns_core.c
@@ -74,7 +74,10 @@
 	c->role = cht_start(c->chart);
 	c->rand = g_rand_new_with_seed(config->seed);
 	c->now = config->now_ms;
+	c->at = c->now;
 	c->heard_ms = c->now - config->election_ms;
+	c->sure_ms = c->heard_ms;
+	c->slept_ms = c->heard_ms;
 	c->log = cns_entries_new();
 	c->changes = g_array_new(FALSE, TRUE, sizeof(struct cns_change));
 	c->reads = g_array_new(FALSE, TRUE, sizeof(struct cns_read_wait));
@@ -82,7 +85,13 @@
 	c->early = cns_msgs_new();
 	c->late = cns_msgs_new();
 	c->chunks = g_byte_array_new();
+	c->beats = g_array_new(FALSE, TRUE, sizeof(struct cns_beat_sent));
 	cns_load(c, stored);
+	/*
+	 * What we heard before we began is forgotten: a leader may still count
+	 * on the patience that we owe it. A fresh folder owes none.
+	 */
+	c->quiet_until = c->term ? c->now + config->election_ms : c->now;
 	cns_rearm(c);
 	cns_members_changed(c);
 	return c;
@@ -100,6 +109,7 @@
 	g_array_free(c->log, TRUE);
 	g_array_free(c->changes, TRUE);
 	g_array_free(c->reads, TRUE);
+	g_array_free(c->beats, TRUE);
 	g_array_free(c->reads_done, TRUE);
 	g_ptr_array_free(c->early, TRUE);
 	g_ptr_array_free(c->late, TRUE);
@@ -143,6 +153,15 @@
 	cns_steps[m->kind](c, m);
 }
 
+/*
+ * The time at which the messages of this turn are taken in; between two ticks
+ * it is ahead of theirs. A leader counts on our patience from when we heard it.
+ */
+void cns_clock(struct cns *c, int64_t now_ms)
+{
+	c->at = MAX(c->at, now_ms);
+}
+
 /*
  * Moves the clock, which never goes back. A step longer than half of the
  * patience means that we stood still (SIGSTOP, a paused VM): then the leader
@@ -161,8 +180,10 @@
 			cns_beat(c);
 		return;
 	}
-	if (slept)
+	if (slept) {
+		c->slept_ms = now_ms;
 		cns_rearm(c);
+	}
 	if (now_ms >= c->deadline)
 		cns_event(c, CNS_EV_TIMEOUT);
 }
@@ -272,12 +293,20 @@
 }
 
 /*
- * Time of the last tick, ms: a leader has looked then whether it has heard a
- * quorum within the patience, and stepped down if not.
+ * When we sent the newest heartbeat that a quorum has answered, ms. From then
+ * on for one patience none of these votes for another, so that until then plus
+ * a patience nobody else leads, unless we hand over. It counts from sending:
+ * an answer may come late, and its sender's patience began when it was sent.
  */
-int64_t cns_now(const struct cns *c)
+int64_t cns_sure(const struct cns *c)
+{
+	return c->sure_ms;
+}
+
+/* Whether another may begin to lead at any moment because we asked it to. */
+bool cns_hands_over(const struct cns *c)
 {
-	return c->now;
+	return c->hands_over_until && c->now < c->hands_over_until;
 }
 
 /* The term this member is in. */
--- a/src/cns_election.c
+++ b/src/cns_election.c
@@ -16,6 +16,8 @@
 {
 	if (c->role == CNS_LEADER)
 		return true;
+	if (c->now < c->quiet_until)
+		return true;
 	return c->leader && c->now - c->heard_ms < c->config.election_ms;
 }
 
@@ -116,7 +118,15 @@
 /* The leader asks us to stand for election at once. */
 void cns_on_hand_over(struct cns *c, const struct cns_msg *m)
 {
-	cns_event(c, CNS_EV_HAND_OVER);
+	bool old = c->at - c->now > c->config.election_ms / 2 ||
+		   c->now - c->slept_ms < c->config.election_ms;
+
+	/*
+	 * Who stood still can't tell how long ago it was asked, and the leader
+	 * has perhaps gone on since.
+	 */
+	if (!old)
+		cns_event(c, CNS_EV_HAND_OVER);
 }
 
 /*
@@ -160,6 +170,8 @@
 		return CNS_NO_SUCH_MEMBER;
 	c->hand_over_to = best->id;
 	c->hand_over_end = c->now + c->config.election_ms;
+	/* It is asked until then, and a word may be on its way for as long. */
+	c->hands_over_until = c->hand_over_end + 2 * c->config.election_ms;
 	cns_hand_over_go(c);
 	return CNS_DONE;
 }
--- a/src/cns_int.h
+++ b/src/cns_int.h
@@ -64,13 +64,17 @@
 	bool vote_changed;
 	uint64_t leader;
 	int64_t now;
+	int64_t at; /* when the message taken in now came */
 	int64_t heard_ms; /* when the leader was heard last */
+	int64_t quiet_until; /* no votes: we may have heard one before */
+	int64_t slept_ms; /* when we last stood still */
 	int64_t deadline; /* of an election timeout */
 	int64_t beat_due;
 	int64_t check_due;
 	bool hand_over_asked;
 	int64_t hand_over_end; /* 0: no hand-over is on */
 	uint64_t hand_over_to;
+	int64_t hands_over_until; /* an heir may begin to lead until */
 
 	GArray *log; /* struct cns_entry after trim_index */
 	uint64_t trim_index;
@@ -90,12 +94,19 @@
 	int n_peers; /* all members but us */
 
 	uint64_t round;
+	GArray *beats; /* struct cns_beat_sent, not answered by a quorum */
+	int64_t sure_ms; /* when the newest one that was, was sent */
 	GArray *reads; /* struct cns_read_wait */
 	GArray *reads_done; /* struct cns_read */
 	GPtrArray *early;
 	GPtrArray *late;
 };
 
+struct cns_beat_sent {
+	uint64_t round;
+	int64_t ms;
+};
+
 struct cns_read_wait {
 	uint64_t tag;
 	uint64_t index; /* 0: no entry of this term is committed yet */
@@ -140,6 +151,7 @@
 void cns_answer_append(struct cns *c, const struct cns_msg *m, bool ok,
 		       uint64_t index);
 void cns_reads_check(struct cns *c);
+void cns_sure_check(struct cns *c);
 void cns_reads_fail(struct cns *c);
 /* cns_snapshot */
 void cns_feed_snap(struct cns *c, struct cns_peer *p);
--- a/src/cns_replicate.c
+++ b/src/cns_replicate.c
@@ -70,6 +70,9 @@
 
 	c->leader = c->config.id;
 	c->hand_over_end = 0;
+	c->hands_over_until = 0;
+	c->sure_ms = c->now - c->config.election_ms;
+	g_array_set_size(c->beats, 0);
 	c->open_bytes = 0;
 	for (i = 0; i < c->n_peers; i++) {
 		struct cns_peer *p = &c->peers[i];
@@ -89,11 +92,14 @@
 /* A heartbeat to every member; sends again what got no answer. */
 void cns_beat(struct cns *c)
 {
+	struct cns_beat_sent sent;
 	struct cns_msg *m;
 	int i;
 
 	c->beat_due = c->now + c->config.beat_ms;
 	c->round++;
+	sent = (struct cns_beat_sent){.round = c->round, .ms = c->now};
+	g_array_append_val(c->beats, sent);
 	for (i = 0; i < c->n_peers; i++) {
 		struct cns_peer *p = &c->peers[i];
 		bool held = p->match >= c->trim_index;
@@ -108,6 +114,7 @@
 		cns_feed(c, p);
 	}
 	cns_hand_over_go(c);
+	cns_sure_check(c);
 }
 
 /* Sends a member what it lacks, as far as its window allows. */
@@ -197,6 +204,7 @@
 		p->next = MAX(p->match, m->index) + 1;
 		p->n_window = 0;
 	}
+	cns_sure_check(c);
 	cns_reads_check(c);
 	cns_feed(c, p);
 }
@@ -205,8 +213,9 @@
 void cns_heard(struct cns *c, const struct cns_msg *m)
 {
 	c->leader = m->from;
-	c->heard_ms = c->now;
+	c->heard_ms = MAX(c->now, c->at);
 	cns_rearm(c);
+	c->deadline += c->heard_ms - c->now;
 }
 
 /* Answers an append or a whole snapshot, after what it promises is synced. */
@@ -222,6 +231,20 @@
 	cns_send(c, a, false);
 }
 
+/* Notes the newest heartbeat that a quorum has answered. */
+void cns_sure_check(struct cns *c)
+{
+	uint64_t round = cns_quorum_of(c, cns_peer_round, c->round);
+	guint n = 0;
+
+	while (n < c->beats->len &&
+	       g_array_index(c->beats, struct cns_beat_sent, n).round <= round)
+		c->sure_ms =
+			g_array_index(c->beats, struct cns_beat_sent, n++).ms;
+	if (n)
+		g_array_remove_range(c->beats, 0, n);
+}
+
 /* Gives out the reads that a quorum has confirmed. */
 void cns_reads_check(struct cns *c)
 {
--- a/src/cns_snapshot.c
+++ b/src/cns_snapshot.c
@@ -121,6 +121,7 @@
 		return;
 	p->heard_ms = c->now;
 	p->round = MAX(p->round, m->round);
+	cns_sure_check(c);
 	cns_reads_check(c);
 	if (p->feed != CNS_CHUNKS || !p->snap || p->snap->index != m->index ||
 	    m->offset >= g_bytes_get_size(p->snap->data))
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -8,7 +8,14 @@
 #define HUB_LIST_MS 700
 /* Between two lines on each pool. */
 #define HUB_TELL_MS 1000
+/*
+ * A new leader orders nothing for so long, ms: what the last one wrote before
+ * it broke off (see VMS_BREAK_MS), or before it handed over, is in the network
+ * for less. Its first list takes most of that anyway.
+ */
+#define HUB_PASS_MS 100
 
+static int64_t hub_vm_sure(void *arg);
 static void hub_vm_listed(void *arg);
 static void hub_vm_answered(void *arg, enum vms_kind kind, const char *vm,
 			    enum vms_answer answer);
@@ -28,7 +35,7 @@
 static const struct vms_ops hub_vms_ops = {
 	.listed = hub_vm_listed,
 	.answered = hub_vm_answered,
-	.sure = hub_sure,
+	.sure = hub_vm_sure,
 };
 
 static const struct upk_ops hub_upk_ops = {
@@ -90,9 +97,13 @@
 	/*
 	 * Two leaders must not give a VM orders by turns: one that leads again
 	 * soon after it lost its place lets the other's orders pass first. For
-	 * the next leader the higher fence is enough.
+	 * the next leader the higher fence is enough, once the last leader's
+	 * orders can't arrive any more.
 	 */
-	h->vm_from = h->rested_ms ? h->rested_ms + h->config.vm_lease_ms : 0;
+	h->vm_from = tmr_now(h->tmr) + HUB_PASS_MS;
+	if (h->rested_ms)
+		h->vm_from =
+			MAX(h->vm_from, h->rested_ms + h->config.vm_lease_ms);
 	if (h->config.vms)
 		vms_refresh(h->vms);
 }
@@ -149,6 +160,14 @@
 	flo_tick(h->flo, now, wall);
 }
 
+/* When we last knew that we lead; one that hands over knows no more. */
+static int64_t hub_vm_sure(void *arg)
+{
+	struct hub *h = arg;
+
+	return rep_hands_over(h->rep) ? 0 : hub_sure(h);
+}
+
 /* The list of VMs is whole. */
 static void hub_vm_listed(void *arg)
 {
--- a/src/rep.c
+++ b/src/rep.c
@@ -160,12 +160,18 @@
 }
 
 /*
- * When we last knew whether we lead, on the timer service's clock: within the
- * patience before it a quorum was heard, and chose no other.
+ * When we last knew that we lead, on the timer service's clock: for one
+ * patience after it nobody else does, unless we hand over.
  */
 int64_t rep_sure_ms(const struct rep *r)
 {
-	return cns_now(r->cns);
+	return cns_sure(r->cns);
+}
+
+/* Whether another may begin to lead since we asked it to. */
+bool rep_hands_over(const struct rep *r)
+{
+	return cns_hands_over(r->cns);
 }
 
 /* The term we are in; of all leaders only one ever has it. */
--- a/src/rep.h
+++ b/src/rep.h
@@ -61,6 +61,7 @@
 bool rep_leading(const struct rep *r);
 bool rep_failed(const struct rep *r);
 int64_t rep_sure_ms(const struct rep *r);
+bool rep_hands_over(const struct rep *r);
 uint64_t rep_term(const struct rep *r);
 char *rep_leader_addr(const struct rep *r);
 const struct cns_members *rep_members(const struct rep *r);
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -145,6 +145,7 @@
 		m = cns_msg_unpack(payload);
 		if (!m)
 			break;
+		cns_clock(r->cns, tmr_now(r->config.tmr));
 		cns_step(r->cns, m);
 		cns_msg_free(m);
 		rep_kick(r);
--- a/tests/prop/cns_prop.cc
+++ b/tests/prop/cns_prop.cc
@@ -44,8 +44,11 @@
 		if (n.c && !n.frozen)
 			s.compact(n);
 	} else if (dice < 985) {
-		if (n.c && !n.frozen && cns_hand_over(n.c) == CNS_DONE)
+		if (n.c && !n.frozen && cns_hand_over(n.c) == CNS_DONE) {
+			n.handed_over = cns_term(n.c);
+			RC_ASSERT(cns_hands_over(n.c));
 			s.pump(n);
+		}
 	} else if (dice < 988) {
 		/* One disk at a time: two of three are beyond any promise. */
 		if (s.repaired())
@@ -93,6 +96,127 @@
 		RC_TAG(s.reads_done > 0 ? "read" : "no read");
 	});
 
+	/*
+	 * A VM gets orders from two leaders. One of them was cut off, stood
+	 * still or heard late answers, and orders as long as it is sure that
+	 * it leads; a voter whose patience it counts on has elected another
+	 * meanwhile. The network's every leader looks out for it (Sim::watch);
+	 * here voters stand still, restart and hear late more than elsewhere.
+	 */
+	ok &= rc::check("while a leader is sure nobody else leads", [] {
+		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
+		auto n = *rc::gen::element(3, 3, 5);
+		Sim s(seed, n);
+
+		s.run(3000);
+		for (int i = 0; i < 400; i++) {
+			Node &x = *s.nodes[s.upto(n)];
+			int a = s.upto(n);
+			int b = s.upto(n);
+
+			switch (s.upto(6)) {
+			case 0:
+				x.frozen = x.c && !x.frozen;
+				break;
+			case 1:
+				if (x.c && s.chance(0.5))
+					s.crash(x);
+				break;
+			case 2:
+				if (!x.c)
+					s.start(x);
+				break;
+			case 3:
+				s.cuts.insert({a, b});
+				break;
+			case 4:
+				s.cuts.clear();
+				break;
+			default:
+				break;
+			}
+			for (uint32_t k = s.upto(20); k > 0; k--) {
+				s.tick(10 + s.upto(30));
+				if (s.chance(0.7))
+					s.deliver_all();
+			}
+		}
+		RC_ASSERT(s.sure_leads > 0);
+	});
+
+	/*
+	 * The same, aimed. A voter has just answered the leader, which is then
+	 * cut off; another voter that heard nothing for long asks it for its
+	 * vote. It would give it too early if it had forgotten the leader in a
+	 * restart, or had read the leader's word after it stood still and put
+	 * it down to the time before.
+	 */
+	ok &= rc::check("a voter owes its patience whatever befell it", [] {
+		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
+		auto restarts = *rc::gen::arbitrary<bool>();
+		auto still_ms = *rc::gen::inRange(300, 450);
+		Sim s(seed);
+
+		s.run(3000);
+		Node *l = s.leader();
+		RC_ASSERT((l != nullptr));
+		Node &voter = *s.nodes[(l->place + 1) % 3];
+		int other = (l->place + 2) % 3;
+		auto cut = [&](int a, int b) {
+			s.cuts.insert({a, b});
+			s.cuts.insert({b, a});
+		};
+
+		cut(other, l->place);
+		cut(other, voter.place);
+		s.run(2000);
+		RC_ASSERT(cns_role(l->c) == CNS_LEADER);
+		voter.frozen = !restarts;
+		s.run(restarts ? 0 : still_ms);
+		voter.frozen = false;
+		s.deliver_all();
+		s.deliver_all();
+		RC_ASSERT(cns_role(l->c) == CNS_LEADER);
+		s.cuts.clear();
+		cut(l->place, other);
+		cut(l->place, voter.place);
+		if (restarts) {
+			s.crash(voter);
+			s.start(voter);
+		}
+		s.run(5000);
+		RC_ASSERT((s.leader() != nullptr && s.leader() != l));
+	});
+
+	/*
+	 * The same by a hand-over. The leader asks an heir to take its place,
+	 * which stands still; the leader goes on, orders again, and then the
+	 * heir wakes and finds the old word. It must let it be.
+	 */
+	ok &= rc::check("an heir that stood still doesn't take over", [] {
+		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
+		Sim s(seed);
+		Node *heir = nullptr;
+
+		s.run(3000);
+		Node *l = s.leader();
+		RC_ASSERT((l != nullptr));
+		RC_ASSERT(cns_hand_over(l->c) == CNS_DONE);
+		RC_ASSERT(cns_hands_over(l->c));
+		s.pump(*l);
+		for (auto m : s.net)
+			if (m->kind == CNS_HAND_OVER)
+				heir = s.at(m->to);
+		RC_ASSERT((heir != nullptr));
+		heir->frozen = true;
+		s.run(2000);
+		RC_ASSERT((s.leader() == l && !cns_hands_over(l->c)));
+		heir->frozen = false;
+		s.deliver_all();
+		s.run(100);
+		RC_ASSERT((s.leader() == l));
+	});
+
 	/*
 	 * Operators see a leader that goes on. A voter sits behind a cut for
 	 * long and its timeouts pass over and over; then the cut heals. Had
--- a/tests/prop/cns_sim.h
+++ b/tests/prop/cns_sim.h
@@ -66,6 +66,7 @@
 	Disk disk;
 	cns *c = nullptr;
 	bool frozen = false;
+	uint64_t handed_over = 0; /* the term in which it asked an heir */
 	std::vector<std::string> state; /* commands applied */
 	uint64_t applied = 0;
 	std::map<uint64_t, std::pair<uint64_t, std::string>> open;
@@ -93,6 +94,8 @@
 	int64_t now = 1000;
 	double crash_in_write = 0;
 	int reads_done = 0;
+	int sure_leads = 0;
+	static constexpr int64_t patience = 500;
 
 	explicit Sim(uint32_t seed, int n = 3) : rng(seed)
 	{
@@ -150,7 +153,7 @@
 	}
 	void start(Node &n)
 	{
-		cns_config config = {n.id, (uint32_t)rng(), now, 100, 500};
+		cns_config config = {n.id, (uint32_t)rng(), now, 100, patience};
 		cns_stored stored = {n.disk.term, n.disk.vote, n.disk.snap,
 				     n.disk.entries};
 
@@ -296,6 +299,17 @@
 			return;
 		auto it = leaders.emplace(cns_term(n.c), n.id).first;
 		must(it->second == n.id, "two leaders in one term");
+		for (auto &o : nodes)
+			if (o->c && cns_role(o->c) == CNS_LEADER &&
+			    cns_term(o->c) < cns_term(n.c) && !gave_up(*o))
+				must(now >= cns_sure(o->c) + patience,
+				     "another leads while one is sure");
+		sure_leads += now < cns_sure(n.c) + patience;
+	}
+	/* Its word to the heir may travel for ever on this network. */
+	bool gave_up(const Node &n)
+	{
+		return n.handed_over == cns_term(n.c);
 	}
 
 	Node *at(uint64_t id)
@@ -324,6 +338,7 @@
 			net.pop_back();
 		}
 		if (n && n->c && !cut(m->from, m->to)) {
+			cns_clock(n->c, now);
 			cns_step(n->c, m);
 			pump(*n);
 		}
