The emulator can show an order of an earlier leader that comes late

What callers would see: a VM moved by a leader that was replaced (ONE).

Change: orders about VMs in the emulator carry the leader's term; a leader that is lost was cut off for 450 ms before, in which its orders are held up. They are dropped with it, as the product breaks them off; with orders_come_late they arrive 5 s after they were given. The checker knows the rule one: a lower term after a higher one for the same VM.

--- a/src/sim.c
+++ b/src/sim.c
@@ -43,6 +43,7 @@
 	[SIM_BUDGET] = "budget",   [SIM_MIXED] = "mixed",
 	[SIM_UNASKED] = "unasked", [SIM_AVAIL] = "avail",
 	[SIM_IDLE] = "idle",	   [SIM_LOST] = "lost",
+	[SIM_ONE] = "one",
 };
 
 /* A day like those of the users' sites, with some of every trouble. */
@@ -76,6 +77,10 @@
 
 	sim_open(&s);
 	while (s.now < config->length_ms) {
+		s.cut = failovers > 0 &&
+			(s.now + SIM_CUT_MS - SIM_STEP_MS * 5) % trouble <
+				SIM_CUT_MS;
+		sim_held_come(&s);
 		sim_progress(&s);
 		if (s.now % 100 == 0)
 			sim_demand(&s);
@@ -138,6 +143,8 @@
 	s->flo = flo_new(s->jtb, s->vms, &sim_flo_ops, s);
 	s->machines = g_ptr_array_new();
 	s->runs = g_ptr_array_new_with_free_func(sim_run_free);
+	s->held = g_ptr_array_new_with_free_func(sim_order_free);
+	s->fence = 1;
 	s->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->idle =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -172,6 +179,7 @@
 	}
 	g_ptr_array_free(s->machines, TRUE);
 	g_ptr_array_free(s->runs, TRUE);
+	g_ptr_array_free(s->held, TRUE);
 	g_hash_table_destroy(s->done);
 	g_hash_table_destroy(s->idle);
 	flo_free(s->flo);
@@ -352,21 +360,13 @@
 	}
 }
 
-/* Upkeep orders something of a VM: the world does it after a while. */
+/* Upkeep orders something of a VM. */
 static void sim_order_upkeep(void *arg, struct jtb_wave *w,
 			     struct jtb_wave_vm *vm)
 {
 	struct sim *s = arg;
-	struct sim_vm *m = sim_vm_named(s, vm->vm);
-	bool up = m->vm.state == VMS_UP;
-
-	if (up) {
-		s->result.upkeeps++;
-		sim_worker_down(s, m);
-		m->vm.state = VMS_UPKEEP;
-		m->busy_until = s->now + SIM_UPKEEP_MS;
-	}
-	upk_answered(s->upk, vm->vm, up ? VMS_YES : VMS_BUSY, s->now);
+
+	upk_answered(s->upk, vm->vm, sim_vm_order(s, vm->vm, NULL), s->now);
 }
 
 /* What upkeep did with a VM is stored. */
@@ -407,17 +407,8 @@
 static void sim_move(void *arg, const char *vm, const char *pool)
 {
 	struct sim *s = arg;
-	struct sim_vm *m = sim_vm_named(s, vm);
-	bool up = m->vm.state == VMS_UP;
-
-	if (up) {
-		s->result.moves++;
-		sim_worker_down(s, m);
-		m->vm.state = VMS_MOVING;
-		m->busy_until = s->now + SIM_MOVE_MS;
-		m->next_pool = g_strdup(pool);
-	}
-	flo_answered(s->flo, vm, up ? VMS_YES : VMS_BUSY, s->now);
+
+	flo_answered(s->flo, vm, sim_vm_order(s, vm, pool), s->now);
 }
 
 /* Whether a run may be stopped to empty its worker. */
--- a/src/sim.h
+++ b/src/sim.h
@@ -27,6 +27,7 @@
 	SIM_AVAIL, /* more of a lasting step taken away than may be */
 	SIM_IDLE, /* lasting work without a run for too long, with room */
 	SIM_LOST, /* a job that was accepted is gone from the table */
+	SIM_ONE, /* an order of an earlier leader after a later one's */
 	SIM_RULES
 };
 
@@ -47,6 +48,11 @@
 	double cancel; /* share of jobs that are cancelled */
 	bool wave; /* half of the VMs have their upkeep */
 	bool break_rule; /* the checker is shown a fault; for its own test */
+	/*
+	 * a lost leader's last orders arrive when its cut heals, as if it had
+	 * not broken them off; for the checker's own test
+	 */
+	bool orders_come_late;
 };
 
 struct sim_result {
--- a/src/sim_int.h
+++ b/src/sim_int.h
@@ -21,6 +21,10 @@
 #define SIM_CRASH_MS 4000
 /* Work that lasts is at work after that, ms. */
 #define SIM_LASTING_MS 700
+/* A leader that is lost was cut off before for that long, ms, */
+#define SIM_CUT_MS 450
+/* and the cut heals so long after its loss. */
+#define SIM_HEALS_MS 5000
 /* A stop takes that long, ms. */
 #define SIM_STOP_MS 300
 /* Work that lasts may be without a run for that long while there is room. */
@@ -50,6 +54,15 @@
 	struct vms_vm vm;
 	int64_t busy_until; /* moving, in upkeep or down until */
 	char *next_pool; /* when it comes back */
+	uint64_t fence; /* the highest that an order for it had */
+};
+
+/* An order about a VM as the service that switches them gets it. */
+struct sim_vm_order {
+	char *vm;
+	char *pool; /* move; NULL: upkeep */
+	uint64_t fence;
+	int64_t comes_ms; /* held up until */
 };
 
 struct sim {
@@ -64,9 +77,12 @@
 	struct upk *upk;
 	GPtrArray *machines; /* struct sim_vm */
 	GPtrArray *runs; /* struct sim_run */
+	GPtrArray *held; /* struct sim_vm_order behind a cut */
 	GHashTable *done; /* names of tasks that ended as done */
 	GHashTable *idle; /* lasting task: since when it has no run, int64_t */
 	int64_t now;
+	uint64_t fence; /* the leader's */
+	bool cut; /* the leader reaches nobody, and will be lost */
 	uint64_t next_id;
 	uint64_t accepted;
 	double owed;
@@ -82,6 +98,9 @@
 void sim_submit(struct sim *s, int pool, bool lasts);
 void sim_progress(struct sim *s);
 void sim_run_free(gpointer p);
+enum vms_answer sim_vm_order(struct sim *s, const char *vm, const char *pool);
+void sim_held_come(struct sim *s);
+void sim_order_free(gpointer p);
 void sim_failover(struct sim *s);
 void sim_crash(struct sim *s);
 void sim_cancel(struct sim *s);
--- a/src/sim_trouble.c
+++ b/src/sim_trouble.c
@@ -8,6 +8,11 @@
 	struct pk_out o;
 	bool ok;
 
+	s->fence++;
+	s->cut = false;
+	/* a leader breaks off in time what got no answer (VMS_BREAK_MS) */
+	if (!s->config.orders_come_late)
+		g_ptr_array_set_size(s->held, 0);
 	pk_out_init(&o);
 	jtb_snapshot(s->jtb, &o);
 	ok = jtb_restore(s->jtb, pk_out_view(&o));
--- a/src/sim_world.c
+++ b/src/sim_world.c
@@ -4,6 +4,7 @@
 
 static void sim_worker_up(struct sim *s, struct sim_vm *m);
 static void sim_run_end(struct sim *s, guint i, enum jtb_end how);
+static enum vms_answer sim_take(struct sim *s, const struct sim_vm_order *o);
 
 /* Adds a VM to the world. */
 void sim_add_vm(struct sim *s, const char *pool)
@@ -226,3 +227,65 @@
 	}
 	g_assert_not_reached();
 }
+
+/* The service that switches VMs gets an order, and does it after a while. */
+static enum vms_answer sim_take(struct sim *s, const struct sim_vm_order *o)
+{
+	struct sim_vm *m = sim_vm_named(s, o->vm);
+
+	if (o->fence < m->fence)
+		sim_broken(s, SIM_ONE, o->vm);
+	m->fence = MAX(m->fence, o->fence);
+	if (m->vm.state != VMS_UP)
+		return VMS_BUSY;
+	s->result.moves += o->pool != NULL;
+	s->result.upkeeps += o->pool == NULL;
+	sim_worker_down(s, m);
+	m->vm.state = o->pool ? VMS_MOVING : VMS_UPKEEP;
+	m->busy_until = s->now + (o->pool ? SIM_MOVE_MS : SIM_UPKEEP_MS);
+	if (o->pool)
+		m->next_pool = g_strdup(o->pool);
+	return VMS_YES;
+}
+
+/* The leader orders a VM to a pool, or its upkeep (NULL). */
+enum vms_answer sim_vm_order(struct sim *s, const char *vm, const char *pool)
+{
+	struct sim_vm_order *o = g_new0(struct sim_vm_order, 1);
+	enum vms_answer answer = VMS_UNANSWERED;
+
+	o->vm = g_strdup(vm);
+	o->pool = g_strdup(pool);
+	o->fence = s->fence;
+	o->comes_ms = s->now + SIM_HEALS_MS;
+	if (s->cut) {
+		g_ptr_array_add(s->held, o);
+		return answer;
+	}
+	answer = sim_take(s, o);
+	sim_order_free(o);
+	return answer;
+}
+
+/* Orders whose cut has healed arrive. */
+void sim_held_come(struct sim *s)
+{
+	while (s->held->len) {
+		struct sim_vm_order *o = g_ptr_array_index(s->held, 0);
+
+		if (s->now < o->comes_ms)
+			return;
+		sim_take(s, o);
+		g_ptr_array_remove_index(s->held, 0);
+	}
+}
+
+/* Frees an order. */
+void sim_order_free(gpointer p)
+{
+	struct sim_vm_order *o = p;
+
+	g_free(o->vm);
+	g_free(o->pool);
+	g_free(o);
+}
--- a/tests/unit/sim_test.c
+++ b/tests/unit/sim_test.c
@@ -44,6 +44,22 @@
 	assert_true(r.broken[SIM_TWICE] > 0);
 }
 
+/*
+ * A VM is moved by a leader that was replaced. A cut holds its last orders up,
+ * another leader orders about the same VMs, and the cut heals. The checker
+ * must see it where the leader doesn't break its orders off.
+ */
+static void the_checker_sees_an_order_of_an_earlier_leader(void **state)
+{
+	struct sim_config c = day(1);
+	struct sim_result r = sim_play(&c);
+
+	assert_true(r.broken[SIM_ONE] == 0);
+	c.orders_come_late = true;
+	r = sim_play(&c);
+	assert_true(r.broken[SIM_ONE] > 0);
+}
+
 static void a_day_is_the_same_each_time(void **state)
 {
 	struct sim_config c = day(7);
@@ -80,6 +96,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(no_rule_is_broken_on_troubled_days),
 		cmocka_unit_test(the_checker_sees_a_doubled_task),
+		cmocka_unit_test(
+			the_checker_sees_an_order_of_an_earlier_leader),
 		cmocka_unit_test(a_day_is_the_same_each_time),
 		cmocka_unit_test(vms_that_follow_the_load_serve_more),
 	};
