--- a/src/sim.h
+++ b/src/sim.h
@@ -27,6 +27,7 @@
 	SIM_AVAIL, /* more of a lasting step taken away than may be */
 	SIM_IDLE, /* what is owed without a run for too long, with room */
 	SIM_LOST, /* a job that was accepted is gone from the table */
+	SIM_ONE, /* an order of an earlier leader after a later one's */
 	SIM_RULES
 };
 
@@ -54,6 +55,11 @@
 	bool break_rule; /* a task is started twice */
 	bool keep_proposed; /* starts lost with a leader stay proposed */
 	int64_t no_plans_ms; /* nothing is planned any more from then on; 0 */
+	/*
+	 * a lost leader's last orders arrive when its cut heals, as if it had
+	 * not broken them off
+	 */
+	bool orders_come_late;
 };
 
 struct sim_result {
--- a/src/sim_trouble.c
+++ b/src/sim_trouble.c
@@ -27,6 +27,11 @@
 	guint i;
 	bool ok;
 
+	s->fence++;
+	s->cut = false;
+	/* a leader breaks off in time what got no answer (VMS_BREAK_MS) */
+	if (!s->config.orders_come_late)
+		g_ptr_array_set_size(s->held, 0);
 	if (g_rand_boolean(s->rand))
 		sim_lose_log(s);
 	for (i = 0; i < s->log->len; i++) {
