--- a/src/sch.c
+++ b/src/sch.c
@@ -9,6 +9,8 @@
 #define SCH_AGAIN_MS 50
 /* Jobs that fail to be placed in one plan until it ends: the pool is full. */
 #define SCH_MISSES_MAX 40
+/* Kinds of tasks that no worker could ever take, remembered in a plan. */
+#define SCH_NEVER_MAX 16
 
 /* Which jobs go before which. */
 enum sch_rank {
@@ -33,6 +35,9 @@
 	const char *name;
 	GPtrArray *workers; /* struct jtb_worker that may be given work */
 	GPtrArray *kept; /* of these, kept free for work that lasts */
+	const struct jtb_step *never[SCH_NEVER_MAX]; /* fit no worker at all */
+	uint32_t n_never;
+	bool full; /* something would fit if a worker had more room left */
 	uint32_t started;
 };
 
@@ -51,6 +56,9 @@
 		     uint32_t step);
 static bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s);
 static bool sch_fits(const struct jtb_worker *w, const struct jtb_step *s);
+static bool sch_is_never(const struct sch_pool *p, const struct jtb_step *s);
+static void sch_missed(struct sch_pool *p, const struct jtb_step *s);
+static bool sch_ever(const struct jtb_worker *w, const struct jtb_step *s);
 static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
 			const struct jtb_step *s);
 static bool sch_has_lasting(const struct jtb_worker *w);
@@ -73,9 +81,11 @@
 	sch_workers(&p);
 	cands = sch_cands(&p);
 	g_array_sort(cands, sch_order);
-	for (i = 0; i < cands->len && misses < SCH_MISSES_MAX; i++)
+	for (i = 0; i < cands->len && misses < SCH_MISSES_MAX; i++) {
+		p.full = false;
 		if (!sch_job(&p, &g_array_index(cands, struct sch_cand, i)))
-			misses++;
+			misses += p.full;
+	}
 	g_array_free(cands, TRUE);
 	g_ptr_array_free(p.workers, TRUE);
 	g_ptr_array_free(p.kept, TRUE);
@@ -277,6 +287,8 @@
 	double best_score = 0;
 	guint i;
 
+	if (sch_is_never(p, s))
+		return NULL;
 	for (i = 0; i < p->workers->len; i++) {
 		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
 		double score;
@@ -292,6 +304,8 @@
 			best_score = score;
 		}
 	}
+	if (!best)
+		sch_missed(p, s);
 	return best;
 }
 
@@ -338,6 +352,49 @@
 	return !s->per_worker || w->same_step < s->per_worker;
 }
 
+/*
+ * Whether a step is known to fit no worker. Jobs that can never run are no sign
+ * that the pool is full: forty of them, newer than all others or such that
+ * last, kept a whole pool idle beside work that had room.
+ */
+static bool sch_is_never(const struct sch_pool *p, const struct jtb_step *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_never; i++) {
+		const struct jtb_step *o = p->never[i];
+
+		if (s->cpu >= o->cpu && s->mem_mb >= o->mem_mb &&
+		    s->gpus >= o->gpus && g_strcmp0(s->label, o->label) == 0 &&
+		    (s->flags & JTB_FILLS) == (o->flags & JTB_FILLS))
+			return true;
+	}
+	return false;
+}
+
+/* A step found no worker: for now, or for as long as these are all. */
+static void sch_missed(struct sch_pool *p, const struct jtb_step *s)
+{
+	bool ever = p->n_never == SCH_NEVER_MAX;
+	guint i;
+
+	for (i = 0; i < p->workers->len && !ever; i++)
+		ever = sch_ever(g_ptr_array_index(p->workers, i), s);
+	if (!ever)
+		p->never[p->n_never++] = s;
+	p->full |= ever;
+}
+
+/* Whether a task would fit into a worker that has nothing else. */
+static bool sch_ever(const struct jtb_worker *w, const struct jtb_step *s)
+{
+	uint32_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
+
+	return cpu <= w->info.cpu && s->mem_mb <= w->info.mem_mb &&
+	       s->gpus <= w->info.gpus &&
+	       (!s->label || sch_has_label(w, s->label));
+}
+
 /* Whether a task fits into what a worker has left. */
 static bool sch_fits(const struct jtb_worker *w, const struct jtb_step *s)
 {
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -105,6 +105,33 @@
 	jobs_job(b->jtb, id, &s, 1, b->wall - age_ms);
 }
 
+/*
+ * A pool stands idle beside work that it has room for: forty jobs that no
+ * worker can ever take come before it, and a plan ended after so many that
+ * found no room. The same if the only worker that could take them leaves.
+ */
+static void what_can_never_run_holds_nobody(void **state)
+{
+	static char nobody[] = "nobody-has-it";
+	struct bed *b = *state;
+	struct jtb_step s = {
+		.count = 1, .cpu = 1000, .flags = JTB_LASTS, .label = nobody};
+	char id[16];
+	int i;
+
+	jobs_worker(b->jtb, "w1", 4000, false);
+	jobs_worker(b->jtb, "w2", 64000, true);
+	for (i = 0; i < 100; i++) {
+		g_snprintf(id, sizeof(id), "never%d", i);
+		jobs_job(b->jtb, id, &s, 1, b->wall);
+		g_snprintf(id, sizeof(id), "large%d", i);
+		job(b, id, 1, 32000 + (uint32_t)i, 1000, JTB_LASTS, 0);
+	}
+	job(b, "a", 1, 1000, 1000, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "a.0.0@w1 ");
+}
+
 /*
  * Room goes to a job that is late already, while one beside it could be in
  * time: its guess is twice too high, as are all of its queue, so that it is due
@@ -436,6 +463,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		T(a_job_with_a_guess_too_high_is_late_sooner),
+		T(what_can_never_run_holds_nobody),
 		T(a_closed_worker_gets_nothing),
 		T(work_that_lasts_goes_first),
 		T(a_gang_is_kept_apart),
