--- a/src/upk.c
+++ b/src/upk.c
@@ -13,6 +13,11 @@
 #define UPK_AGAIN_MS 600
 /* A worker kept free for work that lasts goes last for so long, ms. */
 #define UPK_KEPT_MS 1000
+/*
+ * A VM from which nothing could be taken for so long is given back: what lasts
+ * on it must wait for more of its kind, which may have no other place to go, ms.
+ */
+#define UPK_STUCK_MS 3000
 /* Work that isn't done by then is stopped, and done again elsewhere, ms. */
 #define UPK_PATIENCE_MS 2500
 
@@ -29,11 +34,14 @@
 	char *later; /* another that came up before that; or NULL */
 	uint64_t wave;
 	int64_t from_ms;
+	int64_t moved_ms; /* when its runs last grew fewer */
+	guint runs; /* that it had then */
 	int64_t ordered_ms; /* 0: not yet */
 	int64_t agreed_ms; /* when the answer was yes; 0: not yet */
 	bool noted; /* its order is in the table, or on its way there */
 	bool fenced; /* a later leader has taken it over */
 	bool over; /* its end is on its way to the table */
+	bool back; /* it can't be emptied now, and is given back */
 };
 
 struct upk {
@@ -69,6 +77,9 @@
 static void upk_empty(struct upk *u, struct jtb_wave *w, struct upk_job *j,
 		      struct jtb_wave_vm *v, int64_t now);
 static void upk_clear(struct upk *u, struct jtb_worker *w, int64_t waited);
+static bool upk_stuck(struct upk_job *j, const struct jtb_worker *w,
+		      int64_t now);
+static bool upk_bound(const struct upk *u, const struct jtb_worker *w);
 static struct jtb_wave_vm *upk_vm_of(const struct jtb_wave *w, const char *vm);
 
 /* Waves of jtb's table over the VMs of vms; both must outlive it. */
@@ -121,7 +132,7 @@
 	}
 }
 
-/* Lets go of VMs that the table has as done. */
+/* Lets go of VMs that the table has as done, or that can't be emptied. */
 static void upk_drop_done(struct upk *u)
 {
 	guint i;
@@ -131,7 +142,7 @@
 		const struct jtb_wave *w = jtb_wave(u->jtb, j->wave);
 		const struct jtb_wave_vm *v = w ? upk_vm_of(w, j->vm) : NULL;
 
-		if (!v || v->state == JTB_VM_DONE)
+		if (!v || v->state == JTB_VM_DONE || j->back)
 			g_ptr_array_remove_index_fast(u->jobs, i - 1);
 	}
 }
@@ -473,6 +484,7 @@
 
 		if (v->state != JTB_VM_WAITS || !vm || vm->state != VMS_UP ||
 		    upk_job_of(u, v->vm) || u->ops->held(u->arg, v->vm) ||
+		    upk_bound(u, jtb_worker(u->jtb, vm->worker)) ||
 		    (spared && !u->ops->spared(u->arg, v->vm)))
 			continue;
 		cost = upk_cost(u, vm, now);
@@ -527,6 +539,9 @@
 	/* also a start that was on its way when the worker was closed */
 	if (worker && worker->runs->len && !j->agreed_ms) {
 		upk_clear(u, worker, now - j->from_ms);
+		/* given back with the next look at what is kept */
+		j->back = !j->noted && upk_bound(u, worker) &&
+			  upk_stuck(j, worker, now);
 		return;
 	}
 	if (!j->noted) {
@@ -584,6 +599,35 @@
 	}
 }
 
+/* Whether no run has left a worker for a while. */
+static bool upk_stuck(struct upk_job *j, const struct jtb_worker *w,
+		      int64_t now)
+{
+	if (!j->moved_ms || w->runs->len < j->runs) {
+		j->moved_ms = now;
+		j->runs = w->runs->len;
+	}
+	return now - j->moved_ms > UPK_STUCK_MS;
+}
+
+/*
+ * Whether something that lasts runs on a worker and can't be ended now: others
+ * of its step are away. To close its VM would help nobody, and may leave those
+ * others no place to go, so that neither they nor the wave ever go on.
+ */
+static bool upk_bound(const struct upk *u, const struct jtb_worker *w)
+{
+	guint i;
+
+	for (i = 0; w && i < w->runs->len; i++) {
+		const struct jtb_run *run = g_ptr_array_index(w->runs, i);
+
+		if (!run->stop && !upk_may_stop(u, run))
+			return true;
+	}
+	return false;
+}
+
 /* The VM of the list that a wave names, or NULL. */
 static struct jtb_wave_vm *upk_vm_of(const struct jtb_wave *w, const char *vm)
 {
