A VM that fails while it is emptied isn't moved, and flo_prop

Cause: a VM that was being emptied for another pool was taken for empty once its worker was gone. When it had failed by itself and came back with another worker, that one got work, and the order threw it away with the VM.

Ruled out: emptying it anew: it was chosen for what it ran before, and the next look at the pools chooses again.

Change: until a move is agreed to, it is given up when another lifetime than the one that was emptied is listed on its VM, or none any more. A move that was carried out and whose answer got lost ends so, too; the list shows it.

flo_prop brings the properties of plans to the sizes of pools that daemons use, beside VMs that fail, lost orders and answers, changes of leader, VMs held for upkeep, bursts, and work that lasts:

The world lists a VM on its way in the pool that it goes to, as flo_lead counts on.

--- a/src/flo.c
+++ b/src/flo.c
@@ -281,6 +281,14 @@
 		m->over = true;
 		return;
 	}
+	/*
+	 * It failed by itself, or what we didn't hear the answer to is done: the
+	 * lifetime that was emptied is over, and another may have got work.
+	 */
+	if (!m->agreed_ms && strcmp(vm->worker, m->worker) != 0) {
+		m->over = true;
+		return;
+	}
 	if (m->agreed_ms) {
 		if (vm->state == VMS_UP && strcmp(vm->pool, m->to) == 0)
 			m->over = true;
--- /dev/null
+++ b/tests/prop/flo_prop.cc
@@ -0,0 +1,502 @@
+#include <glib.h>
+#include <msgpack.h>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "../unit/jobs_make.h"
+#include "flo_int.h"
+}
+
+namespace
+{
+
+const int64_t STEP_MS = 200;
+const int64_t START_MS = 100000;
+const uint32_t CPU = 16000;
+const char *const OFF = "off";
+/* Steps a calm world is given to come to rest, and to stay so. */
+const int CALM = 400;
+const int REST = 100;
+/* And at most, for all that was handed in. */
+const int WORK = 20000;
+
+/* Over the whole range in every case; by itself inRange begins with the least. */
+int roll(int from, int to)
+{
+	return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(from, to));
+}
+
+/* A VM as it really is. */
+struct Machine {
+	std::string name;
+	std::string pool;
+	std::string worker; /* lifetime on it; "": none */
+	enum vms_state state = VMS_UP;
+	int64_t until = 0; /* not up until */
+	bool held = false; /* for its upkeep */
+};
+
+struct Run {
+	struct jtb_name name;
+	uint32_t attempt;
+	std::string worker;
+	int64_t ends; /* -1: lasts */
+	bool stopped;
+};
+
+struct Rig {
+	struct event_base *base = event_base_new();
+	struct tmr *tmr = tmr_new_manual(START_MS);
+	struct jtb *jtb = jtb_new(NULL, NULL);
+	struct vms *vms;
+	struct flo *flo;
+	struct flo_ops ops = {};
+	int64_t now = START_MS;
+	std::vector<std::string> pools;
+	std::vector<Machine> machines;
+	std::vector<Run> runs;
+	int lost = roll(0, 40); /* percent of orders and of answers */
+	int moves = 0;
+	uint64_t nextId = 1;
+	uint64_t nextEnd = 1;
+
+	Rig()
+	{
+		struct vms_config c = {};
+
+		c.base = base;
+		c.tmr = tmr;
+		ops.order = onOrder;
+		ops.stop = onStop;
+		ops.may_stop = onMayStop;
+		ops.held = onHeld;
+		vms = vms_new(&c, NULL, NULL);
+		flo = flo_new(jtb, vms, &ops, this);
+		for (int i = roll(1, 5); i > 0; i--)
+			pools.push_back("p" + std::to_string(i));
+		pools.push_back(OFF);
+		config();
+		for (auto &p : pools)
+			for (int i = roll(p == OFF ? 0 : 1, 8); i > 0; i--)
+				add(p);
+	}
+	~Rig()
+	{
+		flo_free(flo);
+		vms_free(vms);
+		jtb_free(jtb);
+		tmr_free(tmr);
+		event_base_free(base);
+	}
+
+	/* Each pool has a queue of its name. */
+	void config()
+	{
+		struct jtb_config *c = jtb_config_new();
+		struct pk_out o;
+
+		c->version = 1;
+		c->document = g_bytes_new("doc", 3);
+		for (auto &name : pools) {
+			struct jtb_pool *p = g_new0(struct jtb_pool, 1);
+			struct jtb_queue *q = g_new0(struct jtb_queue, 1);
+
+			p->name = g_strdup(name.c_str());
+			p->standby = name == OFF;
+			jtb_config_add_pool(c, p);
+			q->name = g_strdup(name.c_str());
+			q->host = g_strdup("h");
+			q->prefix = g_strdup(("/" + name + "/").c_str());
+			q->pool = g_strdup(name.c_str());
+			q->attempts = 3;
+			q->stretch = 1.5;
+			q->slack_ms = 500;
+			jtb_config_add_queue(c, q);
+		}
+		pk_out_init(&o);
+		jtb_put_config(&o, c);
+		jobs_apply(jtb, &o);
+		jtb_config_free(c);
+	}
+
+	void add(const std::string &pool)
+	{
+		Machine m;
+
+		m.name = "vm" + std::to_string(machines.size());
+		m.pool = pool;
+		machines.push_back(m);
+		workerUp(machines.back());
+	}
+
+	void workerUp(Machine &m)
+	{
+		struct jtb_worker_info info = {};
+		char *labels[] = {NULL};
+		struct pk_out o;
+
+		m.state = VMS_UP;
+		m.worker = "";
+		if (m.pool == OFF)
+			return;
+		m.worker = "w" + std::to_string(nextId++);
+		info.id = (char *)m.worker.c_str();
+		info.pool = (char *)m.pool.c_str();
+		info.addr = (char *)"127.0.0.1:1";
+		info.zone = (char *)"z";
+		info.labels = labels;
+		info.cpu = CPU;
+		info.mem_mb = 64000;
+		pk_out_init(&o);
+		jtb_put_worker(&o, &info);
+		jobs_apply(jtb, &o);
+	}
+
+	/* The lifetime on a VM is over, with all that it runs. */
+	void down(Machine &m, enum vms_state state, int steps)
+	{
+		for (size_t i = runs.size(); i > 0; i--)
+			if (runs[i - 1].worker == m.worker)
+				runs.erase(runs.begin() + (long)i - 1);
+		if (!m.worker.empty())
+			jobs_gone(jtb, m.worker.c_str(), true);
+		m.worker = "";
+		m.state = state;
+		m.until = now + steps * STEP_MS;
+	}
+
+	Machine &machine(const char *name)
+	{
+		for (auto &m : machines)
+			if (m.name == name)
+				return m;
+		RC_FAIL("no such VM");
+	}
+
+	static void onOrder(void *arg, const char *vm, const char *pool)
+	{
+		static_cast<Rig *>(arg)->order(vm, pool);
+	}
+
+	static void onStop(void *arg, struct jtb_run *run, const char *why)
+	{
+		static_cast<Rig *>(arg)->stop(run);
+	}
+
+	static bool onMayStop(void *arg, const struct jtb_run *run)
+	{
+		return false;
+	}
+
+	static bool onHeld(void *arg, const char *vm)
+	{
+		return static_cast<Rig *>(arg)->machine(vm).held;
+	}
+
+	/* A VM goes to another pool, and nothing that runs goes with it. */
+	void order(const char *vm, const char *pool)
+	{
+		Machine &m = machine(vm);
+		bool up = m.state == VMS_UP;
+
+		RC_ASSERT(flo_holds(flo, vm));
+		for (auto &r : runs)
+			RC_ASSERT(m.worker.empty() || r.worker != m.worker);
+		if (roll(0, 100) < lost) {
+			flo_answered(flo, vm, VMS_UNANSWERED, now);
+			return;
+		}
+		if (up && m.pool != pool) {
+			moves++;
+			down(m, VMS_MOVING, 8);
+			/* listed there from then on */
+			m.pool = pool;
+		}
+		flo_answered(flo, vm,
+			     roll(0, 100) < lost ? VMS_UNANSWERED
+			     : up		 ? VMS_YES
+						 : VMS_BUSY,
+			     now);
+	}
+
+	/* Only what saves its progress is stopped, never what lasts. */
+	void stop(struct jtb_run *run)
+	{
+		const struct jtb_step *s = &run->job->spec.steps[run->step];
+		struct jtb_name n;
+
+		RC_ASSERT(s->flags & JTB_SAVES);
+		RC_ASSERT(!(s->flags & (JTB_LASTS | JTB_GANG)));
+		run->stop = true;
+		jtb_name_of(run, &n);
+		for (auto &r : runs)
+			if (jtb_name_same(&r.name, &n)) {
+				r.stopped = true;
+				r.ends = now + STEP_MS;
+			}
+	}
+
+	void submit(bool lasts)
+	{
+		struct jtb_step s = {};
+		struct jtb_spec spec = {};
+		std::string id = "j" + std::to_string(nextId++);
+		std::string queue =
+			pools[(size_t)roll(0, (int)pools.size() - 1)];
+		struct pk_out o;
+
+		s.count = (uint32_t)roll(1, 40);
+		s.cpu = (uint32_t)roll(1, 4) * 1000;
+		s.mem_mb = 100;
+		s.guess_ms = (uint32_t)roll(1, 30) * 100;
+		s.flags = lasts ? JTB_LASTS : roll(0, 2) ? JTB_SAVES : 0;
+		s.per_worker = lasts ? (uint32_t)roll(0, 3) : 0;
+		if (lasts)
+			s.count = (uint32_t)roll(1, 4);
+		spec.queue = (char *)queue.c_str();
+		spec.text = (char *)"t";
+		spec.steps = &s;
+		spec.n_steps = 1;
+		g_strlcpy(spec.id, id.c_str(), sizeof(spec.id));
+		pk_out_init(&o);
+		jtb_put_job(&o, &spec, wall());
+		jobs_apply(jtb, &o);
+	}
+
+	int64_t wall() const
+	{
+		return JOBS_WALL_MS + now - START_MS;
+	}
+
+	static bool onUsable(void *arg, const struct jtb_worker *w)
+	{
+		return true;
+	}
+
+	static bool onLeaving(void *arg, const struct jtb_worker *w)
+	{
+		return false;
+	}
+
+	static void onStarved(void *arg, const char *pool)
+	{
+		Rig *r = static_cast<Rig *>(arg);
+
+		flo_starved(r->flo, pool, r->now);
+	}
+
+	static void onStart(void *arg, struct jtb_job *job,
+			    const struct jtb_name *n, uint32_t attempt,
+			    struct jtb_worker *w)
+	{
+		Rig *r = static_cast<Rig *>(arg);
+		const struct jtb_step *s = &job->spec.steps[n->step];
+		std::string id = w->info.id;
+
+		jobs_start(r->jtb, n->id, n->step, n->index, attempt,
+			   id.c_str());
+		if (!jtb_find_run(r->jtb, n, attempt, id.c_str()))
+			return;
+		r->runs.push_back({*n, attempt, id,
+				   s->flags & JTB_LASTS
+					   ? -1
+					   : r->now + roll(1, 20) * STEP_MS,
+				   false});
+	}
+
+	void plan()
+	{
+		GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
+		struct sch_view v = {};
+
+		v.jtb = jtb;
+		v.closed = closed;
+		v.now_ms = now;
+		v.wall_ms = wall();
+		v.arg = this;
+		v.usable = onUsable;
+		v.leaving = onLeaving;
+		v.start = onStart;
+		v.starved = onStarved;
+		flo_closed(flo, closed);
+		for (auto &p : pools)
+			sch_plan(&v, p.c_str());
+		g_hash_table_destroy(closed);
+	}
+
+	void work()
+	{
+		for (size_t i = runs.size(); i > 0; i--) {
+			Run r = runs[i - 1];
+			struct pk_out o;
+
+			if (r.ends < 0 || now < r.ends)
+				continue;
+			runs.erase(runs.begin() + (long)i - 1);
+			pk_out_init(&o);
+			jtb_put_end(&o, r.worker.c_str(), nextEnd++, &r.name,
+				    r.attempt,
+				    r.stopped ? JTB_STOPPED : JTB_DONE,
+				    lstr_n("", 0), wall());
+			jobs_apply(jtb, &o);
+		}
+	}
+
+	void list()
+	{
+		GPtrArray *all = g_ptr_array_new_with_free_func(vms_vm_free);
+
+		for (auto &m : machines) {
+			struct vms_vm *vm = g_new0(struct vms_vm, 1);
+
+			vm->name = g_strdup(m.name.c_str());
+			vm->pool = g_strdup(m.pool.c_str());
+			vm->worker = g_strdup(m.worker.c_str());
+			vm->state = m.state;
+			vm->cpu = CPU;
+			vm->mem_mb = 64000;
+			g_ptr_array_add(all, vm);
+		}
+		vms_put_list(vms, all, now + 1);
+	}
+
+	/* VMs that are a pool's, or will be once all moves are done. */
+	uint32_t owns(const std::string &pool) const
+	{
+		uint32_t n = 0;
+
+		for (auto &m : machines) {
+			const struct flo_move *v =
+				flo_move_of(flo, m.name.c_str());
+			std::string is = m.pool;
+
+			if (v && !v->over)
+				is = v->to;
+			n += is == pool && m.state != VMS_DOWN && !m.held;
+		}
+		return n;
+	}
+
+	/*
+	 * What a look at the pools newly takes: no VM that is held or isn't up,
+	 * none with work that lasts, and of no pool so many that fewer are left
+	 * than it keeps.
+	 */
+	void look()
+	{
+		std::vector<bool> before;
+
+		for (auto &m : machines)
+			before.push_back(flo_holds(flo, m.name.c_str()));
+		/* as they stand: an order in this look changes them */
+		std::vector<Machine> was = machines;
+		flo_tick(flo, now, wall());
+		for (size_t i = 0; i < was.size(); i++)
+			if (!before[i] && flo_holds(flo, was[i].name.c_str()))
+				taken(was[i]);
+	}
+
+	void taken(const Machine &m)
+	{
+		const struct flo_move *v = flo_move_of(flo, m.name.c_str());
+		const struct flo_pool *p = flo_pool(flo, m.pool.c_str());
+
+		RC_ASSERT(m.state == VMS_UP);
+		RC_ASSERT(!m.held);
+		RC_ASSERT(m.pool == v->from);
+		RC_ASSERT(m.pool != v->to);
+		for (auto &r : runs)
+			RC_ASSERT(r.worker != m.worker || r.ends >= 0);
+		if (m.pool != OFF)
+			RC_ASSERT(owns(m.pool) >= flo_least_vms(p));
+	}
+
+	void step()
+	{
+		now += STEP_MS;
+		work();
+		for (auto &m : machines)
+			if (m.state != VMS_UP && now >= m.until)
+				workerUp(m);
+		list();
+		look();
+		plan();
+	}
+
+	void worldActs()
+	{
+		Machine &m = machines[(size_t)roll(0, (int)machines.size())];
+
+		switch (roll(0, 16)) {
+		case 0:
+			flo_lead(flo);
+			break;
+		case 1:
+		case 2:
+			if (m.state == VMS_UP)
+				down(m, VMS_DOWN, roll(1, 40));
+			break;
+		case 3:
+			m.held = roll(0, 2) && !flo_holds(flo, m.name.c_str());
+			break;
+		case 4:
+			submit(true);
+			break;
+		case 5:
+		case 6:
+		case 7:
+		case 8:
+			submit(false);
+			break;
+		default:
+			break;
+		}
+	}
+
+	/* Whether a pool still has jobs that end. */
+	bool works() const
+	{
+		for (auto &r : runs)
+			if (r.ends >= 0)
+				return true;
+		return false;
+	}
+};
+
+} // namespace
+
+int main()
+{
+	bool ok = rc::check("moves break no budget, take no VM twice", [] {
+		Rig r;
+
+		for (int t = roll(20, 200); t > 0; t--) {
+			r.worldActs();
+			r.step();
+		}
+	});
+
+	ok &= rc::check("pools come to rest, and move nothing then", [] {
+		Rig r;
+		int moved;
+
+		for (int t = roll(0, 60); t > 0; t--) {
+			r.worldActs();
+			r.step();
+		}
+		r.lost = 0;
+		for (auto &m : r.machines)
+			m.held = false;
+		for (int t = 0; t < CALM || (r.works() && t < WORK); t++)
+			r.step();
+		RC_ASSERT(!r.works());
+		moved = r.moves;
+		for (int t = 0; t < REST; t++)
+			r.step();
+		RC_ASSERT(flo_moving(r.flo) == 0u);
+		RC_ASSERT(r.moves == moved);
+	});
+	return ok ? 0 : 1;
+}
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -748,6 +748,130 @@
 	assert_int_equal(b->stops, 0);
 }
 
+/* VMs on their way to "p" or counted as its own, that aren't down. */
+static guint vms_of_p(const struct bed *b)
+{
+	return flo_pool(b->flo, "p")->vms;
+}
+
+/* Moves that are ordered are done at once. */
+static void carry_out(struct bed *b)
+{
+	guint i;
+
+	for (i = 0; i < b->list->len; i++) {
+		struct vms_vm *vm = g_ptr_array_index(b->list, i);
+		const struct flo_move *m = flo_move_of(b->flo, vm->name);
+
+		if (!m || !m->ordered_ms || m->agreed_ms)
+			continue;
+		g_free(vm->pool);
+		vm->pool = g_strdup(m->to);
+		flo_answered(b->flo, vm->name, VMS_YES, b->now);
+	}
+}
+
+/* A VM is lost, with what runs on it. */
+static void lose(struct bed *b, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < b->list->len; i++) {
+		struct vms_vm *vm = g_ptr_array_index(b->list, i);
+
+		if (strcmp(vm->name, name) != 0)
+			continue;
+		if (*vm->worker)
+			jobs_gone(b->jtb, vm->worker, true);
+		*vm->worker = '\0';
+		vm->state = VMS_DOWN;
+	}
+}
+
+/*
+ * A rack is lost, and right after its VMs were replaced one of those that have
+ * just joined as well. Callers of the pool see less room until others join:
+ * each VM that it lacks must cost one move, and nothing else may move for it.
+ */
+static void a_lost_rack_costs_one_move_a_vm(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {.count = 80, .cpu = 1000, .flags = JTB_LASTS};
+	char vm[8];
+	char w[8];
+	int i;
+
+	for (i = 0; i < 7; i++) {
+		g_snprintf(vm, sizeof(vm), "p%d", i);
+		g_snprintf(w, sizeof(w), "w%d", i);
+		vm_add(b, vm, "p", w);
+	}
+	for (i = 0; i < 9; i++) {
+		g_snprintf(vm, sizeof(vm), "off%d", i);
+		vm_add(b, vm, "off", "");
+	}
+	/* 80 cores, and a quarter more: 7 VMs of 16 */
+	jobs_job(b->jtb, "l", &s, 1, JOBS_WALL_MS);
+	ticks(b, 20);
+	assert_int_equal(b->orders, 0);
+	for (i = 0; i < 4; i++) {
+		g_snprintf(vm, sizeof(vm), "p%d", i);
+		lose(b, vm);
+	}
+	tick(b);
+	carry_out(b);
+	assert_int_equal(b->orders, 4);
+	assert_int_equal(vms_of_p(b), 7);
+	ticks(b, 3);
+	for (i = 0; i < 9; i++) {
+		const struct vms_vm *m =
+			g_ptr_array_index(b->list, (guint)i + 7);
+
+		if (strcmp(m->pool, "p") != 0)
+			continue;
+		lose(b, m->name);
+		break;
+	}
+	tick(b);
+	carry_out(b);
+	assert_int_equal(b->orders, 5);
+	ticks(b, 100);
+	assert_int_equal(b->orders, 5);
+	assert_int_equal(flo_moving(b->flo), 0);
+}
+
+/*
+ * Work is thrown away with its VM: it failed by itself while it was being
+ * emptied, and the worker that came up on it got work before the order.
+ */
+static void a_vm_that_failed_is_left_alone(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {.count = 1, .cpu = 1000, .guess_ms = 500};
+	struct vms_vm *vm = NULL;
+	char id[8];
+	int i;
+
+	givers(b, 4, &s);
+	burst(b);
+	ticks(b, 2);
+	for (i = 0; i < 4 && !vm; i++) {
+		vm = g_ptr_array_index(b->list, (guint)i);
+		if (!flo_holds(b->flo, vm->name))
+			vm = NULL;
+	}
+	assert_non_null(vm);
+	g_strlcpy(id, vm->worker, sizeof(id));
+	jobs_gone(b->jtb, id, true);
+	g_free(vm->worker);
+	vm->worker = g_strdup("new");
+	jobs_worker(b->jtb, "new", 16000, false);
+	jobs_job(b->jtb, "more", &s, 1, JOBS_WALL_MS);
+	jobs_start(b->jtb, "more", 0, 0, 1, "new");
+	ticks(b, 3);
+	assert_int_equal(b->orders, 0);
+}
+
 /*
  * A VM is missing to both pools for good. An order that gets no answer is
  * given again, and given up in the end; one that was agreed to is over once the
@@ -824,6 +948,8 @@
 		T(a_start_without_memory_is_waited_for),
 		T(a_vm_with_work_that_lasts_stays),
 		T(a_move_ends),
+		T(a_vm_that_failed_is_left_alone),
+		T(a_lost_rack_costs_one_move_a_vm),
 		T(a_move_that_was_agreed_to_ends_with_a_later_list),
 	};
 
