--- a/src/jtb.h
+++ b/src/jtb.h
@@ -185,6 +185,10 @@
 	uint32_t plan_mem;
 	uint32_t plan_gpus;
 	uint32_t same_step; /* owner's: tasks of the step being planned */
+	uint32_t fails; /* owner's: jobs that failed on it in a row, */
+	uint64_t failed_job; /* seq + 1 of the last of them, */
+	uint32_t fails_seen; /* how many were known in the last plan, */
+	int64_t failed_ms; /* and when these changed */
 	uint64_t kept_for; /* owner's: seq + 1 of the job it is kept for, */
 	int64_t kept_ms; /* when it was last */
 	void *owner; /* leader's data */
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -19,6 +19,8 @@
 static bool jtb_do_forget(struct jtb *t, struct pk_in *in);
 static void jtb_run_end(struct jtb *t, struct jtb_run *run, enum jtb_end how,
 			int64_t wall_ms);
+static void jtb_blame(struct jtb_worker *w, const struct jtb_job *job,
+		      const struct jtb_task *task, enum jtb_end how);
 static void jtb_task_done(struct jtb *t, struct jtb_job *job,
 			  const struct jtb_name *n, int64_t wall_ms);
 static void jtb_task_failed(struct jtb *t, struct jtb_job *job,
@@ -328,6 +330,7 @@
 	w->used_mem -= step->mem_mb;
 	w->used_gpus -= step->gpus;
 	g_free(run);
+	jtb_blame(w, job, task, how);
 	if (how == JTB_DONE && !(step->flags & JTB_LASTS))
 		jtb_task_done(t, job, &n, wall_ms);
 	else if (how == JTB_FAILED_RUN)
@@ -336,6 +339,23 @@
 		jtb_job_left(t, job);
 }
 
+/*
+ * Counts different jobs that failed on a worker with nothing done in between. A
+ * task that failed before, elsewhere, is more likely at fault itself.
+ */
+static void jtb_blame(struct jtb_worker *w, const struct jtb_job *job,
+		      const struct jtb_task *task, enum jtb_end how)
+{
+	if (how == JTB_DONE) {
+		w->fails = 0;
+		w->failed_job = 0;
+	} else if (how == JTB_FAILED_RUN && !task->fails &&
+		   w->failed_job != job->seq + 1) {
+		w->fails++;
+		w->failed_job = job->seq + 1;
+	}
+}
+
 /* One end of a gang's member stands for all of them. */
 static void jtb_task_done(struct jtb *t, struct jtb_job *job,
 			  const struct jtb_name *n, int64_t wall_ms)
--- a/src/sch.c
+++ b/src/sch.c
@@ -9,6 +9,12 @@
 #define SCH_AGAIN_MS 50
 /* Jobs that fail to be placed in one plan until it ends: the pool is full. */
 #define SCH_MISSES_MAX 40
+/* Different jobs that fail on a worker in a row until it is suspect. */
+#define SCH_SUSPECT 3
+/* A suspect worker is tried with one task after so long, ms, */
+#define SCH_TRY_MS 5000
+/* and is suspect no more if nothing has failed on it for so long, ms. */
+#define SCH_TRUST_MS 60000
 /* Kinds of tasks that no worker could ever take, remembered in a plan. */
 #define SCH_NEVER_MAX 16
 
@@ -37,11 +43,16 @@
 	GPtrArray *kept; /* of these, kept free for work that lasts */
 	const struct jtb_step *never[SCH_NEVER_MAX]; /* fit no worker at all */
 	uint32_t n_never;
+	bool suspects; /* few enough workers are suspect to shun them */
 	bool full; /* something would fit if a worker had more room left */
 	uint32_t started;
 };
 
 static void sch_workers(struct sch_pool *p);
+static void sch_suspects(struct sch_pool *p);
+static bool sch_suspect(const struct sch_pool *p, const struct jtb_worker *w);
+static bool sch_shunned(const struct sch_pool *p, const struct jtb_worker *w,
+			bool again);
 static GArray *sch_cands(struct sch_pool *p);
 static void sch_rank(const struct sch_view *v, struct sch_cand *c);
 static int sch_order(gconstpointer a, gconstpointer b);
@@ -51,7 +62,8 @@
 static bool sch_gang(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
 		     uint32_t step);
 static struct jtb_worker *sch_place(struct sch_pool *p,
-				    const struct jtb_job *job, uint32_t step);
+				    const struct jtb_job *job, uint32_t step,
+				    bool again);
 static void sch_keep(struct sch_pool *p, const struct jtb_job *job,
 		     uint32_t step);
 static bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s);
@@ -105,6 +117,49 @@
 		    !g_hash_table_contains(p->v->closed, w->info.id) &&
 		    p->v->usable(p->v->arg, w))
 			g_ptr_array_add(p->workers, w);
+	sch_suspects(p);
+}
+
+/*
+ * Made for the worker that fails whatever it starts: it is always free first,
+ * draws in all that waits, and half of the jobs failed for good on it. Were more
+ * than half of the workers suspect, the jobs would rather be at fault, and none
+ * is shunned.
+ */
+static void sch_suspects(struct sch_pool *p)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		if (w->fails != w->fails_seen)
+			w->failed_ms = p->v->now_ms;
+		w->fails_seen = w->fails;
+		n += sch_suspect(p, w);
+	}
+	p->suspects = n && 2 * n < p->workers->len;
+}
+
+/* Whether different jobs failed on a worker lately, and none was done since. */
+static bool sch_suspect(const struct sch_pool *p, const struct jtb_worker *w)
+{
+	return w->fails >= SCH_SUSPECT &&
+	       p->v->now_ms - w->failed_ms < SCH_TRUST_MS;
+}
+
+/*
+ * Whether a worker gets nothing now as it is suspect. It is tried with one task
+ * at a time, never one that has failed before; one that is done clears it.
+ */
+static bool sch_shunned(const struct sch_pool *p, const struct jtb_worker *w,
+			bool again)
+{
+	if (!p->suspects || !sch_suspect(p, w))
+		return false;
+	return again || p->v->now_ms - w->failed_ms < SCH_TRY_MS ||
+	       w->runs->len || w->plan_cpu;
 }
 
 /* The jobs of a pool that aren't over. */
@@ -212,7 +267,7 @@
 		if (task && (task->done || task->run || task->planned ||
 			     p->v->now_ms - task->free_ms < SCH_AGAIN_MS))
 			continue;
-		w = sch_place(p, job, step);
+		w = sch_place(p, job, step, task && task->fails);
 		if (!w && job->spec.steps[step].flags & JTB_LASTS) {
 			p->v->starved(p->v->arg, p->name);
 			sch_keep(p, job, step);
@@ -249,7 +304,7 @@
 	places = g_ptr_array_new();
 	sch_count_same(p, job, turn, step);
 	for (i = 0; i < count && room; i++) {
-		struct jtb_worker *w = sch_place(p, job, step);
+		struct jtb_worker *w = sch_place(p, job, step, true);
 
 		room = w != NULL;
 		if (!room)
@@ -278,9 +333,10 @@
 	return room;
 }
 
-/* The best worker for a task of the step, or NULL. */
+/* The best worker for a task of the step, or NULL. again: it has failed. */
 static struct jtb_worker *sch_place(struct sch_pool *p,
-				    const struct jtb_job *job, uint32_t step)
+				    const struct jtb_job *job, uint32_t step,
+				    bool again)
 {
 	const struct jtb_step *s = &job->spec.steps[step];
 	struct jtb_worker *best = NULL;
@@ -294,6 +350,7 @@
 		double score;
 
 		if (!sch_fits(w, s) || !sch_allowed(w, s) ||
+		    sch_shunned(p, w, again) ||
 		    g_ptr_array_find(p->kept, w, NULL))
 			continue;
 		score = sch_score(p, w, s);
@@ -328,6 +385,7 @@
 
 		if (w->info.cpu < s->cpu || w->info.mem_mb < s->mem_mb ||
 		    w->info.gpus < s->gpus || !sch_allowed(w, s) ||
+		    sch_shunned(p, w, true) ||
 		    g_ptr_array_find(p->kept, w, NULL))
 			continue;
 		if (w->kept_for == job->seq + 1)
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -105,6 +105,135 @@
 	jobs_job(b->jtb, id, &s, 1, b->wall - age_ms);
 }
 
+/* Job N of one task fails on a worker. */
+static void fail_on(struct bed *b, int n, const char *worker)
+{
+	char id[16];
+
+	g_snprintf(id, sizeof(id), "f%d", n);
+	job(b, id, 1, 1000, 500, 0, 0);
+	jobs_start(b->jtb, id, 0, 0, 1, worker);
+	jobs_end(b->jtb, id, 0, 0, 1, worker, JTB_FAILED_RUN);
+	jobs_cancel(b->jtb, id);
+}
+
+/* Where one more job is put; three workers, the first has most room. */
+static char *place_one(struct bed *b)
+{
+	char *at;
+
+	job(b, "next", 1, 1000, 500, 0, 0);
+	plan(b);
+	at = strchr(b->log->str, '@');
+	return at ? g_strstrip(at + 1) : b->log->str;
+}
+
+static void three_workers(struct bed *b)
+{
+	jobs_worker(b->jtb, "w1", 16000, false);
+	jobs_worker(b->jtb, "w2", 2000, false);
+	jobs_worker(b->jtb, "w3", 2000, false);
+	job(b, "a", 2, 1000, 100000, 0, 0);
+	jobs_start(b->jtb, "a", 0, 0, 1, "w2");
+	jobs_start(b->jtb, "a", 0, 1, 1, "w3");
+}
+
+/* A worker on which three jobs in a row failed gets no fourth for a while. */
+static void a_worker_that_fails_all_is_shunned(void **state)
+{
+	struct bed *b = *state;
+
+	three_workers(b);
+	fail_on(b, 1, "w1");
+	fail_on(b, 2, "w1");
+	fail_on(b, 3, "w1");
+	assert_string_not_equal(place_one(b), "w1");
+}
+
+/* Now and then a job fails, with others done between: no black hole. */
+static void what_is_done_clears_a_worker(void **state)
+{
+	struct bed *b = *state;
+	int i;
+
+	three_workers(b);
+	for (i = 0; i < 12; i += 2) {
+		char id[16];
+
+		fail_on(b, i, "w1");
+		fail_on(b, i + 1, "w1");
+		g_snprintf(id, sizeof(id), "d%d", i);
+		job(b, id, 1, 1000, 500, 0, 0);
+		jobs_start(b->jtb, id, 0, 0, 1, "w1");
+		jobs_end(b->jtb, id, 0, 0, 1, "w1", JTB_DONE);
+	}
+	assert_string_equal(place_one(b), "w1");
+}
+
+/*
+ * Bad jobs fail wherever they run. Were the workers taken for black holes, the
+ * whole pool would stand still.
+ */
+static void bad_jobs_shun_no_worker(void **state)
+{
+	struct bed *b = *state;
+	const char *const workers[] = {"w1", "w2", "w3"};
+	char id[16];
+	int i;
+	int w;
+
+	three_workers(b);
+	/* each blames one worker at most, where it failed first */
+	for (i = 0; i < 9; i++) {
+		g_snprintf(id, sizeof(id), "bad%d", i);
+		job(b, id, 1, 1000, 500, 0, 0);
+		for (w = 0; w < 3; w++) {
+			jobs_start(b->jtb, id, 0, 0, (uint32_t)w + 1,
+				   workers[(i + w) % 3]);
+			jobs_end(b->jtb, id, 0, 0, (uint32_t)w + 1,
+				 workers[(i + w) % 3], JTB_FAILED_RUN);
+		}
+		assert_int_equal(jtb_job(b->jtb, id)->state, JTB_FAILED);
+	}
+	assert_string_equal(place_one(b), "w1");
+}
+
+/*
+ * 10,000 jobs are cancelled while others come in between: one of these starts
+ * with the very next plan, and each cancelled job has its one outcome.
+ */
+static void a_flood_of_cancels_delays_nothing(void **state)
+{
+	struct bed *b = *state;
+	char id[16];
+	int i;
+
+	jobs_worker(b->jtb, "w1", 16000, false);
+	for (i = 0; i < 10000; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		job(b, id, 1, 4000, 1000, 0, 0);
+	}
+	plan(b);
+	for (i = 0; i < 10000; i++) {
+		g_snprintf(id, sizeof(id), "j%d", i);
+		jobs_cancel(b->jtb, id);
+		if (i == 5000)
+			job(b, "urgent", 1, 4000, 1000, 0, 0);
+	}
+	for (i = 0; i < 10000; i++) {
+		const struct jtb_job *j;
+
+		g_snprintf(id, sizeof(id), "j%d", i);
+		j = jtb_job(b->jtb, id);
+		assert_int_equal(j->state, JTB_CANCELLED);
+		if (j->n_runs)
+			jobs_end(b->jtb, id, 0, 0, 1, "w1", JTB_STOPPED);
+		assert_int_equal(j->state, JTB_CANCELLED);
+	}
+	plan(b);
+	assert_string_equal(b->log->str, "urgent.0.0@w1 ");
+}
+
 /*
  * A pool stands idle beside work that it has room for: forty jobs that no
  * worker can ever take come before it, and a plan ended after so many that
@@ -464,6 +593,10 @@
 	const struct CMUnitTest tests[] = {
 		T(a_job_with_a_guess_too_high_is_late_sooner),
 		T(what_can_never_run_holds_nobody),
+		T(a_flood_of_cancels_delays_nothing),
+		T(a_worker_that_fails_all_is_shunned),
+		T(what_is_done_clears_a_worker),
+		T(bad_jobs_shun_no_worker),
 		T(a_closed_worker_gets_nothing),
 		T(work_that_lasts_goes_first),
 		T(a_gang_is_kept_apart),
