Where the tests of waves, plans and jobs are, and what only the old ones have

The three older libraries stay: each has decisions that what the daemons run lacks, and their tests would be dropped with them. Taken out they can be once these are carried over or given up; the design notes list them at their end.

Not carried over, kept by the old ones. wav_test: failure_soon_after_return, halt_gives_back, abort, pause and resume, commands sent again, planner_does_not_replace (flo does the opposite), drain_that_never_ends (upkeep does the opposite: it stops what doesn't end). pln_test: spread over racks, zones cut off and survived, priorities, moves that don't help, limits in domains, failure beside a wave, what is lent, bytes. job_test: refusals at once, urgent work over archive work, large jobs, ranks, quotas, not idempotent, usage.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,7 +9,10 @@
 rc=0
 for t in build/san/tests/*_prop; do
 	echo "soak $(basename "$t") seed=$seed cases=$cases"
-	RC_PARAMS="seed=$seed max_success=$cases" "$t" || rc=1
+	n=$cases
+	# a case of these is a day of the emulator
+	[ "$(basename "$t")" != sim_prop ] || n=${SIM_DAYS:-1000}
+	RC_PARAMS="seed=$seed max_success=$n" "$t" || rc=1
 done
 # Days of the emulator, a share of them on each processor.
 days=${SIM_DAYS:-1000}
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -423,6 +423,30 @@
 	jtb_free(u);
 }
 
+/* A replica goes on with half a table: its snapshot was cut short. */
+static void a_damaged_snapshot_is_refused(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb_step s = {.count = 2, .cpu = 1000};
+	GBytes *b;
+	gsize size;
+	const char *bytes;
+	gsize n;
+
+	jobs_worker(t, "w1", 16000, false);
+	jobs_job(t, "a", &s, 1, JOBS_WALL_MS);
+	jobs_start(t, "a", 0, 0, 1, "w1");
+	b = snapshot(t);
+	bytes = g_bytes_get_data(b, &size);
+	for (n = 0; n < size; n++) {
+		struct jtb *other = jtb_new(NULL, NULL);
+
+		assert_false(jtb_restore(other, lstr_n(bytes, n)));
+		jtb_free(other);
+	}
+	g_bytes_unref(b);
+}
+
 /* Jobs of a snapshot stand in the order in which they were accepted. */
 static void a_snapshot_keeps_the_order_of_jobs(void **state)
 {
@@ -489,6 +513,7 @@
 		T(a_vm_of_a_wave_never_goes_back),
 		T(a_wave_of_no_vm_is_completed),
 		T(a_snapshot_holds_all_of_the_table),
+		T(a_damaged_snapshot_is_refused),
 		T(a_snapshot_keeps_the_order_of_jobs),
 		T(names_read_back_as_written),
 	};
