--- a/src/upk.c
+++ b/src/upk.c
@@ -484,11 +484,11 @@
 
 		if (v->state != JTB_VM_WAITS || !vm || vm->state != VMS_UP ||
 		    upk_job_of(u, v->vm) || u->ops->held(u->arg, v->vm) ||
-		    upk_bound(u, jtb_worker(u->jtb, vm->worker)) ||
 		    (spared && !u->ops->spared(u->arg, v->vm)))
 			continue;
 		cost = upk_cost(u, vm, now);
-		if (best && cost >= best_cost)
+		if ((best && cost >= best_cost) ||
+		    upk_bound(u, jtb_worker(u->jtb, vm->worker)))
 			continue;
 		best = vm;
 		best_cost = cost;
