--- a/src/hld.c
+++ b/src/hld.c
@@ -88,6 +88,7 @@
 				 const struct jtb_job *job, uint32_t turn,
 				 uint32_t step);
 static enum hld_reason hld_worker(const struct hld_view *v,
+				  const struct hld_pool *p,
 				  const struct jtb_job *job,
 				  const struct jtb_step *s,
 				  const struct jtb_worker *w);
@@ -209,7 +210,7 @@
 	sch_count_same(&p->sch, job, turn, step);
 	for (i = 0; i < p->all->len && best != HLD_NONE; i++) {
 		enum hld_reason why =
-			hld_worker(v, job, s, g_ptr_array_index(p->all, i));
+			hld_worker(v, p, job, s, g_ptr_array_index(p->all, i));
 
 		best = why == HLD_NONE ? why : MAX(best, why);
 	}
@@ -224,6 +225,7 @@
 
 /* Why a worker doesn't take a task, by what a plan goes by. */
 static enum hld_reason hld_worker(const struct hld_view *v,
+				  const struct hld_pool *p,
 				  const struct jtb_job *job,
 				  const struct jtb_step *s,
 				  const struct jtb_worker *w)
@@ -235,6 +237,8 @@
 		return HLD_TOO_LARGE;
 	if (!sch_usable(v->sch, w))
 		return hld_barred(v, w);
+	if (sch_shunned(&p->sch, w, false))
+		return HLD_SHUNNED;
 	if (!sch_allowed(w, s))
 		return HLD_APART;
 	if (!sch_fits(w, s))
--- a/src/sch.c
+++ b/src/sch.c
@@ -202,7 +202,7 @@
 		if (task && (task->done || task->run || task->planned ||
 			     p->v->now_ms - task->free_ms < SCH_AGAIN_MS))
 			continue;
-		w = sch_place(p, job, step);
+		w = sch_place(p, job, step, task && task->fails);
 		if (!w && job->spec.steps[step].flags & JTB_LASTS) {
 			p->v->starved(p->v->arg, p->name);
 			sch_keep(p, job, step);
--- a/src/sch_int.h
+++ b/src/sch_int.h
@@ -36,6 +36,7 @@
 	GPtrArray *kept; /* of these, kept free for work that lasts */
 	struct sch_miss misses[SCH_MISSES_MAX];
 	uint32_t n_misses;
+	bool suspects; /* few enough workers are suspect to shun them */
 	uint32_t started;
 };
 
@@ -44,7 +45,9 @@
 void sch_pool_done(struct sch_pool *p);
 bool sch_usable(const struct sch_view *v, const struct jtb_worker *w);
 struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
-			     uint32_t step);
+			     uint32_t step, bool again);
+bool sch_shunned(const struct sch_pool *p, const struct jtb_worker *w,
+		 bool again);
 bool sch_places(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
 		uint32_t step, GPtrArray *places);
 void sch_keep(struct sch_pool *p, const struct jtb_job *job, uint32_t step);
--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -2,7 +2,16 @@
 
 /* Where a task may run: the workers of a pool, their room, and which is best. */
 
+/* Different jobs that fail on a worker in a row until it is suspect. */
+#define SCH_SUSPECT 3
+/* A suspect worker is tried with one task after so long, ms, */
+#define SCH_TRY_MS 5000
+/* and is suspect no more if nothing has failed on it for so long, ms. */
+#define SCH_TRUST_MS 60000
+
 static void sch_workers(struct sch_pool *p);
+static void sch_suspects(struct sch_pool *p);
+static bool sch_suspect(const struct sch_pool *p, const struct jtb_worker *w);
 static bool sch_could_fit(const struct jtb_worker *w, const struct jtb_step *s);
 static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
 			const struct jtb_step *s);
@@ -35,6 +44,49 @@
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
 		if (strcmp(w->info.pool, p->name) == 0 && sch_usable(p->v, w))
 			g_ptr_array_add(p->workers, w);
+	sch_suspects(p);
+}
+
+/*
+ * Made for the worker that fails whatever it starts: it is always free first,
+ * draws in all that waits, and half of the jobs failed for good on it. Were
+ * more than half of the workers suspect, the jobs would rather be at fault, and
+ * none is shunned.
+ */
+static void sch_suspects(struct sch_pool *p)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		if (w->fails != w->fails_seen)
+			w->failed_ms = p->v->now_ms;
+		w->fails_seen = w->fails;
+		n += sch_suspect(p, w);
+	}
+	p->suspects = n && 2 * n < p->workers->len;
+}
+
+/* Whether different jobs failed on a worker lately, and none was done since. */
+static bool sch_suspect(const struct sch_pool *p, const struct jtb_worker *w)
+{
+	return w->fails >= SCH_SUSPECT &&
+	       p->v->now_ms - w->failed_ms < SCH_TRUST_MS;
+}
+
+/*
+ * Whether a worker gets nothing now as it is suspect. It is tried with one task
+ * at a time, never one that has failed before; one that is done clears it.
+ */
+bool sch_shunned(const struct sch_pool *p, const struct jtb_worker *w,
+		 bool again)
+{
+	if (!p->suspects || !sch_suspect(p, w))
+		return false;
+	return again || p->v->now_ms - w->failed_ms < SCH_TRY_MS ||
+	       w->runs->len || w->plan_cpu;
 }
 
 /* Whether new work may be given to a worker. */
@@ -44,9 +96,9 @@
 	       v->usable(v->arg, w);
 }
 
-/* The best worker for a task of the step, or NULL. */
+/* The best worker for a task of the step, or NULL. again: it has failed. */
 struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
-			     uint32_t step)
+			     uint32_t step, bool again)
 {
 	const struct jtb_step *s = &job->spec.steps[step];
 	struct jtb_worker *best = NULL;
@@ -57,7 +109,8 @@
 		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
 		double score;
 
-		if (!sch_fits(w, s) || !sch_allowed(w, s) || sch_is_kept(p, w))
+		if (!sch_fits(w, s) || !sch_allowed(w, s) ||
+		    sch_shunned(p, w, again) || sch_is_kept(p, w))
 			continue;
 		score = sch_score(p, w, s);
 		if (w->kept_for == job->seq + 1)
@@ -83,7 +136,7 @@
 	guint i;
 
 	sch_count_same(p, job, turn, step);
-	while (places->len < s->count && (w = sch_place(p, job, step))) {
+	while (places->len < s->count && (w = sch_place(p, job, step, true))) {
 		w->plan_cpu += cpu;
 		w->plan_mem += s->mem_mb;
 		w->plan_gpus += s->gpus;
@@ -118,7 +171,7 @@
 		double room = (double)w->info.cpu - w->used_cpu - w->plan_cpu;
 
 		if (!sch_could_fit(w, s) || !sch_allowed(w, s) ||
-		    sch_is_kept(p, w))
+		    sch_shunned(p, w, true) || sch_is_kept(p, w))
 			continue;
 		if (w->kept_for == job->seq + 1)
 			room += w->info.cpu;
--- a/src/upk.c
+++ b/src/upk.c
@@ -13,13 +13,13 @@
 #define UPK_AGAIN_MS 600
 /* A worker kept free for work that lasts goes last for so long, ms. */
 #define UPK_KEPT_MS 1000
-/* Work that isn't done by then is stopped, and done again elsewhere, ms. */
-#define UPK_PATIENCE_MS 2500
 /*
- * A worker of a pool that is closed altogether is opened for so long, ms: work
- * that lasts begins in 0.7 s once a plan, five a second, has given it a place.
+ * A VM from which nothing could be taken for so long is given back: what lasts
+ * on it must wait for more of its kind, which may have no other place to go, ms.
  */
-#define UPK_OPEN_MS 2000
+#define UPK_STUCK_MS 3000
+/* Work that isn't done by then is stopped, and done again elsewhere, ms. */
+#define UPK_PATIENCE_MS 2500
 
 /*
  * A VM that no list has shown for so long never comes back, ms. One that has
@@ -34,12 +34,14 @@
 	char *later; /* another that came up before that; or NULL */
 	uint64_t wave;
 	int64_t from_ms;
+	int64_t moved_ms; /* when its runs last grew fewer */
+	guint runs; /* that it had then */
 	int64_t ordered_ms; /* 0: not yet */
 	int64_t agreed_ms; /* when the answer was yes; 0: not yet */
 	bool noted; /* its order is in the table, or on its way there */
 	bool fenced; /* a later leader has taken it over */
 	bool over; /* its end is on its way to the table */
-	int64_t open_until; /* its worker may be given work till then */
+	bool back; /* it can't be emptied now, and is given back */
 };
 
 struct upk {
@@ -74,11 +76,10 @@
 		       int64_t now);
 static void upk_empty(struct upk *u, struct jtb_wave *w, struct upk_job *j,
 		      struct jtb_wave_vm *v, int64_t now);
-static bool upk_opened(const struct upk *u, struct upk_job *j,
-		       const struct jtb_worker *worker, int64_t now);
-static bool upk_may_not_stop(const struct upk *u, const struct jtb_worker *w);
-static bool upk_pool_closed(const struct upk *u, const char *pool);
 static void upk_clear(struct upk *u, struct jtb_worker *w, int64_t waited);
+static bool upk_stuck(struct upk_job *j, const struct jtb_worker *w,
+		      int64_t now);
+static bool upk_bound(const struct upk *u, const struct jtb_worker *w);
 static struct jtb_wave_vm *upk_vm_of(const struct jtb_wave *w, const char *vm);
 
 /* Waves of jtb's table over the VMs of vms; both must outlive it. */
@@ -131,7 +132,7 @@
 	}
 }
 
-/* Lets go of VMs that the table has as done. */
+/* Lets go of VMs that the table has as done, or that can't be emptied. */
 static void upk_drop_done(struct upk *u)
 {
 	guint i;
@@ -141,7 +142,7 @@
 		const struct jtb_wave *w = jtb_wave(u->jtb, j->wave);
 		const struct jtb_wave_vm *v = w ? upk_vm_of(w, j->vm) : NULL;
 
-		if (!v || v->state == JTB_VM_DONE)
+		if (!v || v->state == JTB_VM_DONE || j->back)
 			g_ptr_array_remove_index_fast(u->jobs, i - 1);
 	}
 }
@@ -241,8 +242,7 @@
 	for (i = 0; i < u->jobs->len; i++) {
 		const struct upk_job *j = g_ptr_array_index(u->jobs, i);
 
-		if (!j->open_until)
-			g_hash_table_add(ids, j->worker);
+		g_hash_table_add(ids, j->worker);
 		if (j->later)
 			g_hash_table_add(ids, j->later);
 		unlisted |= upk_unlisted(u, j);
@@ -487,7 +487,8 @@
 		    (spared && !u->ops->spared(u->arg, v->vm)))
 			continue;
 		cost = upk_cost(u, vm, now);
-		if (best && cost >= best_cost)
+		if ((best && cost >= best_cost) ||
+		    upk_bound(u, jtb_worker(u->jtb, vm->worker)))
 			continue;
 		best = vm;
 		best_cost = cost;
@@ -535,11 +536,12 @@
 	if (j->fenced || j->over || upk_another_came(u, j, now))
 		return;
 	worker = jtb_worker(u->jtb, j->later ? j->later : j->worker);
-	if (upk_opened(u, j, worker, now))
-		return;
 	/* also a start that was on its way when the worker was closed */
 	if (worker && worker->runs->len && !j->agreed_ms) {
 		upk_clear(u, worker, now - j->from_ms);
+		/* given back with the next look at what is kept */
+		j->back = !j->noted && upk_bound(u, worker) &&
+			  upk_stuck(j, worker, now);
 		return;
 	}
 	if (!j->noted) {
@@ -556,62 +558,6 @@
 	}
 }
 
-/*
- * Opens a worker for a while whose pool is closed altogether and that can't be
- * emptied: what lasts on it may not be stopped while others of its step are
- * away, and these can begin nowhere. Without it both wait for each other for
- * good, as no worker is ever empty. Opened workers are closed anew, and then
- * it is the turn of another; those whose upkeep is ordered stay closed.
- */
-static bool upk_opened(const struct upk *u, struct upk_job *j,
-		       const struct jtb_worker *worker, int64_t now)
-{
-	if (j->open_until && now < j->open_until)
-		return true;
-	if (j->open_until) {
-		j->open_until = 0;
-		j->from_ms = now;
-		return false;
-	}
-	if (!worker || j->noted || now - j->from_ms <= UPK_PATIENCE_MS ||
-	    !upk_may_not_stop(u, worker) ||
-	    !upk_pool_closed(u, worker->info.pool))
-		return false;
-	j->open_until = now + UPK_OPEN_MS;
-	return true;
-}
-
-/* Whether something on a worker must not be stopped now. */
-static bool upk_may_not_stop(const struct upk *u, const struct jtb_worker *w)
-{
-	guint i;
-
-	for (i = 0; i < w->runs->len; i++) {
-		const struct jtb_run *run = g_ptr_array_index(w->runs, i);
-
-		if (!run->stop && !upk_may_stop(u, run))
-			return true;
-	}
-	return false;
-}
-
-/* Whether all workers of a pool are closed for their upkeep. */
-static bool upk_pool_closed(const struct upk *u, const char *pool)
-{
-	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
-	bool closed = true;
-	GHashTableIter it;
-	struct jtb_worker *w;
-
-	upk_closed(u, ids);
-	g_hash_table_iter_init(&it, jtb_workers(u->jtb));
-	while (closed && g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
-		closed = strcmp(w->info.pool, pool) != 0 || w->info.draining ||
-			 g_hash_table_contains(ids, w->info.id);
-	g_hash_table_destroy(ids);
-	return closed;
-}
-
 /*
  * Whether another lifetime came up by itself on a VM that is being emptied: it
  * must be emptied anew. Also after the order was given, as nobody knows when it
@@ -653,6 +599,35 @@
 	}
 }
 
+/* Whether no run has left a worker for a while. */
+static bool upk_stuck(struct upk_job *j, const struct jtb_worker *w,
+		      int64_t now)
+{
+	if (!j->moved_ms || w->runs->len < j->runs) {
+		j->moved_ms = now;
+		j->runs = w->runs->len;
+	}
+	return now - j->moved_ms > UPK_STUCK_MS;
+}
+
+/*
+ * Whether something that lasts runs on a worker and can't be ended now: others
+ * of its step are away. To close its VM would help nobody, and may leave those
+ * others no place to go, so that neither they nor the wave ever go on.
+ */
+static bool upk_bound(const struct upk *u, const struct jtb_worker *w)
+{
+	guint i;
+
+	for (i = 0; w && i < w->runs->len; i++) {
+		const struct jtb_run *run = g_ptr_array_index(w->runs, i);
+
+		if (!run->stop && !upk_may_stop(u, run))
+			return true;
+	}
+	return false;
+}
+
 /* The VM of the list that a wave names, or NULL. */
 static struct jtb_wave_vm *upk_vm_of(const struct jtb_wave *w, const char *vm)
 {
