--- a/src/sim_check.c
+++ b/src/sim_check.c
@@ -2,10 +2,20 @@
 
 /* The checker: each start, each end of a day and idle room against the rules. */
 
+/* Tasks of a step that a pool's workers could take; one each but of a gang. */
+struct sim_free {
+	uint32_t all;
+	uint32_t open; /* of these, on workers that aren't closed */
+	bool any_open;
+};
+
 static void sim_settle_job(struct sim *s, const struct jtb_job *job);
 static void sim_settle_tasks(struct sim *s, const struct jtb_job *job);
-static bool sim_room(const struct sim *s, const struct jtb_job *job,
-		     uint32_t turn, uint32_t step);
+static bool sim_room(const struct sim *s, const struct hld_view *v,
+		     const struct jtb_job *job, uint32_t turn, uint32_t step);
+static struct sim_free sim_free(const struct sim *s, const struct hld_view *v,
+				const struct jtb_job *job, uint32_t turn,
+				uint32_t step);
 static void sim_check_part(struct sim *s, const struct hld_view *v,
 			   struct jtb_job *job, uint32_t turn, uint32_t step);
 static void sim_check_task(struct sim *s, const struct jtb_name *n,
@@ -140,17 +150,31 @@
 
 /*
  * Whether workers could take a task of a step twice over at this moment, of a
- * gang all its members; also workers that we have closed.
+ * gang all its members. For work that lasts also those that we have closed
+ * count; for other work only if its pool has none open: a VM that leaves for a
+ * pool in greater need is no room for what is full beside it.
  */
-static bool sim_room(const struct sim *s, const struct jtb_job *job,
-		     uint32_t turn, uint32_t step)
+static bool sim_room(const struct sim *s, const struct hld_view *v,
+		     const struct jtb_job *job, uint32_t turn, uint32_t step)
 {
+	struct sim_free f = sim_free(s, v, job, turn, step);
 	const struct jtb_step *need = &job->spec.steps[step];
 	uint32_t twice = 2 * (need->flags & JTB_GANG ? need->count : 1);
+
+	return (need->flags & JTB_LASTS || !f.any_open ? f.all : f.open) >=
+	       twice;
+}
+
+/* Adds up the tasks of a step that workers could take. */
+static struct sim_free sim_free(const struct sim *s, const struct hld_view *v,
+				const struct jtb_job *job, uint32_t turn,
+				uint32_t step)
+{
+	const struct jtb_step *need = &job->spec.steps[step];
 	const char *pool = jtb_pool_of(s->jtb, job);
 	GHashTableIter it;
 	struct jtb_worker *w;
-	uint32_t found = 0;
+	struct sim_free f = {0};
 	guint i;
 
 	g_hash_table_iter_init(&it, jtb_workers(s->jtb));
@@ -174,9 +198,14 @@
 		if (need->per_worker)
 			fits = MIN(fits, need->per_worker -
 						 MIN(same, need->per_worker));
-		found += need->flags & JTB_GANG ? fits : MIN(fits, 1);
+		fits = need->flags & JTB_GANG ? fits : MIN(fits, 1);
+		f.all += fits;
+		if (g_hash_table_contains(v->sch->closed, w->info.id))
+			continue;
+		f.any_open = true;
+		f.open += fits;
 	}
-	return found >= twice;
+	return f;
 }
 
 /*
@@ -222,7 +251,7 @@
 	const struct jtb_part *part = jtb_part(job, turn, step);
 	bool room = !jtb_ended(job) &&
 		    jtb_step_due(job, turn, step, v->sch->wall_ms) &&
-		    sim_room(s, job, turn, step);
+		    sim_room(s, v, job, turn, step);
 	struct jtb_name n = {.turn = turn, .step = step};
 
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
