--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -818,6 +818,42 @@
 	}
 }
 
+/*
+ * Each time of a repeated job but the first takes as long as the few VMs that
+ * its pool keeps allow: only the first time counted in the pool's load, and
+ * that by the time since the job was accepted.
+ */
+static void each_turn_counts_in_the_load(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {.count = 2, .cpu = 10000, .guess_ms = 3000};
+	struct jtb_spec spec = {
+		.id = "r",
+		.queue = (char *)"q",
+		.text = (char *)"t",
+		.steps = &s,
+		.n_steps = 1,
+		.repeats = 2,
+		.first_ms = JOBS_WALL_MS - 600000,
+		.every_ms = 600000,
+	};
+	struct pk_out o;
+	uint32_t i;
+
+	vm_add(b, "vm1", "p", "w1");
+	vm_add(b, "vm2", "p", "w2");
+	pk_out_init(&o);
+	jtb_put_job(&o, &spec, JOBS_WALL_MS - 600000);
+	jobs_apply(b->jtb, &o);
+	for (i = 0; i < 2; i++) {
+		jobs_start(b->jtb, "r", 0, i, 1, i ? "w2" : "w1");
+		jobs_end(b->jtb, "r", 0, i, 1, i ? "w2" : "w1", JTB_DONE);
+	}
+	assert_int_equal(jtb_job(b->jtb, "r")->turns_done, 1);
+	tick(b);
+	assert_true(flo_pool(b->flo, "p")->load > 19);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -825,6 +861,7 @@
 	const struct CMUnitTest tests[] = {
 		T(a_vm_that_is_off_is_fetched),
 		T(work_that_counts_nothing_gets_a_vm),
+		T(each_turn_counts_in_the_load),
 		T(what_waits_and_what_comes_add_up),
 		T(late_work_counts_less),
 		T(work_without_use_counts_nothing),
