Each time of a repeated job counts in its pool's load

Callers would see the later times of a repeated job take as long as the few VMs allow that its pool keeps without load. What a job has left was taken from its first turn alone, 0 once that was done, and its weight by the time since it was accepted, so that a job that repeats for long counted as hopeless from its second turn on, though plans rank it as in time.

--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -108,8 +108,8 @@
 						 ? p->mem_mb / p->cores
 						 : FLO_CORE_MB);
 		if (!sch_lasts(job))
-			cores = MIN(cores,
-				    sch_undone(job) * 1000 / FLO_DRAIN_MS);
+			cores = MIN(cores, sch_undone(job, wall) * 1000 /
+						   FLO_DRAIN_MS);
 		if (sch_lasts(job))
 			p->lasting += cores;
 		p->load += cores * flo_weight(q, job, wall);
@@ -130,7 +130,11 @@
 	return false;
 }
 
-/* How much a job's wish for room counts beside one that can be in time. */
+/*
+ * How much a job's wish for room counts beside one that can be in time. What
+ * is repeated by the clock is never late by when it was accepted, and goes by
+ * the same rule as in plans.
+ */
 static double flo_weight(const struct jtb_queue *q, const struct jtb_job *job,
 			 int64_t wall)
 {
@@ -140,7 +144,9 @@
 		[SCH_HOPELESS] = 0,
 	};
 
-	return sch_lasts(job) ? 1 : weights[sch_chance(q, job, wall)];
+	if (sch_lasts(job) || job->spec.repeats)
+		return 1;
+	return weights[sch_chance(q, job, wall)];
 }
 
 /*
--- a/src/sch_job.c
+++ b/src/sch_job.c
@@ -22,7 +22,7 @@
 enum sch_chance sch_chance(const struct jtb_queue *q, const struct jtb_job *job,
 			   int64_t wall_ms)
 {
-	double left = job->work > 0 ? sch_undone(job) / job->work : 1;
+	double left = job->work > 0 ? sch_undone(job, wall_ms) / job->work : 1;
 	int64_t age = wall_ms - job->accepted_ms;
 	int64_t limit = sch_objective_ms(q, job);
 	int64_t need = (int64_t)(job->chain_ms * sch_scale(job) * left);
@@ -32,20 +32,29 @@
 	return age + need <= SCH_LATE_FACTOR * limit ? SCH_LATE : SCH_HOPELESS;
 }
 
-/* Core-seconds of a job that are not done, by its guesses. */
-double sch_undone(const struct jtb_job *job)
+/*
+ * Core-seconds of a job that are not done, by its guesses, of all times that
+ * it is due.
+ */
+double sch_undone(const struct jtb_job *job, int64_t wall_ms)
 {
-	const struct jtb_turn *turn = &job->turns[0];
-	double undone = job->work;
+	double undone = 0;
+	uint32_t t;
 	uint32_t s;
 
-	for (s = 0; turn->parts && s < job->spec.n_steps; s++) {
-		const struct jtb_step *step = &job->spec.steps[s];
+	for (t = 0; t < job->n_turns && wall_ms >= jtb_turn_due(job, t); t++) {
+		const struct jtb_turn *turn = &job->turns[t];
+		double left = job->work;
+
+		for (s = 0; turn->parts && s < job->spec.n_steps; s++) {
+			const struct jtb_step *step = &job->spec.steps[s];
 
-		undone -= turn->parts[s].n_done * (step->cpu / 1000.0) *
-			  (step->guess_ms / 1000.0);
+			left -= turn->parts[s].n_done * (step->cpu / 1000.0) *
+				(step->guess_ms / 1000.0);
+		}
+		undone += MAX(left, 0);
 	}
-	return MAX(undone, 0);
+	return undone;
 }
 
 /*
