--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -854,6 +854,59 @@
 	assert_true(flo_pool(b->flo, "p")->load > 19);
 }
 
+/* Three VMs in "p", and so many that are off. */
+static void three_and_some(struct bed *b, int off)
+{
+	char vm[8];
+	char w[8];
+	int i;
+
+	for (i = 0; i < 3; i++) {
+		g_snprintf(vm, sizeof(vm), "vm%d", i);
+		g_snprintf(w, sizeof(w), "w%d", i);
+		vm_add(b, vm, "p", w);
+	}
+	for (i = 0; i < off; i++) {
+		g_snprintf(vm, sizeof(vm), "off%d", i);
+		vm_add(b, vm, "off", "");
+	}
+}
+
+/*
+ * A gang that waited for so long that it counts nothing never starts: it needs
+ * more VMs at once than a pool keeps without load, and gets no more.
+ */
+static void a_late_gang_gets_its_vms(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {.count = 5,
+			     .cpu = 12000,
+			     .mem_mb = 100,
+			     .guess_ms = 100,
+			     .flags = JTB_GANG};
+
+	three_and_some(b, 8);
+	jobs_job(b->jtb, "g", &s, 1, JOBS_WALL_MS - 600000);
+	ticks(b, 3);
+	assert_in_range(b->orders, 2, 3);
+}
+
+/* One that no fleet of ours could hold gets none: they would wait for good. */
+static void a_gang_without_end_gets_no_vms(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {.count = 50,
+			     .cpu = 12000,
+			     .mem_mb = 100,
+			     .guess_ms = 100,
+			     .flags = JTB_GANG};
+
+	three_and_some(b, 8);
+	jobs_job(b->jtb, "g", &s, 1, JOBS_WALL_MS - 600000);
+	ticks(b, 3);
+	assert_int_equal(b->orders, 0);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -862,6 +915,8 @@
 		T(a_vm_that_is_off_is_fetched),
 		T(work_that_counts_nothing_gets_a_vm),
 		T(each_turn_counts_in_the_load),
+		T(a_late_gang_gets_its_vms),
+		T(a_gang_without_end_gets_no_vms),
 		T(what_waits_and_what_comes_add_up),
 		T(late_work_counts_less),
 		T(work_without_use_counts_nothing),
