Advice: whom to ask for what next, tickets, and the session with the service

Tasks of a queue with advice were refused by workers for want of a ticket, over and over, and never ran: nothing asked for one, and starts carried none. Ruled out: to keep tickets in the log; each can be had again for the price of a call, and most end within seconds.

adv decides which step is asked for next and which workers it names, in virtual time; adv_line makes one call at a time and never stops trying; sch places tasks of such queues only on workers with a ticket, and what has none says nothing of a pool's room; starts carry the ticket, and none is sent without. A job of such a queue is refused with 503 while no service is set.

--- a/src/hub.c
+++ b/src/hub.c
@@ -76,6 +76,15 @@
 			.hold_max_ms = config->hold_max_ms,
 		},
 		&hub_wkr_ops, h);
+	h->adv = adv_new(h->jtb);
+	h->advice = adv_line_new(
+		&(struct adv_config){
+			.base = config->base,
+			.tmr = h->tmr,
+			.codec = config->face->advice_codec,
+			.addr = config->advice,
+		},
+		h->adv, &hub_adv_ops, h);
 	hub_vm_init(h);
 	h->rep = rep_new(
 		&(struct rep_config){
@@ -115,6 +124,8 @@
 	rep_free(h->rep);
 	wkr_free(h->wkr);
 	hub_vm_free(h);
+	adv_line_free(h->advice);
+	adv_free(h->adv);
 	hub_log_free(h);
 	jtb_free(h->jtb);
 	g_hash_table_destroy(h->calls);
@@ -146,6 +157,14 @@
 	rep_set_seeds(h->rep, seeds);
 }
 
+/* Another service for advice, from changed settings; NULL: none. */
+void hub_set_advice(struct hub *h, const char *addr)
+{
+	adv_line_set_addr(h->advice, addr);
+	if (h->leading)
+		hub_plan_all(h);
+}
+
 /* Whether we lead and hold all that was accepted before. */
 bool hub_leads(const struct hub *h)
 {
--- a/src/hub.h
+++ b/src/hub.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "adv.h"
 #include "jtb.h"
 #include "key.h"
 #include "vms.h"
@@ -41,6 +42,7 @@
 	void (*call)(struct hub *h, struct hub_call *c);
 	const struct wkr_codec *codec;
 	const struct vms_codec *vm_codec;
+	const struct adv_codec *advice_codec;
 };
 
 struct hub_config {
@@ -53,6 +55,7 @@
 	char *control; /* IP:PORT for operators and workers */
 	char *metrics; /* IP:PORT; or NULL */
 	char *vms; /* IP:PORT of the service that switches VMs; or NULL */
+	char *advice; /* IP:PORT of the service that gives it; or NULL */
 	char *data;
 	char **seeds; /* IP:PORT, as wire */
 	bool bootstrap;
@@ -68,6 +71,7 @@
 void hub_drain(struct hub *h);
 bool hub_failed(const struct hub *h);
 void hub_set_seeds(struct hub *h, char **seeds);
+void hub_set_advice(struct hub *h, const char *addr);
 
 /* For faces. */
 enum hub_door hub_door(const struct hub_call *c);
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -1,6 +1,7 @@
 #ifndef HUB_INT_H
 #define HUB_INT_H
 
+#include "adv.h"
 #include "cnt.h"
 #include "est.h"
 #include "flo.h"
@@ -66,6 +67,7 @@
 	HUB_UPKEEPS,
 	HUB_UPKEEPS_DONE,
 	HUB_UNKNOWN_CALLS,
+	HUB_UNADVISED,
 	HUB_COUNTS
 };
 
@@ -90,6 +92,8 @@
 	struct jtb *jtb;
 	struct wkr *wkr;
 	struct vms *vms; /* NULL: nobody switches VMs */
+	struct adv *adv;
+	struct adv_line *advice;
 	struct upk *upk;
 	struct flo *flo;
 	int64_t told_ms; /* when pools were logged last */
@@ -134,6 +138,7 @@
 /* hub_plan */
 extern const struct jtb_watch hub_watch;
 extern const struct wkr_ops hub_wkr_ops;
+extern const struct adv_ops hub_adv_ops;
 int64_t hub_sure(void *arg);
 void hub_plan_lead(struct hub *h, uint64_t term);
 void hub_plan_rest(struct hub *h);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -37,6 +37,12 @@
 static void hub_plan(struct hub *h);
 static bool hub_usable(void *arg, const struct jtb_worker *w);
 static bool hub_leaving(void *arg, const struct jtb_worker *w);
+static bool hub_ticketed(void *arg, const struct jtb_job *job, uint32_t turn,
+			 uint32_t step, const struct jtb_worker *w);
+static bool hub_ticket(void *arg, const struct jtb_run *run, const char **out);
+static void hub_ticket_refused(void *arg, const struct jtb_run *run);
+static void hub_advised(void *arg);
+static void hub_check_advice(const struct hub *h);
 static void hub_starved(void *arg, const char *pool);
 static void hub_start(void *arg, struct jtb_job *job, const struct jtb_name *n,
 		      uint32_t attempt, struct jtb_worker *w);
@@ -67,9 +73,15 @@
 	.lost = hub_lost,
 	.gone = hub_gone,
 	.seen = hub_seen,
+	.ticket = hub_ticket,
+	.ticket_refused = hub_ticket_refused,
 	.sure = hub_sure,
 };
 
+const struct adv_ops hub_adv_ops = {
+	.changed = hub_advised,
+};
+
 /*
  * We lead: what may run is in the table, so that work goes on at once, on each
  * worker as soon as it has told what it runs.
@@ -84,6 +96,7 @@
 	h->counts[HUB_LEADS]++;
 	jtb_unplan_all(h->jtb);
 	est_clear(h->est);
+	adv_line_lead(h->advice);
 	wkr_lead(h->wkr, term);
 	hub_vm_lead(h, term);
 	for (i = 0; i < live->len; i++) {
@@ -97,6 +110,7 @@
 	    "term=%" PRIu64 " config=%" PRIu64 " workers=%u live=%u", term,
 	    jtb_config(h->jtb)->version, g_hash_table_size(jtb_workers(h->jtb)),
 	    live->len);
+	hub_check_advice(h);
 }
 
 /* We don't lead any more. */
@@ -104,6 +118,7 @@
 {
 	h->leading = false;
 	wkr_rest(h->wkr);
+	adv_line_rest(h->advice);
 	hub_vm_rest(h);
 	jtb_unplan_all(h->jtb);
 	g_hash_table_remove_all(h->dirty);
@@ -274,6 +289,7 @@
 	msg(MSG_HUB_CONFIG, "version=%" PRIu64 " queues=%u pools=%u",
 	    jtb_config(h->jtb)->version, jtb_config(h->jtb)->queues->len,
 	    jtb_config(h->jtb)->pools->len);
+	hub_check_advice(h);
 	hub_plan_all(h);
 }
 
@@ -380,6 +396,7 @@
 		.arg = h,
 		.usable = hub_usable,
 		.leaving = hub_leaving,
+		.ticketed = hub_ticketed,
 		.start = hub_start,
 		.starved = hub_starved,
 	};
@@ -392,6 +409,7 @@
 	while (g_hash_table_iter_next(&it, (gpointer *)&pool, NULL))
 		sch_plan(&v, pool);
 	g_hash_table_remove_all(h->dirty);
+	adv_line_look(h->advice, &v);
 	g_hash_table_destroy(closed);
 }
 
@@ -411,6 +429,68 @@
 	return upk_due(h->upk, w->info.id);
 }
 
+/* Whether a step of a queue with advice may be started on a worker. */
+static bool hub_ticketed(void *arg, const struct jtb_job *job, uint32_t turn,
+			 uint32_t step, const struct jtb_worker *w)
+{
+	const struct hub *h = arg;
+
+	return adv_ticketed(h->adv, job, turn, step, w, tmr_now(h->tmr));
+}
+
+/* The ticket that an order to start carries; false: it needs one it hasn't. */
+static bool hub_ticket(void *arg, const struct jtb_run *run, const char **out)
+{
+	const struct hub *h = arg;
+	const struct jtb_queue *q =
+		jtb_queue(jtb_config(h->jtb), run->job->spec.queue);
+
+	*out = NULL;
+	if (!q || !q->advised)
+		return true;
+	*out = adv_ticket(h->adv, run->job, run->turn, run->step, run->worker,
+			  tmr_now(h->tmr));
+	return *out != NULL;
+}
+
+/* A worker refused a ticket: another is asked for. */
+static void hub_ticket_refused(void *arg, const struct jtb_run *run)
+{
+	struct hub *h = arg;
+
+	msg(MSG_ADV_REFUSED, "job=%s turn=%u step=%u index=%u worker=%s",
+	    run->job->spec.id, run->turn, run->step, run->index,
+	    run->worker->info.id);
+	adv_drop(h->adv, run, tmr_now(h->tmr));
+}
+
+/* Tickets came in, or there is something to ask again. */
+static void hub_advised(void *arg)
+{
+	struct hub *h = arg;
+
+	if (h->leading)
+		hub_plan_all(h);
+}
+
+/* Says loudly that queues need advice and nobody gives it. */
+static void hub_check_advice(const struct hub *h)
+{
+	const struct jtb_config *c = jtb_config(h->jtb);
+	uint32_t n = 0;
+	guint i;
+
+	for (i = 0; i < c->queues->len; i++) {
+		const struct jtb_queue *q = g_ptr_array_index(c->queues, i);
+
+		n += q->advised;
+	}
+	if (n && !adv_line_there(h->advice))
+		msg(MSG_ADV_NOBODY,
+		    "queues=%u config=%" PRIu64 " setting=\"[node] advice\"", n,
+		    c->version);
+}
+
 /* Work that lasts found no room in a pool. */
 static void hub_starved(void *arg, const char *pool)
 {
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -9,10 +9,27 @@
 			  const struct jtb_worker_info *b);
 static void hub_addr_taken(struct hub *h, const struct jtb_worker_info *info);
 
+/*
+ * A job of a queue with advice, while nobody gives any, could never run: it is
+ * refused at once, instead of being owed for good. Settings are changed by
+ * hand, so that callers needn't come back soon, s.
+ */
+#define HUB_UNADVISED_S 30
+
 /* Takes a job in; then goes on once it is stored for good. */
 void hub_submit(struct hub *h, struct hub_call *c, const struct jtb_spec *spec,
 		hub_then then)
 {
+	const struct jtb_queue *q = jtb_queue(jtb_config(h->jtb), spec->queue);
+
+	if (q && q->advised && !adv_line_there(h->advice)) {
+		h->counts[HUB_UNADVISED]++;
+		hub_answer(h, c,
+			   &(struct hub_answer){.status = 503,
+						.retry_after_s =
+							HUB_UNADVISED_S});
+		return;
+	}
 	h->counts[HUB_JOBS]++;
 	msg_job(MSG_HUB_JOB, spec->id,
 		"job=%s queue=%s steps=%u config=%" PRIu64 " live=%u", spec->id,
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -35,6 +35,9 @@
 			      "VMs whose upkeep was done"},
 	[HUB_UNKNOWN_CALLS] = {"endive_calls_unknown_total", "counter",
 			       "Calls that a lost leadership left unanswered"},
+	[HUB_UNADVISED] =
+		{"endive_jobs_unadvised_total", "counter",
+		 "Jobs refused, as nobody gives the advice they need"},
 };
 
 static const struct {
@@ -66,6 +69,7 @@
 void hub_tell_metrics(const struct hub *h, GString *out)
 {
 	const struct wkr_stats *s = wkr_stats(h->wkr);
+	const struct adv_stats *a = adv_line_stats(h->advice);
 	size_t i;
 
 	cnt_text(out, hub_counters, h->counts, HUB_COUNTS, "");
@@ -78,6 +82,8 @@
 	cnt_times_text(out, "endive_lease_margin_seconds",
 		       "What was left of workers' leases when renewed",
 		       &s->margin);
+	cnt_times_text(out, "endive_advice_seconds",
+		       "Calls for advice, until their answer", &a->answers);
 	cnt_times_text(out, "endive_sync_seconds", "Syncs of the data folder",
 		       rep_sync_times(h->rep));
 	cnt_times_text(out, "endive_leaderless_seconds",
@@ -90,6 +96,7 @@
 static void hub_tell_state(const struct hub *h, GString *out)
 {
 	const struct wkr_stats *s = wkr_stats(h->wkr);
+	const struct adv_stats *a = adv_line_stats(h->advice);
 	const struct cnt_def defs[] = {
 		{"endive_leading", "gauge", "1 on the replica that leads"},
 		{"endive_jobs_live", "gauge", "Jobs that aren't over"},
@@ -105,6 +112,18 @@
 		 "Starts that a worker refused"},
 		{"endive_lapses_total", "counter",
 		 "Workers given up since their lease was over"},
+		{"endive_advice_waiting", "gauge",
+		 "Steps that are due and have no ticket"},
+		{"endive_advice_steps", "gauge", "Steps whose advice is kept"},
+		{"endive_advice_calls_total", "counter", "Calls for advice"},
+		{"endive_advice_failed_total", "counter",
+		 "Calls for advice without a good answer"},
+		{"endive_advice_named_total", "counter",
+		 "Workers asked for, with repeats"},
+		{"endive_advice_approved_total", "counter",
+		 "Workers approved, with repeats"},
+		{"endive_tickets_refused_total", "counter",
+		 "Starts that a worker refused for their ticket"},
 	};
 	const uint64_t values[] = {
 		h->leading,
@@ -117,6 +136,13 @@
 		s->unanswered,
 		s->refused,
 		s->lapses,
+		adv_waiting(h->adv),
+		adv_kept(h->adv),
+		a->calls,
+		a->failed,
+		a->named,
+		a->approved,
+		s->unticketed,
 	};
 
 	G_STATIC_ASSERT(G_N_ELEMENTS(defs) == G_N_ELEMENTS(values));
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -38,6 +38,7 @@
 	bool advised; /* starts need a ticket */
 	uint32_t advice_ms; /* a call for advice takes, */
 	uint32_t advice_each_ms; /* and for each worker named */
+	uint32_t advice_valid_ms; /* its tickets hold; 0: not told */
 };
 
 /* A pool of VMs that run jobs. */
@@ -185,6 +186,7 @@
 	uint32_t plan_mem;
 	uint32_t plan_gpus;
 	uint32_t same_step; /* owner's: tasks of the step being planned */
+	bool barred; /* owner's: has no ticket for that step */
 	uint64_t kept_for; /* owner's: seq + 1 of the job it is kept for, */
 	int64_t kept_ms; /* when it was last */
 	void *owner; /* leader's data */
--- a/src/jtb_cmd.c
+++ b/src/jtb_cmd.c
@@ -124,7 +124,7 @@
 	for (i = 0; i < c->queues->len; i++) {
 		const struct jtb_queue *q = g_ptr_array_index(c->queues, i);
 
-		pk_arr(o, 12);
+		pk_arr(o, 13);
 		pk_cstr(o, q->name);
 		pk_cstr(o, q->host);
 		pk_cstr(o, q->prefix);
@@ -137,6 +137,7 @@
 		pk_bool(o, q->advised);
 		pk_u(o, q->advice_ms);
 		pk_u(o, q->advice_each_ms);
+		pk_u(o, q->advice_valid_ms);
 	}
 	pk_arr(o, c->pools->len);
 	for (i = 0; i < c->pools->len; i++) {
@@ -177,6 +178,9 @@
 		q->advised = pk_get_bool(&row);
 		q->advice_ms = (uint32_t)pk_get_u(&row);
 		q->advice_each_ms = (uint32_t)pk_get_u(&row);
+		/* folders of before it was kept end here */
+		if (pk_in_left(&row))
+			q->advice_valid_ms = (uint32_t)pk_get_u(&row);
 		jtb_config_add_queue(c, q);
 		at.bad |= !pk_in_ok(&row);
 	}
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -36,6 +36,7 @@
 		.control = s->control,
 		.metrics = s->metrics,
 		.vms = s->vms,
+		.advice = s->advice,
 		.data = s->data,
 		.seeds = s->seeds,
 		.bootstrap = s->bootstrap,
@@ -69,6 +70,7 @@
 static void schedd_reload(struct dmn *d)
 {
 	hub_set_seeds(d->service, d->settings->seeds);
+	hub_set_advice(d->service, d->settings->advice);
 }
 
 /* What its process ends with. */
--- a/src/msg.c
+++ b/src/msg.c
@@ -79,6 +79,11 @@
 	[MSG_WKR_LAPSED] = {MSG_NOTICE, "worker-lapsed"},
 	[MSG_WKR_STRAY] = {MSG_WARN, "stray-run"},
 	[MSG_WKR_SHUNNED] = {MSG_WARN, "worker-shunned"},
+	/* adv: advice on which workers may run a step */
+	[MSG_ADV_TOLD] = {MSG_INFO, "advice"},
+	[MSG_ADV_FAILED] = {MSG_WARN, "advice-failed"},
+	[MSG_ADV_REFUSED] = {MSG_WARN, "ticket-refused"},
+	[MSG_ADV_NOBODY] = {MSG_ERROR, "advice-nobody-to-ask"},
 	/* gat: entry daemon */
 	[MSG_GAT_LEADER] = {MSG_NOTICE, "entry-leader"},
 	[MSG_GAT_REFUSED] = {MSG_NOTICE, "entry-refused"},
--- a/src/msg.h
+++ b/src/msg.h
@@ -71,6 +71,11 @@
 	MSG_WKR_LAPSED,
 	MSG_WKR_STRAY,
 	MSG_WKR_SHUNNED,
+	/* adv: advice on which workers may run a step */
+	MSG_ADV_TOLD,
+	MSG_ADV_FAILED,
+	MSG_ADV_REFUSED,
+	MSG_ADV_NOBODY,
 	/* gat: entry daemon */
 	MSG_GAT_LEADER,
 	MSG_GAT_REFUSED,
--- a/src/sch.c
+++ b/src/sch.c
@@ -9,6 +9,8 @@
 #define SCH_AGAIN_MS 50
 /* Jobs that fail to be placed in one plan until it ends: the pool is full. */
 #define SCH_MISSES_MAX 40
+/* Between the urgencies of two ranks: more than there are ever jobs. */
+#define SCH_RANK_STEP 1e12
 
 /* Which jobs go before which. */
 enum sch_rank {
@@ -33,12 +35,14 @@
 	const char *name;
 	GPtrArray *workers; /* struct jtb_worker that may be given work */
 	GPtrArray *kept; /* of these, kept free for work that lasts */
+	const struct jtb_queue *queue; /* of the job being planned */
+	bool barred; /* some workers were, for the last step */
 	uint32_t started;
 };
 
 static void sch_workers(struct sch_pool *p);
 static GArray *sch_cands(struct sch_pool *p);
-static void sch_rank(const struct sch_view *v, struct sch_cand *c);
+static void sch_rank(int64_t wall_ms, struct sch_cand *c);
 static int sch_order(gconstpointer a, gconstpointer b);
 static bool sch_job(struct sch_pool *p, struct sch_cand *c);
 static bool sch_part(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
@@ -49,6 +53,8 @@
 				    const struct jtb_job *job, uint32_t step);
 static void sch_keep(struct sch_pool *p, const struct jtb_job *job,
 		     uint32_t step);
+static bool sch_tickets(struct sch_pool *p, const struct jtb_job *job,
+			uint32_t turn, uint32_t step);
 static bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s);
 static bool sch_fits(const struct jtb_worker *w, const struct jtb_step *s);
 static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
@@ -93,8 +99,10 @@
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
 		if (strcmp(w->info.pool, p->name) == 0 &&
 		    !g_hash_table_contains(p->v->closed, w->info.id) &&
-		    p->v->usable(p->v->arg, w))
+		    p->v->usable(p->v->arg, w)) {
+			w->barred = false;
 			g_ptr_array_add(p->workers, w);
+		}
 }
 
 /* The jobs of a pool that aren't over. */
@@ -113,7 +121,7 @@
 		c.queue = jtb_queue(config, c.job->spec.queue);
 		if (!c.queue || strcmp(c.queue->pool, p->name) != 0)
 			continue;
-		sch_rank(p->v, &c);
+		sch_rank(p->v->wall_ms, &c);
 		g_array_append_val(cands, c);
 	}
 	return cands;
@@ -127,10 +135,10 @@
  * fare alike, where the cheapest first would shut out the large for the whole
  * of a burst. What can't be in time any more waits behind all that can.
  */
-static void sch_rank(const struct sch_view *v, struct sch_cand *c)
+static void sch_rank(int64_t wall_ms, struct sch_cand *c)
 {
 	const struct jtb_job *job = c->job;
-	enum sch_chance chance = sch_chance(c->queue, job, v->wall_ms);
+	enum sch_chance chance = sch_chance(c->queue, job, wall_ms);
 
 	if (sch_lasts(job))
 		c->rank = SCH_RANK_LASTS;
@@ -143,6 +151,16 @@
 		c->rank == SCH_RANK_NEW ? (double)job->seq : -(double)job->seq;
 }
 
+/* Where a job stands in a plan's order: what is higher goes first. */
+double sch_urgency(const struct jtb_queue *q, const struct jtb_job *job,
+		   int64_t wall_ms)
+{
+	struct sch_cand c = {.job = (struct jtb_job *)job, .queue = q};
+
+	sch_rank(wall_ms, &c);
+	return c.value - c.rank * SCH_RANK_STEP;
+}
+
 /* Compares jobs by which goes first. */
 static int sch_order(gconstpointer a, gconstpointer b)
 {
@@ -164,6 +182,7 @@
 	uint32_t t;
 	uint32_t s;
 
+	p->queue = c->queue;
 	for (t = 0; t < job->n_turns; t++) {
 		if (p->v->wall_ms < jtb_turn_due(job, t))
 			break;
@@ -191,6 +210,8 @@
 
 	if (part && part->n_done + part->n_runs + part->n_planned >= count)
 		return true;
+	if (!sch_tickets(p, job, turn, step))
+		return true;
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
 	sch_count_same(p, job, turn, step);
 	for (n.index = 0; n.index < count; n.index++) {
@@ -236,6 +257,8 @@
 		if (p->v->now_ms - part->tasks[i].free_ms < SCH_AGAIN_MS)
 			return true;
 	}
+	if (!sch_tickets(p, job, turn, step))
+		return true;
 	places = g_ptr_array_new();
 	sch_count_same(p, job, turn, step);
 	for (i = 0; i < count && room; i++) {
@@ -330,10 +353,36 @@
 	g_ptr_array_add(p->kept, best);
 }
 
+/*
+ * Bars the workers that have no ticket for a step of a queue with advice: a
+ * start without one is refused. False: none has one. The step then waits for
+ * advice, which says nothing of the pool's room; it must neither end the plan
+ * as full nor have VMs come.
+ */
+static bool sch_tickets(struct sch_pool *p, const struct jtb_job *job,
+			uint32_t turn, uint32_t step)
+{
+	bool advised = p->queue->advised && p->v->ticketed;
+	bool any = !advised;
+	guint i;
+
+	if (!advised && !p->barred)
+		return true;
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		w->barred = advised &&
+			    !p->v->ticketed(p->v->arg, job, turn, step, w);
+		any = any || !w->barred;
+	}
+	p->barred = advised;
+	return any;
+}
+
 /* Whether a worker may run the step at all, room or not. */
 static bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s)
 {
-	if (s->label && !sch_has_label(w, s->label))
+	if (w->barred || (s->label && !sch_has_label(w, s->label)))
 		return false;
 	return !s->per_worker || w->same_step < s->per_worker;
 }
--- a/src/sch.h
+++ b/src/sch.h
@@ -20,6 +20,12 @@
 	bool (*usable)(void *arg, const struct jtb_worker *w);
 	/* a worker's VM is due for upkeep: work that lasts goes elsewhere */
 	bool (*leaving)(void *arg, const struct jtb_worker *w);
+	/*
+	 * Whether there is a ticket for a step of a queue with advice on a
+	 * worker; NULL: all have one.
+	 */
+	bool (*ticketed)(void *arg, const struct jtb_job *job, uint32_t turn,
+			 uint32_t step, const struct jtb_worker *w);
 	/* start this task there; called while planning */
 	void (*start)(void *arg, struct jtb_job *job, const struct jtb_name *n,
 		      uint32_t attempt, struct jtb_worker *w);
@@ -38,6 +44,8 @@
 int64_t sch_objective_ms(const struct jtb_queue *q, const struct jtb_job *job);
 enum sch_chance sch_chance(const struct jtb_queue *q, const struct jtb_job *job,
 			   int64_t wall_ms);
+double sch_urgency(const struct jtb_queue *q, const struct jtb_job *job,
+		   int64_t wall_ms);
 uint32_t sch_apart(const struct jtb_job *job, int64_t wall_ms);
 bool sch_lasts(const struct jtb_job *job);
 bool sch_tells_time(const struct jtb_run *run, enum jtb_end how,
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -110,6 +110,10 @@
 	void (*gone)(void *arg, struct jtb_worker *w, bool for_good);
 	/* new figures came in */
 	void (*seen)(void *arg, struct jtb_worker *w);
+	/* the ticket a start needs, NULL: none; false: it has none yet */
+	bool (*ticket)(void *arg, const struct jtb_run *run, const char **out);
+	/* the worker refused a start for its ticket */
+	void (*ticket_refused)(void *arg, const struct jtb_run *run);
 	/* when we last knew that we lead, on tmr's clock */
 	int64_t (*sure)(void *arg);
 };
@@ -127,6 +131,7 @@
 	uint64_t orders[WKR_PACE + 1];
 	uint64_t unanswered;
 	uint64_t refused; /* starts */
+	uint64_t unticketed; /* of these, for want of a ticket */
 	uint64_t lapses; /* workers given up since their lease was over */
 	struct cnt_times answers; /* how long orders took to be answered */
 	struct cnt_times margin; /* what was left of leases when renewed */
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -80,16 +80,22 @@
 			&run->job->turns[run->turn].parts[run->step];
 
 		/*
-		 * A worker that leaves gets nothing more. What was never
-		 * sent is simply over; else it must be told to forget it.
+		 * A worker that leaves gets nothing more, and what needs a
+		 * ticket isn't sent without: a new leader has none, and one
+		 * may end on the way. What was never sent is simply over;
+		 * else the worker must be told to forget it.
 		 */
-		if (l->w->info.draining && !run->may_be_there) {
+		bool barred = !l->k->ops->ticket(l->k->arg, run, &o.ticket) ||
+			      l->w->info.draining;
+
+		if (barred && !run->may_be_there) {
 			wkr_drop(l, run);
 			return;
 		}
-		if (l->w->info.draining) {
+		if (barred) {
 			run->stop = true;
 			o.kind = WKR_STOP;
+			o.ticket = NULL;
 		}
 		o.text = run->job->spec.text;
 		o.saved = part->tasks[run->index].saved;
@@ -139,8 +145,13 @@
 		run->ordered_ms = now;
 		wkr_hold(l);
 		break;
-	case WKR_NO_ROOM:
 	case WKR_NO_TICKET:
+		if (c->kind == WKR_START) {
+			l->k->stats.unticketed++;
+			l->k->ops->ticket_refused(l->k->arg, run);
+		}
+		/* fall through */
+	case WKR_NO_ROOM:
 	case WKR_SICK:
 	case WKR_MALFORMED:
 		if (c->kind == WKR_START) {
--- /dev/null
+++ b/tests/unit/fake_advice.h
@@ -0,0 +1,39 @@
+#ifndef FAKE_ADVICE_H
+#define FAKE_ADVICE_H
+
+#include "adv.h"
+
+/*
+ * A service that gives advice, in virtual time: it approves the workers whose
+ * ids begin with one letter, and gives each answer its own tickets.
+ */
+struct fake_advice {
+	char yes; /* first letter of whom it approves */
+	uint32_t answers;
+	uint32_t named; /* workers, in all questions */
+};
+
+/* Its answer to a question. */
+static inline GPtrArray *fake_advice_rows(struct fake_advice *f,
+					  const struct adv_ask *ask)
+{
+	GPtrArray *rows = g_ptr_array_new_with_free_func(adv_row_free);
+	guint i;
+
+	f->answers++;
+	f->named += ask->workers->len;
+	for (i = 0; i < ask->workers->len; i++) {
+		const char *id = g_ptr_array_index(ask->workers, i);
+		struct adv_row *row;
+
+		if (id[0] != f->yes)
+			continue;
+		row = g_new0(struct adv_row, 1);
+		row->worker = g_strdup(id);
+		row->ticket = g_strdup_printf("%s/%u", id, f->answers);
+		g_ptr_array_add(rows, row);
+	}
+	return rows;
+}
+
+#endif
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 
 #include "jobs_make.h"
+#include "jtb_int.h"
 
 static int setup(void **state)
 {
@@ -221,6 +222,66 @@
 	jtb_config_free(c);
 }
 
+/* One queue with advice, as it is packed: with so many fields of its own. */
+static void advised_config(struct jtb *t, uint64_t version, size_t fields)
+{
+	struct pk_out o;
+
+	pk_out_init(&o);
+	pk_arr(&o, 2);
+	pk_u(&o, JTB_CMD_CONFIG);
+	pk_arr(&o, 4);
+	pk_u(&o, version);
+	pk_cstr(&o, "doc");
+	pk_arr(&o, 1);
+	pk_arr(&o, fields);
+	pk_cstr(&o, "q");
+	pk_cstr(&o, "h");
+	pk_cstr(&o, "/q/");
+	pk_cstr(&o, "p");
+	pk_u(&o, 3000);
+	pk_u(&o, 600);
+	pk_u(&o, 0);
+	pk_u(&o, 3);
+	pk_f(&o, 1.5);
+	pk_bool(&o, true);
+	pk_u(&o, 200);
+	pk_u(&o, 5);
+	if (fields > 12)
+		pk_u(&o, 20000);
+	pk_arr(&o, 0);
+	jobs_apply(t, &o);
+}
+
+/*
+ * A leader of new sources starts on a folder that older ones wrote: a
+ * configuration without the time that tickets hold is in force there.
+ */
+static void a_configuration_of_before_tickets_is_read(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb *u = jtb_new(NULL, NULL);
+	const struct jtb_queue *q;
+	struct pk_out o;
+	bool ok;
+
+	advised_config(t, 8, 12);
+	q = jtb_queue(jtb_config(t), "q");
+	assert_int_equal(jtb_config(t)->version, 8);
+	assert_true(q->advised);
+	assert_int_equal(q->advice_each_ms, 5);
+	assert_int_equal(q->advice_valid_ms, 0);
+	advised_config(t, 9, 13);
+	assert_int_equal(jtb_queue(jtb_config(t), "q")->advice_valid_ms, 20000);
+	pk_out_init(&o);
+	jtb_snapshot(t, &o);
+	ok = jtb_restore(u, pk_out_view(&o));
+	pk_out_done(&o);
+	assert_true(ok);
+	assert_int_equal(jtb_queue(jtb_config(u), "q")->advice_valid_ms, 20000);
+	jtb_free(u);
+}
+
 /* After a change of a queue's pool nothing starts in the old one. */
 static void a_start_in_the_old_pool_doesnt_count(void **state)
 {
@@ -462,6 +523,7 @@
 		T(a_leaving_worker_gets_no_work),
 		T(a_lifetime_that_is_over_stays_over),
 		T(an_older_configuration_changes_nothing),
+		T(a_configuration_of_before_tickets_is_read),
 		T(queues_are_found_among_many),
 		T(a_start_in_the_old_pool_doesnt_count),
 		T(one_end_of_a_gang_is_all_of_it),
--- a/tests/unit/nst_test.c
+++ b/tests/unit/nst_test.c
@@ -38,6 +38,7 @@
 	assert_true(s->bootstrap);
 	assert_false(s->open_network);
 	assert_null(s->callers);
+	assert_null(s->advice);
 	assert_int_equal(s->keep_ms, 5000);
 	assert_int_equal(s->losses, 1);
 	/* seeds are given by another port than own processes use */
@@ -61,6 +62,9 @@
 		{"[node]\nname = n\nzone = z\nwire = 1.1.1.1:1\n"
 		 "seeds = 1.1.1.1:1,x\n",
 		 "[node] seeds is \"x\""},
+		{"[node]\nname = n\nzone = z\nwire = 1.1.1.1:1\n"
+		 "seeds = 1.1.1.1:1\nadvice = there\n",
+		 "[node] advice is \"there\"; allowed: IP:PORT"},
 		{GOOD "losses = 9\n",
 		 "[bounds] losses is \"9\"; allowed: a whole number, 0 to 5"},
 		{GOOD "grace-s = soon\n", "[bounds] grace-s is \"soon\""},
--- a/tests/unit/plt_test.c
+++ b/tests/unit/plt_test.c
@@ -340,6 +340,95 @@
 	g_bytes_unref(b);
 }
 
+/* How long calls for advice take, and how long their tickets hold. */
+static void advice_of_a_queue_is_read(void **state)
+{
+	struct jtb_config *c = read_config(
+		"{version=7,routes=[{" ROUTE
+		",advice={decision-ms=200,period-ms=5,validity-ms=20000}}],"
+		"services=[" SERVICE "]}");
+	const struct jtb_queue *q = jtb_route(c, "h.example", "/a/0123");
+
+	assert_true(q->advised);
+	assert_int_equal(q->advice_ms, 200);
+	assert_int_equal(q->advice_each_ms, 5);
+	assert_int_equal(q->advice_valid_ms, 20000);
+	jtb_config_free(c);
+	c = read_config("{version=7,routes=[{" ROUTE
+			",advice={validity-ms=x}}],services=[" SERVICE "]}");
+	assert_null(c);
+}
+
+static void advice_is_asked_for(void **state)
+{
+	struct adv_ask ask = {
+		.step = {.id = "0a", .turn = 2, .step = 1},
+		.workers = g_ptr_array_new(),
+	};
+	struct evbuffer *body = evbuffer_new();
+	const msgpack_object_array *list;
+	struct plt_doc d;
+	struct lstr text;
+
+	g_ptr_array_add(ask.workers, (gpointer) "i1");
+	g_ptr_array_add(ask.workers, (gpointer) "i2");
+	assert_string_equal(plt_advice_codec.write(&ask, body), "/v1/advise");
+	assert_true(plt_doc_open(&d, lstr_n(evbuffer_pullup(body, -1),
+					    evbuffer_get_length(body))));
+	assert_true(plt_text(d.root, "step", &text));
+	assert_true(lstr_eq(text, LSTR("0a.2.1")));
+	list = plt_list(d.root, "workers");
+	assert_int_equal(list->size, 2);
+	assert_true(plt_is_text(&list->ptr[1], &text));
+	assert_true(lstr_eq(text, LSTR("i2")));
+	plt_doc_done(&d);
+	evbuffer_free(body);
+	g_ptr_array_free(ask.workers, TRUE);
+}
+
+/* Who is missing from an answer may never run the step: none is half read. */
+static void advice_is_read_whole_or_not(void **state)
+{
+	static const struct {
+		int status;
+		const char *body;
+		enum adv_result result;
+		guint rows;
+	} cases[] = {
+		{200, "{approved=[[i1,t1],[i2,t2]],validity-ms=3000}", ADV_TOLD,
+		 2},
+		{200, "{approved=[]}", ADV_TOLD, 0},
+		{200, "{version=1}", ADV_TOLD, 0},
+		{200, "{approved=5}", ADV_UNREADABLE, 0},
+		{200, "{approved=[[i1,t1],[i2]]}", ADV_UNREADABLE, 1},
+		{200, "[]", ADV_UNREADABLE, 0},
+		{429, "{version=1}", ADV_BUSY, 0},
+		{400, "{version=1}", ADV_TURNED_DOWN, 0},
+		{503, "{version=1}", ADV_SICK, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GPtrArray *rows = g_ptr_array_new_with_free_func(adv_row_free);
+		GBytes *b = doc(cases[i].body);
+		int64_t valid = 7;
+
+		assert_int_equal(plt_advice_codec.answer(cases[i].status,
+							 view(b), rows, &valid),
+				 cases[i].result);
+		assert_int_equal(valid, i ? 7 : 3000);
+		assert_int_equal(rows->len, cases[i].rows);
+		if (rows->len) {
+			const struct adv_row *row = g_ptr_array_index(rows, 0);
+
+			assert_string_equal(row->worker, "i1");
+			assert_string_equal(row->ticket, "t1");
+		}
+		g_bytes_unref(b);
+		g_ptr_array_free(rows, TRUE);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -352,6 +441,9 @@
 		cmocka_unit_test(answers_are_told_apart),
 		cmocka_unit_test(an_order_is_written),
 		cmocka_unit_test(vms_are_read_page_by_page),
+		cmocka_unit_test(advice_of_a_queue_is_read),
+		cmocka_unit_test(advice_is_asked_for),
+		cmocka_unit_test(advice_is_read_whole_or_not),
 	};
 
 	return cmocka_run_group_tests_name("plt", tests, NULL, NULL);
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -17,6 +17,7 @@
 	int64_t wall;
 	const char *leaving;
 	bool proposes; /* starts stay on their way to the log */
+	const char *tickets; /* JOB@WORKER of each that there is */
 };
 
 static bool bed_usable(void *arg, const struct jtb_worker *w)
@@ -31,6 +32,17 @@
 	return b->leaving && strcmp(b->leaving, w->info.id) == 0;
 }
 
+static bool bed_ticketed(void *arg, const struct jtb_job *job, uint32_t turn,
+			 uint32_t step, const struct jtb_worker *w)
+{
+	const struct bed *b = arg;
+	char *one = g_strdup_printf("%s@%s", job->spec.id, w->info.id);
+	bool found = strstr(b->tickets, one) != NULL;
+
+	g_free(one);
+	return found;
+}
+
 static void bed_start(void *arg, struct jtb_job *job, const struct jtb_name *n,
 		      uint32_t attempt, struct jtb_worker *w)
 {
@@ -62,6 +74,7 @@
 		.arg = b,
 		.usable = bed_usable,
 		.leaving = bed_leaving,
+		.ticketed = bed_ticketed,
 		.start = bed_start,
 		.starved = bed_starved,
 	};
@@ -430,6 +443,84 @@
 	assert_string_equal(b->log->str, "l.0.0@w2 ");
 }
 
+/* From now on starts of the queue need tickets, and there are these. */
+static void need_tickets(struct bed *b, const char *tickets)
+{
+	struct jtb_queue *q =
+		(struct jtb_queue *)jtb_queue(jtb_config(b->jtb), "q");
+
+	q->advised = true;
+	b->tickets = tickets;
+}
+
+/*
+ * A worker refuses one start after another for want of a ticket. What has none
+ * waits; it says nothing of the pool's room, so that others go on behind it
+ * and no VM comes for it.
+ */
+static void what_has_no_ticket_waits_and_holds_nobody_up(void **state)
+{
+	struct bed *b = *state;
+	char id[16];
+	int i;
+
+	jobs_worker(b->jtb, "w1", 1000, false);
+	jobs_worker(b->jtb, "w2", 8000, false);
+	need_tickets(b, "");
+	for (i = 0; i < 60; i++) {
+		g_snprintf(id, sizeof(id), "n%d", i);
+		job(b, id, 1, 1000, 300, JTB_LASTS, 0);
+	}
+	job(b, "g", 2, 1000, 300, JTB_GANG, 0);
+	job(b, "y", 1, 1000, 300, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	assert_int_equal(b->starved, 0);
+	need_tickets(b, "y@w1");
+	plan(b);
+	assert_string_equal(b->log->str, "y.0.0@w1 ");
+	/* the worker with the ticket is full: that is want of room */
+	need_tickets(b, "n0@w1");
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	assert_int_equal(b->starved, 1);
+}
+
+/* All members of a gang need a ticket where they run. */
+static void a_gang_runs_where_it_has_tickets(void **state)
+{
+	struct bed *b = *state;
+
+	jobs_worker(b->jtb, "w1", 1000, false);
+	jobs_worker(b->jtb, "w2", 8000, false);
+	need_tickets(b, "g@w1");
+	job(b, "g", 2, 1000, 300, JTB_GANG, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	need_tickets(b, "g@w1 g@w2");
+	plan(b);
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 2);
+}
+
+/* A queue that needs no advice isn't held by what one with advice was. */
+static void who_was_barred_for_one_step_isnt_for_the_next(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_queue *q;
+
+	jobs_worker(b->jtb, "w1", 8000, false);
+	jobs_worker(b->jtb, "w2", 1000, false);
+	need_tickets(b, "x@w2");
+	job(b, "x", 1, 1000, 300, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "x.0.0@w2 ");
+	q = (struct jtb_queue *)jtb_queue(jtb_config(b->jtb), "q");
+	q->advised = false;
+	job(b, "y", 1, 1000, 300, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "y.0.0@w1 ");
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -453,6 +544,9 @@
 		T(a_gang_starts_whole_or_not),
 		T(a_time_is_waited_for),
 		T(a_vm_due_for_upkeep_is_avoided),
+		T(what_has_no_ticket_waits_and_holds_nobody_up),
+		T(a_gang_runs_where_it_has_tickets),
+		T(who_was_barred_for_one_step_isnt_for_the_next),
 	};
 
 	return cmocka_run_group_tests_name("sch", tests, NULL, NULL);
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -47,6 +47,11 @@
 	bool lists; /* the run is listed as running */
 	bool lists_next; /* from the list after the next on */
 	int64_t unsure_ms; /* we last knew so long ago that we lead */
+	bool advised; /* starts need a ticket */
+	const char *ticket; /* or NULL: there is none */
+	char sent_ticket[16]; /* of the last start */
+	int refuse_tickets; /* so many starts are refused for theirs */
+	int tickets_refused;
 	int64_t until_ms; /* lease of the last start */
 	int64_t hold_until_ms; /* and of the last call for the list */
 	uint64_t ack; /* of the last call for the list */
@@ -70,8 +75,11 @@
 		[WKR_PACE] = "/pace",
 	};
 
-	if (o->kind == WKR_START)
+	if (o->kind == WKR_START) {
 		the_bed->until_ms = o->until_ms;
+		g_strlcpy(the_bed->sent_ticket, o->ticket ? o->ticket : "",
+			  sizeof(the_bed->sent_ticket));
+	}
 	if (o->kind == WKR_HOLD) {
 		the_bed->hold_until_ms = o->until_ms;
 		the_bed->ack = o->ack;
@@ -86,6 +94,8 @@
 	*clock_ms = WORKER_MS;
 	if (status == 421)
 		return WKR_OTHER_LIFE;
+	if (status == 403)
+		return WKR_NO_TICKET;
 	return status == 200 ? WKR_YES : WKR_NO_ROOM;
 }
 
@@ -156,6 +166,11 @@
 		evhttp_send_reply(req, 421, "No", NULL);
 		return;
 	}
+	if (start && b->refuse_tickets > 0) {
+		b->refuse_tickets--;
+		evhttp_send_reply(req, 403, "No", NULL);
+		return;
+	}
 	if (start && b->refuse_starts > 0) {
 		b->refuse_starts--;
 		evhttp_send_reply(req, 409, "No", NULL);
@@ -197,6 +212,21 @@
 	b->lists = b->lists || b->lists_next;
 }
 
+static bool bed_ticket(void *arg, const struct jtb_run *run, const char **out)
+{
+	const struct bed *b = arg;
+
+	*out = b->advised ? b->ticket : NULL;
+	return !b->advised || b->ticket;
+}
+
+static void bed_ticket_refused(void *arg, const struct jtb_run *run)
+{
+	struct bed *b = arg;
+
+	b->tickets_refused++;
+}
+
 static int64_t bed_sure(void *arg)
 {
 	struct bed *b = arg;
@@ -209,6 +239,8 @@
 	.lost = bed_lost,
 	.gone = bed_gone,
 	.seen = bed_seen,
+	.ticket = bed_ticket,
+	.ticket_refused = bed_ticket_refused,
 	.sure = bed_sure,
 };
 
@@ -765,6 +797,53 @@
 	assert_int_equal(b->ack, 1);
 }
 
+/* A start carries its ticket, and the owner learns that it was refused. */
+static void a_start_carries_its_ticket(void **state)
+{
+	struct bed *b = *state;
+
+	b->advised = true;
+	b->ticket = "t1";
+	b->refuse_tickets = 1;
+	start(b);
+	net_run(b->base, SETTLE_MS);
+	assert_int_equal(b->starts, 1);
+	assert_string_equal(b->sent_ticket, "t1");
+	assert_int_equal(b->tickets_refused, 1);
+	assert_int_equal(b->lost, 1);
+	assert_int_equal(wkr_stats(b->wkr)->unticketed, 1);
+}
+
+/* Its ticket ended on the way through the log: the worker would refuse it. */
+static void a_start_without_a_ticket_is_not_sent(void **state)
+{
+	struct bed *b = *state;
+
+	b->advised = true;
+	start(b);
+	net_run(b->base, SETTLE_MS);
+	assert_int_equal(b->starts, 0);
+	assert_int_equal(b->stops, 0);
+	assert_int_equal(b->lost, 1);
+}
+
+/*
+ * One task runs twice at the same time. A start of the last leader is on its
+ * way, and the new one has no ticket to send it again: the worker is told to
+ * take it never, before the task goes elsewhere.
+ */
+static void a_start_that_may_come_is_stopped_without_a_ticket(void **state)
+{
+	struct bed *b = *state;
+
+	b->advised = true;
+	start(b);
+	b->run->may_be_there = true;
+	net_run(b->base, SETTLE_MS);
+	assert_int_equal(b->starts, 0);
+	assert_int_equal(b->stops, 1);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -792,6 +871,9 @@
 		T(another_lifetime_ends_the_one_we_meant),
 		T(a_worker_on_which_all_fails_rests),
 		T(an_end_is_acknowledged_once_it_is_stored),
+		T(a_start_carries_its_ticket),
+		T(a_start_without_a_ticket_is_not_sent),
+		T(a_start_that_may_come_is_stopped_without_a_ticket),
 	};
 
 	return cmocka_run_group_tests_name("wkr", tests, NULL, NULL);
