Advice through real processes: a stand-in for the service, and a test

The test's first run found steps that wait for others asked for again and again while the first waited: they are asked for once something of their turn has begun.

--- a/src/adv.c
+++ b/src/adv.c
@@ -123,6 +123,7 @@
 static int64_t adv_given_ms(const struct adv_ask *ask, int64_t asked_ms,
 			    int64_t now_ms);
 static uint32_t adv_names_max(const struct jtb_queue *q);
+static bool adv_begun(const struct jtb_job *job, uint32_t turn);
 static int64_t adv_ahead_ms(const struct jtb_queue *q);
 static int64_t adv_renew_ms(const struct jtb_queue *q);
 static int adv_by_worth(gconstpointer a, gconstpointer b);
@@ -357,6 +358,7 @@
 {
 	int64_t ahead = adv_ahead_ms(q);
 	int64_t begins[JTB_STEPS_MAX];
+	bool begun;
 	struct adv_cand c = {
 		.job = job,
 		.queue = q,
@@ -369,12 +371,15 @@
 		if (jtb_turn_due(job, c.turn) - v->wall_ms > ahead)
 			break;
 		adv_begins(job, c.turn, v->wall_ms, begins);
+		begun = adv_begun(job, c.turn);
 		for (c.step = 0; c.step < job->spec.n_steps; c.step++) {
 			c.begins_ms = begins[c.step];
 			if (job->turns[c.turn].done & (1ULL << c.step) ||
 			    c.begins_ms > ahead)
 				continue;
 			c.due = jtb_step_due(job, c.turn, c.step, v->wall_ms);
+			if (job->spec.steps[c.step].after && !c.due && !begun)
+				continue;
 			if (adv_wants(a, v, &c) && adv_before(&c, best))
 				*best = c;
 		}
@@ -640,6 +645,22 @@
 	return (uint32_t)CLAMP(most, ADV_FEW, ADV_NAMES_MAX);
 }
 
+/*
+ * Whether anything of a turn runs or is done. Steps behind others are asked for
+ * from then on: while the first waits for room, their tickets would end unused,
+ * and be renewed for as long as it waits.
+ */
+static bool adv_begun(const struct jtb_job *job, uint32_t turn)
+{
+	const struct jtb_part *parts = job->turns[turn].parts;
+	uint32_t s;
+
+	for (s = 0; parts && s < job->spec.n_steps; s++)
+		if (parts[s].n_runs + parts[s].n_done)
+			return true;
+	return false;
+}
+
 /* How long before its turn a step is asked for: tickets must outlast that. */
 static int64_t adv_ahead_ms(const struct jtb_queue *q)
 {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -14,6 +14,7 @@
 export TOOLS_PORT="${TOOLS_PORT:-$((ports + 200))}"
 export FAILURE_PORT="${FAILURE_PORT:-$((ports + 300))}"
 export JOBS_PORT="${JOBS_PORT:-$((ports + 750))}"
+export ADVICE_PORT="${ADVICE_PORT:-$((ports + 850))}"
 export CUT_PORT="${CUT_PORT:-$((ports + 650))}"
 out=build/test-out
 rm -rf "$out"
--- /dev/null
+++ b/tests/system/advice_test.sh
@@ -0,0 +1,56 @@
+#!/bin/sh
+# Jobs of a queue with advice through real processes. Without a service for
+# advice they are refused at once. With one they are started by tickets only,
+# while questions get lost, tickets end within 1.5 s and a leader is killed.
+set -u
+BIN=${BIN:-build/san/bin}
+JOBS_PORT=${ADVICE_PORT:-21900}
+tmp=$(mktemp -d)
+. "$(dirname "$0")/jobs.sh"
+
+fail() {
+	echo "FAIL: $*"
+	for f in "$tmp"/*.log; do echo "== $f" && tail -n 5 "$f"; done
+	exit 1
+}
+
+jobs_advised=1
+jobs_fleet --tickets 1 || fail "configuration"
+leader=$(jobs_leader) || fail "no leader"
+grep -q 'msg=advice-nobody-to-ask' "$tmp/c$leader.log" ||
+	fail "not said that nobody gives advice"
+"$BIN/endive-job" --to "$entries" --jobs 1 --seconds 2 >"$tmp/out" 2>&1
+grep -q 'job 0000000000000001 not accepted' "$tmp/out" || fail "accepted"
+n=$(jobs_metric "$leader" endive_jobs_unadvised_total)
+[ "${n:-0}" -gt 0 ] || fail "endive_jobs_unadvised_total: ${n:-none}"
+
+# The service's address comes with changed settings.
+jobs_adviser --valid-ms 1500 --percent 50 --lost-percent 10
+for n in 1 2 3; do
+	sed -i "s/^advice = .*/advice = 127.0.0.5:$callers/" "$tmp/c$n.conf"
+	kill -HUP "$(jobs_pid "c$n")"
+done
+"$BIN/endive-job" --to "$entries" --jobs 10 --first 100 --seconds 60 \
+	>"$tmp/out" 2>&1 || { cat "$tmp/out"; fail "calm"; }
+
+# The next leader knows no ticket, and asks anew.
+"$BIN/endive-job" --to "$entries" --jobs 20 --first 1000 --seconds 90 \
+	>"$tmp/out" 2>&1 &
+load=$!
+sleep 1
+leader=$(jobs_leader) || fail "no leader"
+kill -9 "$(jobs_pid "c$leader")"
+rm -f "$tmp/c$leader.pid"
+wait $load || { cat "$tmp/out"; fail "leader killed"; }
+
+leader=$(jobs_leader) || fail "no leader"
+for name in advice_calls advice_named advice_approved; do
+	n=$(jobs_metric "$leader" "endive_${name}_total")
+	[ "${n:-0}" -gt 0 ] || fail "endive_${name}_total: ${n:-none}"
+done
+refused=$(cat "$tmp"/w*.log | grep -c '^ticket ')
+started=$(cat "$tmp"/w*.log | grep -c '^start ')
+[ "$refused" = 0 ] || fail "$refused starts refused for their ticket"
+twice=$(cat "$tmp"/w*.log | grep '^done ' | cut -d' ' -f2 | sort | uniq -d)
+[ -z "$twice" ] || fail "done twice: $twice"
+echo "advice: $started started, none refused"
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -46,6 +46,7 @@
 	data = $tmp/data$1
 	seeds = $seeds
 	bootstrap = $2
+	advice = ${jobs_advice:-}
 	open-network = true
 	log-level = info
 	EOF
@@ -83,11 +84,18 @@
 		--seed "$no" "$@"
 }
 
+# [FLAG...]
+jobs_adviser() {
+	jobs_run advice "$BIN/endive-advice" \
+		--listen "127.0.0.5:$callers" "$@"
+}
+
 jobs_fleet() {
 	for n in 1 2 3; do jobs_control $n true; done
 	jobs_entry 4
 	for n in 0 1 2 3; do jobs_worker $n "$@"; done
-	"$BIN/endive-job" --to "$seeds" --apply 1 --pools p --host 127.0.0.4
+	"$BIN/endive-job" --to "$seeds" --apply 1 --pools p --host 127.0.0.4 \
+		--advised "${jobs_advised:-0}"
 }
 
 # Which control daemon leads, by its log; waits for one.
--- a/tests/unit/adv_test.c
+++ b/tests/unit/adv_test.c
@@ -256,6 +256,9 @@
 	jobs_job(b->jtb, "first", s, 2, b->wall);
 	assert_true(next(b));
 	answer(b);
+	/* what waits for others isn't asked for before they begin */
+	assert_false(next(b));
+	jobs_start(b->jtb, "first", 0, 0, 1, "a000");
 	job(b, "late", 1, 0);
 	jtb_job(b->jtb, "late")->accepted_ms -= LONG_MS;
 	job(b, "new", 1, 0);
--- a/tools/endive-job.c
+++ b/tools/endive-job.c
@@ -31,6 +31,7 @@
 	char *pools;
 	char *host;
 	char *pool;
+	long long advised;
 	long long version;
 	long long jobs;
 	long long first;
@@ -138,7 +139,7 @@
 	char **pools = g_strsplit(f->pools, ",", -1);
 	bool good;
 
-	plt_peer_config((uint64_t)f->version, f->host, pools, body);
+	plt_peer_config((uint64_t)f->version, f->host, pools, f->advised, body);
 	good = job_until(c, EVHTTP_REQ_PUT, "/v1/config", body, end_ms);
 	if (good)
 		printf("configuration %lld accepted\n", f->version);
@@ -210,6 +211,8 @@
 		 "Apply a configuration of that version"},
 		{"pools", SET_STR, &f.pools, "p", 0, 0, NULL,
 		 "Its pools, with commas between"},
+		{"advised", SET_INT, &f.advised, "0", 0, 1, NULL,
+		 "1: its tasks need advice"},
 		{"host", SET_STR, &f.host, "127.0.0.4", 0, 0, NULL,
 		 "Whose jobs it takes: the address callers use"},
 		{"pool", SET_STR, &f.pool, "p", 0, 0, NULL,
--- a/tools/endive-worker.c
+++ b/tools/endive-worker.c
@@ -50,12 +50,15 @@
 	long long task_ms;
 	long long late_percent; /* orders carried out and not answered */
 	long long fail_percent;
+	long long tickets; /* 1: starts need one */
 	unsigned int seed;
 };
 
 static void worker_on_order(struct evhttp_request *req, void *arg);
 static const char *worker_start(struct worker *w,
 				const struct plt_peer_order *o);
+static bool worker_ticket(const struct worker *w,
+			  const struct plt_peer_order *o);
 static void worker_stop(struct worker *w, const struct plt_peer_order *o);
 static void worker_end(struct worker *w, guint i, enum jtb_end how);
 static void worker_never(struct worker *w, const char *task, uint32_t attempt);
@@ -148,6 +151,11 @@
 	}
 	if (o->until_ms && o->until_ms <= tmr_now(w->tmr))
 		return "late";
+	if (w->tickets && !worker_ticket(w, o)) {
+		printf("ticket %s %u\n", task, o->attempt);
+		fflush(stdout);
+		return "ticket";
+	}
 	if (GPOINTER_TO_UINT(g_hash_table_lookup(w->never, task)) >= o->attempt)
 		return "old";
 	printf("start %s %u\n", task, o->attempt);
@@ -156,6 +164,20 @@
 	return NULL;
 }
 
+/* Whether a ticket is of this step and worker, and holds (endive-advice). */
+static bool worker_ticket(const struct worker *w,
+			  const struct plt_peer_order *o)
+{
+	char *about = g_strdup_printf("%s.%u.%u/%s/", o->name.id, o->name.turn,
+				      o->name.step, w->info.id);
+	bool good = g_str_has_prefix(o->ticket, about) &&
+		    g_ascii_strtoll(o->ticket + strlen(about), NULL, 10) >
+			    tmr_now(w->tmr);
+
+	g_free(about);
+	return good;
+}
+
 /* Stops a run. */
 static void worker_stop(struct worker *w, const struct plt_peer_order *o)
 {
@@ -345,6 +367,8 @@
 		 "Orders that are carried out and not answered"},
 		{"fail-percent", SET_INT, &w.fail_percent, "0", 0, 100, NULL,
 		 "Runs that fail"},
+		{"tickets", SET_INT, &w.tickets, "0", 0, 1, NULL,
+		 "1: starts need a ticket of endive-advice"},
 		{"seed", SET_INT, &seed, "1", 0, 1000000, NULL, "Of both"},
 	};
 	struct event *term;
