Advice: a look goes through what may matter, and says which steps have none

A look went through all workers for each waiting step: with 1,000 advised jobs and 350 workers that would be a leader's whole time. Jobs are gone through in the order of a plan, until nothing can go before; workers of a pool are found once a look; a step that wanted nothing rests for 200 ms.

--- a/src/adv.c
+++ b/src/adv.c
@@ -35,6 +35,13 @@
 #define ADV_PRUNE_MS 1000
 /* Room for "ID.TURN.STEP". */
 #define ADV_KEY_MAX (JTB_ID_MAX + 24)
+/*
+ * A step that wants nothing isn't looked at for so long, ms. In a burst
+ * hundreds wait for room, with tickets or with nobody left to ask, and to go
+ * through all workers for each of them at each look would take the leader's
+ * time; what they may want next is worth a call that takes as long.
+ */
+#define ADV_QUIET_MS 200
 
 enum adv_word_kind {
 	ADV_WORD_NO, /* it may never run the step */
@@ -57,6 +64,7 @@
 	uint32_t n_yes;
 	int64_t valid_ms;
 	int64_t again_ms; /* turned down: not asked before */
+	int64_t quiet_ms; /* wanted nothing: not looked at before */
 	int64_t wait_ms; /* how long it waits the next time */
 };
 
@@ -75,8 +83,8 @@
 	bool last_known;
 	uint64_t config; /* version that any was found in */
 	bool any; /* a queue needs advice */
+	GHashTable *pools; /* name: workers that may be given work, this look */
 	int64_t pruned_ms;
-	uint32_t waiting;
 };
 
 /* A step that is short of tickets, and how much that matters. */
@@ -102,21 +110,31 @@
 };
 
 static bool adv_any(struct adv *a);
+static GArray *adv_jobs(struct adv *a, int64_t wall_ms);
+static bool adv_stuck(struct adv *a, const struct adv_cand *c, int64_t now_ms,
+		      int64_t wall_ms);
+static bool adv_is_first(const struct adv_cand *c);
+static int adv_by_urgency(gconstpointer a, gconstpointer b);
+static GPtrArray *adv_pool(struct adv *a, const struct sch_view *v,
+			   const char *name);
+static void adv_pool_free(gpointer p);
 static void adv_job(struct adv *a, const struct sch_view *v,
-		    const struct jtb_queue *q, struct jtb_job *job,
-		    struct adv_cand *best);
+		    const struct adv_cand *of, struct adv_cand *best);
 static void adv_begins(const struct jtb_job *job, uint32_t turn,
 		       int64_t wall_ms, int64_t *out);
 static bool adv_wants(struct adv *a, const struct sch_view *v,
 		      struct adv_cand *c);
+static bool adv_has(struct adv *a, const struct sch_view *v,
+		    const struct adv_cand *c, uint64_t *room);
+static bool adv_somebody(struct adv *a, const struct sch_view *v,
+			 struct adv_cand *c);
 static uint32_t adv_open(const struct adv_cand *c);
 static GArray *adv_choices(struct adv *a, const struct sch_view *v,
 			   const struct adv_cand *c);
 static void adv_name(struct adv *a, const struct sch_view *v,
 		     const struct adv_cand *c, struct adv_ask *out);
 static bool adv_before(const struct adv_cand *a, const struct adv_cand *b);
-static bool adv_may_run(const struct sch_view *v, const struct adv_cand *c,
-			const struct jtb_worker *w);
+static bool adv_may_run(const struct adv_cand *c, const struct jtb_worker *w);
 static uint32_t adv_room(const struct adv_cand *c, const struct jtb_worker *w);
 static uint32_t adv_fit(uint32_t all, uint32_t used, uint32_t each);
 static uint32_t adv_here(const struct adv_cand *c, const struct jtb_worker *w);
@@ -149,6 +167,8 @@
 	struct adv *a = g_new0(struct adv, 1);
 
 	a->jtb = t;
+	a->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 adv_pool_free);
 	a->steps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 adv_step_free);
 	a->shares =
@@ -163,6 +183,7 @@
 		return;
 	g_hash_table_destroy(a->steps);
 	g_hash_table_destroy(a->shares);
+	g_hash_table_destroy(a->pools);
 	g_free(a);
 }
 
@@ -173,7 +194,6 @@
 void adv_clear(struct adv *a)
 {
 	a->last_known = false;
-	a->waiting = 0;
 	g_hash_table_remove_all(a->steps);
 }
 
@@ -184,22 +204,26 @@
  */
 bool adv_next(struct adv *a, const struct sch_view *v, struct adv_ask *out)
 {
-	GPtrArray *live = jtb_live(a->jtb);
 	struct adv_cand best = {0};
+	GArray *jobs;
 	guint i;
 
-	a->waiting = 0;
 	adv_prune(a, v->now_ms);
 	if (!adv_any(a))
 		return false;
-	for (i = 0; i < live->len; i++) {
-		struct jtb_job *job = g_ptr_array_index(live, i);
-		const struct jtb_queue *q =
-			jtb_queue(jtb_config(a->jtb), job->spec.queue);
-
-		if (q && q->advised && !jtb_ended(job))
-			adv_job(a, v, q, job, &best);
+	g_hash_table_remove_all(a->pools);
+	jobs = adv_jobs(a, v->wall_ms);
+	g_array_sort(jobs, adv_by_urgency);
+	for (i = 0; i < jobs->len && !adv_is_first(&best); i++) {
+		const struct adv_cand *c =
+			&g_array_index(jobs, struct adv_cand, i);
+
+		/* nothing of one that is late goes before */
+		if (best.job && c->late && !best.late)
+			break;
+		adv_job(a, v, c, &best);
 	}
+	g_array_free(jobs, TRUE);
 	if (!best.job)
 		return false;
 	adv_name(a, v, &best, out);
@@ -220,6 +244,7 @@
 
 	s->valid_ms = ask->valid_ms;
 	s->again_ms = 0;
+	s->quiet_ms = 0;
 	s->wait_ms = 0;
 	for (i = 0; i < ask->workers->len; i++) {
 		const char *id = g_ptr_array_index(ask->workers, i);
@@ -266,6 +291,7 @@
 	if (!w || w->kind != ADV_WORD_YES)
 		return;
 	s->n_yes--;
+	s->quiet_ms = 0;
 	w->kind = ADV_WORD_DROPPED;
 	w->again_ms = now_ms +
 		      MIN(ADV_AGAIN_MS << MIN(w->drops, 16), ADV_AGAIN_MAX_MS);
@@ -303,10 +329,22 @@
 	return adv_ticket(a, job, turn, step, w, now_ms + rest) != NULL;
 }
 
-/* Steps that are due and had no ticket when last looked at. */
-uint32_t adv_waiting(const struct adv *a)
+/* Steps that are due and have no ticket: what is owed and can't be started. */
+uint32_t adv_waiting(struct adv *a, int64_t now_ms, int64_t wall_ms)
 {
-	return a->waiting;
+	GArray *jobs = adv_jobs(a, wall_ms);
+	uint32_t n = 0;
+	guint i;
+
+	for (i = 0; i < jobs->len; i++) {
+		struct adv_cand c = g_array_index(jobs, struct adv_cand, i);
+
+		for (c.turn = 0; c.turn < c.job->n_turns; c.turn++)
+			for (c.step = 0; c.step < c.job->spec.n_steps; c.step++)
+				n += adv_stuck(a, &c, now_ms, wall_ms);
+	}
+	g_array_free(jobs, TRUE);
+	return n;
 }
 
 /* Steps of which anything is known. */
@@ -351,21 +389,105 @@
 	return a->any;
 }
 
+/* The jobs that need advice, with what is the same for all of their steps. */
+static GArray *adv_jobs(struct adv *a, int64_t wall_ms)
+{
+	GPtrArray *live = jtb_live(a->jtb);
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct adv_cand));
+	guint i;
+
+	for (i = 0; adv_any(a) && i < live->len; i++) {
+		struct jtb_job *job = g_ptr_array_index(live, i);
+		struct adv_cand c = {.job = job};
+
+		c.queue = jtb_queue(jtb_config(a->jtb), job->spec.queue);
+		if (!c.queue || !c.queue->advised || jtb_ended(job))
+			continue;
+		c.urgency = sch_urgency(c.queue, job, wall_ms);
+		c.late = !sch_lasts(job) && !job->spec.repeats &&
+			 sch_chance(c.queue, job, wall_ms) != SCH_IN_TIME;
+		g_array_append_val(out, c);
+	}
+	return out;
+}
+
+/* Whether a step is due, has something to start and no ticket. */
+static bool adv_stuck(struct adv *a, const struct adv_cand *c, int64_t now_ms,
+		      int64_t wall_ms)
+{
+	const struct jtb_part *part = jtb_part(c->job, c->turn, c->step);
+	struct jtb_name n = adv_step_name(c->job, c->turn, c->step);
+	const struct adv_step *s = adv_find(a, &n);
+	GHashTableIter it;
+	struct adv_word *w;
+
+	if (c->job->turns[c->turn].done & (1ULL << c->step) ||
+	    !jtb_step_due(c->job, c->turn, c->step, wall_ms) ||
+	    (part && part->n_done + part->n_runs + part->n_planned >=
+			     c->job->spec.steps[c->step].count))
+		return false;
+	if (!s)
+		return true;
+	g_hash_table_iter_init(&it, s->words);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		if (w->kind == ADV_WORD_YES && w->until_ms > now_ms)
+			return false;
+	return true;
+}
+
+/* Whether nothing can go before a step, of those that come after it. */
+static bool adv_is_first(const struct adv_cand *c)
+{
+	return c->job && c->due && c->none && c->room;
+}
+
+/* Orders jobs: what isn't late, then what a plan starts first. */
+static int adv_by_urgency(gconstpointer a, gconstpointer b)
+{
+	const struct adv_cand *x = a;
+	const struct adv_cand *y = b;
+
+	if (x->late != y->late)
+		return x->late ? 1 : -1;
+	return (x->urgency < y->urgency) - (x->urgency > y->urgency);
+}
+
+/* The workers of a pool that may be given work, found once in a look. */
+static GPtrArray *adv_pool(struct adv *a, const struct sch_view *v,
+			   const char *name)
+{
+	GPtrArray *pool = g_hash_table_lookup(a->pools, name);
+	GHashTableIter it;
+	struct jtb_worker *w;
+
+	if (pool)
+		return pool;
+	pool = g_ptr_array_new();
+	g_hash_table_insert(a->pools, g_strdup(name), pool);
+	g_hash_table_iter_init(&it, jtb_workers(a->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		if (strcmp(w->info.pool, name) == 0 &&
+		    !g_hash_table_contains(v->closed, w->info.id) &&
+		    v->usable(v->arg, w))
+			g_ptr_array_add(pool, w);
+	return pool;
+}
+
+/* Frees a pool's list. */
+static void adv_pool_free(gpointer p)
+{
+	g_ptr_array_free(p, TRUE);
+}
+
 /* Looks through the steps of a job that are due, or soon will be. */
 static void adv_job(struct adv *a, const struct sch_view *v,
-		    const struct jtb_queue *q, struct jtb_job *job,
-		    struct adv_cand *best)
+		    const struct adv_cand *of, struct adv_cand *best)
 {
-	int64_t ahead = adv_ahead_ms(q);
+	const struct jtb_job *job = of->job;
+	int64_t ahead = adv_ahead_ms(of->queue);
 	int64_t begins[JTB_STEPS_MAX];
+	struct adv_cand c = *of;
 	bool begun;
-	struct adv_cand c = {
-		.job = job,
-		.queue = q,
-		.urgency = sch_urgency(q, job, v->wall_ms),
-		.late = !sch_lasts(job) && !job->spec.repeats &&
-			sch_chance(q, job, v->wall_ms) != SCH_IN_TIME,
-	};
 
 	for (c.turn = 0; c.turn < job->n_turns; c.turn++) {
 		if (jtb_turn_due(job, c.turn) - v->wall_ms > ahead)
@@ -413,37 +535,59 @@
 		      struct adv_cand *c)
 {
 	struct jtb_name n = adv_step_name(c->job, c->turn, c->step);
-	const struct adv_step *s = adv_find(a, &n);
+	struct adv_step *s = adv_find(a, &n);
 	bool gang = c->job->spec.steps[c->step].flags & JTB_GANG;
 	uint32_t open = adv_open(c);
+	uint64_t room;
+	bool any;
+
+	if (!open || (s && MAX(s->again_ms, s->quiet_ms) > v->now_ms))
+		return false;
+	any = adv_has(a, v, c, &room);
+	c->none = gang ? room < open : !any;
+	c->missing = open - (uint32_t)MIN(open, room);
+	if (c->missing && adv_somebody(a, v, c))
+		return true;
+	adv_make(a, &n)->quiet_ms = v->now_ms + ADV_QUIET_MS;
+	return false;
+}
+
+/*
+ * Whether a step has tickets that hold; room: for how many tasks those are that
+ * needn't be renewed.
+ */
+static bool adv_has(struct adv *a, const struct sch_view *v,
+		    const struct adv_cand *c, uint64_t *room)
+{
+	struct jtb_name n = adv_step_name(c->job, c->turn, c->step);
+	const struct adv_step *s = adv_find(a, &n);
+	const GPtrArray *pool = adv_pool(a, v, c->queue->pool);
 	int64_t fresh = v->now_ms + adv_renew_ms(c->queue);
-	GHashTableIter it;
-	struct jtb_worker *w;
-	uint64_t room = 0;
 	bool any = false;
-	GArray *choices;
 	guint i;
 
-	if (!open)
-		return false;
-	g_hash_table_iter_init(&it, jtb_workers(a->jtb));
-	while (s && s->n_yes &&
-	       g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
+	*room = 0;
+	for (i = 0; s && s->n_yes && i < pool->len; i++) {
+		const struct jtb_worker *w = g_ptr_array_index(pool, i);
 		const struct adv_word *word = adv_word(s, w->info.id);
 
 		if (!word || word->kind != ADV_WORD_YES ||
-		    word->until_ms <= v->now_ms || !adv_may_run(v, c, w))
+		    word->until_ms <= v->now_ms || !adv_may_run(c, w))
 			continue;
 		any = true;
-		room += word->until_ms > fresh ? adv_room(c, w) : 0;
+		*room += word->until_ms > fresh ? adv_room(c, w) : 0;
 	}
-	c->none = gang ? room < open : !any;
-	a->waiting += c->due && c->none;
-	if (room >= open || (s && s->again_ms > v->now_ms))
-		return false;
-	c->missing = open - (uint32_t)room;
-	choices = adv_choices(a, v, c);
-	any = choices->len > 0;
+	return any;
+}
+
+/* Whether anybody is left to be asked for, and whether one has room. */
+static bool adv_somebody(struct adv *a, const struct sch_view *v,
+			 struct adv_cand *c)
+{
+	GArray *choices = adv_choices(a, v, c);
+	bool any = choices->len > 0;
+	guint i;
+
 	c->room = false;
 	for (i = 0; i < choices->len && !c->room; i++)
 		c->room = g_array_index(choices, struct adv_choice, i).room;
@@ -478,24 +622,22 @@
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct adv_choice));
 	struct jtb_name n = adv_step_name(c->job, c->turn, c->step);
 	const struct adv_step *s = adv_find(a, &n);
+	const GPtrArray *pool = adv_pool(a, v, c->queue->pool);
 	int64_t fresh = v->now_ms + adv_renew_ms(c->queue);
-	GHashTableIter it;
-	struct jtb_worker *w;
+	guint i;
 
-	g_hash_table_iter_init(&it, jtb_workers(a->jtb));
-	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
+	for (i = 0; i < pool->len; i++) {
+		const struct jtb_worker *w = g_ptr_array_index(pool, i);
 		const struct adv_word *word =
 			s ? adv_word(s, w->info.id) : NULL;
-		struct adv_choice choice = {.w = w};
+		struct adv_choice choice = {.w = w, .known = word != NULL};
 
-		if (word &&
-		    (word->kind == ADV_WORD_NO ||
-		     (word->kind == ADV_WORD_YES && word->until_ms > fresh) ||
-		     word->again_ms > v->now_ms))
-			continue;
-		if (!adv_may_run(v, c, w))
+		if (!adv_may_run(c, w) ||
+		    (word &&
+		     (word->kind == ADV_WORD_NO ||
+		      (word->kind == ADV_WORD_YES && word->until_ms > fresh) ||
+		      word->again_ms > v->now_ms)))
 			continue;
-		choice.known = word != NULL;
 		choice.room = adv_room(c, w);
 		if (choice.room || c->none)
 			g_array_append_val(out, choice);
@@ -538,16 +680,14 @@
 }
 
 /*
- * Which of two steps is asked for first: in time before late, as a plan does;
- * then what stands still now, what will stand still, what could go faster; of
- * these what has room, as tickets may end before there is some.
+ * Which of two steps is asked for first, of jobs that come in order: what
+ * stands still now, what will stand still, what could go faster; of these what
+ * has room, as tickets may end before there is some.
  */
 static bool adv_before(const struct adv_cand *a, const struct adv_cand *b)
 {
 	if (!b->job)
 		return true;
-	if (a->late != b->late)
-		return b->late;
 	if (a->none != b->none && (a->due || b->due))
 		return a->none ? a->due : !b->due;
 	if (a->due != b->due)
@@ -561,17 +701,13 @@
 	return a->begins_ms < b->begins_ms;
 }
 
-/* Whether a worker can be given work of a step at all. */
-static bool adv_may_run(const struct sch_view *v, const struct adv_cand *c,
-			const struct jtb_worker *w)
+/* Whether a worker of the pool can be given work of a step at all. */
+static bool adv_may_run(const struct adv_cand *c, const struct jtb_worker *w)
 {
 	const char *label = c->job->spec.steps[c->step].label;
 
-	return strcmp(w->info.pool, c->queue->pool) == 0 &&
-	       !g_hash_table_contains(v->closed, w->info.id) &&
-	       (!label ||
-		g_strv_contains((const char *const *)w->info.labels, label)) &&
-	       v->usable(v->arg, w);
+	return !label ||
+	       g_strv_contains((const char *const *)w->info.labels, label);
 }
 
 /* Tasks of a step that a worker has room for: now, or when it is due. */
--- a/src/adv.h
+++ b/src/adv.h
@@ -52,7 +52,7 @@
 		       int64_t now_ms);
 bool adv_ticketed(struct adv *a, const struct jtb_job *job, uint32_t turn,
 		  uint32_t step, const struct jtb_worker *w, int64_t now_ms);
-uint32_t adv_waiting(const struct adv *a);
+uint32_t adv_waiting(struct adv *a, int64_t now_ms, int64_t wall_ms);
 uint32_t adv_kept(const struct adv *a);
 void adv_ask_clear(struct adv_ask *ask);
 void adv_row_free(gpointer p);
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -136,7 +136,7 @@
 		s->unanswered,
 		s->refused,
 		s->lapses,
-		adv_waiting(h->adv),
+		adv_waiting(h->adv, tmr_now(h->tmr), hub_wall_ms()),
 		adv_kept(h->adv),
 		a->calls,
 		a->failed,
