Gangs that are slow on more than one rack are placed on one

A gang was placed without a look at racks, and ran about three times as long where its members were spread. Now the rack of its data or the one with the most room is taken; else it waits for one that could hold it, for twice its guess and 1.5 s at most, and is spread then, or at once where no rack could ever hold it. A waiting gang doesn't count as want of room.

--- a/src/jtb.h
+++ b/src/jtb.h
@@ -158,6 +158,7 @@
 	uint32_t turns_done;
 	uint32_t n_runs;
 	bool started; /* a run of it has begun once */
+	int64_t rack_ms; /* owner's: since when a gang waits for a rack; or 0 */
 	double work; /* core-seconds by its guesses, one turn */
 	uint32_t chain_ms; /* longest chain of its steps by its guesses */
 };
@@ -167,7 +168,7 @@
 	char *pool;
 	char *addr;
 	char *zone;
-	char **labels;
+	char **labels; /* its kind, then its rack */
 	uint32_t cpu;
 	uint32_t mem_mb;
 	uint32_t gpus;
--- a/src/sch.c
+++ b/src/sch.c
@@ -9,6 +9,13 @@
 #define SCH_AGAIN_MS 50
 /* Jobs that fail to be placed in one plan until it ends: the pool is full. */
 #define SCH_MISSES_MAX 40
+/*
+ * A gang that is slow on more than one rack takes about so many times as long
+ * there: what the users' sites say.
+ */
+#define SCH_SPREAD_FACTOR 3
+/* Longest that it waits for one rack, ms. */
+#define SCH_RACK_WAIT_MS 1500
 /* Between the urgencies of two ranks: more than there are ever jobs. */
 #define SCH_RANK_STEP 1e12
 
@@ -29,6 +36,13 @@
 	double value; /* higher goes first within a rank */
 };
 
+/* A rack, and how many tasks of a step fit there. */
+struct sch_rack {
+	const char *name;
+	uint32_t fits;
+	bool data; /* the step's data is there */
+};
+
 /* The workers of one pool, while it is planned. */
 struct sch_pool {
 	const struct sch_view *v;
@@ -37,6 +51,7 @@
 	GPtrArray *kept; /* of these, kept free for work that lasts */
 	const struct jtb_queue *queue; /* of the job being planned */
 	bool barred; /* some workers were, for the last step */
+	const char *rack; /* that a gang is placed on; NULL: any */
 	uint32_t started;
 };
 
@@ -49,6 +64,19 @@
 		     uint32_t step);
 static bool sch_gang(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
 		     uint32_t step);
+static bool sch_gang_places(struct sch_pool *p, const struct jtb_job *job,
+			    uint32_t turn, uint32_t step, const char *rack,
+			    GPtrArray *places);
+static bool sch_one_rack(struct sch_pool *p, const struct jtb_job *job,
+			 uint32_t turn, uint32_t step, GPtrArray *places);
+static bool sch_waits_for_rack(struct sch_pool *p, struct jtb_job *job,
+			       uint32_t step);
+static GArray *sch_racks(struct sch_pool *p, const struct jtb_step *s,
+			 bool now);
+static uint32_t sch_fit_count(const struct jtb_worker *w,
+			      const struct jtb_step *s, bool now);
+static int sch_rack_order(gconstpointer a, gconstpointer b);
+static const char *sch_rack_of(const struct jtb_worker *w);
 static struct jtb_worker *sch_place(struct sch_pool *p,
 				    const struct jtb_job *job, uint32_t step);
 static void sch_keep(struct sch_pool *p, const struct jtb_job *job,
@@ -247,7 +275,7 @@
 	struct jtb_name n = {.turn = turn, .step = step};
 	GPtrArray *places;
 	uint32_t attempt = 0;
-	bool room = true;
+	bool room;
 	uint32_t i;
 
 	if (part && part->n_runs + part->n_planned + part->n_done)
@@ -260,37 +288,191 @@
 	if (!sch_tickets(p, job, turn, step))
 		return true;
 	places = g_ptr_array_new();
+	room = sch_one_rack(p, job, turn, step, places);
+	if (!room && sch_waits_for_rack(p, job, step)) {
+		g_ptr_array_free(places, TRUE);
+		return true;
+	}
+	if (!room)
+		room = sch_gang_places(p, job, turn, step, NULL, places);
+	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
+	for (n.index = 0; room && n.index < count; n.index++) {
+		p->started++;
+		p->v->start(p->v->arg, job, &n, attempt + 1,
+			    g_ptr_array_index(places, n.index));
+	}
+	if (room)
+		job->rack_ms = 0;
+	g_ptr_array_free(places, TRUE);
+	return room;
+}
+
+/* A place for each of a gang, on one rack or, for NULL, on any. */
+static bool sch_gang_places(struct sch_pool *p, const struct jtb_job *job,
+			    uint32_t turn, uint32_t step, const char *rack,
+			    GPtrArray *places)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	guint i;
+
+	g_ptr_array_set_size(places, 0);
 	sch_count_same(p, job, turn, step);
-	for (i = 0; i < count && room; i++) {
+	p->rack = rack;
+	while (places->len < s->count) {
 		struct jtb_worker *w = sch_place(p, job, step);
 
-		room = w != NULL;
-		if (!room)
+		if (!w)
 			break;
 		/* taken while the others are looked for */
-		w->plan_cpu += job->spec.steps[step].cpu;
-		w->plan_mem += job->spec.steps[step].mem_mb;
-		w->plan_gpus += job->spec.steps[step].gpus;
+		w->plan_cpu += s->cpu;
+		w->plan_mem += s->mem_mb;
+		w->plan_gpus += s->gpus;
 		w->same_step++;
 		g_ptr_array_add(places, w);
 	}
+	p->rack = NULL;
 	for (i = 0; i < places->len; i++) {
 		struct jtb_worker *w = g_ptr_array_index(places, i);
 
-		w->plan_cpu -= job->spec.steps[step].cpu;
-		w->plan_mem -= job->spec.steps[step].mem_mb;
-		w->plan_gpus -= job->spec.steps[step].gpus;
+		w->plan_cpu -= s->cpu;
+		w->plan_mem -= s->mem_mb;
+		w->plan_gpus -= s->gpus;
 	}
-	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
-	for (n.index = 0; room && n.index < count; n.index++) {
-		p->started++;
-		p->v->start(p->v->arg, job, &n, attempt + 1,
-			    g_ptr_array_index(places, n.index));
+	return places->len == s->count;
+}
+
+/*
+ * Places for a gang that is slow on more than one rack: on the rack of its
+ * data, or else on the one with the most room that has enough.
+ */
+static bool sch_one_rack(struct sch_pool *p, const struct jtb_job *job,
+			 uint32_t turn, uint32_t step, GPtrArray *places)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	GArray *racks;
+	bool room = false;
+	guint i;
+
+	if (!(s->flags & JTB_ONE_RACK))
+		return false;
+	racks = sch_racks(p, s, true);
+	for (i = 0; i < racks->len && !room; i++) {
+		const struct sch_rack *r =
+			&g_array_index(racks, struct sch_rack, i);
+
+		if (r->fits < s->count)
+			continue;
+		room = sch_gang_places(p, job, turn, step, r->name, places);
 	}
-	g_ptr_array_free(places, TRUE);
+	g_array_free(racks, TRUE);
 	return room;
 }
 
+/*
+ * Whether a gang that found room on no single rack waits for it. Spread over
+ * several it takes about three times as long: two times its guess more. So it
+ * waits as long as that at most, and comes out no worse than twice what would
+ * have been best, whenever a rack gets free; and for no longer than 1.5 s, as
+ * its caller sees a job that stands still beside free room. Where no rack
+ * could hold it even when empty, there is nothing to wait for.
+ */
+static bool sch_waits_for_rack(struct sch_pool *p, struct jtb_job *job,
+			       uint32_t step)
+{
+	const struct jtb_step *s = &job->spec.steps[step];
+	int64_t patience = MIN((int64_t)s->guess_ms * (SCH_SPREAD_FACTOR - 1),
+			       SCH_RACK_WAIT_MS);
+	GArray *racks;
+	bool ever = false;
+	guint i;
+
+	if (!(s->flags & JTB_ONE_RACK))
+		return false;
+	racks = sch_racks(p, s, false);
+	for (i = 0; i < racks->len && !ever; i++)
+		ever = g_array_index(racks, struct sch_rack, i).fits >=
+		       s->count;
+	g_array_free(racks, TRUE);
+	if (!ever)
+		return false;
+	if (!job->rack_ms)
+		job->rack_ms = p->v->now_ms;
+	return p->v->now_ms - job->rack_ms < patience;
+}
+
+/*
+ * The racks of a pool with how many tasks of a step fit there, now or when
+ * empty; that of its data first, then those with the most room.
+ */
+static GArray *sch_racks(struct sch_pool *p, const struct jtb_step *s, bool now)
+{
+	GArray *racks = g_array_new(FALSE, TRUE, sizeof(struct sch_rack));
+	guint i;
+	guint r;
+
+	for (i = 0; i < p->workers->len; i++) {
+		const struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+		const char *name = sch_rack_of(w);
+		struct sch_rack rack = {.name = name};
+
+		if (!name || w->barred ||
+		    (s->label && !sch_has_label(w, s->label)))
+			continue;
+		for (r = 0; r < racks->len; r++)
+			if (strcmp(g_array_index(racks, struct sch_rack, r)
+					   .name,
+				   name) == 0)
+				break;
+		rack.data = s->rack && strcmp(s->rack, name) == 0;
+		if (r == racks->len)
+			g_array_append_val(racks, rack);
+		g_array_index(racks, struct sch_rack, r).fits +=
+			sch_fit_count(w, s, now);
+	}
+	g_array_sort(racks, sch_rack_order);
+	return racks;
+}
+
+/* How many tasks of a step fit into a worker, now or when it is empty. */
+static uint32_t sch_fit_count(const struct jtb_worker *w,
+			      const struct jtb_step *s, bool now)
+{
+	uint32_t n = s->per_worker ? s->per_worker : JTB_TASKS_MAX;
+	uint32_t cpu = now ? w->used_cpu + w->plan_cpu : 0;
+	uint32_t mem = now ? w->used_mem + w->plan_mem : 0;
+	uint32_t gpus = now ? w->used_gpus + w->plan_gpus : 0;
+
+	if (s->cpu && !(s->flags & JTB_FILLS))
+		n = MIN(n, (w->info.cpu - MIN(cpu, w->info.cpu)) / s->cpu);
+	if (s->mem_mb)
+		n = MIN(n, (w->info.mem_mb - MIN(mem, w->info.mem_mb)) /
+				   s->mem_mb);
+	if (s->gpus)
+		n = MIN(n, (w->info.gpus - MIN(gpus, w->info.gpus)) / s->gpus);
+	return n;
+}
+
+/* Orders racks: where they have enough, that of the data first. */
+static int sch_rack_order(gconstpointer a, gconstpointer b)
+{
+	const struct sch_rack *x = a;
+	const struct sch_rack *y = b;
+
+	if (x->data != y->data)
+		return x->data ? -1 : 1;
+	if (x->fits != y->fits)
+		return x->fits > y->fits ? -1 : 1;
+	return strcmp(x->name, y->name);
+}
+
+/* The rack that a worker is in, or NULL. */
+static const char *sch_rack_of(const struct jtb_worker *w)
+{
+	char **labels = w->info.labels;
+
+	return labels && labels[0] ? labels[1] : NULL;
+}
+
 /* The best worker for a task of the step, or NULL. */
 static struct jtb_worker *sch_place(struct sch_pool *p,
 				    const struct jtb_job *job, uint32_t step)
@@ -305,7 +487,8 @@
 		double score;
 
 		if (!sch_fits(w, s) || !sch_allowed(w, s) ||
-		    g_ptr_array_find(p->kept, w, NULL))
+		    g_ptr_array_find(p->kept, w, NULL) ||
+		    (p->rack && g_strcmp0(sch_rack_of(w), p->rack) != 0))
 			continue;
 		score = sch_score(p, w, s);
 		if (w->kept_for == job->seq + 1)
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -17,6 +17,7 @@
 	int64_t wall;
 	const char *leaving;
 	bool proposes; /* starts stay on their way to the log */
+	int64_t later_ms; /* since the first plan */
 	const char *tickets; /* JOB@WORKER of each that there is */
 };
 
@@ -69,7 +70,7 @@
 	struct sch_view v = {
 		.jtb = b->jtb,
 		.closed = b->closed,
-		.now_ms = PLAN_MS,
+		.now_ms = PLAN_MS + b->later_ms,
 		.wall_ms = b->wall,
 		.arg = b,
 		.usable = bed_usable,
@@ -521,6 +522,120 @@
 	assert_string_equal(b->log->str, "y.0.0@w1 ");
 }
 
+/* A worker of so many cores in a rack. */
+static void in_rack(struct bed *b, const char *id, const char *rack, int cores)
+{
+	char *labels[] = {(char *)"kind-a", (char *)rack, NULL};
+	struct jtb_worker_info info = {
+		.id = (char *)id,
+		.pool = (char *)"p",
+		.addr = (char *)"127.0.0.1:1",
+		.zone = (char *)"z",
+		.labels = labels,
+		.cpu = (uint32_t)cores * 1000,
+		.mem_mb = 64000,
+	};
+	struct pk_out o;
+
+	pk_out_init(&o);
+	jtb_put_worker(&o, &info);
+	jobs_apply(b->jtb, &o);
+}
+
+static void gang(struct bed *b, const char *id, uint32_t count,
+		 const char *data_rack)
+{
+	struct jtb_step s = {.count = count,
+			     .cpu = 1000,
+			     .guess_ms = 500,
+			     .flags = JTB_GANG | JTB_ONE_RACK,
+			     .rack = (char *)data_rack};
+
+	jobs_job(b->jtb, id, &s, 1, b->wall);
+}
+
+/* A gang takes three times as long, as its members are spread over racks. */
+static void a_gang_runs_on_one_rack(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r1", 1);
+	in_rack(b, "w3", "r2", 3);
+	in_rack(b, "w4", "r2", 3);
+	gang(b, "g", 6, NULL);
+	plan(b);
+	assert_null(strstr(b->log->str, "@w1"));
+	assert_null(strstr(b->log->str, "@w2"));
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 6);
+	/* the rack of its data, though another has more room */
+	in_rack(b, "w5", "r3", 9);
+	gang(b, "d", 3, "r1");
+	plan(b);
+	assert_null(strstr(b->log->str, "@w5"));
+	assert_int_equal(jtb_job(b->jtb, "d")->n_runs, 3);
+	/* which is full by now: any other */
+	gang(b, "e", 3, "r1");
+	plan(b);
+	assert_string_equal(b->log->str, "e.0.0@w5 e.0.1@w5 e.0.2@w5 ");
+}
+
+/*
+ * No rack has room for all, and one will: the gang waits, for no longer than
+ * spreading would cost it, and holds nobody up meanwhile.
+ */
+static void a_gang_waits_a_while_for_one_rack(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r2", 4);
+	job(b, "a", 1, 1000, 300, 0, 0);
+	jobs_start(b->jtb, "a", 0, 0, 1, "w1");
+	job(b, "b", 1, 1000, 300, 0, 0);
+	jobs_start(b->jtb, "b", 0, 0, 1, "w2");
+	gang(b, "g", 4, NULL);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	b->later_ms = 900;
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	b->later_ms = 1000;
+	plan(b);
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 4);
+}
+
+/* A rack gets free while the gang waits for it. */
+static void a_gang_that_waited_gets_its_rack(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r2", 3);
+	job(b, "a", 1, 1000, 300, 0, 0);
+	jobs_start(b->jtb, "a", 0, 0, 1, "w1");
+	gang(b, "g", 4, NULL);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	jobs_end(b->jtb, "a", 0, 0, 1, "w1", JTB_DONE);
+	b->later_ms = 500;
+	plan(b);
+	assert_null(strstr(b->log->str, "@w2"));
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 4);
+}
+
+/* No rack can ever hold it: to wait would help nobody. */
+static void a_gang_larger_than_a_rack_is_spread_at_once(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r2", 4);
+	gang(b, "g", 6, NULL);
+	plan(b);
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 6);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -547,6 +662,10 @@
 		T(what_has_no_ticket_waits_and_holds_nobody_up),
 		T(a_gang_runs_where_it_has_tickets),
 		T(who_was_barred_for_one_step_isnt_for_the_next),
+		T(a_gang_runs_on_one_rack),
+		T(a_gang_waits_a_while_for_one_rack),
+		T(a_gang_that_waited_gets_its_rack),
+		T(a_gang_larger_than_a_rack_is_spread_at_once),
 	};
 
 	return cmocka_run_group_tests_name("sch", tests, NULL, NULL);
