--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -4,6 +4,7 @@
 
 #include "dmn.h"
 #include "hub.h"
+#include "msg.h"
 #include "plt.h"
 
 static bool schedd_start(struct dmn *d, GError **err);
@@ -11,6 +12,7 @@
 static void schedd_drain(struct dmn *d);
 static void schedd_reload(struct dmn *d);
 static int schedd_result(const struct dmn *d);
+static void schedd_check(const struct nst *s);
 
 static const struct dmn_ops schedd_ops = {
 	.name = "endive-schedd",
@@ -50,10 +52,23 @@
 	if (!dmn_needs(d, "control", s->control, err) ||
 	    !dmn_needs(d, "data", s->data, err))
 		return false;
+	schedd_check(s);
 	d->service = hub_new(&config, err);
 	return d->service != NULL;
 }
 
+/*
+ * Says loudly that workers get their orders in a way that isn't built: they
+ * would take no calls, and nothing would run.
+ */
+static void schedd_check(const struct nst *s)
+{
+	if (s->orders && strcmp(s->orders, PLT_ORDERS_BY_CALLS) != 0)
+		msg(MSG_HUB_ORDERS,
+		    "setting=\"[node] orders\" value=%s built=%s", s->orders,
+		    PLT_ORDERS_BY_CALLS);
+}
+
 /* Stops it. */
 static void schedd_stop(struct dmn *d)
 {
@@ -71,6 +86,7 @@
 {
 	hub_set_seeds(d->service, d->settings->seeds);
 	hub_set_advice(d->service, d->settings->advice);
+	schedd_check(d->settings);
 }
 
 /* What its process ends with. */
--- a/src/msg.c
+++ b/src/msg.c
@@ -84,6 +84,7 @@
 	[MSG_ADV_FAILED] = {MSG_WARN, "advice-failed"},
 	[MSG_ADV_REFUSED] = {MSG_WARN, "ticket-refused"},
 	[MSG_ADV_NOBODY] = {MSG_ERROR, "advice-nobody-to-ask"},
+	[MSG_HUB_ORDERS] = {MSG_ERROR, "orders-not-known"},
 	/* gat: entry daemon */
 	[MSG_GAT_LEADER] = {MSG_NOTICE, "entry-leader"},
 	[MSG_GAT_REFUSED] = {MSG_NOTICE, "entry-refused"},
--- a/src/msg.h
+++ b/src/msg.h
@@ -76,6 +76,7 @@
 	MSG_ADV_FAILED,
 	MSG_ADV_REFUSED,
 	MSG_ADV_NOBODY,
+	MSG_HUB_ORDERS,
 	/* gat: entry daemon */
 	MSG_GAT_LEADER,
 	MSG_GAT_REFUSED,
--- a/src/nst.c
+++ b/src/nst.c
@@ -38,6 +38,7 @@
 	{"node", "metrics", NST_ADDR, NST_AT(metrics), false, NULL, 0, 0},
 	{"node", "vms", NST_ADDR, NST_AT(vms), false, NULL, 0, 0},
 	{"node", "advice", NST_ADDR, NST_AT(advice), false, NULL, 0, 0},
+	{"node", "orders", NST_TEXT, NST_AT(orders), false, NULL, 0, 0},
 	{"node", "data", NST_TEXT, NST_AT(data), false, NULL, 0, 0},
 	{"node", "keys", NST_TEXT, NST_AT(keys), false, NULL, 0, 0},
 	{"node", "seeds", NST_ADDRS, NST_AT(seeds), true, NULL, 0, 0},
@@ -113,6 +114,7 @@
 	g_free(s->data);
 	g_free(s->vms);
 	g_free(s->advice);
+	g_free(s->orders);
 	g_free(s->keys);
 	g_free(s->level);
 	g_strfreev(s->seeds);
--- a/src/nst.h
+++ b/src/nst.h
@@ -20,6 +20,7 @@
 	char *data; /* folder; or NULL */
 	char *vms; /* IP:PORT of the service that moves VMs; or NULL */
 	char *advice; /* IP:PORT of the service that gives it; or NULL */
+	char *orders; /* how workers get them, as the platform says; or NULL */
 	char **seeds; /* IP:PORT of replicas, on the port of wire */
 	bool bootstrap;
 	bool open_network; /* own processes need no key */
--- a/tests/system/advice_test.sh
+++ b/tests/system/advice_test.sh
@@ -53,4 +53,14 @@
 [ "$refused" = 0 ] || fail "$refused starts refused for their ticket"
 twice=$(cat "$tmp"/w*.log | grep '^done ' | cut -d' ' -f2 | sort | uniq -d)
 [ -z "$twice" ] || fail "done twice: $twice"
+
+# A way to give orders that isn't built is said loudly at the start.
+jobs_orders=other
+jobs_control 9 false
+tries=0
+until grep -q 'msg=orders-not-known' "$tmp/c9.log"; do
+	tries=$((tries + 1))
+	[ $tries -lt 100 ] || fail "orders that aren't built aren't told"
+	sleep 0.1
+done
 echo "advice: $started started, none refused"
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -47,6 +47,7 @@
 	seeds = $seeds
 	bootstrap = $2
 	advice = ${jobs_advice:-}
+	orders = ${jobs_orders:-}
 	open-network = true
 	log-level = info
 	EOF
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -578,6 +578,10 @@
 	gang(b, "e", 3, "r1");
 	plan(b);
 	assert_string_equal(b->log->str, "e.0.0@w5 e.0.1@w5 e.0.2@w5 ");
+	/* the first has room for two, and this has more */
+	gang(b, "f", 2, NULL);
+	plan(b);
+	assert_string_equal(b->log->str, "f.0.0@w5 f.0.1@w5 ");
 }
 
 /*
