A site whose queues need no advice isn't looked through for it

The session with the service woke every 50 ms and had all pools planned, also where no queue needs advice: the address is in the settings of all sites. It now rests there, and elsewhere a look plans nothing. Turns that are done aren't gone through. adv_line_test 7 passed (without the check the new one failed); advice_test, jobs_test and install_test passed.

--- a/src/adv.c
+++ b/src/adv.c
@@ -109,7 +109,6 @@
 	bool known; /* it was approved before, and will be again */
 };
 
-static bool adv_any(struct adv *a);
 static GArray *adv_jobs(struct adv *a, int64_t wall_ms);
 static bool adv_stuck(struct adv *a, const struct adv_cand *c, int64_t now_ms,
 		      int64_t wall_ms);
@@ -197,6 +196,24 @@
 	g_hash_table_remove_all(a->steps);
 }
 
+/* Whether any queue needs advice: most installations have none that does. */
+bool adv_needed(struct adv *a)
+{
+	const struct jtb_config *c = jtb_config(a->jtb);
+	guint i;
+
+	if (a->config == c->version)
+		return a->any;
+	a->config = c->version;
+	a->any = false;
+	for (i = 0; i < c->queues->len; i++) {
+		const struct jtb_queue *q = g_ptr_array_index(c->queues, i);
+
+		a->any = a->any || q->advised;
+	}
+	return a->any;
+}
+
 /*
  * What is asked next: of the steps short of tickets the one that matters most.
  * False: nothing is. Made for bursts in which many more steps wait for advice
@@ -209,7 +226,7 @@
 	guint i;
 
 	adv_prune(a, v->now_ms);
-	if (!adv_any(a))
+	if (!adv_needed(a))
 		return false;
 	g_hash_table_remove_all(a->pools);
 	jobs = adv_jobs(a, v->wall_ms);
@@ -371,24 +388,6 @@
 	g_free(row);
 }
 
-/* Whether any queue needs advice: most installations have none that does. */
-static bool adv_any(struct adv *a)
-{
-	const struct jtb_config *c = jtb_config(a->jtb);
-	guint i;
-
-	if (a->config == c->version)
-		return a->any;
-	a->config = c->version;
-	a->any = false;
-	for (i = 0; i < c->queues->len; i++) {
-		const struct jtb_queue *q = g_ptr_array_index(c->queues, i);
-
-		a->any = a->any || q->advised;
-	}
-	return a->any;
-}
-
 /* The jobs that need advice, with what is the same for all of their steps. */
 static GArray *adv_jobs(struct adv *a, int64_t wall_ms)
 {
@@ -396,7 +395,7 @@
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct adv_cand));
 	guint i;
 
-	for (i = 0; adv_any(a) && i < live->len; i++) {
+	for (i = 0; adv_needed(a) && i < live->len; i++) {
 		struct jtb_job *job = g_ptr_array_index(live, i);
 		struct adv_cand c = {.job = job};
 
@@ -486,12 +485,16 @@
 	const struct jtb_job *job = of->job;
 	int64_t ahead = adv_ahead_ms(of->queue);
 	int64_t begins[JTB_STEPS_MAX];
+	uint64_t all = ~0ULL >> (JTB_STEPS_MAX - job->spec.n_steps);
 	struct adv_cand c = *of;
 	bool begun;
 
 	for (c.turn = 0; c.turn < job->n_turns; c.turn++) {
 		if (jtb_turn_due(job, c.turn) - v->wall_ms > ahead)
 			break;
+		/* of a job that was repeated often nearly all are */
+		if (job->turns[c.turn].done == all)
+			continue;
 		adv_begins(job, c.turn, v->wall_ms, begins);
 		begun = adv_begun(job, c.turn);
 		for (c.step = 0; c.step < job->spec.n_steps; c.step++) {
--- a/src/adv.h
+++ b/src/adv.h
@@ -42,6 +42,7 @@
 struct adv *adv_new(const struct jtb *t);
 void adv_free(struct adv *a);
 void adv_clear(struct adv *a);
+bool adv_needed(struct adv *a);
 bool adv_next(struct adv *a, const struct sch_view *v, struct adv_ask *out);
 void adv_answered(struct adv *a, const struct adv_ask *ask,
 		  const GPtrArray *rows, int64_t asked_ms, int64_t now_ms);
@@ -77,8 +78,10 @@
 };
 
 struct adv_ops {
-	/* tickets came in, or it is time to look again */
+	/* tickets came in: what waited for them may be started */
 	void (*changed)(void *arg);
+	/* the time has come to call adv_line_look again */
+	void (*look)(void *arg);
 };
 
 struct adv_config {
--- a/src/adv_line.c
+++ b/src/adv_line.c
@@ -120,7 +120,7 @@
  */
 void adv_line_look(struct adv_line *l, const struct sch_view *v)
 {
-	if (!l->leading || !l->addr || l->call)
+	if (!l->leading || !l->addr || l->call || !adv_needed(l->adv))
 		return;
 	if (v->now_ms < l->not_before) {
 		adv_wake_at(l, l->not_before);
@@ -279,5 +279,5 @@
 	struct adv_line *l = arg;
 
 	l->wake = 0;
-	l->ops->changed(l->arg);
+	l->ops->look(l->arg);
 }
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -35,6 +35,7 @@
 static void hub_dirty_job(struct hub *h, const struct jtb_job *job);
 static void hub_plan_timer(void *arg, int64_t now);
 static void hub_plan(struct hub *h);
+static struct sch_view hub_view(struct hub *h, GHashTable *closed);
 static bool hub_usable(void *arg, const struct jtb_worker *w);
 static bool hub_leaving(void *arg, const struct jtb_worker *w);
 static bool hub_ticketed(void *arg, const struct jtb_job *job, uint32_t turn,
@@ -42,6 +43,7 @@
 static bool hub_ticket(void *arg, const struct jtb_run *run, const char **out);
 static void hub_ticket_refused(void *arg, const struct jtb_run *run);
 static void hub_advised(void *arg);
+static void hub_look_for_advice(void *arg);
 static void hub_check_advice(const struct hub *h);
 static void hub_starved(void *arg, const char *pool);
 static void hub_start(void *arg, struct jtb_job *job, const struct jtb_name *n,
@@ -80,6 +82,7 @@
 
 const struct adv_ops hub_adv_ops = {
 	.changed = hub_advised,
+	.look = hub_look_for_advice,
 };
 
 /*
@@ -388,7 +391,24 @@
 static void hub_plan(struct hub *h)
 {
 	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
-	struct sch_view v = {
+	struct sch_view v = hub_view(h, closed);
+	GHashTableIter it;
+	char *pool;
+
+	g_hash_table_iter_init(&it, h->dirty);
+	while (g_hash_table_iter_next(&it, (gpointer *)&pool, NULL))
+		sch_plan(&v, pool);
+	g_hash_table_remove_all(h->dirty);
+	adv_line_look(h->advice, &v);
+	g_hash_table_destroy(closed);
+}
+
+/* What decisions on starts and tickets see; fills closed. */
+static struct sch_view hub_view(struct hub *h, GHashTable *closed)
+{
+	upk_closed(h->upk, closed);
+	flo_closed(h->flo, closed);
+	return (struct sch_view){
 		.jtb = h->jtb,
 		.closed = closed,
 		.now_ms = tmr_now(h->tmr),
@@ -400,17 +420,6 @@
 		.start = hub_start,
 		.starved = hub_starved,
 	};
-	GHashTableIter it;
-	char *pool;
-
-	upk_closed(h->upk, closed);
-	flo_closed(h->flo, closed);
-	g_hash_table_iter_init(&it, h->dirty);
-	while (g_hash_table_iter_next(&it, (gpointer *)&pool, NULL))
-		sch_plan(&v, pool);
-	g_hash_table_remove_all(h->dirty);
-	adv_line_look(h->advice, &v);
-	g_hash_table_destroy(closed);
 }
 
 /* Whether a worker may be given work now. */
@@ -464,7 +473,7 @@
 	adv_drop(h->adv, run, tmr_now(h->tmr));
 }
 
-/* Tickets came in, or there is something to ask again. */
+/* Tickets came in: what waited for them may be started. */
 static void hub_advised(void *arg)
 {
 	struct hub *h = arg;
@@ -473,6 +482,17 @@
 		hub_plan_all(h);
 }
 
+/* It is time to look what to ask; no plan is needed for that. */
+static void hub_look_for_advice(void *arg)
+{
+	struct hub *h = arg;
+	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
+	struct sch_view v = hub_view(h, closed);
+
+	adv_line_look(h->advice, &v);
+	g_hash_table_destroy(closed);
+}
+
 /* Says loudly that queues need advice and nobody gives it. */
 static void hub_check_advice(const struct hub *h)
 {
--- a/tests/unit/adv_line_test.c
+++ b/tests/unit/adv_line_test.c
@@ -28,7 +28,7 @@
 	int calls;
 	int waiting; /* calls that got no answer yet */
 	int most_waiting;
-	int changes;
+	int looks;
 	int refuse; /* so many are told that too many wait */
 	int sick; /* so many are told that it can't now */
 	int odd; /* so many are turned down */
@@ -131,12 +131,20 @@
 {
 	struct bed *b = arg;
 
-	b->changes++;
+	look(b);
+}
+
+static void bed_look(void *arg)
+{
+	struct bed *b = arg;
+
+	b->looks++;
 	look(b);
 }
 
 static const struct adv_ops bed_ops = {
 	.changed = bed_changed,
+	.look = bed_look,
 };
 
 static int setup(void **state)
@@ -311,6 +319,25 @@
 	assert_int_equal(b->calls, 1);
 }
 
+/*
+ * A leader looks for advice twenty times a second, for good, on a site where no
+ * queue needs any.
+ */
+static void nothing_is_looked_for_where_no_queue_needs_it(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_queue *q =
+		(struct jtb_queue *)jtb_queue(jtb_config(b->jtb), "q");
+
+	q->advised = false;
+	job(b, "j");
+	look(b);
+	look(b);
+	net_run(b->base, SETTLE_MS);
+	assert_int_equal(b->looks, 0);
+	assert_int_equal(b->calls, 0);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -322,6 +349,7 @@
 		T(a_service_that_is_silent_is_asked_again),
 		T(who_doesnt_lead_asks_nothing),
 		T(another_address_is_asked_at_once),
+		T(nothing_is_looked_for_where_no_queue_needs_it),
 	};
 
 	return cmocka_run_group_tests_name("adv_line", tests, NULL, NULL);
