--- a/src/hld.c
+++ b/src/hld.c
@@ -43,7 +43,6 @@
 	[HLD_ENDING] = {"end-not-stored", 3000},
 	[HLD_GANG] = {"rest-of-gang", 0},
 	[HLD_JUST_ENDED] = {"just-ended", 400},
-	[HLD_TICKET] = {"needs-ticket", 0},
 	[HLD_NO_WORKER] = {"no-worker", 0},
 	[HLD_LABEL] = {"no-label", 0},
 	[HLD_TOO_LARGE] = {"too-large", 0},
@@ -52,10 +51,12 @@
 	[HLD_SHUNNED] = {"shunned", 16000},
 	[HLD_MOVING] = {"closed-for-move", 5000},
 	[HLD_UPKEEP] = {"closed-for-upkeep", 5000},
+	[HLD_TICKET] = {"needs-ticket", 0},
 	[HLD_APART] = {"kept-apart", 0},
 	[HLD_NO_ROOM] = {"no-room", 0},
 	[HLD_KEPT] = {"kept-for-other", 5000},
 	[HLD_GANG_ROOM] = {"no-room-for-gang", 0},
+	[HLD_RACK] = {"waits-for-rack", 2000},
 };
 
 /* A pool during one look. */
@@ -194,7 +195,7 @@
 		return HLD_STEP;
 	if (!q)
 		return HLD_QUEUE;
-	return q->advised ? HLD_TICKET : HLD_NONE;
+	return HLD_NONE;
 }
 
 /* What the workers of its pool hold a task of a step back for. */
@@ -207,6 +208,8 @@
 	GPtrArray *places;
 	guint i;
 
+	p->sch.queue = jtb_queue(jtb_config(v->sch->jtb), job->spec.queue);
+	sch_tickets(&p->sch, job, turn, step);
 	sch_count_same(&p->sch, job, turn, step);
 	for (i = 0; i < p->all->len && best != HLD_NONE; i++) {
 		enum hld_reason why =
@@ -217,8 +220,10 @@
 	if (best != HLD_NONE || !(s->flags & JTB_GANG))
 		return best;
 	places = g_ptr_array_new();
-	if (!sch_places(&p->sch, job, turn, step, places))
+	if (!sch_places(&p->sch, job, turn, step, NULL, places))
 		best = HLD_GANG_ROOM;
+	else if (s->flags & JTB_ONE_RACK && job->rack_ms)
+		best = HLD_RACK;
 	g_ptr_array_free(places, TRUE);
 	return best;
 }
@@ -239,6 +244,8 @@
 		return hld_barred(v, w);
 	if (sch_shunned(&p->sch, w, false))
 		return HLD_SHUNNED;
+	if (w->barred)
+		return HLD_TICKET;
 	if (!sch_allowed(w, s))
 		return HLD_APART;
 	if (!sch_fits(w, s))
@@ -483,8 +490,11 @@
 				uint32_t turn, uint32_t step)
 {
 	const struct jtb_step *s = &job->spec.steps[step];
-	uint32_t own = s->flags & (JTB_GANG | JTB_LASTS);
 	struct hld_pool *p = hld_pool_of(l, job);
+	const struct jtb_queue *q =
+		jtb_queue(jtb_config(l->v->sch->jtb), job->spec.queue);
+	/* tickets and room for all of a gang are a step's own matter */
+	bool own = s->flags & (JTB_GANG | JTB_LASTS) || q->advised;
 	guint cell = (s->cpu * 31 + s->mem_mb * 17 + s->gpus * 7 +
 		      (s->label ? g_str_hash(s->label) : 0) +
 		      (s->flags & JTB_FILLS)) %
--- a/src/hld.h
+++ b/src/hld.h
@@ -30,7 +30,6 @@
 	HLD_ENDING, /* the end of its last run isn't stored yet */
 	HLD_GANG, /* others of its gang still run or are on their way */
 	HLD_JUST_ENDED, /* it is tried again in a moment */
-	HLD_TICKET, /* workers want a ticket that we can't get */
 	/* by the workers of its pool, from none at all to one that has room */
 	HLD_NO_WORKER,
 	HLD_LABEL, /* none has the label */
@@ -40,10 +39,12 @@
 	HLD_SHUNNED, /* or failed or refused too much a moment ago */
 	HLD_MOVING, /* or is being emptied for another pool */
 	HLD_UPKEEP, /* or for its upkeep */
+	HLD_TICKET, /* or may not run it, as far as advice says */
 	HLD_APART, /* or has as many of its step as may be on one */
 	HLD_NO_ROOM, /* or is full */
 	HLD_KEPT, /* or is kept free for work that lasts */
 	HLD_GANG_ROOM, /* there is room for some of its gang, not for all */
+	HLD_RACK, /* there is, and it waits a while for all on one rack */
 	HLD_REASONS
 };
 
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -38,6 +38,7 @@
 	bool advised; /* starts need a ticket */
 	uint32_t advice_ms; /* a call for advice takes, */
 	uint32_t advice_each_ms; /* and for each worker named */
+	uint32_t advice_valid_ms; /* its tickets hold; 0: not told */
 };
 
 /* A pool of VMs that run jobs. */
@@ -167,6 +168,7 @@
 	bool started; /* a run of it has begun once */
 	/* owner's, or NULL: of the job, then of each task that lasts */
 	struct jtb_held *held;
+	int64_t rack_ms; /* owner's: since when a gang waits for a rack; or 0 */
 	double work; /* core-seconds by its guesses, one turn */
 	uint32_t chain_ms; /* longest chain of its steps by its guesses */
 };
@@ -176,7 +178,7 @@
 	char *pool;
 	char *addr;
 	char *zone;
-	char **labels;
+	char **labels; /* its kind, then its rack */
 	uint32_t cpu;
 	uint32_t mem_mb;
 	uint32_t gpus;
@@ -199,6 +201,7 @@
 	uint64_t failed_job; /* seq + 1 of the last of them, */
 	uint32_t fails_seen; /* how many were known in the last plan, */
 	int64_t failed_ms; /* and when these changed */
+	bool barred; /* owner's: has no ticket for that step */
 	uint64_t kept_for; /* owner's: seq + 1 of the job it is kept for, */
 	int64_t kept_ms; /* when it was last */
 	void *owner; /* leader's data */
--- a/src/sch.c
+++ b/src/sch.c
@@ -2,6 +2,9 @@
 
 #include <stdlib.h>
 
+/* Between the urgencies of two ranks: more than there are ever jobs. */
+#define SCH_RANK_STEP 1e12
+
 /* Which jobs go before which. */
 enum sch_rank {
 	SCH_RANK_LASTS,
@@ -22,7 +25,7 @@
 static void sch_nobody(struct sch_pool *p);
 static bool sch_lasts_waiting(const struct jtb_job *job, int64_t wall_ms);
 static GArray *sch_cands(struct sch_pool *p);
-static void sch_rank(const struct sch_view *v, struct sch_cand *c);
+static void sch_rank(int64_t wall_ms, struct sch_cand *c);
 static int sch_order(gconstpointer a, gconstpointer b);
 static void sch_job(struct sch_pool *p, struct sch_cand *c);
 static void sch_part(struct sch_pool *p, struct jtb_job *job, uint32_t turn,
@@ -112,7 +115,7 @@
 		c.queue = jtb_queue(config, c.job->spec.queue);
 		if (!c.queue || strcmp(c.queue->pool, p->name) != 0)
 			continue;
-		sch_rank(p->v, &c);
+		sch_rank(p->v->wall_ms, &c);
 		g_array_append_val(cands, c);
 	}
 	return cands;
@@ -126,10 +129,10 @@
  * fare alike, where the cheapest first would shut out the large for the whole
  * of a burst. What can't be in time any more waits behind all that can.
  */
-static void sch_rank(const struct sch_view *v, struct sch_cand *c)
+static void sch_rank(int64_t wall_ms, struct sch_cand *c)
 {
 	const struct jtb_job *job = c->job;
-	enum sch_chance chance = sch_chance(c->queue, job, v->wall_ms);
+	enum sch_chance chance = sch_chance(c->queue, job, wall_ms);
 
 	if (sch_lasts(job))
 		c->rank = SCH_RANK_LASTS;
@@ -142,6 +145,16 @@
 		c->rank == SCH_RANK_NEW ? (double)job->seq : -(double)job->seq;
 }
 
+/* Where a job stands in a plan's order: what is higher goes first. */
+double sch_urgency(const struct jtb_queue *q, const struct jtb_job *job,
+		   int64_t wall_ms)
+{
+	struct sch_cand c = {.job = (struct jtb_job *)job, .queue = q};
+
+	sch_rank(wall_ms, &c);
+	return c.value - c.rank * SCH_RANK_STEP;
+}
+
 /* Compares jobs by which goes first. */
 static int sch_order(gconstpointer a, gconstpointer b)
 {
@@ -162,6 +175,7 @@
 	uint32_t t;
 	uint32_t s;
 
+	p->queue = c->queue;
 	for (t = 0; t < job->n_turns; t++) {
 		if (p->v->wall_ms < jtb_turn_due(job, t))
 			break;
@@ -191,6 +205,8 @@
 
 	if (part && part->n_done + part->n_runs + part->n_planned >= count)
 		return;
+	if (!sch_tickets(p, job, turn, step))
+		return;
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
 	sch_count_same(p, job, turn, step);
 	for (n.index = 0; n.index < count; n.index++) {
@@ -237,14 +253,24 @@
 		if (p->v->now_ms - part->tasks[i].free_ms < SCH_AGAIN_MS)
 			return;
 	}
+	if (!sch_tickets(p, job, turn, step))
+		return;
 	places = g_ptr_array_new();
-	room = sch_places(p, job, turn, step, places);
+	room = sch_one_rack(p, job, turn, step, places);
+	if (!room && sch_waits_for_rack(p, job, step)) {
+		g_ptr_array_free(places, TRUE);
+		return;
+	}
+	if (!room)
+		room = sch_places(p, job, turn, step, NULL, places);
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
 	for (n.index = 0; room && n.index < count; n.index++) {
 		p->started++;
 		p->v->start(p->v->arg, job, &n, attempt + 1,
 			    g_ptr_array_index(places, n.index));
 	}
+	if (room)
+		job->rack_ms = 0;
 	g_ptr_array_free(places, TRUE);
 	if (!room && job->spec.steps[step].flags & JTB_LASTS)
 		p->v->starved(p->v->arg, p->name);
--- a/src/sch_int.h
+++ b/src/sch_int.h
@@ -5,8 +5,8 @@
 
 /*
  * Files of the scheduler, each using only those before it: sch_job (what a
- * job needs), sch_place (where a task may run), sch (plans), hld (why
- * something owed doesn't run).
+ * job needs), sch_place (where a task may run), sch_rack (where a gang that
+ * needs one rack may), sch (plans), hld (why something owed doesn't run).
  */
 
 /*
@@ -36,6 +36,9 @@
 	GPtrArray *kept; /* of these, kept free for work that lasts */
 	struct sch_miss misses[SCH_MISSES_MAX];
 	uint32_t n_misses;
+	const struct jtb_queue *queue; /* of the job being planned */
+	bool barred; /* some workers were, for the last step */
+	const char *rack; /* that a gang is placed on; NULL: any */
 	bool suspects; /* few enough workers are suspect to shun them */
 	uint32_t started;
 };
@@ -49,7 +52,13 @@
 bool sch_shunned(const struct sch_pool *p, const struct jtb_worker *w,
 		 bool again);
 bool sch_places(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
-		uint32_t step, GPtrArray *places);
+		uint32_t step, const char *rack, GPtrArray *places);
+bool sch_tickets(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
+		 uint32_t step);
+bool sch_one_rack(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
+		  uint32_t step, GPtrArray *places);
+bool sch_waits_for_rack(struct sch_pool *p, struct jtb_job *job, uint32_t step);
+const char *sch_rack_of(const struct jtb_worker *w);
 void sch_keep(struct sch_pool *p, const struct jtb_job *job, uint32_t step);
 bool sch_missed(const struct sch_pool *p, const struct jtb_step *s);
 void sch_miss(struct sch_pool *p, const struct jtb_step *s);
--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -42,8 +42,10 @@
 	p->workers = g_ptr_array_new();
 	g_hash_table_iter_init(&it, jtb_workers(p->v->jtb));
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
-		if (strcmp(w->info.pool, p->name) == 0 && sch_usable(p->v, w))
+		if (strcmp(w->info.pool, p->name) == 0 && sch_usable(p->v, w)) {
+			w->barred = false;
 			g_ptr_array_add(p->workers, w);
+		}
 	sch_suspects(p);
 }
 
@@ -110,7 +112,8 @@
 		double score;
 
 		if (!sch_fits(w, s) || !sch_allowed(w, s) ||
-		    sch_shunned(p, w, again) || sch_is_kept(p, w))
+		    sch_shunned(p, w, again) || sch_is_kept(p, w) ||
+		    (p->rack && g_strcmp0(sch_rack_of(w), p->rack) != 0))
 			continue;
 		score = sch_score(p, w, s);
 		if (w->kept_for == job->seq + 1)
@@ -124,17 +127,20 @@
 }
 
 /*
- * Workers for all tasks of a step at once, one each in places; false: not all
- * of them have room. Room is taken while the others are looked for.
+ * Workers for all tasks of a step at once, one each in places, on one rack or,
+ * for NULL, on any; false: not all of them have room. Room is taken while the
+ * others are looked for.
  */
 bool sch_places(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
-		uint32_t step, GPtrArray *places)
+		uint32_t step, const char *rack, GPtrArray *places)
 {
 	const struct jtb_step *s = &job->spec.steps[step];
 	uint32_t cpu = s->flags & JTB_FILLS ? 0 : s->cpu;
 	struct jtb_worker *w = NULL;
 	guint i;
 
+	g_ptr_array_set_size(places, 0);
+	p->rack = rack;
 	sch_count_same(p, job, turn, step);
 	while (places->len < s->count && (w = sch_place(p, job, step, true))) {
 		w->plan_cpu += cpu;
@@ -143,6 +149,7 @@
 		w->same_step++;
 		g_ptr_array_add(places, w);
 	}
+	p->rack = NULL;
 	for (i = 0; i < places->len; i++) {
 		w = g_ptr_array_index(places, i);
 		w->plan_cpu -= cpu;
@@ -193,10 +200,36 @@
 	return g_ptr_array_find(p->kept, w, NULL);
 }
 
+/*
+ * Bars the workers that have no ticket for a step of a queue with advice: a
+ * start without one is refused. False: none has one. The step then waits for
+ * advice, which says nothing of the pool's room; it must neither end the plan
+ * as full nor have VMs come.
+ */
+bool sch_tickets(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
+		 uint32_t step)
+{
+	bool advised = p->queue->advised && p->v->ticketed;
+	bool any = !advised;
+	guint i;
+
+	if (!advised && !p->barred)
+		return true;
+	for (i = 0; i < p->workers->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		w->barred = advised &&
+			    !p->v->ticketed(p->v->arg, job, turn, step, w);
+		any = any || !w->barred;
+	}
+	p->barred = advised;
+	return any;
+}
+
 /* Whether a worker may run the step at all, room or not. */
 bool sch_allowed(const struct jtb_worker *w, const struct jtb_step *s)
 {
-	if (s->label && !sch_has_label(w, s->label))
+	if (w->barred || (s->label && !sch_has_label(w, s->label)))
 		return false;
 	return !s->per_worker || w->same_step < s->per_worker;
 }
--- a/tests/unit/hld_test.c
+++ b/tests/unit/hld_test.c
@@ -20,6 +20,7 @@
 	struct hld_view view;
 	int started;
 	bool proposes; /* starts stay on their way to the log */
+	const char *ticket; /* the worker there is one for; NULL: none */
 	GString *told; /* TASK:REASON of each line */
 	struct hld_sum sum;
 };
@@ -48,6 +49,14 @@
 	return false;
 }
 
+static bool bed_ticketed(void *arg, const struct jtb_job *job, uint32_t turn,
+			 uint32_t step, const struct jtb_worker *w)
+{
+	const struct bed *b = arg;
+
+	return g_strcmp0(b->ticket, w->info.id) == 0;
+}
+
 static void bed_start(void *arg, struct jtb_job *job, const struct jtb_name *n,
 		      uint32_t attempt, struct jtb_worker *w)
 {
@@ -96,6 +105,7 @@
 		.arg = b,
 		.usable = bed_usable,
 		.leaving = bed_leaving,
+		.ticketed = bed_ticketed,
 		.start = bed_start,
 		.starved = bed_starved,
 	};
@@ -306,6 +316,41 @@
 	g_string_free(out, TRUE);
 }
 
+/* A task of a queue with advice waits for a ticket, then for that worker. */
+static void what_has_no_ticket_waits_for_one(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_queue *q =
+		(struct jtb_queue *)jtb_queue(jtb_config(b->jtb), "q");
+
+	jobs_worker(b->jtb, "w1", 2000, false);
+	jobs_worker(b->jtb, "w2", 500, false);
+	q->advised = true;
+	job(b, "a", (struct jtb_step){0});
+	assert_int_equal(why(b, "a", 0, 0), HLD_TICKET);
+	look(b, 0);
+	assert_int_equal(b->sum.tasks[HLD_TICKET], 1);
+	b->ticket = "w1";
+	assert_int_equal(why(b, "a", 0, 0), HLD_NONE);
+	job(b, "b", (struct jtb_step){0});
+	jobs_start(b->jtb, "b", 0, 0, 1, "w1");
+	job(b, "c", (struct jtb_step){.cpu = 1500});
+	assert_int_equal(why(b, "c", 0, 0), HLD_NO_ROOM);
+}
+
+/* A gang has room on two racks and waits a moment for one. */
+static void a_gang_that_waits_for_a_rack_says_so(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_step s = {.count = 2, .flags = JTB_GANG | JTB_ONE_RACK};
+
+	jobs_worker(b->jtb, "w", 2000, false);
+	job(b, "g", s);
+	assert_int_equal(why(b, "g", 0, 0), HLD_NONE);
+	jtb_job(b->jtb, "g")->rack_ms = NOW_MS;
+	assert_int_equal(why(b, "g", 0, 0), HLD_RACK);
+}
+
 static void each_reason_has_a_name(void **state)
 {
 	int i;
@@ -329,6 +374,8 @@
 		T(a_gang_is_held_back_whole),
 		T(what_waits_for_long_is_told),
 		T(what_is_held_back_is_shown),
+		T(what_has_no_ticket_waits_for_one),
+		T(a_gang_that_waits_for_a_rack_says_so),
 		cmocka_unit_test(each_reason_has_a_name),
 	};
 
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -17,6 +17,8 @@
 	int64_t wall;
 	const char *leaving;
 	bool proposes; /* starts stay on their way to the log */
+	int64_t later_ms; /* since the first plan */
+	const char *tickets; /* JOB@WORKER of each that there is */
 };
 
 static bool bed_usable(void *arg, const struct jtb_worker *w)
@@ -31,6 +33,17 @@
 	return b->leaving && strcmp(b->leaving, w->info.id) == 0;
 }
 
+static bool bed_ticketed(void *arg, const struct jtb_job *job, uint32_t turn,
+			 uint32_t step, const struct jtb_worker *w)
+{
+	const struct bed *b = arg;
+	char *one = g_strdup_printf("%s@%s", job->spec.id, w->info.id);
+	bool found = strstr(b->tickets, one) != NULL;
+
+	g_free(one);
+	return found;
+}
+
 static void bed_start(void *arg, struct jtb_job *job, const struct jtb_name *n,
 		      uint32_t attempt, struct jtb_worker *w)
 {
@@ -57,11 +70,12 @@
 	struct sch_view v = {
 		.jtb = b->jtb,
 		.closed = b->closed,
-		.now_ms = PLAN_MS,
+		.now_ms = PLAN_MS + b->later_ms,
 		.wall_ms = b->wall,
 		.arg = b,
 		.usable = bed_usable,
 		.leaving = bed_leaving,
+		.ticketed = bed_ticketed,
 		.start = bed_start,
 		.starved = bed_starved,
 	};
@@ -749,6 +763,202 @@
 	assert_int_equal(b->starved, 1);
 }
 
+/* From now on starts of the queue need tickets, and there are these. */
+static void need_tickets(struct bed *b, const char *tickets)
+{
+	struct jtb_queue *q =
+		(struct jtb_queue *)jtb_queue(jtb_config(b->jtb), "q");
+
+	q->advised = true;
+	b->tickets = tickets;
+}
+
+/*
+ * A worker refuses one start after another for want of a ticket. What has none
+ * waits; it says nothing of the pool's room, so that others go on behind it
+ * and no VM comes for it.
+ */
+static void what_has_no_ticket_waits_and_holds_nobody_up(void **state)
+{
+	struct bed *b = *state;
+	char id[16];
+	int i;
+
+	jobs_worker(b->jtb, "w1", 1000, false);
+	jobs_worker(b->jtb, "w2", 8000, false);
+	need_tickets(b, "");
+	for (i = 0; i < 60; i++) {
+		g_snprintf(id, sizeof(id), "n%d", i);
+		job(b, id, 1, 1000, 300, JTB_LASTS, 0);
+	}
+	job(b, "g", 2, 1000, 300, JTB_GANG, 0);
+	job(b, "y", 1, 1000, 300, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	assert_int_equal(b->starved, 0);
+	need_tickets(b, "y@w1");
+	plan(b);
+	assert_string_equal(b->log->str, "y.0.0@w1 ");
+	/* the worker with the ticket is full: that is want of room */
+	need_tickets(b, "n0@w1");
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	assert_int_equal(b->starved, 1);
+}
+
+/* All members of a gang need a ticket where they run. */
+static void a_gang_runs_where_it_has_tickets(void **state)
+{
+	struct bed *b = *state;
+
+	jobs_worker(b->jtb, "w1", 1000, false);
+	jobs_worker(b->jtb, "w2", 8000, false);
+	need_tickets(b, "g@w1");
+	job(b, "g", 2, 1000, 300, JTB_GANG, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	need_tickets(b, "g@w1 g@w2");
+	plan(b);
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 2);
+}
+
+/* A queue that needs no advice isn't held by what one with advice was. */
+static void who_was_barred_for_one_step_isnt_for_the_next(void **state)
+{
+	struct bed *b = *state;
+	struct jtb_queue *q;
+
+	jobs_worker(b->jtb, "w1", 8000, false);
+	jobs_worker(b->jtb, "w2", 1000, false);
+	need_tickets(b, "x@w2");
+	job(b, "x", 1, 1000, 300, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "x.0.0@w2 ");
+	q = (struct jtb_queue *)jtb_queue(jtb_config(b->jtb), "q");
+	q->advised = false;
+	job(b, "y", 1, 1000, 300, 0, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "y.0.0@w1 ");
+}
+
+/* A worker of so many cores in a rack. */
+static void in_rack(struct bed *b, const char *id, const char *rack, int cores)
+{
+	char *labels[] = {(char *)"kind-a", (char *)rack, NULL};
+	struct jtb_worker_info info = {
+		.id = (char *)id,
+		.pool = (char *)"p",
+		.addr = (char *)"127.0.0.1:1",
+		.zone = (char *)"z",
+		.labels = labels,
+		.cpu = (uint32_t)cores * 1000,
+		.mem_mb = 64000,
+	};
+	struct pk_out o;
+
+	pk_out_init(&o);
+	jtb_put_worker(&o, &info);
+	jobs_apply(b->jtb, &o);
+}
+
+static void gang(struct bed *b, const char *id, uint32_t count,
+		 const char *data_rack)
+{
+	struct jtb_step s = {.count = count,
+			     .cpu = 1000,
+			     .guess_ms = 500,
+			     .flags = JTB_GANG | JTB_ONE_RACK,
+			     .rack = (char *)data_rack};
+
+	jobs_job(b->jtb, id, &s, 1, b->wall);
+}
+
+/* A gang takes three times as long, as its members are spread over racks. */
+static void a_gang_runs_on_one_rack(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r1", 1);
+	in_rack(b, "w3", "r2", 3);
+	in_rack(b, "w4", "r2", 3);
+	gang(b, "g", 6, NULL);
+	plan(b);
+	assert_null(strstr(b->log->str, "@w1"));
+	assert_null(strstr(b->log->str, "@w2"));
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 6);
+	/* the rack of its data, though another has more room */
+	in_rack(b, "w5", "r3", 9);
+	gang(b, "d", 3, "r1");
+	plan(b);
+	assert_null(strstr(b->log->str, "@w5"));
+	assert_int_equal(jtb_job(b->jtb, "d")->n_runs, 3);
+	/* which is full by now: any other */
+	gang(b, "e", 3, "r1");
+	plan(b);
+	assert_string_equal(b->log->str, "e.0.0@w5 e.0.1@w5 e.0.2@w5 ");
+	/* the first has room for two, and this has more */
+	gang(b, "f", 2, NULL);
+	plan(b);
+	assert_string_equal(b->log->str, "f.0.0@w5 f.0.1@w5 ");
+}
+
+/*
+ * No rack has room for all, and one will: the gang waits, for no longer than
+ * spreading would cost it, and holds nobody up meanwhile.
+ */
+static void a_gang_waits_a_while_for_one_rack(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r2", 4);
+	job(b, "a", 1, 1000, 300, 0, 0);
+	jobs_start(b->jtb, "a", 0, 0, 1, "w1");
+	job(b, "b", 1, 1000, 300, 0, 0);
+	jobs_start(b->jtb, "b", 0, 0, 1, "w2");
+	gang(b, "g", 4, NULL);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	b->later_ms = 900;
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	b->later_ms = 1000;
+	plan(b);
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 4);
+}
+
+/* A rack gets free while the gang waits for it. */
+static void a_gang_that_waited_gets_its_rack(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r2", 3);
+	job(b, "a", 1, 1000, 300, 0, 0);
+	jobs_start(b->jtb, "a", 0, 0, 1, "w1");
+	gang(b, "g", 4, NULL);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	jobs_end(b->jtb, "a", 0, 0, 1, "w1", JTB_DONE);
+	b->later_ms = 500;
+	plan(b);
+	assert_null(strstr(b->log->str, "@w2"));
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 4);
+}
+
+/* No rack can ever hold it: to wait would help nobody. */
+static void a_gang_larger_than_a_rack_is_spread_at_once(void **state)
+{
+	struct bed *b = *state;
+
+	in_rack(b, "w1", "r1", 4);
+	in_rack(b, "w2", "r2", 4);
+	gang(b, "g", 6, NULL);
+	plan(b);
+	assert_int_equal(jtb_job(b->jtb, "g")->n_runs, 6);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -784,6 +994,13 @@
 		T(a_worker_is_kept_only_if_it_can_free_up),
 		T(a_pool_that_is_closed_asks_for_room),
 		T(each_turn_is_kept_apart),
+		T(what_has_no_ticket_waits_and_holds_nobody_up),
+		T(a_gang_runs_where_it_has_tickets),
+		T(who_was_barred_for_one_step_isnt_for_the_next),
+		T(a_gang_runs_on_one_rack),
+		T(a_gang_waits_a_while_for_one_rack),
+		T(a_gang_that_waited_gets_its_rack),
+		T(a_gang_larger_than_a_rack_is_spread_at_once),
 	};
 
 	return cmocka_run_group_tests_name("sch", tests, NULL, NULL);
