--- a/tools/endive-advice.c
+++ b/tools/endive-advice.c
@@ -22,7 +22,7 @@
 	struct evhttp *http;
 	GQueue *waiting; /* struct evhttp_request */
 	bool busy;
-	long long decision_ms;
+	long long answer_ms;
 	long long each_ms;
 	long long valid_ms;
 	long long percent; /* workers that are approved */
@@ -60,7 +60,7 @@
 {
 	struct evhttp_request *req = g_queue_peek_head(a->waiting);
 	struct adv_ask ask;
-	int64_t takes = a->decision_ms;
+	int64_t takes = a->answer_ms;
 
 	a->busy = req != NULL;
 	if (!req)
@@ -166,7 +166,7 @@
 	const struct set_def defs[] = {
 		{"listen", SET_ADDR, &listen, NULL, 0, 0, NULL,
 		 "Where questions come in"},
-		{"decision-ms", SET_INT, &a.decision_ms, "50", 0, 60000, NULL,
+		{"answer-ms", SET_INT, &a.answer_ms, "50", 0, 60000, NULL,
 		 "What an answer takes"},
 		{"each-ms", SET_INT, &a.each_ms, "2", 0, 1000, NULL,
 		 "And for each worker named"},
