A pool gets the VMs that a gang needs at once, whatever it is worth

Callers would see an accepted gang never run. Pools get VMs by their load, in which work that is too late counts nothing; without load a pool keeps three VMs. Single tasks still run there one after another; a gang that needs more VMs than that at once never started again after its time was over. Ruled out: a share of its load, which brings some of the VMs and not all.

--- a/src/flo.h
+++ b/src/flo.h
@@ -44,7 +44,7 @@
 	int64_t busy_ms; /* when its load was last near its room; 0: never */
 	guint jobs; /* live */
 	guint due; /* of these, with tasks that could run */
-	guint apart; /* VMs that one of its steps needs, not two tasks on one */
+	guint apart; /* VMs that one of its steps needs at once */
 	GArray *picks; /* struct flo_pick of this tick; the last goes first */
 	guint vms;
 	guint coming;
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -1,9 +1,14 @@
 #include "flo_int.h"
 
+#include <math.h>
+
 /* What each pool has and needs, by its VMs, its jobs and how these come. */
 
 static void flo_measure_vms(struct flo *f);
 static void flo_measure_jobs(struct flo *f, int64_t wall);
+static guint flo_gang_vms(const struct flo *f, const struct flo_pool *p,
+			  const struct jtb_job *job, int64_t wall);
+static double flo_on_one(const struct flo_pool *p, const struct jtb_step *step);
 static bool flo_due(const struct jtb_job *job, int64_t wall);
 static double flo_weight(const struct jtb_queue *q, const struct jtb_job *job,
 			 int64_t wall);
@@ -103,6 +108,7 @@
 		p->jobs++;
 		p->due += flo_due(job, wall);
 		p->apart = MAX(p->apart, sch_apart(job, wall));
+		p->apart = MAX(p->apart, flo_gang_vms(f, p, job, wall));
 		cores = sch_usable_cores(job, wall,
 					 p->cores && p->mem_mb
 						 ? p->mem_mb / p->cores
@@ -116,6 +122,48 @@
 	}
 }
 
+/*
+ * VMs of a pool's kind that the largest gang of a job needs which is due: it
+ * starts whole or not at all, whatever it is worth. 0 for one that is larger
+ * than all VMs, and for which they would wait for good.
+ */
+static guint flo_gang_vms(const struct flo *f, const struct flo_pool *p,
+			  const struct jtb_job *job, int64_t wall)
+{
+	guint most = 0;
+	uint32_t t;
+	uint32_t s;
+
+	for (t = 0; p->vms && t < job->n_turns && wall >= jtb_turn_due(job, t);
+	     t++)
+		for (s = 0; s < job->spec.n_steps; s++) {
+			const struct jtb_step *step = &job->spec.steps[s];
+			double each;
+
+			if (!(step->flags & JTB_GANG) ||
+			    job->turns[t].done & 1ULL << s ||
+			    !jtb_step_due(job, t, s, wall))
+				continue;
+			each = flo_on_one(p, step);
+			if (each >= 1)
+				most = MAX(most, (guint)ceil(step->count /
+							     floor(each)));
+		}
+	return most > vms_all(f->vms)->len ? 0 : most;
+}
+
+/* How many tasks of a step the mean VM of a pool holds. */
+static double flo_on_one(const struct flo_pool *p, const struct jtb_step *step)
+{
+	double each = step->count;
+
+	if (step->cpu && !(step->flags & JTB_FILLS))
+		each = MIN(each, p->cores * 1000 / p->vms / step->cpu);
+	if (step->mem_mb)
+		each = MIN(each, p->mem_mb / p->vms / step->mem_mb);
+	return each;
+}
+
 /* Whether a job has tasks that could run now, whatever they are worth. */
 static bool flo_due(const struct jtb_job *job, int64_t wall)
 {
