The first orders of a new leader come with the end of its wait

What callers saw: pools got room later after a change of leader. A new leader orders nothing about VMs in its first 100 ms; its first list came before the end of that, and the next look was the next list or tick.

Change: a timer at the end of the wait looks.

--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -95,6 +95,7 @@
 	int64_t told_ms; /* when pools were logged last */
 	int64_t forgot_ms; /* when ended jobs were last looked through */
 	int64_t vm_from; /* no orders to VMs before */
+	uint64_t vm_timer; /* looks at them then */
 	int64_t rested_ms; /* when leadership was last lost; 0: never */
 	GHashTable *calls; /* struct hub_call, all */
 	/* the log */
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -28,6 +28,7 @@
 static void hub_vm_move(void *arg, const char *vm, const char *pool);
 static bool hub_vm_may_stop(void *arg, const struct jtb_run *run);
 static bool hub_vm_held(void *arg, const char *vm);
+static void hub_vm_passed(void *arg, int64_t now);
 static void hub_vm_decide(struct hub *h, int64_t now);
 static void hub_vm_dead(struct hub *h);
 static void hub_vm_tell(struct hub *h, int64_t now);
@@ -83,6 +84,7 @@
 /* Frees list and waves. */
 void hub_vm_free(struct hub *h)
 {
+	tmr_cancel(h->tmr, h->vm_timer);
 	flo_free(h->flo);
 	upk_free(h->upk);
 	vms_free(h->vms);
@@ -104,13 +106,28 @@
 	if (h->rested_ms)
 		h->vm_from =
 			MAX(h->vm_from, h->rested_ms + h->config.vm_lease_ms);
+	/* not with the next list or tick, which are up to 200 ms later */
+	h->vm_timer = tmr_once(h->tmr, h->vm_from - tmr_now(h->tmr),
+			       hub_vm_passed, h);
 	if (h->config.vms)
 		vms_refresh(h->vms);
 }
 
+/* The orders of the last leader have passed. */
+static void hub_vm_passed(void *arg, int64_t now)
+{
+	struct hub *h = arg;
+
+	h->vm_timer = 0;
+	if (h->config.vms)
+		hub_vm_decide(h, now);
+}
+
 /* We don't lead any more. */
 void hub_vm_rest(struct hub *h)
 {
+	tmr_cancel(h->tmr, h->vm_timer);
+	h->vm_timer = 0;
 	vms_rest(h->vms);
 	h->rested_ms = tmr_now(h->tmr);
 }
