A move whose answer is lost keeps its old worker closed

Cause: since moves are given up when another lifetime is listed on their VM, one that was carried out ended as soon as the list showed it, also while its answer was on its way or lost. The worker that had been on the VM was closed no more before anybody had taken it out of the table, and could be given work.

Change: where the list says that the VM moves, or is where it should go, the order was carried out: the move goes on as one that was agreed to, and the old worker stays closed until the VM is through. A later answer still finds it.

--- a/src/flo.c
+++ b/src/flo.c
@@ -5,6 +5,8 @@
 static void flo_spread(struct flo *f, int64_t now);
 static void flo_go_on(struct flo *f, int64_t now);
 static void flo_go_on_move(struct flo *f, struct flo_move *m, int64_t now);
+static void flo_another_came(struct flo_move *m, const struct vms_vm *vm,
+			     int64_t now);
 static bool flo_empty(struct flo *f, struct flo_move *m, int64_t now);
 static void flo_fill(struct flo *f, int64_t now);
 static bool flo_needs(const struct flo *f, const struct flo_pool *p);
@@ -281,14 +283,10 @@
 		m->over = true;
 		return;
 	}
-	/*
-	 * It failed by itself, or what we didn't hear the answer to is done: the
-	 * lifetime that was emptied is over, and another may have got work.
-	 */
-	if (!m->agreed_ms && strcmp(vm->worker, m->worker) != 0) {
-		m->over = true;
+	if (!m->agreed_ms && strcmp(vm->worker, m->worker) != 0)
+		flo_another_came(m, vm, now);
+	if (m->over)
 		return;
-	}
 	if (m->agreed_ms) {
 		if (vm->state == VMS_UP && strcmp(vm->pool, m->to) == 0)
 			m->over = true;
@@ -308,6 +306,21 @@
 	}
 }
 
+/*
+ * The lifetime that was emptied is over before we heard that the move is done.
+ * It is, if the list says so: until it is through the old worker gets nothing,
+ * as before. Else the VM failed by itself, and another worker may have got work.
+ */
+static void flo_another_came(struct flo_move *m, const struct vms_vm *vm,
+			     int64_t now)
+{
+	if (m->ordered_ms &&
+	    (vm->state == VMS_MOVING || strcmp(vm->pool, m->to) == 0))
+		m->agreed_ms = now;
+	else
+		m->over = true;
+}
+
 /* Whether nothing runs on a VM any more; it is given up if that lasts. */
 static bool flo_empty(struct flo *f, struct flo_move *m, int64_t now)
 {
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -840,6 +840,54 @@
 	assert_int_equal(flo_moving(b->flo), 0);
 }
 
+/* A VM that is on its way. */
+static struct vms_vm *held_vm(struct bed *b)
+{
+	guint i;
+
+	for (i = 0; i < b->list->len; i++) {
+		struct vms_vm *vm = g_ptr_array_index(b->list, i);
+
+		if (flo_holds(b->flo, vm->name))
+			return vm;
+	}
+	fail();
+	return NULL;
+}
+
+/*
+ * A task is started on a worker that is over: its VM's move was carried out and
+ * the answer got lost. The old worker gets nothing until the VM is through.
+ */
+static void a_move_with_a_lost_answer_keeps_its_worker_closed(void **state)
+{
+	struct bed *b = *state;
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	struct vms_vm *vm;
+	char worker[8];
+
+	givers(b, 4, NULL);
+	burst(b);
+	tick(b);
+	assert_true(b->orders > 0);
+	vm = held_vm(b);
+	g_strlcpy(worker, vm->worker, sizeof(worker));
+	flo_answered(b->flo, vm->name, VMS_UNANSWERED, b->now);
+	*vm->worker = '\0';
+	vm->state = VMS_MOVING;
+	ticks(b, 3);
+	flo_closed(b->flo, ids);
+	assert_true(g_hash_table_contains(ids, worker));
+	assert_string_equal(flo_worker(b->flo, vm->name), worker);
+	vm->state = VMS_UP;
+	g_free(vm->pool);
+	vm->pool = g_strdup("p");
+	g_hash_table_remove_all(ids);
+	ticks(b, 2);
+	assert_false(flo_holds(b->flo, vm->name));
+	g_hash_table_destroy(ids);
+}
+
 /*
  * Work is thrown away with its VM: it failed by itself while it was being
  * emptied, and the worker that came up on it got work before the order.
@@ -848,19 +896,13 @@
 {
 	struct bed *b = *state;
 	struct jtb_step s = {.count = 1, .cpu = 1000, .guess_ms = 500};
-	struct vms_vm *vm = NULL;
+	struct vms_vm *vm;
 	char id[8];
-	int i;
 
 	givers(b, 4, &s);
 	burst(b);
 	ticks(b, 2);
-	for (i = 0; i < 4 && !vm; i++) {
-		vm = g_ptr_array_index(b->list, (guint)i);
-		if (!flo_holds(b->flo, vm->name))
-			vm = NULL;
-	}
-	assert_non_null(vm);
+	vm = held_vm(b);
 	g_strlcpy(id, vm->worker, sizeof(id));
 	jobs_gone(b->jtb, id, true);
 	g_free(vm->worker);
@@ -949,6 +991,7 @@
 		T(a_vm_with_work_that_lasts_stays),
 		T(a_move_ends),
 		T(a_vm_that_failed_is_left_alone),
+		T(a_move_with_a_lost_answer_keeps_its_worker_closed),
 		T(a_lost_rack_costs_one_move_a_vm),
 		T(a_move_that_was_agreed_to_ends_with_a_later_list),
 	};
