--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -7,12 +7,15 @@
 #include <unistd.h>
 
 #include "net.h"
-#include "rep.h"
+#include "rep_int.h"
 
 #define REPLICAS 3
 #define WAIT_MS 20000
 /* Longer than a member may be silent before it is taken out, ms. */
 #define FROZEN_MS 4500
+/* Repairs broken off, each so much later than the one before, ms. */
+#define ROUNDS 6
+#define ROUND_MS 150
 
 struct bed;
 
@@ -23,6 +26,7 @@
 	char name[8];
 	char addr[32];
 	int leads;
+	bool restarted; /* not with the fleet's first start */
 	GString *log; /* the commands that came out */
 };
 
@@ -102,7 +106,7 @@
 			.addr = n->addr,
 			.data = n->data,
 			.seeds = n->bed->seeds,
-			.bootstrap = true,
+			.bootstrap = !n->restarted,
 			.voters_min = 1,
 		},
 		&node_ops, n, &err);
@@ -136,7 +140,7 @@
 	return 0;
 }
 
-static void remove_folder(const char *path)
+static void empty_folder(const char *path)
 {
 	GDir *dir = g_dir_open(path, 0, NULL);
 	const char *name;
@@ -148,7 +152,6 @@
 		g_free(file);
 	}
 	g_dir_close(dir);
-	rmdir(path);
 }
 
 static int teardown(void **state)
@@ -158,7 +161,8 @@
 
 	for (i = 0; i < REPLICAS; i++) {
 		rep_free(b->nodes[i].rep);
-		remove_folder(b->nodes[i].data);
+		empty_folder(b->nodes[i].data);
+		rmdir(b->nodes[i].data);
 		g_free(b->nodes[i].data);
 		g_string_free(b->nodes[i].log, TRUE);
 	}
@@ -177,7 +181,7 @@
 
 	for (ms = 0; ms < WAIT_MS; ms++) {
 		for (i = 0; i < REPLICAS; i++)
-			if (rep_leading(b->nodes[i].rep))
+			if (b->nodes[i].rep && rep_leading(b->nodes[i].rep))
 				return &b->nodes[i];
 		net_run(b->base, 1);
 	}
@@ -261,6 +265,95 @@
 	assert_int_equal(rep_members(leader(b)->rep)->n, REPLICAS);
 }
 
+/* Ends all replicas at once; the one at lost comes back without a folder. */
+static void all_lose_power(struct bed *b, int lost)
+{
+	int i;
+
+	for (i = 0; i < REPLICAS; i++) {
+		struct node *n = &b->nodes[i];
+
+		rep_free(n->rep);
+		n->rep = NULL;
+		n->restarted = true;
+		g_string_truncate(n->log, 0);
+	}
+	if (lost >= 0)
+		empty_folder(b->nodes[lost].data);
+}
+
+/* Waits until the members are the folders of now, each a voter. */
+static void repaired(struct bed *b)
+{
+	const struct cns_members *s = NULL;
+	int voters = 0;
+	int ms;
+	int i;
+
+	for (ms = 0; ms < WAIT_MS && voters != REPLICAS; ms++) {
+		s = rep_members(leader(b)->rep);
+		voters = 0;
+		for (i = 0; s->n == REPLICAS && i < REPLICAS; i++)
+			voters += cns_find(s, b->nodes[i].rep->id) &&
+				  cns_find(s, b->nodes[i].rep->id)->voter;
+		net_run(b->base, 1);
+	}
+	assert_int_equal(voters, REPLICAS);
+}
+
+/*
+ * Callers find nobody who decides. All replicas lose power, one of them its
+ * folder with it; two folders are a majority and must be enough, and the one
+ * that was lost is replaced. Then the same with another, so that a member that
+ * stayed behind from the first repair would be one loss too many.
+ */
+static void all_lose_power_and_one_its_folder(void **state)
+{
+	struct bed *b = *state;
+	int lost;
+	int i;
+
+	say(b, "one ");
+	for (lost = 0; lost < REPLICAS; lost++) {
+		all_lose_power(b, lost);
+		for (i = 0; i < REPLICAS; i++)
+			node_start(&b->nodes[i]);
+		repaired(b);
+		say(b, "again ");
+		assert_true(said(b, "one "));
+	}
+}
+
+/*
+ * Callers find nobody who decides. One replica lost its folder, and at any
+ * moment of its repair, before, within or after the changes of members, all
+ * lose power, with what they have written. All come back with their folders,
+ * the one last that was not the newcomer.
+ */
+static void all_lose_power_during_a_repair(void **state)
+{
+	struct bed *b = *state;
+	int round;
+	int i;
+
+	say(b, "one ");
+	for (round = 0; round < ROUNDS; round++) {
+		all_lose_power(b, round % REPLICAS);
+		for (i = 0; i < REPLICAS; i++)
+			node_start(&b->nodes[i]);
+		leader(b);
+		net_run(b->base, round * ROUND_MS);
+		all_lose_power(b, -1);
+		for (i = 0; i < REPLICAS; i++) {
+			node_start(&b->nodes[(round + i) % REPLICAS]);
+			net_run(b->base, ROUND_MS);
+		}
+		repaired(b);
+		say(b, "again ");
+		assert_true(said(b, "one "));
+	}
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -269,6 +362,8 @@
 		T(a_command_comes_out_on_all),
 		T(leadership_is_handed_over),
 		T(nobody_is_taken_out_after_all_stood_still),
+		T(all_lose_power_and_one_its_folder),
+		T(all_lose_power_during_a_repair),
 	};
 
 	return cmocka_run_group_tests_name("rep", tests, NULL, NULL);
