Test: a leader that is a newcomer itself (known red)

all_lose_power_during_a_repair fails at some runs: 20 s after the power is back the leader still has four voters, one of them the member of its own lost folder. The new test comes to that state without luck and fails in each run.

--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -354,6 +354,32 @@
 	}
 }
 
+/*
+ * Callers lose their leader for good with the next disk. A replica lost its
+ * folder and came back, was made a voter, and leads before its old self was
+ * taken out, as after a loss of power at that moment. It dials everybody but
+ * itself; so nobody told it that the old member at its own address is gone,
+ * and there were four voters of which one never answers.
+ */
+static void a_leader_takes_its_own_old_self_out(void **state)
+{
+	struct bed *b = *state;
+	struct node *n = leader(b);
+	struct cns_member old = {.id = n->rep->id + 1};
+	int ms;
+
+	say(b, "one ");
+	g_strlcpy(old.addr, n->addr, sizeof(old.addr));
+	g_strlcpy(old.name, n->addr, sizeof(old.name));
+	assert_int_equal(cns_add_learner(n->rep->cns, &old), CNS_DONE);
+	rep_kick(n->rep);
+	for (ms = 0; ms < WAIT_MS && rep_members(n->rep)->n > REPLICAS; ms++)
+		net_run(b->base, 1);
+	assert_true(rep_leading(n->rep));
+	assert_int_equal(rep_members(n->rep)->n, REPLICAS);
+	assert_null(cns_find(rep_members(n->rep), old.id));
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -362,6 +388,7 @@
 		T(a_command_comes_out_on_all),
 		T(leadership_is_handed_over),
 		T(nobody_is_taken_out_after_all_stood_still),
+		T(a_leader_takes_its_own_old_self_out),
 		T(all_lose_power_and_one_its_folder),
 		T(all_lose_power_during_a_repair),
 	};
