A leader takes its own old self out of the members

Cause, the likeliest of the three found: a replica that lost its disk comes back as a newcomer, and is made a voter before its old self, at the same address, is taken out; the leader knows that the old one is gone because another id says hello from its address. If the newcomer becomes the leader in between, by a loss of power, a hand-over or an election, nobody says hello to it from its own address: it has no peer there and passed the old member over. Four voters stayed, one dead for good; with the next lost disk two of four are left.

A leader now takes out any other member at its own address.

--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -41,7 +41,13 @@
 		}
 	for (i = 0; i < s.n; i++) {
 		p = g_hash_table_lookup(r->peers, s.m[i].addr);
-		if (!p || s.m[i].id == r->id)
+		if (s.m[i].id == r->id)
+			continue;
+		/* We are the newcomer, and nobody tells us so: no peer is us. */
+		if (strcmp(s.m[i].addr, r->config.addr) == 0 &&
+		    rep_drop_member(r, s.m[i].id, "our folder was lost"))
+			return;
+		if (!p)
 			continue;
 		if (p->id && p->id != s.m[i].id && cns_find(&s, p->id) &&
 		    cns_find(&s, p->id)->voter &&
