A repair takes its steps at once, and a peer that is back is dialled

Between a newcomer's first vote and the end of the old member four voters are counted of which one is dead: one more lost disk in that window leaves two of four. The window was 250 ms and a commit, and a repair took four such steps, of the 4 s after which a further disk may be lost. A peer that was without power is dialled again 2 s after an attempt that hangs, plus up to 1 s, though it has long been heard on its own connection; until then it gets no vote and no answer from us.

Ruled out: removal first (two voters, and one more lost disk is as bad); both changes in one entry: the two quorums share no voter but the dead one, whose vote may still be on its way.

Members are now looked after at each tick (25 ms), and a peer that says hello is dialled at once; an attempt begun 500 ms before is dropped.

--- a/src/rep.c
+++ b/src/rep.c
@@ -485,6 +485,12 @@
 	struct rep *r = arg;
 
 	cns_tick(r->cns, now);
+	/*
+	 * Between a newcomer's first vote and the old member's end one more
+	 * lost disk is one too many: each step follows the one before at once.
+	 */
+	if (cns_role(r->cns) == CNS_LEADER)
+		rep_members_tick(r, now);
 	rep_pump(r);
 }
 
@@ -503,7 +509,5 @@
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p))
 		if (wire_is_up(p->conn))
 			rep_hello(r, p->conn);
-	if (cns_role(r->cns) == CNS_LEADER)
-		rep_members_tick(r, now);
 	rep_pump(r);
 }
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -104,6 +104,8 @@
 		return;
 	p->id = id;
 	p->heard_ms = tmr_now(r->config.tmr);
+	/* What we send it goes only over the connection that we dial. */
+	wire_hurry(p->conn);
 }
 
 /* Tells anybody connected to us where the leader and the replicas are. */
--- a/src/wire.c
+++ b/src/wire.c
@@ -19,6 +19,12 @@
 #define WIRE_REDIAL_MIN_MS 50
 #define WIRE_REDIAL_MAX_MS 1000
 
+/*
+ * An attempt to dial that has not got on for so long has met a machine without
+ * power, if its peer is heard elsewhere, ms. Twice the round trip of regions.
+ */
+#define WIRE_HURRY_MS 500
+
 /*
  * Bytes a slow reader may leave unsent before it is dropped: it would else
  * take the memory of a process that must stay under 64 MB.
@@ -198,6 +204,27 @@
 	return true;
 }
 
+/*
+ * The peer was heard elsewhere, so it is back: dials now what waits to dial,
+ * and anew what hangs since before. After a loss of power of all the first
+ * voters to be back would else wait seconds for a quorum that is there.
+ */
+void wire_hurry(struct wire_conn *c)
+{
+	struct tmr *tmr = c->w->config.tmr;
+
+	if (!c->dialled || c->closing || c->state == WIRE_UP)
+		return;
+	if (c->state != WIRE_IDLE) {
+		if (tmr_now(tmr) - c->since < WIRE_HURRY_MS)
+			return;
+		wire_drop(c, ERR_TIMEOUT, "it was begun before the peer");
+	}
+	c->redial_ms = WIRE_REDIAL_MIN_MS;
+	tmr_cancel(tmr, c->redial_timer);
+	c->redial_timer = tmr_once(tmr, 0, wire_try_dial, c);
+}
+
 /* Ends a connection for good; no callback follows. */
 void wire_close(struct wire_conn *c)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -52,6 +52,7 @@
 struct wire_conn *wire_dial(struct wire *w, const char *addr,
 			    const struct wire_ops *ops, void *arg);
 bool wire_send(struct wire_conn *c, struct lstr payload);
+void wire_hurry(struct wire_conn *c);
 void wire_close(struct wire_conn *c);
 bool wire_is_up(const struct wire_conn *c);
 const char *wire_node(const struct wire_conn *c);
--- a/tests/unit/wire_test.c
+++ b/tests/unit/wire_test.c
@@ -13,12 +13,15 @@
 #include <unistd.h>
 
 #include "err.h"
+#include "net.h"
 #include "wire.h"
 #include "wire_frame.h"
 
 #define HEX_A "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 #define HEX_B "ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 #define SILENCE_MS 200
+/* Attempts are a second apart after so long, and none is due for a while. */
+#define AWAY_MS 1700
 
 /* One side: a wire, and what was seen on it. */
 struct side {
@@ -307,6 +310,34 @@
 	event_base_free(other);
 }
 
+/*
+ * Callers wait for a leader after a loss of power. Two connections to a peer
+ * that is away wait longer and longer between attempts. The peer comes back;
+ * the one whose owner has heard it elsewhere is up first, though it was to be
+ * dialled after the other.
+ */
+static void a_peer_heard_elsewhere_is_dialled_at_once(void **state)
+{
+	struct side other = {0};
+	struct wire_conn *hurried;
+	struct pair p;
+	char addr[32];
+
+	pair_init(&p, "peer peer " HEX_A, "peer peer " HEX_A);
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", free_port());
+	wire_dial(p.a.w, addr, &side_ops, &other);
+	hurried = wire_dial(p.a.w, addr, &side_ops, &p.a);
+	net_run(p.base, AWAY_MS);
+	assert_int_equal(wire_listen(p.b.w, addr, &side_ops, &p.b, NULL), 0);
+	wire_hurry(hurried);
+	assert_true(run_until(p.base, &p.a.ups, 1));
+	assert_int_equal(other.ups, 0);
+	wire_hurry(hurried); /* one that is up is left alone */
+	assert_true(run_until(p.base, &other.ups, 1));
+	assert_int_equal(p.a.downs, 0);
+	pair_done(&p);
+}
+
 /* A frame is taken once, in its own direction, in its own session only. */
 static void a_replayed_frame_fails_its_tag(void **state)
 {
@@ -364,6 +395,7 @@
 		cmocka_unit_test(garbage_and_oversized_frames_close),
 		cmocka_unit_test(unproved_connections_are_bounded),
 		cmocka_unit_test(a_silent_connection_is_given_up),
+		cmocka_unit_test(a_peer_heard_elsewhere_is_dialled_at_once),
 		cmocka_unit_test(a_replayed_frame_fails_its_tag),
 		cmocka_unit_test(key_files_are_checked),
 	};
