--- a/tests/prop/cns_prop.cc
+++ b/tests/prop/cns_prop.cc
@@ -130,6 +130,29 @@
 		s.settle();
 	});
 
+	/*
+	 * Callers are refused while leadership moves. One voter died just now
+	 * and has as much of the log as any; leadership goes to another, and
+	 * doesn't wait for the dead one.
+	 */
+	ok &= rc::check("leadership is not handed to the dead", [] {
+		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
+		Sim s(seed);
+
+		s.run(3000);
+		Node *l = s.leader();
+		RC_ASSERT((l != nullptr));
+		s.propose(*l);
+		s.run(500);
+		s.crash(*s.nodes[(l->place + 1 + (int)s.upto(2)) % 3]);
+		s.run(600);
+		RC_ASSERT(cns_hand_over(l->c) == CNS_DONE);
+		s.pump(*l);
+		s.run(300);
+		RC_ASSERT((s.leader() != nullptr));
+		RC_ASSERT((s.leader() != l));
+	});
+
 	/*
 	 * Callers wait for a leader on machines so busy that each turn of a
 	 * voter comes late. A late turn is a reason to listen once more before
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -265,6 +265,39 @@
 	assert_int_equal(rep_members(leader(b)->rep)->n, REPLICAS);
 }
 
+/*
+ * Callers lose their leader with the next loss, since nobody dead is taken out
+ * any more. As many members as there can be stand in the log, most of them
+ * gone; one more machine says hello. It can't be let in yet, which is no reason
+ * to keep those that are gone: they leave, and it gets a place.
+ */
+static void a_newcomer_without_a_place_blocks_nobody(void **state)
+{
+	struct bed *b = *state;
+	struct node *n = leader(b);
+	struct rep_peer *p;
+	int ms;
+	int i;
+
+	say(b, "one ");
+	for (i = REPLICAS; i < CNS_MEMBERS_MAX; i++) {
+		struct cns_member gone = {.id = (uint64_t)i};
+
+		g_snprintf(gone.addr, sizeof(gone.addr), "127.0.0.1:%d", i);
+		while (cns_add_learner(n->rep->cns, &gone) != CNS_DONE)
+			net_run(b->base, 1);
+		rep_kick(n->rep);
+	}
+	p = rep_peer_at(n->rep, "127.0.0.1:1");
+	p->id = CNS_MEMBERS_MAX;
+	for (ms = 0; ms < WAIT_MS && !cns_find(rep_members(n->rep), p->id);
+	     ms++) {
+		p->heard_ms = tmr_now(b->tmr);
+		net_run(b->base, 1);
+	}
+	assert_non_null(cns_find(rep_members(n->rep), p->id));
+}
+
 /* Ends all replicas at once; the one at lost comes back without a folder. */
 static void all_lose_power(struct bed *b, int lost)
 {
@@ -389,6 +422,7 @@
 		T(leadership_is_handed_over),
 		T(nobody_is_taken_out_after_all_stood_still),
 		T(a_leader_takes_its_own_old_self_out),
+		T(a_newcomer_without_a_place_blocks_nobody),
 		T(all_lose_power_and_one_its_folder),
 		T(all_lose_power_during_a_repair),
 	};
