--- a/tests/system/jobs_test.sh
+++ b/tests/system/jobs_test.sh
@@ -31,6 +31,10 @@
 	n=$(jobs_metric "$leader" "endive_${name}_seconds_count")
 	[ "${n:-0}" -gt 0 ] || fail "endive_${name}_seconds: ${n:-none}"
 done
+# And what holds back what is owed, as of a look at most a second ago.
+for name in endive_held_longest_seconds 'endive_held_tasks{why="no-room"}'; do
+	[ -n "$(jobs_metric "$leader" "$name")" ] || fail "$name"
+done
 n=$(jobs_metric 4 endive_entry_answer_seconds_count)
 [ "${n:-0}" -ge 10 ] || fail "endive_entry_answer_seconds: ${n:-none}"
 
