Leadership isn't handed to a voter that isn't heard

Callers were refused for one patience (600 ms) each time a leader with a slow disk gave its place away while another voter was down: the heir is the voter with most of the log, and the dead one has as much as any. Leadership then stayed with the slow disk.

Ruled out: another heir once the first is silent, which costs the patience.

The heir is now one that was heard within the patience.

--- a/src/cns_election.c
+++ b/src/cns_election.c
@@ -139,9 +139,9 @@
 }
 
 /*
- * Starts moving leadership to the voter that has most of the log, so that a
- * planned stop costs no election timeout. Commands are refused meanwhile, for
- * one patience at most.
+ * Starts moving leadership to the voter that has most of the log of those we
+ * hear, so that a planned stop costs no election timeout. Commands are refused
+ * meanwhile, for one patience at most.
  */
 enum cns_refusal cns_hand_over(struct cns *c)
 {
@@ -153,7 +153,10 @@
 	for (i = 0; i < c->n_peers; i++) {
 		struct cns_peer *p = &c->peers[i];
 
-		if (cns_is_voter(c, p->id) && (!best || p->match > best->match))
+		/* The dead often have as much, and would only cost time. */
+		if (cns_is_voter(c, p->id) &&
+		    c->now - p->heard_ms < c->config.election_ms &&
+		    (!best || p->match > best->match))
 			best = p;
 	}
 	if (!best)
