A file of the data folder that can't be read ends the start

A voter came up as the same member without its newest votes and entries, all answered for, or its sound folder was set aside, when a file of the folder was there and reading it failed for a moment (EIO, EMFILE, ENOMEM).

Cause: the reader gave NULL for a file that is missing and for one that can't be read. In the newest log that was an empty range, which looks like a write that power cut short: cut to 0 and removed.

Ruled out: errno ENOENT as the sign of a missing file. The names come from the folder's list, so what is listed must be there; only the identity is asked for by name, and is now looked up in the list.

Change: a listed file that can't be read is an error of the disk (sto_fail), as a failed sync is. What isn't listed counts as missing, as before.

--- a/src/sto.c
+++ b/src/sto.c
@@ -15,8 +15,8 @@
 /* Bytes of a log file that holds no more than its head, at most. */
 #define STO_HEAD_MAX 64
 
-static bool sto_empty(struct sto *s);
-static bool sto_half_made(struct sto *s, uint64_t no);
+static bool sto_empty(struct sto *s, GError **err);
+static bool sto_half_made(struct sto *s, uint64_t no, GError **err);
 static bool sto_set_aside(struct sto *s, uint64_t new_id, GError **err);
 static bool sto_make(struct sto *s, const char *node, uint64_t new_id,
 		     GError **err);
@@ -52,10 +52,11 @@
 	s->fd = -1;
 	s->segs = g_array_new(FALSE, FALSE, sizeof(struct sto_seg));
 	s->pending = g_byte_array_new();
-	if (!sto_empty(s))
+	out->fresh = sto_empty(s, err);
+	if (s->failed)
+		ok = false;
+	else if (!out->fresh)
 		ok = sto_load(s, node, out, &out->damage, err);
-	else
-		out->fresh = true;
 	if (ok && out->damage) {
 		char *damage = g_steal_pointer(&out->damage);
 
@@ -193,6 +194,16 @@
 	return g_strdup_printf("%s%016" G_GINT64_MODIFIER "x", prefix, no);
 }
 
+/* Whether the folder has a file of that name. */
+bool sto_listed(struct sto *s, const char *name)
+{
+	char **names = s->io.list(s->io.arg);
+	bool found = g_strv_contains((const char *const *)names, name);
+
+	g_strfreev(names);
+	return found;
+}
+
 /* The number in a name with that prefix; false: another name. */
 bool sto_number(const char *name, const char *prefix, uint64_t *no)
 {
@@ -213,19 +224,22 @@
 	return false;
 }
 
-/* Whether nothing of ours is in the folder, or a folder that was never made. */
-static bool sto_empty(struct sto *s)
+/*
+ * Whether nothing of ours is in the folder, or a folder that was never made;
+ * false as well when the disk fails, which s->failed tells.
+ */
+static bool sto_empty(struct sto *s, GError **err)
 {
 	char **names = s->io.list(s->io.arg);
 	bool empty = true;
 	uint64_t no;
 	size_t i;
 
-	for (i = 0; names[i]; i++)
+	for (i = 0; empty && names[i]; i++)
 		if (strcmp(names[i], STO_NAME_IDENTITY) == 0 ||
 		    sto_number(names[i], STO_PREFIX_SNAP, &no) ||
 		    (sto_number(names[i], STO_PREFIX_LOG, &no) &&
-		     !sto_half_made(s, no)))
+		     !sto_half_made(s, no, err)))
 			empty = false;
 	g_strfreev(names);
 	return empty;
@@ -235,14 +249,21 @@
  * Whether a log file is what sto_make leaves when power goes before there is
  * an identity: the first, with no more than a head. Nobody was answered then.
  */
-static bool sto_half_made(struct sto *s, uint64_t no)
+static bool sto_half_made(struct sto *s, uint64_t no, GError **err)
 {
-	char *name = sto_name(STO_PREFIX_LOG, no);
-	GBytes *b = s->io.read(s->io.arg, name);
-	bool half = no == STO_FIRST && b && g_bytes_get_size(b) <= STO_HEAD_MAX;
+	char *name;
+	GBytes *b;
+	bool half;
 
+	if (no != STO_FIRST)
+		return false;
+	name = sto_name(STO_PREFIX_LOG, no);
+	b = s->io.read(s->io.arg, name);
+	half = b && g_bytes_get_size(b) <= STO_HEAD_MAX;
 	if (b)
 		g_bytes_unref(b);
+	else
+		sto_fail(s, "read", name, err);
 	g_free(name);
 	return half;
 }
--- a/src/sto.h
+++ b/src/sto.h
@@ -24,7 +24,7 @@
 	ssize_t (*write)(void *arg, int fd, const void *p, size_t len);
 	int (*sync)(void *arg, int fd);
 	int (*close)(void *arg, int fd);
-	GBytes *(*read)(void *arg, const char *name); /* whole */
+	GBytes *(*read)(void *arg, const char *name); /* whole, or NULL */
 	int (*cut)(void *arg, const char *name, off_t len); /* synced */
 	char **(*list)(void *arg);
 	int (*rename)(void *arg, const char *from, const char *to);
--- a/src/sto_folder.c
+++ b/src/sto_folder.c
@@ -105,8 +105,10 @@
 	char *text = NULL;
 	gsize len = 0;
 	bool ok = g_file_get_contents(path, &text, &len, NULL);
+	int why = errno;
 
 	g_free(path);
+	errno = why;
 	return ok ? g_bytes_new_take(text, len) : NULL;
 }
 
--- a/src/sto_load.c
+++ b/src/sto_load.c
@@ -15,8 +15,10 @@
 	GError **err; /* of the disk, not of what it holds */
 };
 
+static bool sto_goes_on(const struct sto_reader *r);
 static void sto_load_identity(struct sto_reader *r, const char *node,
 			      GError **err);
+static GBytes *sto_read_listed(struct sto_reader *r, const char *name);
 static GArray *sto_numbers(struct sto *s, const char *prefix);
 static void sto_load_snap(struct sto_reader *r);
 static void sto_take_snap(struct sto_reader *r, struct lstr body);
@@ -50,9 +52,9 @@
 		g_propagate_error(err, fatal);
 		return false;
 	}
-	if (!r.damage)
+	if (sto_goes_on(&r))
 		sto_load_snap(&r);
-	if (!r.damage)
+	if (sto_goes_on(&r))
 		sto_load_logs(&r);
 	if (s->failed) {
 		g_free(r.damage);
@@ -67,10 +69,33 @@
 	return true;
 }
 
+/* Whether neither content nor disk has shown a fault so far. */
+static bool sto_goes_on(const struct sto_reader *r)
+{
+	return !r->damage && !r->s->failed;
+}
+
+/*
+ * Reads a file that the folder lists. That the disk or the machine can't give
+ * it now (EIO, EMFILE, ENOMEM) says nothing about what it holds: taken for a
+ * torn write it would lose votes and entries in silence, taken for damage it
+ * would cost a sound folder. So it ends the start, and NULL means that.
+ */
+static GBytes *sto_read_listed(struct sto_reader *r, const char *name)
+{
+	GBytes *b = r->s->io.read(r->s->io.arg, name);
+
+	if (!b)
+		sto_fail(r->s, "read", name, r->err);
+	return b;
+}
+
 static void sto_load_identity(struct sto_reader *r, const char *node,
 			      GError **err)
 {
-	GBytes *b = r->s->io.read(r->s->io.arg, STO_NAME_IDENTITY);
+	GBytes *b = sto_listed(r->s, STO_NAME_IDENTITY)
+			    ? sto_read_listed(r, STO_NAME_IDENTITY)
+			    : NULL;
 	struct sto_rec rec = {0};
 	struct pk_in in;
 	struct lstr name;
@@ -78,6 +103,8 @@
 	gsize len = 0;
 	const char *p = b ? g_bytes_get_data(b, &len) : NULL;
 
+	if (r->s->failed)
+		return;
 	if (!p || sto_rec_read(0, lstr_n(p, len), &at, &rec) != STO_READ_REC ||
 	    rec.kind != STO_IDENTITY || !pk_in_init(&in, rec.body)) {
 		sto_damage(r, "%s can't be read", STO_NAME_IDENTITY);
@@ -128,12 +155,12 @@
 	no = g_array_index(numbers, uint64_t, numbers->len - 1);
 	g_array_free(numbers, TRUE);
 	name = sto_name(STO_PREFIX_SNAP, no);
-	b = r->s->io.read(r->s->io.arg, name);
+	b = sto_read_listed(r, name);
 	p = b ? g_bytes_get_data(b, &len) : NULL;
 	if (p && sto_rec_read(no, lstr_n(p, len), &at, &rec) == STO_READ_REC &&
 	    rec.kind == STO_SNAP && at == len)
 		sto_take_snap(r, rec.body);
-	if (!r->out->snap || r->out->snap->index != no)
+	if (b && (!r->out->snap || r->out->snap->index != no))
 		sto_damage(r, "%s is damaged", name);
 	if (b)
 		g_bytes_unref(b);
@@ -172,7 +199,7 @@
 
 	if (numbers->len == 0)
 		sto_damage(r, "the log is gone");
-	for (i = 0; !r->damage && i < numbers->len; i++) {
+	for (i = 0; sto_goes_on(r) && i < numbers->len; i++) {
 		uint64_t no = g_array_index(numbers, uint64_t, i);
 
 		if (i > 0 && no != seg.no + 1)
@@ -181,7 +208,7 @@
 		r->last = i == numbers->len - 1;
 		sto_load_log(r, &seg);
 	}
-	if (!r->damage && r->s->segs->len == 0)
+	if (sto_goes_on(r) && r->s->segs->len == 0)
 		sto_damage(r, "the log is empty");
 	g_array_free(numbers, TRUE);
 }
@@ -204,7 +231,7 @@
 {
 	struct sto *s = r->s;
 	char *name = sto_name(STO_PREFIX_LOG, seg->no);
-	GBytes *b = s->io.read(s->io.arg, name);
+	GBytes *b = sto_read_listed(r, name);
 	struct sto_rec rec = {0};
 	enum sto_read got = STO_READ_BAD;
 	size_t at = 0;
@@ -212,7 +239,11 @@
 	gsize len = 0;
 	const char *p = b ? g_bytes_get_data(b, &len) : NULL;
 
-	while (b && !r->damage) {
+	if (!b) {
+		g_free(name);
+		return;
+	}
+	while (!r->damage) {
 		got = sto_rec_read(seg->no, lstr_n(p ? p : "", len), &at, &rec);
 		if (got != STO_READ_REC)
 			break;
@@ -235,8 +266,7 @@
 	else
 		g_array_append_val(s->segs, *seg);
 	sto_rec_done(&rec);
-	if (b)
-		g_bytes_unref(b);
+	g_bytes_unref(b);
 	g_free(name);
 }
 
--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "err.h"
 #include "sto.h"
 
 /* What a loss of power leaves of bytes that were never synced. */
@@ -39,6 +40,7 @@
 	GArray *changes; /* struct change */
 	GPtrArray *open; /* struct file, by descriptor */
 	int left; /* operations until the kill; -1: none comes */
+	const char *unreadable; /* the file that can't be read; NULL: none */
 };
 
 static void file_unref(gpointer p)
@@ -148,6 +150,9 @@
 	struct disk *d = arg;
 	struct file *f = g_hash_table_lookup(d->now, name);
 
+	errno = EIO;
+	if (g_strcmp0(d->unreadable, name) == 0)
+		return NULL;
 	return f ? g_bytes_new(f->data->data, f->data->len) : NULL;
 }
 
@@ -238,6 +243,7 @@
 	d->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
 	g_array_set_clear_func(d->changes, change_clear);
 	d->open = g_ptr_array_new_with_free_func(file_unref);
+	d->left = -1;
 	return d;
 }
 
@@ -458,10 +464,86 @@
 	assert_true(woe.kill_at > 30);
 }
 
+/* A start that must end with an error of the disk. */
+static void start_fails(struct disk *d)
+{
+	struct sto_io io = disk_io(d);
+	struct sto_loaded l;
+	GError *err = NULL;
+
+	assert_null(sto_open(&io, "n", 8, &l, &err));
+	assert_true(g_error_matches(err, err_quark(), ERR_IO));
+	g_error_free(err);
+	disk_killed(d);
+}
+
+/*
+ * A voter has voted and stored entries, and all of it was answered for. At its
+ * next start a file of its folder is there and can't be read for a moment: the
+ * disk gives EIO, or the process has no descriptor or memory left. The newest
+ * log was taken for a write that power had cut short, and the voter came up as
+ * the same member without its vote; the others were taken for damage, which
+ * costs the folder. The start must fail, and the next find all that was there.
+ */
+static void a_log_that_cant_be_read_is_no_torn_write(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	char **names;
+	struct sto *s;
+	int i;
+
+	assert_true(work(d, &p));
+	disk_killed(d);
+	s = life(d, 8, &p);
+	assert_true(store_entry(s, &p));
+	sto_free(s);
+	names = disk_list(d);
+	assert_true(g_strv_length(names) > 3);
+	for (i = 0; names[i]; i++) {
+		d->unreadable = names[i];
+		start_fails(d);
+		d->unreadable = NULL;
+		s = life(d, 8, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_killed(d);
+	}
+	g_strfreev(names);
+	disk_free(d);
+}
+
+/*
+ * Power went while a folder was being made: it has a log and no identity. If
+ * that log can't be read, nobody knows what the folder is: it may neither be
+ * made anew nor set aside.
+ */
+static void a_half_made_folder_that_cant_be_read_is_kept(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s = life(d, 7, &p);
+
+	assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+	sto_free(s);
+	disk_killed(d);
+	assert_int_equal(disk_rename(d, "identity", "elsewhere"), 0);
+	d->unreadable = "log-0000000000000001";
+	start_fails(d);
+	assert_int_equal(disk_rename(d, "elsewhere", "identity"), 0);
+	d->unreadable = NULL;
+	s = life(d, 8, &p);
+	assert_non_null(s);
+	sto_free(s);
+	disk_free(d);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_kill_before_a_loss_of_power_costs_no_folder),
+		cmocka_unit_test(a_log_that_cant_be_read_is_no_torn_write),
+		cmocka_unit_test(a_half_made_folder_that_cant_be_read_is_kept),
 	};
 
 	return cmocka_run_group_tests_name("sto", tests, NULL, NULL);
