What a start answers for rests on a sync of its own

After a failed sync, a restart and a loss of power, entries were gone that the restarted voter had answered for; a log with a gap, and a folder set aside for it, can follow.

Cause: a start cut the newest log file and synced it. After a sync that failed the kernel may mark the pages clean: the next process reads the bytes from memory, and its own sync has nothing to write and succeeds.

Ruled out: reading past the page cache, or trusting the second sync.

--- a/src/sto.c
+++ b/src/sto.c
@@ -28,8 +28,6 @@
 static void sto_pend(struct sto *s, enum sto_kind kind, struct pk_out *o);
 static bool sto_write(struct sto *s, int fd, const char *name,
 		      const GByteArray *bytes, GError **err);
-static bool sto_put_file(struct sto *s, const char *name,
-			 const GByteArray *bytes, GError **err);
 static bool sto_put_snap(struct sto *s, const struct cns_snap *snap,
 			 GError **err);
 static void sto_trim(struct sto *s);
@@ -456,8 +454,8 @@
 }
 
 /* A whole file, or none: written under another name, synced, renamed. */
-static bool sto_put_file(struct sto *s, const char *name,
-			 const GByteArray *bytes, GError **err)
+bool sto_put_file(struct sto *s, const char *name, const GByteArray *bytes,
+		  GError **err)
 {
 	int fd = s->io.create(s->io.arg, STO_NAME_TMP);
 	bool ok;
--- a/src/sto.h
+++ b/src/sto.h
@@ -25,7 +25,6 @@
 	int (*sync)(void *arg, int fd);
 	int (*close)(void *arg, int fd);
 	GBytes *(*read)(void *arg, const char *name); /* whole, or NULL */
-	int (*cut)(void *arg, const char *name, off_t len); /* synced */
 	char **(*list)(void *arg);
 	int (*rename)(void *arg, const char *from, const char *to);
 	int (*remove)(void *arg, const char *name);
--- a/src/sto_folder.c
+++ b/src/sto_folder.c
@@ -21,7 +21,6 @@
 static int sto_folder_sync(void *arg, int fd);
 static int sto_folder_close(void *arg, int fd);
 static GBytes *sto_folder_read(void *arg, const char *name);
-static int sto_folder_cut(void *arg, const char *name, off_t len);
 static char **sto_folder_list(void *arg);
 static int sto_folder_rename(void *arg, const char *from, const char *to);
 static int sto_folder_remove(void *arg, const char *name);
@@ -33,7 +32,6 @@
 	.sync = sto_folder_sync,
 	.close = sto_folder_close,
 	.read = sto_folder_read,
-	.cut = sto_folder_cut,
 	.list = sto_folder_list,
 	.rename = sto_folder_rename,
 	.remove = sto_folder_remove,
@@ -112,21 +110,6 @@
 	return ok ? g_bytes_new_take(text, len) : NULL;
 }
 
-static int sto_folder_cut(void *arg, const char *name, off_t len)
-{
-	struct sto_folder *f = arg;
-	int fd = openat(f->fd, name, O_WRONLY | O_CLOEXEC);
-	int rc;
-
-	if (fd < 0)
-		return -1;
-	rc = ftruncate(fd, len);
-	if (rc == 0)
-		rc = fsync(fd);
-	close(fd);
-	return rc;
-}
-
 static char **sto_folder_list(void *arg)
 {
 	struct sto_folder *f = arg;
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -38,6 +38,8 @@
 char *sto_name(const char *prefix, uint64_t no);
 bool sto_listed(struct sto *s, const char *name);
 bool sto_number(const char *name, const char *prefix, uint64_t *no);
+bool sto_put_file(struct sto *s, const char *name, const GByteArray *bytes,
+		  GError **err);
 bool sto_fail(struct sto *s, const char *step, const char *name, GError **err);
 
 #endif
--- a/src/sto_load.c
+++ b/src/sto_load.c
@@ -25,7 +25,8 @@
 static void sto_load_logs(struct sto_reader *r);
 static void sto_skip_gap(struct sto_reader *r);
 static void sto_load_log(struct sto_reader *r, struct sto_seg *seg);
-static void sto_sync_tail(struct sto_reader *r, const char *name, off_t len);
+static void sto_write_anew(struct sto_reader *r, const char *name,
+			   struct lstr bytes);
 static void sto_take(struct sto_reader *r, struct sto_seg *seg,
 		     const struct sto_rec *rec);
 static void sto_match_head(struct sto_reader *r, uint64_t last);
@@ -259,8 +260,8 @@
 		sto_damage(r, "%s is damaged at byte %zu", name, at);
 	if (!r->damage && got == STO_READ_TORN)
 		r->out->cut = len - at;
-	if (!r->damage && r->last)
-		sto_sync_tail(r, name, (off_t)at);
+	if (!r->damage && r->last && at > 0)
+		sto_write_anew(r, name, lstr_n(p, at));
 	if (at == 0 && r->last && !r->damage)
 		s->io.remove(s->io.arg, name);
 	else
@@ -271,16 +272,23 @@
 }
 
 /*
- * Makes what was read of the newest file last, and cuts off the rest. A process
- * that was killed between writing and syncing leaves bytes that are read here
- * and gone after a loss of power: entries that we would answer for, and a gap
- * in the log for which a sound folder would be set aside. No older file can
- * hold such bytes, since none is begun before the one before it was synced.
+ * Makes what was read of the newest file last, without the rest. A process that
+ * was killed between writing and syncing, or whose sync failed, leaves bytes
+ * that are read here and gone after a loss of power: entries that we would
+ * answer for, and a gap in the log for which a sound folder would be set aside.
+ * A sync of the file itself wouldn't do: after one that failed, the kernel may
+ * hold the bytes for written and have nothing to do. So they are written anew;
+ * until the new file has its name the old one is whole. No older file can hold
+ * such bytes, since none is begun before the one before it was synced.
  */
-static void sto_sync_tail(struct sto_reader *r, const char *name, off_t len)
+static void sto_write_anew(struct sto_reader *r, const char *name,
+			   struct lstr bytes)
 {
-	if (r->s->io.cut(r->s->io.arg, name, len) != 0)
-		sto_fail(r->s, "sync", name, r->err);
+	GByteArray *copy = g_byte_array_new();
+
+	g_byte_array_append(copy, (const guint8 *)bytes.p, (guint)bytes.len);
+	sto_put_file(r->s, name, copy, r->err);
+	g_byte_array_free(copy, TRUE);
 }
 
 static void sto_take(struct sto_reader *r, struct sto_seg *seg,
--- a/tests/prop/sto_prop.cc
+++ b/tests/prop/sto_prop.cc
@@ -61,7 +61,6 @@
 		io.sync = sync;
 		io.close = close;
 		io.read = read;
-		io.cut = cut;
 		io.list = list;
 		io.rename = rename;
 		io.remove = remove;
@@ -152,16 +151,6 @@
 		return g_bytes_new(it->second->data.data(),
 				   it->second->data.size());
 	}
-	static int cut(void *arg, const char *name, off_t len)
-	{
-		Folder &f = of(arg);
-
-		if (f.dead())
-			return -1;
-		f.now[name]->data.resize((size_t)len);
-		f.now[name]->sync();
-		return 0;
-	}
 	static char **list(void *arg)
 	{
 		GPtrArray *names = g_ptr_array_new();
--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -20,6 +20,7 @@
 struct file {
 	GByteArray *data;
 	gsize synced;
+	bool clean; /* a sync failed: the rest counts as written and isn't */
 	int refs;
 };
 
@@ -40,6 +41,7 @@
 	GArray *changes; /* struct change */
 	GPtrArray *open; /* struct file, by descriptor */
 	int left; /* operations until the kill; -1: none comes */
+	int drops; /* syncs until one fails and marks all clean; 0: none */
 	const char *unreadable; /* the file that can't be read; NULL: none */
 };
 
@@ -136,7 +138,12 @@
 
 	if (dead(d))
 		return -1;
-	f->synced = f->data->len;
+	if (d->drops && --d->drops == 0) {
+		f->clean = true;
+		return -1;
+	}
+	if (!f->clean)
+		f->synced = f->data->len;
 	return 0;
 }
 
@@ -156,18 +163,6 @@
 	return f ? g_bytes_new(f->data->data, f->data->len) : NULL;
 }
 
-static int disk_cut(void *arg, const char *name, off_t len)
-{
-	struct disk *d = arg;
-	struct file *f = g_hash_table_lookup(d->now, name);
-
-	if (!f || dead(d))
-		return -1;
-	g_byte_array_set_size(f->data, (guint)len);
-	f->synced = f->data->len;
-	return 0;
-}
-
 static char **disk_list(void *arg)
 {
 	struct disk *d = arg;
@@ -226,7 +221,6 @@
 		.sync = disk_sync,
 		.close = disk_close,
 		.read = disk_read,
-		.cut = disk_cut,
 		.list = disk_list,
 		.rename = disk_rename,
 		.remove = disk_remove,
@@ -282,6 +276,7 @@
 		if (loss == LOSS_GONE)
 			g_byte_array_set_size(f->data, (guint)f->synced);
 		f->synced = f->data->len;
+		f->clean = false;
 		g_hash_table_insert(d->now, g_strdup(name), file_ref(f));
 	}
 	disk_killed(d);
@@ -538,12 +533,77 @@
 	disk_free(d);
 }
 
+/*
+ * Power is lost after a failed sync and a restart, and entries are gone that
+ * the restarted voter answered for. A sync fails once, and the kernel marks the
+ * pages clean that it couldn't write. The voter ends, as it must. The next
+ * process reads the bytes, which are still in memory; a sync of its own has
+ * nothing to write and succeeds, so it answered for what no disk holds.
+ */
+static void what_a_failed_sync_left_in_memory_is_not_answered_for(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s = life(d, 7, &p);
+
+	assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+	d->drops = 1;
+	assert_false(store_entry(s, &p));
+	sto_free(s);
+	disk_killed(d);
+	s = life(d, 8, &p);
+	assert_non_null(s);
+	assert_true(store_entry(s, &p));
+	sto_free(s);
+	disk_dark(d, 0, LOSS_GONE);
+	s = life(d, 9, &p);
+	assert_non_null(s);
+	sto_free(s);
+	disk_free(d);
+}
+
+/*
+ * The same, where it is a sync of the start itself that fails: first the one
+ * for the bytes that a killed process wrote, then each of those that follow.
+ * The start ends, and the next one may not take the bytes for synced either.
+ */
+static void a_failed_sync_at_a_start_is_not_forgotten(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s = life(d, 7, &p);
+	int at;
+
+	assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+	d->left = 2; /* written, and killed before the sync */
+	assert_false(store_entry(s, &p));
+	sto_free(s);
+	disk_killed(d);
+	for (at = 1; at <= 2; at++) {
+		d->drops = at;
+		start_fails(d);
+		assert_int_equal(d->drops, 0);
+		s = life(d, 8, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_dark(d, 0, LOSS_GONE);
+		s = life(d, 9, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_killed(d);
+	}
+	disk_free(d);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_kill_before_a_loss_of_power_costs_no_folder),
 		cmocka_unit_test(a_log_that_cant_be_read_is_no_torn_write),
 		cmocka_unit_test(a_half_made_folder_that_cant_be_read_is_kept),
+		cmocka_unit_test(
+			what_a_failed_sync_left_in_memory_is_not_answered_for),
+		cmocka_unit_test(a_failed_sync_at_a_start_is_not_forgotten),
 	};
 
 	return cmocka_run_group_tests_name("sto", tests, NULL, NULL);
