A data folder that can't be listed ends the start

A voter whose folder couldn't be listed at its start (no descriptor left, a disk that fails) came back as somebody who had promised nothing: identity and first log were written over, and nothing of the folder was left to set aside.

Cause: a list that fails was an empty list, and an empty folder is made anew.

Change: the list is read with readdir, whose errors count too, and is NULL when it fails; sto_fail then ends the start, at each of the three looks at it.

--- a/src/sto.c
+++ b/src/sto.c
@@ -22,7 +22,7 @@
 		     GError **err);
 static bool sto_go_on(struct sto *s, const struct sto_loaded *out,
 		      GError **err);
-static void sto_tidy(struct sto *s);
+static bool sto_tidy(struct sto *s, GError **err);
 static bool sto_begin(struct sto *s, uint64_t reset, uint64_t term,
 		      GError **err);
 static void sto_pend(struct sto *s, enum sto_kind kind, struct pk_out *o);
@@ -192,14 +192,17 @@
 	return g_strdup_printf("%s%016" G_GINT64_MODIFIER "x", prefix, no);
 }
 
-/* Whether the folder has a file of that name. */
-bool sto_listed(struct sto *s, const char *name)
+/*
+ * Names of the folder's files. NULL with an error: it can't be listed now. An
+ * empty list instead would have a member's folder made anew under its files.
+ */
+char **sto_list(struct sto *s, GError **err)
 {
 	char **names = s->io.list(s->io.arg);
-	bool found = g_strv_contains((const char *const *)names, name);
 
-	g_strfreev(names);
-	return found;
+	if (!names)
+		sto_fail(s, "list", "names", err);
+	return names;
 }
 
 /* The number in a name with that prefix; false: another name. */
@@ -228,11 +231,13 @@
  */
 static bool sto_empty(struct sto *s, GError **err)
 {
-	char **names = s->io.list(s->io.arg);
+	char **names = sto_list(s, err);
 	bool empty = true;
 	uint64_t no;
 	size_t i;
 
+	if (!names)
+		return false;
 	for (i = 0; empty && names[i]; i++)
 		if (strcmp(names[i], STO_NAME_IDENTITY) == 0 ||
 		    sto_number(names[i], STO_PREFIX_SNAP, &no) ||
@@ -273,10 +278,12 @@
  */
 static bool sto_set_aside(struct sto *s, uint64_t new_id, GError **err)
 {
-	char **names = s->io.list(s->io.arg);
+	char **names = sto_list(s, err);
 	uint64_t no;
 	size_t i;
 
+	if (!names)
+		return false;
 	for (i = 0; names[i]; i++)
 		if (g_str_has_prefix(names[i], STO_PREFIX_DAMAGED))
 			s->io.remove(s->io.arg, names[i]);
@@ -350,18 +357,19 @@
 	 */
 	if (s->io.sync_folder(s->io.arg) != 0)
 		return sto_fail(s, "sync folder", "names", err);
-	sto_tidy(s);
-	return sto_begin(s, reset, term, err);
+	return sto_tidy(s, err) && sto_begin(s, reset, term, err);
 }
 
 /* Removes what crashes left half done. */
-static void sto_tidy(struct sto *s)
+static bool sto_tidy(struct sto *s, GError **err)
 {
 	uint64_t first = g_array_index(s->segs, struct sto_seg, 0).no;
-	char **names = s->io.list(s->io.arg);
+	char **names = sto_list(s, err);
 	uint64_t no;
 	size_t i;
 
+	if (!names)
+		return false;
 	for (i = 0; names[i]; i++)
 		if (strcmp(names[i], STO_NAME_TMP) == 0 ||
 		    (sto_number(names[i], STO_PREFIX_LOG, &no) && no < first) ||
@@ -369,6 +377,7 @@
 		     no != s->snap_index))
 			s->io.remove(s->io.arg, names[i]);
 	g_strfreev(names);
+	return true;
 }
 
 /* Begins the next log file; with reset, the log starts after that index. */
--- a/src/sto.h
+++ b/src/sto.h
@@ -25,7 +25,7 @@
 	int (*sync)(void *arg, int fd);
 	int (*close)(void *arg, int fd);
 	GBytes *(*read)(void *arg, const char *name); /* whole, or NULL */
-	char **(*list)(void *arg);
+	char **(*list)(void *arg); /* all names, or NULL */
 	int (*rename)(void *arg, const char *from, const char *to);
 	int (*remove)(void *arg, const char *name);
 	int (*sync_folder)(void *arg);
--- a/src/sto_folder.c
+++ b/src/sto_folder.c
@@ -1,5 +1,6 @@
 #include "sto.h"
 
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
@@ -113,16 +114,28 @@
 static char **sto_folder_list(void *arg)
 {
 	struct sto_folder *f = arg;
-	GPtrArray *names = g_ptr_array_new();
-	GDir *dir = g_dir_open(f->path, 0, NULL);
-	const char *name;
-
-	while (dir && (name = g_dir_read_name(dir)))
-		g_ptr_array_add(names, g_strdup(name));
-	if (dir)
-		g_dir_close(dir);
-	g_ptr_array_add(names, NULL);
-	return (char **)g_ptr_array_free(names, FALSE);
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	int fd = openat(f->fd, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	DIR *dir = fd >= 0 ? fdopendir(fd) : NULL;
+	struct dirent *e;
+	int why = errno;
+
+	if (!dir && fd >= 0)
+		close(fd);
+	if (dir) {
+		for (errno = 0; (e = readdir(dir)); errno = 0)
+			g_ptr_array_add(names, g_strdup(e->d_name));
+		why = errno;
+		closedir(dir);
+	}
+	if (dir && why == 0) {
+		g_ptr_array_add(names, NULL);
+		g_ptr_array_set_free_func(names, NULL);
+		return (char **)g_ptr_array_free(names, FALSE);
+	}
+	g_ptr_array_free(names, TRUE);
+	errno = why;
+	return NULL;
 }
 
 static int sto_folder_rename(void *arg, const char *from, const char *to)
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -36,7 +36,7 @@
 	      char **damage, GError **err);
 /* sto */
 char *sto_name(const char *prefix, uint64_t no);
-bool sto_listed(struct sto *s, const char *name);
+char **sto_list(struct sto *s, GError **err);
 bool sto_number(const char *name, const char *prefix, uint64_t *no);
 bool sto_put_file(struct sto *s, const char *name, const GByteArray *bytes,
 		  GError **err);
--- a/src/sto_load.c
+++ b/src/sto_load.c
@@ -8,6 +8,7 @@
 struct sto_reader {
 	struct sto *s;
 	struct sto_loaded *out;
+	char **names; /* of the folder's files */
 	char *damage; /* first fault that may have cost a promise */
 	uint64_t reset; /* index after which the log was started anew */
 	uint64_t gone; /* last entry that no file or snapshot holds; 0: none */
@@ -19,7 +20,7 @@
 static void sto_load_identity(struct sto_reader *r, const char *node,
 			      GError **err);
 static GBytes *sto_read_listed(struct sto_reader *r, const char *name);
-static GArray *sto_numbers(struct sto *s, const char *prefix);
+static GArray *sto_numbers(struct sto_reader *r, const char *prefix);
 static void sto_load_snap(struct sto_reader *r);
 static void sto_take_snap(struct sto_reader *r, struct lstr body);
 static void sto_load_logs(struct sto_reader *r);
@@ -48,8 +49,12 @@
 	struct sto_reader r = {.s = s, .out = out, .err = err};
 	GError *fatal = NULL;
 
+	r.names = sto_list(s, err);
+	if (!r.names)
+		return false;
 	sto_load_identity(&r, node, &fatal);
 	if (fatal) {
+		g_strfreev(r.names);
 		g_propagate_error(err, fatal);
 		return false;
 	}
@@ -57,6 +62,7 @@
 		sto_load_snap(&r);
 	if (sto_goes_on(&r))
 		sto_load_logs(&r);
+	g_strfreev(r.names);
 	if (s->failed) {
 		g_free(r.damage);
 		return false;
@@ -94,7 +100,8 @@
 static void sto_load_identity(struct sto_reader *r, const char *node,
 			      GError **err)
 {
-	GBytes *b = sto_listed(r->s, STO_NAME_IDENTITY)
+	const char *const *names = (const char *const *)r->names;
+	GBytes *b = g_strv_contains(names, STO_NAME_IDENTITY)
 			    ? sto_read_listed(r, STO_NAME_IDENTITY)
 			    : NULL;
 	struct sto_rec rec = {0};
@@ -123,24 +130,22 @@
 }
 
 /* Numbers of the files with a prefix, lowest first. */
-static GArray *sto_numbers(struct sto *s, const char *prefix)
+static GArray *sto_numbers(struct sto_reader *r, const char *prefix)
 {
 	GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	char **names = s->io.list(s->io.arg);
 	uint64_t no;
 	size_t i;
 
-	for (i = 0; names[i]; i++)
-		if (sto_number(names[i], prefix, &no))
+	for (i = 0; r->names[i]; i++)
+		if (sto_number(r->names[i], prefix, &no))
 			g_array_append_val(numbers, no);
-	g_strfreev(names);
 	g_array_sort(numbers, sto_by_number);
 	return numbers;
 }
 
 static void sto_load_snap(struct sto_reader *r)
 {
-	GArray *numbers = sto_numbers(r->s, STO_PREFIX_SNAP);
+	GArray *numbers = sto_numbers(r, STO_PREFIX_SNAP);
 	struct sto_rec rec = {0};
 	uint64_t no;
 	size_t at = 0;
@@ -194,7 +199,7 @@
 
 static void sto_load_logs(struct sto_reader *r)
 {
-	GArray *numbers = sto_numbers(r->s, STO_PREFIX_LOG);
+	GArray *numbers = sto_numbers(r, STO_PREFIX_LOG);
 	struct sto_seg seg = {0};
 	guint i;
 
--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -5,7 +5,9 @@
 #include <cmocka.h>
 
 #include <errno.h>
+#include <glib/gstdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "err.h"
 #include "sto.h"
@@ -41,6 +43,7 @@
 	GArray *changes; /* struct change */
 	GPtrArray *open; /* struct file, by descriptor */
 	int left; /* operations until the kill; -1: none comes */
+	int lists; /* of the folder until one fails; 0: none does */
 	int drops; /* syncs until one fails and marks all clean; 0: none */
 	const char *unreadable; /* the file that can't be read; NULL: none */
 };
@@ -168,8 +171,11 @@
 	struct disk *d = arg;
 	guint n;
 	char **keys = (char **)g_hash_table_get_keys_as_array(d->now, &n);
-	char **copy = g_strdupv(keys);
+	char **copy = NULL;
 
+	errno = EMFILE;
+	if (!d->lists || --d->lists)
+		copy = g_strdupv(keys);
 	g_free(keys);
 	return copy;
 }
@@ -595,6 +601,62 @@
 	disk_free(d);
 }
 
+/*
+ * A voter starts while its process has no descriptor left, or its disk fails,
+ * and the folder can't be listed. It counted as empty: identity and first log
+ * were written over, and the voter came back as somebody who had promised
+ * nothing. Whichever look at the folder fails, the start must end and the next
+ * one find all that was there.
+ */
+static void a_folder_that_cant_be_listed_is_not_empty(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s;
+	int at;
+
+	assert_true(work(d, &p));
+	disk_killed(d);
+	for (at = 1; at <= 3; at++) {
+		d->lists = at;
+		start_fails(d);
+		assert_int_equal(d->lists, 0);
+		s = life(d, 8, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_killed(d);
+	}
+	disk_free(d);
+}
+
+/*
+ * The same of a folder of the machine, whose process has no descriptor left: an
+ * error comes back, not an empty list, and once there are some all names do.
+ */
+static void no_descriptor_for_a_list_is_an_error(void **state)
+{
+	char *path = g_dir_make_tmp("endive-sto-XXXXXX", NULL);
+	struct sto_io *io = sto_folder_new(path, NULL);
+	struct rlimit none = {0};
+	struct rlimit old;
+	char **names;
+
+	assert_non_null(io);
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &old), 0);
+	none.rlim_max = old.rlim_max;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &none), 0);
+	names = io->list(io->arg);
+	assert_int_equal(errno, EMFILE);
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &old), 0);
+	assert_null(names);
+	names = io->list(io->arg);
+	assert_non_null(names);
+	g_strfreev(names);
+	sto_folder_free(io);
+	assert_int_equal(g_rmdir(path), 0);
+	g_free(path);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -604,6 +666,8 @@
 		cmocka_unit_test(
 			what_a_failed_sync_left_in_memory_is_not_answered_for),
 		cmocka_unit_test(a_failed_sync_at_a_start_is_not_forgotten),
+		cmocka_unit_test(a_folder_that_cant_be_listed_is_not_empty),
+		cmocka_unit_test(no_descriptor_for_a_list_is_an_error),
 	};
 
 	return cmocka_run_group_tests_name("sto", tests, NULL, NULL);
