--- a/src/sto.c
+++ b/src/sto.c
@@ -15,21 +15,19 @@
 /* Bytes of a log file that holds no more than its head, at most. */
 #define STO_HEAD_MAX 64
 
-static bool sto_empty(struct sto *s);
-static bool sto_half_made(struct sto *s, uint64_t no);
+static bool sto_empty(struct sto *s, GError **err);
+static bool sto_half_made(struct sto *s, uint64_t no, GError **err);
 static bool sto_set_aside(struct sto *s, uint64_t new_id, GError **err);
 static bool sto_make(struct sto *s, const char *node, uint64_t new_id,
 		     GError **err);
 static bool sto_go_on(struct sto *s, const struct sto_loaded *out,
 		      GError **err);
-static void sto_tidy(struct sto *s);
+static bool sto_tidy(struct sto *s, GError **err);
 static bool sto_begin(struct sto *s, uint64_t reset, uint64_t term,
 		      GError **err);
 static void sto_pend(struct sto *s, enum sto_kind kind, struct pk_out *o);
 static bool sto_write(struct sto *s, int fd, const char *name,
 		      const GByteArray *bytes, GError **err);
-static bool sto_put_file(struct sto *s, const char *name,
-			 const GByteArray *bytes, GError **err);
 static bool sto_put_snap(struct sto *s, const struct cns_snap *snap,
 			 GError **err);
 static void sto_trim(struct sto *s);
@@ -52,10 +50,11 @@
 	s->fd = -1;
 	s->segs = g_array_new(FALSE, FALSE, sizeof(struct sto_seg));
 	s->pending = g_byte_array_new();
-	if (!sto_empty(s))
+	out->fresh = sto_empty(s, err);
+	if (s->failed)
+		ok = false;
+	else if (!out->fresh)
 		ok = sto_load(s, node, out, &out->damage, err);
-	else
-		out->fresh = true;
 	if (ok && out->damage) {
 		char *damage = g_steal_pointer(&out->damage);
 
@@ -193,6 +192,19 @@
 	return g_strdup_printf("%s%016" G_GINT64_MODIFIER "x", prefix, no);
 }
 
+/*
+ * Names of the folder's files. NULL with an error: it can't be listed now. An
+ * empty list instead would have a member's folder made anew under its files.
+ */
+char **sto_list(struct sto *s, GError **err)
+{
+	char **names = s->io.list(s->io.arg);
+
+	if (!names)
+		sto_fail(s, "list", "names", err);
+	return names;
+}
+
 /* The number in a name with that prefix; false: another name. */
 bool sto_number(const char *name, const char *prefix, uint64_t *no)
 {
@@ -213,19 +225,24 @@
 	return false;
 }
 
-/* Whether nothing of ours is in the folder, or a folder that was never made. */
-static bool sto_empty(struct sto *s)
+/*
+ * Whether nothing of ours is in the folder, or a folder that was never made;
+ * false as well when the disk fails, which s->failed tells.
+ */
+static bool sto_empty(struct sto *s, GError **err)
 {
-	char **names = s->io.list(s->io.arg);
+	char **names = sto_list(s, err);
 	bool empty = true;
 	uint64_t no;
 	size_t i;
 
-	for (i = 0; names[i]; i++)
+	if (!names)
+		return false;
+	for (i = 0; empty && names[i]; i++)
 		if (strcmp(names[i], STO_NAME_IDENTITY) == 0 ||
 		    sto_number(names[i], STO_PREFIX_SNAP, &no) ||
 		    (sto_number(names[i], STO_PREFIX_LOG, &no) &&
-		     !sto_half_made(s, no)))
+		     !sto_half_made(s, no, err)))
 			empty = false;
 	g_strfreev(names);
 	return empty;
@@ -235,14 +252,21 @@
  * Whether a log file is what sto_make leaves when power goes before there is
  * an identity: the first, with no more than a head. Nobody was answered then.
  */
-static bool sto_half_made(struct sto *s, uint64_t no)
+static bool sto_half_made(struct sto *s, uint64_t no, GError **err)
 {
-	char *name = sto_name(STO_PREFIX_LOG, no);
-	GBytes *b = s->io.read(s->io.arg, name);
-	bool half = no == STO_FIRST && b && g_bytes_get_size(b) <= STO_HEAD_MAX;
+	char *name;
+	GBytes *b;
+	bool half;
 
+	if (no != STO_FIRST)
+		return false;
+	name = sto_name(STO_PREFIX_LOG, no);
+	b = s->io.read(s->io.arg, name);
+	half = b && g_bytes_get_size(b) <= STO_HEAD_MAX;
 	if (b)
 		g_bytes_unref(b);
+	else
+		sto_fail(s, "read", name, err);
 	g_free(name);
 	return half;
 }
@@ -254,10 +278,12 @@
  */
 static bool sto_set_aside(struct sto *s, uint64_t new_id, GError **err)
 {
-	char **names = s->io.list(s->io.arg);
+	char **names = sto_list(s, err);
 	uint64_t no;
 	size_t i;
 
+	if (!names)
+		return false;
 	for (i = 0; names[i]; i++)
 		if (g_str_has_prefix(names[i], STO_PREFIX_DAMAGED))
 			s->io.remove(s->io.arg, names[i]);
@@ -331,18 +357,19 @@
 	 */
 	if (s->io.sync_folder(s->io.arg) != 0)
 		return sto_fail(s, "sync folder", "names", err);
-	sto_tidy(s);
-	return sto_begin(s, reset, term, err);
+	return sto_tidy(s, err) && sto_begin(s, reset, term, err);
 }
 
 /* Removes what crashes left half done. */
-static void sto_tidy(struct sto *s)
+static bool sto_tidy(struct sto *s, GError **err)
 {
 	uint64_t first = g_array_index(s->segs, struct sto_seg, 0).no;
-	char **names = s->io.list(s->io.arg);
+	char **names = sto_list(s, err);
 	uint64_t no;
 	size_t i;
 
+	if (!names)
+		return false;
 	for (i = 0; names[i]; i++)
 		if (strcmp(names[i], STO_NAME_TMP) == 0 ||
 		    (sto_number(names[i], STO_PREFIX_LOG, &no) && no < first) ||
@@ -350,6 +377,7 @@
 		     no != s->snap_index))
 			s->io.remove(s->io.arg, names[i]);
 	g_strfreev(names);
+	return true;
 }
 
 /* Begins the next log file; with reset, the log starts after that index. */
@@ -435,8 +463,8 @@
 }
 
 /* A whole file, or none: written under another name, synced, renamed. */
-static bool sto_put_file(struct sto *s, const char *name,
-			 const GByteArray *bytes, GError **err)
+bool sto_put_file(struct sto *s, const char *name, const GByteArray *bytes,
+		  GError **err)
 {
 	int fd = s->io.create(s->io.arg, STO_NAME_TMP);
 	bool ok;
--- a/src/sto.h
+++ b/src/sto.h
@@ -24,9 +24,8 @@
 	ssize_t (*write)(void *arg, int fd, const void *p, size_t len);
 	int (*sync)(void *arg, int fd);
 	int (*close)(void *arg, int fd);
-	GBytes *(*read)(void *arg, const char *name); /* whole */
-	int (*cut)(void *arg, const char *name, off_t len); /* synced */
-	char **(*list)(void *arg);
+	GBytes *(*read)(void *arg, const char *name); /* whole, or NULL */
+	char **(*list)(void *arg); /* all names, or NULL */
 	int (*rename)(void *arg, const char *from, const char *to);
 	int (*remove)(void *arg, const char *name);
 	int (*sync_folder)(void *arg);
--- a/src/sto_folder.c
+++ b/src/sto_folder.c
@@ -1,5 +1,6 @@
 #include "sto.h"
 
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
@@ -21,7 +22,6 @@
 static int sto_folder_sync(void *arg, int fd);
 static int sto_folder_close(void *arg, int fd);
 static GBytes *sto_folder_read(void *arg, const char *name);
-static int sto_folder_cut(void *arg, const char *name, off_t len);
 static char **sto_folder_list(void *arg);
 static int sto_folder_rename(void *arg, const char *from, const char *to);
 static int sto_folder_remove(void *arg, const char *name);
@@ -33,7 +33,6 @@
 	.sync = sto_folder_sync,
 	.close = sto_folder_close,
 	.read = sto_folder_read,
-	.cut = sto_folder_cut,
 	.list = sto_folder_list,
 	.rename = sto_folder_rename,
 	.remove = sto_folder_remove,
@@ -105,39 +104,38 @@
 	char *text = NULL;
 	gsize len = 0;
 	bool ok = g_file_get_contents(path, &text, &len, NULL);
+	int why = errno;
 
 	g_free(path);
+	errno = why;
 	return ok ? g_bytes_new_take(text, len) : NULL;
 }
 
-static int sto_folder_cut(void *arg, const char *name, off_t len)
-{
-	struct sto_folder *f = arg;
-	int fd = openat(f->fd, name, O_WRONLY | O_CLOEXEC);
-	int rc;
-
-	if (fd < 0)
-		return -1;
-	rc = ftruncate(fd, len);
-	if (rc == 0)
-		rc = fsync(fd);
-	close(fd);
-	return rc;
-}
-
 static char **sto_folder_list(void *arg)
 {
 	struct sto_folder *f = arg;
-	GPtrArray *names = g_ptr_array_new();
-	GDir *dir = g_dir_open(f->path, 0, NULL);
-	const char *name;
-
-	while (dir && (name = g_dir_read_name(dir)))
-		g_ptr_array_add(names, g_strdup(name));
-	if (dir)
-		g_dir_close(dir);
-	g_ptr_array_add(names, NULL);
-	return (char **)g_ptr_array_free(names, FALSE);
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	int fd = openat(f->fd, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	DIR *dir = fd >= 0 ? fdopendir(fd) : NULL;
+	struct dirent *e;
+	int why = errno;
+
+	if (!dir && fd >= 0)
+		close(fd);
+	if (dir) {
+		for (errno = 0; (e = readdir(dir)); errno = 0)
+			g_ptr_array_add(names, g_strdup(e->d_name));
+		why = errno;
+		closedir(dir);
+	}
+	if (dir && why == 0) {
+		g_ptr_array_add(names, NULL);
+		g_ptr_array_set_free_func(names, NULL);
+		return (char **)g_ptr_array_free(names, FALSE);
+	}
+	g_ptr_array_free(names, TRUE);
+	errno = why;
+	return NULL;
 }
 
 static int sto_folder_rename(void *arg, const char *from, const char *to)
--- a/src/sto_load.c
+++ b/src/sto_load.c
@@ -8,6 +8,7 @@
 struct sto_reader {
 	struct sto *s;
 	struct sto_loaded *out;
+	char **names; /* of the folder's files */
 	char *damage; /* first fault that may have cost a promise */
 	uint64_t reset; /* index after which the log was started anew */
 	uint64_t gone; /* last entry that no file or snapshot holds; 0: none */
@@ -15,15 +16,18 @@
 	GError **err; /* of the disk, not of what it holds */
 };
 
+static bool sto_goes_on(const struct sto_reader *r);
 static void sto_load_identity(struct sto_reader *r, const char *node,
 			      GError **err);
-static GArray *sto_numbers(struct sto *s, const char *prefix);
+static GBytes *sto_read_listed(struct sto_reader *r, const char *name);
+static GArray *sto_numbers(struct sto_reader *r, const char *prefix);
 static void sto_load_snap(struct sto_reader *r);
 static void sto_take_snap(struct sto_reader *r, struct lstr body);
 static void sto_load_logs(struct sto_reader *r);
 static void sto_skip_gap(struct sto_reader *r);
 static void sto_load_log(struct sto_reader *r, struct sto_seg *seg);
-static void sto_sync_tail(struct sto_reader *r, const char *name, off_t len);
+static void sto_write_anew(struct sto_reader *r, const char *name,
+			   struct lstr bytes);
 static void sto_take(struct sto_reader *r, struct sto_seg *seg,
 		     const struct sto_rec *rec);
 static void sto_match_head(struct sto_reader *r, uint64_t last);
@@ -45,15 +49,20 @@
 	struct sto_reader r = {.s = s, .out = out, .err = err};
 	GError *fatal = NULL;
 
+	r.names = sto_list(s, err);
+	if (!r.names)
+		return false;
 	sto_load_identity(&r, node, &fatal);
 	if (fatal) {
+		g_strfreev(r.names);
 		g_propagate_error(err, fatal);
 		return false;
 	}
-	if (!r.damage)
+	if (sto_goes_on(&r))
 		sto_load_snap(&r);
-	if (!r.damage)
+	if (sto_goes_on(&r))
 		sto_load_logs(&r);
+	g_strfreev(r.names);
 	if (s->failed) {
 		g_free(r.damage);
 		return false;
@@ -67,10 +76,34 @@
 	return true;
 }
 
+/* Whether neither content nor disk has shown a fault so far. */
+static bool sto_goes_on(const struct sto_reader *r)
+{
+	return !r->damage && !r->s->failed;
+}
+
+/*
+ * Reads a file that the folder lists. That the disk or the machine can't give
+ * it now (EIO, EMFILE, ENOMEM) says nothing about what it holds: taken for a
+ * torn write it would lose votes and entries in silence, taken for damage it
+ * would cost a sound folder. So it ends the start, and NULL means that.
+ */
+static GBytes *sto_read_listed(struct sto_reader *r, const char *name)
+{
+	GBytes *b = r->s->io.read(r->s->io.arg, name);
+
+	if (!b)
+		sto_fail(r->s, "read", name, r->err);
+	return b;
+}
+
 static void sto_load_identity(struct sto_reader *r, const char *node,
 			      GError **err)
 {
-	GBytes *b = r->s->io.read(r->s->io.arg, STO_NAME_IDENTITY);
+	const char *const *names = (const char *const *)r->names;
+	GBytes *b = g_strv_contains(names, STO_NAME_IDENTITY)
+			    ? sto_read_listed(r, STO_NAME_IDENTITY)
+			    : NULL;
 	struct sto_rec rec = {0};
 	struct pk_in in;
 	struct lstr name;
@@ -78,6 +111,8 @@
 	gsize len = 0;
 	const char *p = b ? g_bytes_get_data(b, &len) : NULL;
 
+	if (r->s->failed)
+		return;
 	if (!p || sto_rec_read(0, lstr_n(p, len), &at, &rec) != STO_READ_REC ||
 	    rec.kind != STO_IDENTITY || !pk_in_init(&in, rec.body)) {
 		sto_damage(r, "%s can't be read", STO_NAME_IDENTITY);
@@ -95,24 +130,22 @@
 }
 
 /* Numbers of the files with a prefix, lowest first. */
-static GArray *sto_numbers(struct sto *s, const char *prefix)
+static GArray *sto_numbers(struct sto_reader *r, const char *prefix)
 {
 	GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	char **names = s->io.list(s->io.arg);
 	uint64_t no;
 	size_t i;
 
-	for (i = 0; names[i]; i++)
-		if (sto_number(names[i], prefix, &no))
+	for (i = 0; r->names[i]; i++)
+		if (sto_number(r->names[i], prefix, &no))
 			g_array_append_val(numbers, no);
-	g_strfreev(names);
 	g_array_sort(numbers, sto_by_number);
 	return numbers;
 }
 
 static void sto_load_snap(struct sto_reader *r)
 {
-	GArray *numbers = sto_numbers(r->s, STO_PREFIX_SNAP);
+	GArray *numbers = sto_numbers(r, STO_PREFIX_SNAP);
 	struct sto_rec rec = {0};
 	uint64_t no;
 	size_t at = 0;
@@ -128,12 +161,12 @@
 	no = g_array_index(numbers, uint64_t, numbers->len - 1);
 	g_array_free(numbers, TRUE);
 	name = sto_name(STO_PREFIX_SNAP, no);
-	b = r->s->io.read(r->s->io.arg, name);
+	b = sto_read_listed(r, name);
 	p = b ? g_bytes_get_data(b, &len) : NULL;
 	if (p && sto_rec_read(no, lstr_n(p, len), &at, &rec) == STO_READ_REC &&
 	    rec.kind == STO_SNAP && at == len)
 		sto_take_snap(r, rec.body);
-	if (!r->out->snap || r->out->snap->index != no)
+	if (b && (!r->out->snap || r->out->snap->index != no))
 		sto_damage(r, "%s is damaged", name);
 	if (b)
 		g_bytes_unref(b);
@@ -166,13 +199,13 @@
 
 static void sto_load_logs(struct sto_reader *r)
 {
-	GArray *numbers = sto_numbers(r->s, STO_PREFIX_LOG);
+	GArray *numbers = sto_numbers(r, STO_PREFIX_LOG);
 	struct sto_seg seg = {0};
 	guint i;
 
 	if (numbers->len == 0)
 		sto_damage(r, "the log is gone");
-	for (i = 0; !r->damage && i < numbers->len; i++) {
+	for (i = 0; sto_goes_on(r) && i < numbers->len; i++) {
 		uint64_t no = g_array_index(numbers, uint64_t, i);
 
 		if (i > 0 && no != seg.no + 1)
@@ -181,7 +214,7 @@
 		r->last = i == numbers->len - 1;
 		sto_load_log(r, &seg);
 	}
-	if (!r->damage && r->s->segs->len == 0)
+	if (sto_goes_on(r) && r->s->segs->len == 0)
 		sto_damage(r, "the log is empty");
 	g_array_free(numbers, TRUE);
 }
@@ -204,7 +237,7 @@
 {
 	struct sto *s = r->s;
 	char *name = sto_name(STO_PREFIX_LOG, seg->no);
-	GBytes *b = s->io.read(s->io.arg, name);
+	GBytes *b = sto_read_listed(r, name);
 	struct sto_rec rec = {0};
 	enum sto_read got = STO_READ_BAD;
 	size_t at = 0;
@@ -212,7 +245,11 @@
 	gsize len = 0;
 	const char *p = b ? g_bytes_get_data(b, &len) : NULL;
 
-	while (b && !r->damage) {
+	if (!b) {
+		g_free(name);
+		return;
+	}
+	while (!r->damage) {
 		got = sto_rec_read(seg->no, lstr_n(p ? p : "", len), &at, &rec);
 		if (got != STO_READ_REC)
 			break;
@@ -228,29 +265,35 @@
 		sto_damage(r, "%s is damaged at byte %zu", name, at);
 	if (!r->damage && got == STO_READ_TORN)
 		r->out->cut = len - at;
-	if (!r->damage && r->last)
-		sto_sync_tail(r, name, (off_t)at);
+	if (!r->damage && r->last && at > 0)
+		sto_write_anew(r, name, lstr_n(p, at));
 	if (at == 0 && r->last && !r->damage)
 		s->io.remove(s->io.arg, name);
 	else
 		g_array_append_val(s->segs, *seg);
 	sto_rec_done(&rec);
-	if (b)
-		g_bytes_unref(b);
+	g_bytes_unref(b);
 	g_free(name);
 }
 
 /*
- * Makes what was read of the newest file last, and cuts off the rest. A process
- * that was killed between writing and syncing leaves bytes that are read here
- * and gone after a loss of power: entries that we would answer for, and a gap
- * in the log for which a sound folder would be set aside. No older file can
- * hold such bytes, since none is begun before the one before it was synced.
+ * Makes what was read of the newest file last, without the rest. A process that
+ * was killed between writing and syncing, or whose sync failed, leaves bytes
+ * that are read here and gone after a loss of power: entries that we would
+ * answer for, and a gap in the log for which a sound folder would be set aside.
+ * A sync of the file itself wouldn't do: after one that failed, the kernel may
+ * hold the bytes for written and have nothing to do. So they are written anew;
+ * until the new file has its name the old one is whole. No older file can hold
+ * such bytes, since none is begun before the one before it was synced.
  */
-static void sto_sync_tail(struct sto_reader *r, const char *name, off_t len)
+static void sto_write_anew(struct sto_reader *r, const char *name,
+			   struct lstr bytes)
 {
-	if (r->s->io.cut(r->s->io.arg, name, len) != 0)
-		sto_fail(r->s, "sync", name, r->err);
+	GByteArray *copy = g_byte_array_new();
+
+	g_byte_array_append(copy, (const guint8 *)bytes.p, (guint)bytes.len);
+	sto_put_file(r->s, name, copy, r->err);
+	g_byte_array_free(copy, TRUE);
 }
 
 static void sto_take(struct sto_reader *r, struct sto_seg *seg,
--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -5,8 +5,11 @@
 #include <cmocka.h>
 
 #include <errno.h>
+#include <glib/gstdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
+#include "err.h"
 #include "sto.h"
 
 /* What a loss of power leaves of bytes that were never synced. */
@@ -19,6 +22,7 @@
 struct file {
 	GByteArray *data;
 	gsize synced;
+	bool clean; /* a sync failed: the rest counts as written and isn't */
 	int refs;
 };
 
@@ -39,6 +43,9 @@
 	GArray *changes; /* struct change */
 	GPtrArray *open; /* struct file, by descriptor */
 	int left; /* operations until the kill; -1: none comes */
+	int lists; /* of the folder until one fails; 0: none does */
+	int drops; /* syncs until one fails and marks all clean; 0: none */
+	const char *unreadable; /* the file that can't be read; NULL: none */
 };
 
 static void file_unref(gpointer p)
@@ -134,7 +141,12 @@
 
 	if (dead(d))
 		return -1;
-	f->synced = f->data->len;
+	if (d->drops && --d->drops == 0) {
+		f->clean = true;
+		return -1;
+	}
+	if (!f->clean)
+		f->synced = f->data->len;
 	return 0;
 }
 
@@ -148,28 +160,22 @@
 	struct disk *d = arg;
 	struct file *f = g_hash_table_lookup(d->now, name);
 
+	errno = EIO;
+	if (g_strcmp0(d->unreadable, name) == 0)
+		return NULL;
 	return f ? g_bytes_new(f->data->data, f->data->len) : NULL;
 }
 
-static int disk_cut(void *arg, const char *name, off_t len)
-{
-	struct disk *d = arg;
-	struct file *f = g_hash_table_lookup(d->now, name);
-
-	if (!f || dead(d))
-		return -1;
-	g_byte_array_set_size(f->data, (guint)len);
-	f->synced = f->data->len;
-	return 0;
-}
-
 static char **disk_list(void *arg)
 {
 	struct disk *d = arg;
 	guint n;
 	char **keys = (char **)g_hash_table_get_keys_as_array(d->now, &n);
-	char **copy = g_strdupv(keys);
+	char **copy = NULL;
 
+	errno = EMFILE;
+	if (!d->lists || --d->lists)
+		copy = g_strdupv(keys);
 	g_free(keys);
 	return copy;
 }
@@ -221,7 +227,6 @@
 		.sync = disk_sync,
 		.close = disk_close,
 		.read = disk_read,
-		.cut = disk_cut,
 		.list = disk_list,
 		.rename = disk_rename,
 		.remove = disk_remove,
@@ -238,6 +243,7 @@
 	d->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
 	g_array_set_clear_func(d->changes, change_clear);
 	d->open = g_ptr_array_new_with_free_func(file_unref);
+	d->left = -1;
 	return d;
 }
 
@@ -276,6 +282,7 @@
 		if (loss == LOSS_GONE)
 			g_byte_array_set_size(f->data, (guint)f->synced);
 		f->synced = f->data->len;
+		f->clean = false;
 		g_hash_table_insert(d->now, g_strdup(name), file_ref(f));
 	}
 	disk_killed(d);
@@ -458,10 +465,209 @@
 	assert_true(woe.kill_at > 30);
 }
 
+/* A start that must end with an error of the disk. */
+static void start_fails(struct disk *d)
+{
+	struct sto_io io = disk_io(d);
+	struct sto_loaded l;
+	GError *err = NULL;
+
+	assert_null(sto_open(&io, "n", 8, &l, &err));
+	assert_true(g_error_matches(err, err_quark(), ERR_IO));
+	g_error_free(err);
+	disk_killed(d);
+}
+
+/*
+ * A voter has voted and stored entries, and all of it was answered for. At its
+ * next start a file of its folder is there and can't be read for a moment: the
+ * disk gives EIO, or the process has no descriptor or memory left. The newest
+ * log was taken for a write that power had cut short, and the voter came up as
+ * the same member without its vote; the others were taken for damage, which
+ * costs the folder. The start must fail, and the next find all that was there.
+ */
+static void a_log_that_cant_be_read_is_no_torn_write(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	char **names;
+	struct sto *s;
+	int i;
+
+	assert_true(work(d, &p));
+	disk_killed(d);
+	s = life(d, 8, &p);
+	assert_true(store_entry(s, &p));
+	sto_free(s);
+	names = disk_list(d);
+	assert_true(g_strv_length(names) > 3);
+	for (i = 0; names[i]; i++) {
+		d->unreadable = names[i];
+		start_fails(d);
+		d->unreadable = NULL;
+		s = life(d, 8, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_killed(d);
+	}
+	g_strfreev(names);
+	disk_free(d);
+}
+
+/*
+ * Power went while a folder was being made: it has a log and no identity. If
+ * that log can't be read, nobody knows what the folder is: it may neither be
+ * made anew nor set aside.
+ */
+static void a_half_made_folder_that_cant_be_read_is_kept(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s = life(d, 7, &p);
+
+	assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+	sto_free(s);
+	disk_killed(d);
+	assert_int_equal(disk_rename(d, "identity", "elsewhere"), 0);
+	d->unreadable = "log-0000000000000001";
+	start_fails(d);
+	assert_int_equal(disk_rename(d, "elsewhere", "identity"), 0);
+	d->unreadable = NULL;
+	s = life(d, 8, &p);
+	assert_non_null(s);
+	sto_free(s);
+	disk_free(d);
+}
+
+/*
+ * Power is lost after a failed sync and a restart, and entries are gone that
+ * the restarted voter answered for. A sync fails once, and the kernel marks the
+ * pages clean that it couldn't write. The voter ends, as it must. The next
+ * process reads the bytes, which are still in memory; a sync of its own has
+ * nothing to write and succeeds, so it answered for what no disk holds.
+ */
+static void what_a_failed_sync_left_in_memory_is_not_answered_for(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s = life(d, 7, &p);
+
+	assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+	d->drops = 1;
+	assert_false(store_entry(s, &p));
+	sto_free(s);
+	disk_killed(d);
+	s = life(d, 8, &p);
+	assert_non_null(s);
+	assert_true(store_entry(s, &p));
+	sto_free(s);
+	disk_dark(d, 0, LOSS_GONE);
+	s = life(d, 9, &p);
+	assert_non_null(s);
+	sto_free(s);
+	disk_free(d);
+}
+
+/*
+ * The same, where it is a sync of the start itself that fails: first the one
+ * for the bytes that a killed process wrote, then each of those that follow.
+ * The start ends, and the next one may not take the bytes for synced either.
+ */
+static void a_failed_sync_at_a_start_is_not_forgotten(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s = life(d, 7, &p);
+	int at;
+
+	assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+	d->left = 2; /* written, and killed before the sync */
+	assert_false(store_entry(s, &p));
+	sto_free(s);
+	disk_killed(d);
+	for (at = 1; at <= 2; at++) {
+		d->drops = at;
+		start_fails(d);
+		assert_int_equal(d->drops, 0);
+		s = life(d, 8, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_dark(d, 0, LOSS_GONE);
+		s = life(d, 9, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_killed(d);
+	}
+	disk_free(d);
+}
+
+/*
+ * A voter starts while its process has no descriptor left, or its disk fails,
+ * and the folder can't be listed. It counted as empty: identity and first log
+ * were written over, and the voter came back as somebody who had promised
+ * nothing. Whichever look at the folder fails, the start must end and the next
+ * one find all that was there.
+ */
+static void a_folder_that_cant_be_listed_is_not_empty(void **state)
+{
+	struct disk *d = disk_new();
+	struct promise p = {0};
+	struct sto *s;
+	int at;
+
+	assert_true(work(d, &p));
+	disk_killed(d);
+	for (at = 1; at <= 3; at++) {
+		d->lists = at;
+		start_fails(d);
+		assert_int_equal(d->lists, 0);
+		s = life(d, 8, &p);
+		assert_non_null(s);
+		sto_free(s);
+		disk_killed(d);
+	}
+	disk_free(d);
+}
+
+/*
+ * The same of a folder of the machine, whose process has no descriptor left: an
+ * error comes back, not an empty list, and once there are some all names do.
+ */
+static void no_descriptor_for_a_list_is_an_error(void **state)
+{
+	char *path = g_dir_make_tmp("endive-sto-XXXXXX", NULL);
+	struct sto_io *io = sto_folder_new(path, NULL);
+	struct rlimit none = {0};
+	struct rlimit old;
+	char **names;
+
+	assert_non_null(io);
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &old), 0);
+	none.rlim_max = old.rlim_max;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &none), 0);
+	names = io->list(io->arg);
+	assert_int_equal(errno, EMFILE);
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &old), 0);
+	assert_null(names);
+	names = io->list(io->arg);
+	assert_non_null(names);
+	g_strfreev(names);
+	sto_folder_free(io);
+	assert_int_equal(g_rmdir(path), 0);
+	g_free(path);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_kill_before_a_loss_of_power_costs_no_folder),
+		cmocka_unit_test(a_log_that_cant_be_read_is_no_torn_write),
+		cmocka_unit_test(a_half_made_folder_that_cant_be_read_is_kept),
+		cmocka_unit_test(
+			what_a_failed_sync_left_in_memory_is_not_answered_for),
+		cmocka_unit_test(a_failed_sync_at_a_start_is_not_forgotten),
+		cmocka_unit_test(a_folder_that_cant_be_listed_is_not_empty),
+		cmocka_unit_test(no_descriptor_for_a_list_is_an_error),
 	};
 
 	return cmocka_run_group_tests_name("sto", tests, NULL, NULL);
