sch_prop and blackhole_test look at two safeguards more

No start of a job that is over counts (sch_prop), and a worker that was found to fail everything is tried with one task at a time (blackhole_test).

--- a/tests/prop/sch_prop.cc
+++ b/tests/prop/sch_prop.cc
@@ -243,6 +243,7 @@
 			   s.worker.c_str());
 		if (!jtb_find_run(jtb, &s.name, s.attempt, s.worker.c_str()))
 			return;
+		RC_ASSERT(!jtb_ended(job));
 		jtb_name_text(&s.name, text, sizeof(text));
 		RC_ASSERT(done.count(text) == 0u);
 		for (auto &o : runs)
--- a/tests/unit/blackhole_test.c
+++ b/tests/unit/blackhole_test.c
@@ -47,6 +47,9 @@
 	struct bed *b = arg;
 	struct end e = {.name = *n, .attempt = attempt};
 
+	/* once it is found it is tried with one task at a time */
+	if (w->fails >= 3)
+		assert_int_equal(w->runs->len, 0);
 	g_strlcpy(e.worker, w->info.id, sizeof(e.worker));
 	e.at_ms =
 		b->now + (strcmp(e.worker, "w3") == 0 ? 1 : TASK_STEPS) * 1000;
