A suspended machine's time counts

After a VM that leads was suspended and woke, two replicas could give orders at once: the old one believed that it had been sure a moment ago, and cns_tick saw no sleep.

Cause: tmr_now was CLOCK_MONOTONIC, which stands still while the machine is suspended. CLOCK_BOOTTIME runs on.

Ruled out: the time of day, which is set back and forth. libevent's timers stay on its own clock: each waits for what is left until the earliest due time and is armed anew from tmr_now at each call, so after a suspension one is called late by its remaining wait at most, and early never costs more than one more round. vot's times of a sync are intervals of a running machine and stay.

No machine was suspended.

--- a/src/tmr.c
+++ b/src/tmr.c
@@ -43,7 +43,7 @@
 	return t;
 }
 
-/* A service on the loop's monotonic clock. */
+/* A service on the machine's clock and the loop. */
 struct tmr *tmr_new(struct event_base *base)
 {
 	struct tmr *t = tmr_alloc();
@@ -73,14 +73,20 @@
 	g_free(t);
 }
 
-/* Monotonic milliseconds; only differences mean anything. */
+/*
+ * Monotonic milliseconds; only differences mean anything. They count the time
+ * that the machine was suspended, as the rest of the fleet's clocks do: a
+ * leader that wakes would else believe that it has just been sure it leads, and
+ * give orders beside its successor. The loop waits by a clock that doesn't, so
+ * what fell due meanwhile is called late, by its remaining wait at most.
+ */
 int64_t tmr_now(const struct tmr *t)
 {
 	struct timespec ts;
 
 	if (!t->ev)
 		return t->manual_now;
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
