A newcomer without a place holds no change of members up

Cause: rep_members_tick returned after trying to let a newcomer in, also when it was refused; the steps after it were never reached again. Beside it, a member whose folder was lost leaves only after the newcomer from its address was let in, which a full house refuses.

Change: a refusal goes on to the next newcomer and the later steps. In a full house a member whose address speaks for another folder may go first, under the same floor of voters as a dead one.

--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -2,6 +2,8 @@
 
 /* The other replicas: connections, greetings, and who is a member. */
 
+static bool rep_gone(const struct cns_members *s, const struct cns_member *m,
+		     const struct rep_peer *p, int64_t now);
 static bool rep_reached(const struct rep *r, const struct cns_member *m,
 			int64_t now);
 static bool rep_drop_member(struct rep *r, uint64_t id, const char *why);
@@ -10,7 +12,9 @@
 /*
  * Lets newcomers in and the dead out. A folder that was lost takes its old
  * member with it, since the newcomer speaks from the same address; otherwise a
- * silent member leaves only when a newcomer takes its place.
+ * silent member leaves only when a newcomer takes its place. When there is no
+ * place for a newcomer, a lost folder's member goes before it: the two would
+ * else wait for each other.
  */
 void rep_members_tick(struct rep *r, int64_t now)
 {
@@ -31,8 +35,9 @@
 			continue;
 		g_strlcpy(m.addr, p->addr, sizeof(m.addr));
 		g_strlcpy(m.name, p->addr, sizeof(m.name));
-		if (cns_add_learner(r->cns, &m) == CNS_DONE)
-			msg(MSG_CTL_MEMBER, "does=learner addr=%s", m.addr);
+		if (cns_add_learner(r->cns, &m) != CNS_DONE)
+			continue;
+		msg(MSG_CTL_MEMBER, "does=learner addr=%s", m.addr);
 		return;
 	}
 	for (i = 0; i < s.n; i++)
@@ -49,13 +54,23 @@
 		    cns_find(&s, p->id)->voter &&
 		    rep_drop_member(r, s.m[i].id, "its folder was lost"))
 			return;
-		if (now - p->heard_ms > REP_DEAD_MS &&
+		if (rep_gone(&s, &s.m[i], p, now) &&
 		    (!s.m[i].voter || voters > r->config.voters_min) &&
 		    rep_drop_member(r, s.m[i].id, "replaced"))
 			return;
 	}
 }
 
+/* Whether a member may leave before there is another in its place. */
+static bool rep_gone(const struct cns_members *s, const struct cns_member *m,
+		     const struct rep_peer *p, int64_t now)
+{
+	bool full = s->n == CNS_MEMBERS_MAX;
+
+	return now - p->heard_ms > REP_DEAD_MS ||
+	       (full && p->id && p->id != m->id);
+}
+
 /* Whether a member was heard of late, as the folder that it is. */
 static bool rep_reached(const struct rep *r, const struct cns_member *m,
 			int64_t now)
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -37,6 +37,7 @@
 	struct keyring *keys;
 	char *seeds[REPLICAS + 1];
 	struct node nodes[REPLICAS];
+	int waiting; /* port of a pretended replica without a place; 0: none */
 };
 
 static void node_apply(void *arg, uint64_t index, struct lstr cmd)
@@ -390,6 +391,83 @@
 	}
 }
 
+/* A replica at an address that only the others' records know. */
+static void pretend(struct bed *b, int port, uint64_t id, int64_t silent_ms)
+{
+	char addr[32];
+	int i;
+
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", port);
+	for (i = 0; i < REPLICAS; i++) {
+		struct rep_peer *p = rep_peer_at(b->nodes[i].rep, addr);
+
+		p->id = id;
+		p->heard_ms = tmr_now(b->tmr) - silent_ms;
+	}
+}
+
+/* Has the leader look after its members until id is one, or isn't. */
+static void looked_after(struct bed *b, uint64_t id, bool member)
+{
+	struct node *l = leader(b);
+	int ms;
+
+	for (ms = 0;
+	     ms < WAIT_MS && !!cns_find(rep_members(l->rep), id) != member;
+	     ms++) {
+		l = leader(b);
+		if (b->waiting)
+			pretend(b, b->waiting, CNS_MEMBERS_MAX, 0);
+		rep_members_tick(l->rep, tmr_now(b->tmr));
+		net_run(b->base, 1);
+	}
+	assert_true(!!cns_find(rep_members(l->rep), id) == member);
+}
+
+/* Fills all places for members with replicas that are pretended. */
+static void fill_places(struct bed *b)
+{
+	int id;
+
+	for (id = 1; id <= CNS_MEMBERS_MAX - REPLICAS; id++) {
+		pretend(b, id, (uint64_t)id, 0);
+		looked_after(b, (uint64_t)id, true);
+	}
+	assert_int_equal(rep_members(leader(b)->rep)->n, CNS_MEMBERS_MAX);
+}
+
+/*
+ * A dead replica stays a member for ever, and so does a learner that has caught
+ * up never count. There are more replicas than places for members; the leader
+ * tried to let the one without a place in, was refused, and tried nothing else.
+ * The dead one must go and its place be the newcomer's.
+ */
+static void a_newcomer_without_a_place_holds_nothing_up(void **state)
+{
+	struct bed *b = *state;
+
+	fill_places(b);
+	b->waiting = CNS_MEMBERS_MAX;
+	pretend(b, 1, 1, REP_DEAD_MS + 1);
+	looked_after(b, 1, false);
+	looked_after(b, CNS_MEMBERS_MAX, true);
+}
+
+/*
+ * All places are taken, and a replica comes back without its folder. It can't
+ * be let in for want of a place, and the member that it was before, which never
+ * comes back, would leave only after it was.
+ */
+static void a_lost_folder_is_replaced_though_places_are_full(void **state)
+{
+	struct bed *b = *state;
+
+	fill_places(b);
+	b->waiting = 1;
+	looked_after(b, 1, false);
+	looked_after(b, CNS_MEMBERS_MAX, true);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -401,6 +479,8 @@
 		T(a_replica_says_what_its_quorum_lacks),
 		T(all_lose_power_and_one_its_folder),
 		T(all_lose_power_during_a_repair),
+		T(a_newcomer_without_a_place_holds_nothing_up),
+		T(a_lost_folder_is_replaced_though_places_are_full),
 	};
 
 	return cmocka_run_group_tests_name("rep", tests, NULL, NULL);
