Recovery is refused of a folder that holds nothing, each time

--recover-alone on an empty folder was refused once; called again it succeeded: a fleet without a state, said to be recovered.

Cause: the refusal rested on the folder being made just now, and the refused call itself leaves a made folder behind.

Ruled out: taking the made folder away again; a voter that has voted and holds no entry has nothing to recover from either.

Measured: both tests of the new ctl_recover_test failed before the change and pass after it.

--- a/src/ctl_voter.c
+++ b/src/ctl_voter.c
@@ -264,7 +264,8 @@
 	if (!io)
 		return false;
 	s = sto_open(io, config->node, ctl_random_id(), &l, err);
-	if (s && l.fresh)
+	/* a folder that a refused call made holds nothing either */
+	if (s && !l.snap && l.entries->len == 0)
 		err_set(err, ERR_REFUSED, "recover", NULL,
 			"%s: there is nothing to recover from%s%s",
 			config->data, l.damage ? ": " : "",
