A folder set aside as damaged comes back under an id of its own

A replica of a fleet that is begun (bootstrap) whose folder was damaged came back under its old member id, having forgotten its votes and entries.

Cause: the id of a new folder is the caller's, worked out from the address, also when the folder is new because the old one was set aside.

Ruled out: a random id from the caller only when there is damage. A kill between setting aside and making anew leaves a folder that looks empty to the next start; what was set aside (damaged-*) still stands in it and tells.

Change: sto draws the id where content was set aside, now or before.

--- a/src/sto.c
+++ b/src/sto.c
@@ -1,6 +1,7 @@
 #include "sto_int.h"
 
 #include <errno.h>
+#include <sodium.h>
 #include <stdio.h>
 
 #include "err.h"
@@ -17,9 +18,10 @@
 
 static bool sto_empty(struct sto *s, GError **err);
 static bool sto_half_made(struct sto *s, uint64_t no, GError **err);
-static bool sto_set_aside(struct sto *s, uint64_t new_id, GError **err);
+static bool sto_set_aside(struct sto *s, GError **err);
 static bool sto_make(struct sto *s, const char *node, uint64_t new_id,
 		     GError **err);
+static uint64_t sto_random_id(void);
 static bool sto_go_on(struct sto *s, const struct sto_loaded *out,
 		      GError **err);
 static bool sto_tidy(struct sto *s, GError **err);
@@ -37,7 +39,8 @@
  * have lost what others were promised is set aside and the folder is made
  * anew: the old member then never answers again, as if its machine were gone,
  * and the new one is let in only once it has caught up. So no promise is ever
- * broken, at the price of one repair. NULL with ERR_IO or ERR_INPUT.
+ * broken, at the price of one repair. Its id is drawn then, and new_id not
+ * taken: a caller may give the same one at every start. NULL with ERR_IO or ERR_INPUT.
  */
 struct sto *sto_open(const struct sto_io *io, const char *node, uint64_t new_id,
 		     struct sto_loaded *out, GError **err)
@@ -62,7 +65,7 @@
 		*out = (struct sto_loaded){.entries = cns_entries_new(),
 					   .damage = damage,
 					   .fresh = true};
-		ok = sto_set_aside(s, new_id, err);
+		ok = sto_set_aside(s, err);
 	}
 	if (ok && out->fresh)
 		ok = sto_make(s, node, new_id, err);
@@ -238,6 +241,9 @@
 
 	if (!names)
 		return false;
+	for (i = 0; names[i]; i++)
+		if (g_str_has_prefix(names[i], STO_PREFIX_DAMAGED))
+			s->set_aside = true;
 	for (i = 0; empty && names[i]; i++)
 		if (strcmp(names[i], STO_NAME_IDENTITY) == 0 ||
 		    sto_number(names[i], STO_PREFIX_SNAP, &no) ||
@@ -276,7 +282,7 @@
  * is kept. The identity goes first and is synced: whatever of the rest a crash
  * leaves behind is then without one, and never read as a member again.
  */
-static bool sto_set_aside(struct sto *s, uint64_t new_id, GError **err)
+static bool sto_set_aside(struct sto *s, GError **err)
 {
 	char **names = sto_list(s, err);
 	uint64_t no;
@@ -303,6 +309,7 @@
 	}
 	g_strfreev(names);
 	g_array_set_size(s->segs, 0);
+	s->set_aside = true;
 	s->term = 0;
 	s->vote = 0;
 	s->last = 0;
@@ -311,7 +318,11 @@
 	return true;
 }
 
-/* Begins a folder: the identity comes last, so that it has a log for sure. */
+/*
+ * Begins a folder: the identity comes last, so that it has a log for sure. What
+ * was set aside, now or before a crash, may have made promises under the given
+ * id: the folder must be somebody else's.
+ */
 static bool sto_make(struct sto *s, const char *node, uint64_t new_id,
 		     GError **err)
 {
@@ -319,10 +330,10 @@
 	struct pk_out o;
 	bool ok;
 
-	s->id = new_id;
+	s->id = s->set_aside ? sto_random_id() : new_id;
 	pk_out_init(&o);
 	pk_arr(&o, 2);
-	pk_u(&o, new_id);
+	pk_u(&o, s->id);
 	pk_cstr(&o, node);
 	sto_rec_add(bytes, 0, 0, STO_IDENTITY, pk_out_view(&o));
 	pk_out_done(&o);
@@ -332,6 +343,15 @@
 	return ok;
 }
 
+static uint64_t sto_random_id(void)
+{
+	uint64_t id = 0;
+
+	while (id == 0)
+		randombytes_buf(&id, sizeof(id));
+	return id;
+}
+
 /* Goes on in a new log file, so that the old ones are never written again. */
 static bool sto_go_on(struct sto *s, const struct sto_loaded *out, GError **err)
 {
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -28,6 +28,7 @@
 	uint64_t size; /* of the last, synced */
 	GByteArray *pending;
 	uint64_t snap_index; /* 0: none */
+	bool set_aside; /* damaged content was, now or before */
 	bool failed;
 };
 
--- a/src/vot.h
+++ b/src/vot.h
@@ -31,7 +31,7 @@
 struct vot_config {
 	const char *node;
 	const char *data; /* folder */
-	uint64_t new_id; /* of a folder that is empty */
+	uint64_t new_id; /* of a folder that never held anything */
 	int64_t now_ms;
 	int64_t beat_ms;
 	int64_t election_ms;
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -468,6 +468,34 @@
 	looked_after(b, CNS_MEMBERS_MAX, true);
 }
 
+/*
+ * A replica of a fleet that has just begun, and still has the settings it was
+ * begun with, finds its folder damaged. It may have promised something, and
+ * came back as the member that it was. It must come back as somebody else.
+ */
+static void a_damaged_folder_comes_back_as_somebody_else(void **state)
+{
+	struct bed *b = *state;
+	struct node *n = &b->nodes[leader(b) == &b->nodes[0]];
+	uint64_t id = n->rep->id;
+	char *path = g_build_filename(n->data, "log-0000000000000001", NULL);
+	char *text;
+	gsize len;
+
+	say(b, "one ");
+	rep_free(n->rep);
+	assert_true(g_file_get_contents(path, &text, &len, NULL));
+	text[len / 2] ^= 1;
+	assert_true(g_file_set_contents(path, text, (gssize)len, NULL));
+	g_free(text);
+	g_free(path);
+	g_string_truncate(n->log, 0);
+	node_start(n);
+	assert_int_not_equal(n->rep->id, id);
+	repaired(b);
+	say(b, "two ");
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -481,6 +509,7 @@
 		T(all_lose_power_during_a_repair),
 		T(a_newcomer_without_a_place_holds_nothing_up),
 		T(a_lost_folder_is_replaced_though_places_are_full),
+		T(a_damaged_folder_comes_back_as_somebody_else),
 	};
 
 	return cmocka_run_group_tests_name("rep", tests, NULL, NULL);
--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -657,6 +657,56 @@
 	g_free(path);
 }
 
+/* Turns a bit of a file around. */
+static void flip(struct disk *d, const char *name)
+{
+	struct file *f = g_hash_table_lookup(d->now, name);
+
+	f->data->data[f->data->len / 2] ^= 1;
+}
+
+/*
+ * A replica of a fleet that is begun is given the same id at each start, worked
+ * out from its address. Its folder is damaged, and it came back under that id:
+ * a member that has forgotten what it promised, such as its vote. However often
+ * it is killed while the folder is set aside and made anew, it must come back
+ * as somebody else.
+ */
+static void a_damaged_folder_never_gets_its_id_back(void **state)
+{
+	bool killed = true;
+	int at;
+
+	for (at = 1; killed; at++) {
+		struct disk *d = disk_new();
+		struct sto_io io = disk_io(d);
+		struct promise p = {0};
+		struct sto_loaded l;
+		struct sto *s;
+
+		assert_true(work(d, &p));
+		disk_killed(d);
+		flip(d, "identity");
+		d->left = at;
+		s = sto_open(&io, "n", 7, &l, NULL);
+		killed = !s;
+		if (s)
+			assert_true(l.fresh && l.id != 7);
+		sto_loaded_clear(&l);
+		sto_free(s);
+		disk_dark(d, ~0U, LOSS_GONE);
+		s = sto_open(&io, "n", 7, &l, NULL);
+		assert_non_null(s);
+		assert_true(l.id != 7);
+		assert_int_equal(l.term, 0);
+		assert_int_equal(l.entries->len, 0);
+		sto_loaded_clear(&l);
+		sto_free(s);
+		disk_free(d);
+	}
+	assert_true(at > 8);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -668,6 +718,7 @@
 		cmocka_unit_test(a_failed_sync_at_a_start_is_not_forgotten),
 		cmocka_unit_test(a_folder_that_cant_be_listed_is_not_empty),
 		cmocka_unit_test(no_descriptor_for_a_list_is_an_error),
+		cmocka_unit_test(a_damaged_folder_never_gets_its_id_back),
 	};
 
 	return cmocka_run_group_tests_name("sto", tests, NULL, NULL);
