Which worker fails everything is decided in one place

What callers could see: work that lasts without a run though there is room. A job that fails at once wherever it runs, three times on each worker, had all of them shunned for 2 to 16 s: the session with a worker counted failed runs whosever fault they were, beside the scheduler, which blames a worker only for different jobs and none where half of them are suspect.

Cause: the decision stood twice. Kept: the scheduler's. What lasts waits out its pause of 5 s and nothing more, as it is never done and can't clear a worker.

wkr_test a_worker_on_which_all_fails_rests -> sch_test a_worker_that_fails_all_is_shunned, blackhole_test (as strict: three failures, no work), and what_lasts_waits_no_longer_than_a_pause, new. The line worker-shunned is now worker-fails-all.

--- a/src/hld.c
+++ b/src/hld.c
@@ -242,7 +242,7 @@
 		return HLD_TOO_LARGE;
 	if (!sch_usable(v->sch, w))
 		return hld_barred(v, w);
-	if (sch_shunned(&p->sch, w, false))
+	if (sch_shunned(&p->sch, w, s, false))
 		return HLD_SHUNNED;
 	if (w->barred)
 		return HLD_TICKET;
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -213,7 +213,7 @@
 			jtb_end_name(how), tmr_now(h->tmr) - run->ordered_ms,
 			run->percent);
 	hub_learn(h, run, how);
-	wkr_run_over(h->wkr, run, how);
+	wkr_run_over(h->wkr, run);
 	hub_dirty(h, run->worker->info.pool);
 	hub_dirty_job(h, run->job);
 }
@@ -584,6 +584,11 @@
 {
 	guint i;
 
+	if (sch_suspect(w, now) != w->suspect) {
+		w->suspect = !w->suspect;
+		msg(MSG_HUB_SUSPECT, "worker=%s suspect=%d failed=%u",
+		    w->info.id, w->suspect, w->fails);
+	}
 	for (i = 0; i < w->runs->len; i++) {
 		struct jtb_run *run = g_ptr_array_index(w->runs, i);
 
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -201,6 +201,7 @@
 	uint64_t failed_job; /* seq + 1 of the last of them, */
 	uint32_t fails_seen; /* how many were known in the last plan, */
 	int64_t failed_ms; /* and when these changed */
+	bool suspect; /* owner's: it was told of as one that fails all */
 	bool barred; /* owner's: has no ticket for that step */
 	uint64_t kept_for; /* owner's: seq + 1 of the job it is kept for, */
 	int64_t kept_ms; /* when it was last */
--- a/src/msg.c
+++ b/src/msg.c
@@ -77,12 +77,12 @@
 	[MSG_HUB_POOL] = {MSG_INFO, "pool"},
 	[MSG_HUB_PACE] = {MSG_INFO, "pace"},
 	[MSG_HUB_HELD] = {MSG_NOTICE, "held-back"},
+	[MSG_HUB_SUSPECT] = {MSG_WARN, "worker-fails-all"},
 	/* wkr: sessions with workers */
 	[MSG_WKR_LOST] = {MSG_NOTICE, "worker-silent"},
 	[MSG_WKR_BACK] = {MSG_NOTICE, "worker-back"},
 	[MSG_WKR_LAPSED] = {MSG_NOTICE, "worker-lapsed"},
 	[MSG_WKR_STRAY] = {MSG_WARN, "stray-run"},
-	[MSG_WKR_SHUNNED] = {MSG_WARN, "worker-shunned"},
 	/* adv: advice on which workers may run a step */
 	[MSG_ADV_TOLD] = {MSG_INFO, "advice"},
 	[MSG_ADV_FAILED] = {MSG_WARN, "advice-failed"},
--- a/src/msg.h
+++ b/src/msg.h
@@ -69,12 +69,12 @@
 	MSG_HUB_POOL,
 	MSG_HUB_PACE,
 	MSG_HUB_HELD,
+	MSG_HUB_SUSPECT,
 	/* wkr: sessions with workers */
 	MSG_WKR_LOST,
 	MSG_WKR_BACK,
 	MSG_WKR_LAPSED,
 	MSG_WKR_STRAY,
-	MSG_WKR_SHUNNED,
 	/* adv: advice on which workers may run a step */
 	MSG_ADV_TOLD,
 	MSG_ADV_FAILED,
--- a/src/sch.h
+++ b/src/sch.h
@@ -50,6 +50,7 @@
 bool sch_lasts(const struct jtb_job *job);
 bool sch_tells_time(const struct jtb_run *run, enum jtb_end how,
 		    int64_t led_ms);
+bool sch_suspect(const struct jtb_worker *w, int64_t now_ms);
 double sch_undone(const struct jtb_job *job, int64_t wall_ms);
 double sch_usable_cores(const struct jtb_job *job, int64_t wall_ms,
 			double core_mb);
--- a/src/sch_int.h
+++ b/src/sch_int.h
@@ -50,7 +50,7 @@
 struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
 			     uint32_t step, bool again);
 bool sch_shunned(const struct sch_pool *p, const struct jtb_worker *w,
-		 bool again);
+		 const struct jtb_step *s, bool again);
 bool sch_places(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
 		uint32_t step, const char *rack, GPtrArray *places);
 bool sch_tickets(struct sch_pool *p, const struct jtb_job *job, uint32_t turn,
--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -11,7 +11,6 @@
 
 static void sch_workers(struct sch_pool *p);
 static void sch_suspects(struct sch_pool *p);
-static bool sch_suspect(const struct sch_pool *p, const struct jtb_worker *w);
 static bool sch_could_fit(const struct jtb_worker *w, const struct jtb_step *s);
 static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
 			const struct jtb_step *s);
@@ -66,29 +65,33 @@
 		if (w->fails != w->fails_seen)
 			w->failed_ms = p->v->now_ms;
 		w->fails_seen = w->fails;
-		n += sch_suspect(p, w);
+		n += sch_suspect(w, p->v->now_ms);
 	}
 	p->suspects = n && 2 * n < p->workers->len;
 }
 
 /* Whether different jobs failed on a worker lately, and none was done since. */
-static bool sch_suspect(const struct sch_pool *p, const struct jtb_worker *w)
+bool sch_suspect(const struct jtb_worker *w, int64_t now_ms)
 {
-	return w->fails >= SCH_SUSPECT &&
-	       p->v->now_ms - w->failed_ms < SCH_TRUST_MS;
+	return w->fails >= SCH_SUSPECT && now_ms - w->failed_ms < SCH_TRUST_MS;
 }
 
 /*
- * Whether a worker gets nothing now as it is suspect. It is tried with one task
- * at a time, never one that has failed before; one that is done clears it.
+ * Whether a worker gets nothing of a step now as it is suspect. It is tried with
+ * one task at a time, never one that has failed before; one that is done clears
+ * it. What lasts is never done, and each moment without it is lost: it only
+ * waits out the pause, which is shorter than it may be without a run.
  */
 bool sch_shunned(const struct sch_pool *p, const struct jtb_worker *w,
-		 bool again)
+		 const struct jtb_step *s, bool again)
 {
-	if (!p->suspects || !sch_suspect(p, w))
+	bool pause = p->v->now_ms - w->failed_ms < SCH_TRY_MS;
+
+	if (!p->suspects || !sch_suspect(w, p->v->now_ms))
 		return false;
-	return again || p->v->now_ms - w->failed_ms < SCH_TRY_MS ||
-	       w->runs->len || w->plan_cpu;
+	if (s->flags & JTB_LASTS)
+		return pause;
+	return again || pause || w->runs->len || w->plan_cpu;
 }
 
 /* Whether new work may be given to a worker. */
@@ -112,7 +115,7 @@
 		double score;
 
 		if (!sch_fits(w, s) || !sch_allowed(w, s) ||
-		    sch_shunned(p, w, again) || sch_is_kept(p, w) ||
+		    sch_shunned(p, w, s, again) || sch_is_kept(p, w) ||
 		    (p->rack && g_strcmp0(sch_rack_of(w), p->rack) != 0))
 			continue;
 		score = sch_score(p, w, s);
@@ -178,7 +181,7 @@
 		double room = (double)w->info.cpu - w->used_cpu - w->plan_cpu;
 
 		if (!sch_could_fit(w, s) || !sch_allowed(w, s) ||
-		    sch_shunned(p, w, true) || sch_is_kept(p, w))
+		    sch_shunned(p, w, s, true) || sch_is_kept(p, w))
 			continue;
 		if (w->kept_for == job->seq + 1)
 			room += w->info.cpu;
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -98,7 +98,6 @@
 		l->w = w;
 		l->calls = g_ptr_array_new();
 		l->retry_ms = WKR_RETRY_MIN_MS;
-		l->bad_ms = WKR_BAD_MS;
 		w->owner = l;
 		g_ptr_array_add(k->links, l);
 	}
@@ -127,25 +126,9 @@
 }
 
 /* A run leaves the table. */
-void wkr_run_over(struct wkr *k, struct jtb_run *run, enum jtb_end how)
+void wkr_run_over(struct wkr *k, struct jtb_run *run)
 {
-	struct wkr_link *l = wkr_link_of(run->worker);
-
 	g_hash_table_remove(k->runs, &run->serial);
-	if (!l || !k->leading)
-		return;
-	if (how == JTB_DONE) {
-		l->bad_runs = 0;
-		l->bad_ms = WKR_BAD_MS;
-	}
-	if (how == JTB_FAILED_RUN && ++l->bad_runs >= WKR_BAD_RUNS) {
-		l->shun_until = tmr_now(k->config.tmr) + l->bad_ms;
-		l->bad_ms = MIN(2 * l->bad_ms, WKR_BAD_MAX_MS);
-		/* one more failure is enough next time */
-		l->bad_runs = WKR_BAD_RUNS - 1;
-		msg(MSG_WKR_SHUNNED, "worker=%s runs=%d for_ms=%" PRId64,
-		    l->w->info.id, WKR_BAD_RUNS, l->bad_ms);
-	}
 }
 
 /* Ends a run as soon as its worker can be told. */
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -31,7 +31,7 @@
 	WKR_FREE, /* nothing */
 	WKR_DRAINS, /* it has said that it leaves */
 	WKR_UNHEARD, /* it doesn't answer, or hasn't yet */
-	WKR_SHUNNED, /* it failed or refused too much a moment ago */
+	WKR_SHUNNED, /* it was ill or full a moment ago */
 };
 
 /* What a worker answers to an order. */
@@ -153,7 +153,7 @@
 void wkr_worker(struct wkr *k, struct jtb_worker *w);
 void wkr_forget(struct wkr *k, struct jtb_worker *w);
 void wkr_run(struct wkr *k, struct jtb_run *run);
-void wkr_run_over(struct wkr *k, struct jtb_run *run, enum jtb_end how);
+void wkr_run_over(struct wkr *k, struct jtb_run *run);
 void wkr_stop(struct wkr *k, struct jtb_run *run);
 void wkr_pace(struct wkr *k, struct jtb_run *run, int percent);
 void wkr_stored(struct wkr *k);
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -45,14 +45,6 @@
 #define WKR_FULL_MS 150
 /* And one that said that it is ill. */
 #define WKR_SICK_MS 1500
-/*
- * Runs in a row that failed on a worker, by which it is taken as bad: of work
- * that fails by its own fault, 3 in 100, three in a row are 1 in 37,000. It
- * is tried again with little after the pause, which doubles.
- */
-#define WKR_BAD_RUNS 3
-#define WKR_BAD_MS 2000
-#define WKR_BAD_MAX_MS 16000
 /* Largest answer taken: 500 ends and all that runs on a large worker. */
 #define WKR_ANSWER_MAX (1 << 20)
 /* What fills works at that share until a new leader knows more, percent. */
@@ -87,8 +79,6 @@
 	int64_t failed_since; /* not reached since; 0: it was */
 	int64_t retry_ms;
 	int64_t shun_until;
-	int64_t bad_ms;
-	int bad_runs;
 	uint64_t await_no; /* end that must be stored before the next hold */
 	bool leaves; /* it has said that it ends */
 	/*
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -184,6 +184,32 @@
 	assert_string_equal(place_one(b), "w1");
 }
 
+/*
+ * Work that lasts is without a run though a worker has room: a job that fails
+ * at once wherever it runs had all workers of its pool shunned in turn. What
+ * lasts only waits out the pause of one that fails everything.
+ */
+static void what_lasts_waits_no_longer_than_a_pause(void **state)
+{
+	struct bed *b = *state;
+
+	three_workers(b);
+	fail_on(b, 1, "w1");
+	fail_on(b, 2, "w1");
+	fail_on(b, 3, "w1");
+	job(b, "l", 1, 8000, 0, JTB_LASTS, 0);
+	plan(b);
+	assert_string_equal(b->log->str, "");
+	/* it has failed before, and something runs there */
+	jobs_start(b->jtb, "l", 0, 0, 1, "w2");
+	jobs_end(b->jtb, "l", 0, 0, 1, "w2", JTB_FAILED_RUN);
+	job(b, "m", 1, 100, 0, JTB_LASTS, 0);
+	jobs_start(b->jtb, "m", 0, 0, 1, "w1");
+	b->later_ms = 5000;
+	plan(b);
+	assert_string_equal(b->log->str, "l.0.0@w1 ");
+}
+
 /*
  * Bad jobs fail wherever they run. Were the workers taken for black holes, the
  * whole pool would stand still.
@@ -969,6 +995,7 @@
 		T(a_flood_of_cancels_delays_nothing),
 		T(a_worker_that_fails_all_is_shunned),
 		T(what_is_done_clears_a_worker),
+		T(what_lasts_waits_no_longer_than_a_pause),
 		T(bad_jobs_shun_no_worker),
 		T(a_closed_worker_gets_nothing),
 		T(work_that_lasts_goes_first),
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -748,24 +748,6 @@
 	wait_for(b, &b->gone_for_good);
 }
 
-/*
- * A worker on which all fails draws all the work, since it is always free.
- */
-static void a_worker_on_which_all_fails_rests(void **state)
-{
-	struct bed *b = *state;
-	const struct jtb_worker *w = jtb_worker(b->jtb, "w");
-	int i;
-
-	start(b);
-	assert_true(wkr_usable(b->wkr, w));
-	for (i = 0; i < 2; i++)
-		wkr_run_over(b->wkr, b->run, JTB_FAILED_RUN);
-	assert_true(wkr_usable(b->wkr, w));
-	wkr_run_over(b->wkr, b->run, JTB_FAILED_RUN);
-	assert_false(wkr_usable(b->wkr, w));
-}
-
 /*
  * A task that was done is done again. The worker forgets an end that we have
  * acknowledged, and our log hasn't got it yet when we are killed.
@@ -869,7 +851,6 @@
 		T(a_leaving_worker_is_over_with_its_port),
 		T(a_closed_port_alone_is_no_end),
 		T(another_lifetime_ends_the_one_we_meant),
-		T(a_worker_on_which_all_fails_rests),
 		T(an_end_is_acknowledged_once_it_is_stored),
 		T(a_start_carries_its_ticket),
 		T(a_start_without_a_ticket_is_not_sent),
