A hole is told in the last bytes of a header, and not in an earlier format

A voter whose newest log file was written by an earlier version, and whose head was then found as zeros, came up as the same member without the votes in it. The other way round, a sound folder was set aside after a write that the kernel cut short within the last 8 bytes of a header and a loss of power behind it.

Cause: whether zeros are torn was asked of the file's first record, also where that is the one that is wrong; and a header that can't be read had its hole looked for in its own bytes only, where one of under a word doesn't show.

Change: behind a bad first record, records of the earlier format are looked for at every byte, and one of them tells that the file was synced. The search for a hole goes on into the first word of the body, which any record has.

--- a/src/sto_rec.c
+++ b/src/sto_rec.c
@@ -144,13 +144,16 @@
 bool sto_rec_unsynced(uint64_t file, struct lstr bytes, size_t at)
 {
 	struct sto_header h;
-	size_t end = at + STO_LOG_HEADER;
+	/* Any body has a word, where a hole in the header's last bytes goes on. */
+	size_t end = at + STO_LOG_HEADER + STO_WORD;
+	/* Records of an earlier format begin anywhere. */
+	size_t step = at > 0 ? STO_WORD : 1;
 	size_t i;
 
 	/* In files of an earlier format zeros show nothing. */
 	if (at > 0 && (!sto_header_read(file, bytes, 0, &h) || !h.log))
 		return false;
-	for (i = at + STO_WORD; i < bytes.len; i += STO_WORD)
+	for (i = at + step; i < bytes.len; i += step)
 		if (sto_header_read(file, bytes, i, &h) &&
 		    (!h.log || h.synced > at))
 			return false;
--- a/tests/unit/sto_format_test.c
+++ b/tests/unit/sto_format_test.c
@@ -13,6 +13,8 @@
 #define FOLDER 77
 #define TERM 5
 #define VOTE 3
+/* The least that a disk writes whole, bytes. */
+#define SECTOR 512
 
 static int setup(void **state)
 {
@@ -130,6 +132,81 @@
 	sto_loaded_clear(&l);
 }
 
+/* The same of its first record, which was synced long before. */
+static void zeros_excuse_nothing_at_the_head_either(void **state)
+{
+	GByteArray *log = old_folder(*state);
+	struct sto_loaded l;
+
+	memset(log->data, 0, 24);
+	put(*state, "log-0000000000000001", log);
+	g_byte_array_free(log, TRUE);
+	look(*state, &l);
+	assert_non_null(l.damage);
+	assert_true(l.fresh);
+	sto_loaded_clear(&l);
+}
+
+/*
+ * The same where an older file has an earlier vote. The newest one was removed
+ * as a torn write, and the voter came up as the same member with a vote that it
+ * had given in between forgotten.
+ */
+static void zeros_excuse_nothing_at_the_head_of_a_later_file(void **state)
+{
+	GByteArray *log = old_folder(*state);
+	struct sto_loaded l;
+
+	g_byte_array_set_size(log, 0);
+	add(log, 2, STO_HEAD, 5, (uint64_t[]){FOLDER, 2, TERM, VOTE, 1}, NULL);
+	add(log, 2, STO_VOTE, 2, (uint64_t[]){TERM + 1, VOTE + 1}, NULL);
+	memset(log->data, 0, 24);
+	put(*state, "log-0000000000000002", log);
+	g_byte_array_free(log, TRUE);
+	look(*state, &l);
+	assert_non_null(l.damage);
+	assert_true(l.fresh);
+	sto_loaded_clear(&l);
+}
+
+/*
+ * A folder is called damaged, and set aside, that kept all it was asked to
+ * keep. The kernel cut a write short within the header of a record, and that
+ * much was synced. Of the rest a loss of power left the second sector and not
+ * the first; the hole's part within the header is under a word.
+ */
+static void what_follows_a_short_write_is_told_from_damage(void **state)
+{
+	GByteArray *log = g_byte_array_new();
+	GByteArray *batch = g_byte_array_new();
+	struct sto_rec rec = {0};
+	char body[2 * SECTOR];
+	size_t start;
+	size_t cut;
+
+	memset(body, 'x', sizeof(body));
+	sto_rec_add_log(log, 1, 0, STO_HEAD, lstr_n(body, 20));
+	start = log->len;
+	sto_rec_add_log(batch, 1, start, STO_ENTRY, lstr_n(body, sizeof(body)));
+	g_byte_array_append(log, batch->data, batch->len);
+	g_byte_array_free(batch, TRUE);
+	for (cut = start; cut + sizeof(uint64_t) <= SECTOR; cut++) {
+		uint8_t *left = g_memdup2(log->data, log->len);
+		struct lstr bytes = lstr_n((char *)left, log->len);
+		size_t at = 0;
+
+		memset(left + cut, 0, SECTOR - cut);
+		assert_int_equal(sto_rec_read(1, bytes, &at, &rec),
+				 STO_READ_REC);
+		assert_int_equal(sto_rec_read(1, bytes, &at, &rec),
+				 STO_READ_BAD);
+		assert_true(sto_rec_unsynced(1, bytes, at));
+		g_free(left);
+	}
+	sto_rec_done(&rec);
+	g_byte_array_free(log, TRUE);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -137,6 +214,9 @@
 	const struct CMUnitTest tests[] = {
 		T(a_folder_of_an_earlier_version_is_read),
 		T(zeros_excuse_nothing_in_an_earlier_versions_log),
+		T(zeros_excuse_nothing_at_the_head_either),
+		T(zeros_excuse_nothing_at_the_head_of_a_later_file),
+		T(what_follows_a_short_write_is_told_from_damage),
 	};
 
 	return cmocka_run_group_tests_name("sto_format", tests, NULL, NULL);
