--- a/tests/unit/ctl_recover_test.c
+++ b/tests/unit/ctl_recover_test.c
@@ -34,20 +34,20 @@
 	return 0;
 }
 
-static bool recover(char *path, GError **err)
+static bool recover(const char *path, GError **err)
 {
 	char *peers[] = {(char *)"n1=127.0.0.1:1", NULL};
 	struct ctl_config config = {
 		.node = (char *)"n1",
 		.listen = (char *)"127.0.0.1:1",
-		.data = path,
+		.data = (char *)path,
 		.peers = peers,
 	};
 
 	return ctl_recover(&config, err);
 }
 
-static void refused(char *path)
+static void refused(const char *path)
 {
 	GError *err = NULL;
 
