--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -12,10 +12,19 @@
 #include "err.h"
 #include "sto.h"
 
+/* Of which a disk writes whole ones, bytes. */
+#define WORD 8
+
 /* What a loss of power leaves of bytes that were never synced. */
 enum loss {
 	LOSS_GONE,
 	LOSS_THERE,
+	LOSS_TORN, /* the first of those that tear a write */
+	LOSS_PREFIX = LOSS_TORN, /* half of them last */
+	LOSS_ZEROS, /* their length does */
+	LOSS_HEAD, /* zeros for the first two words */
+	LOSS_MIDDLE, /* zeros for a word in the middle */
+	LOSS_TAIL, /* zeros for the second half */
 	LOSS_KINDS
 };
 
@@ -263,6 +272,28 @@
 	g_ptr_array_set_size(d->open, 0);
 }
 
+/* What a loss of power leaves of a file. */
+static void file_torn(struct file *f, enum loss loss)
+{
+	gsize left = f->data->len - f->synced;
+	guint8 *p = f->data->data + f->synced;
+
+	if (loss == LOSS_GONE)
+		g_byte_array_set_size(f->data, (guint)f->synced);
+	else if (loss == LOSS_PREFIX)
+		g_byte_array_set_size(f->data, (guint)(f->synced + left / 2));
+	else if (left && loss == LOSS_ZEROS)
+		memset(p, 0, left);
+	else if (left && loss == LOSS_HEAD)
+		memset(p, 0, MIN(2 * WORD, left));
+	else if (left >= 4 * WORD && loss == LOSS_MIDDLE)
+		memset(p + left / 2 / WORD * WORD, 0, WORD);
+	else if (left && loss == LOSS_TAIL)
+		memset(p + left / 2, 0, left - left / 2);
+	f->synced = f->data->len;
+	f->clean = false;
+}
+
 /* The machine is dark; of unsynced names, those in mask have lasted. */
 static void disk_dark(struct disk *d, unsigned int mask, enum loss loss)
 {
@@ -279,10 +310,7 @@
 	g_hash_table_remove_all(d->now);
 	g_hash_table_iter_init(&it, d->lasting);
 	while (g_hash_table_iter_next(&it, &name, (gpointer *)&f)) {
-		if (loss == LOSS_GONE)
-			g_byte_array_set_size(f->data, (guint)f->synced);
-		f->synced = f->data->len;
-		f->clean = false;
+		file_torn(f, loss);
 		g_hash_table_insert(d->now, g_strdup(name), file_ref(f));
 	}
 	disk_killed(d);
@@ -376,6 +404,34 @@
 	return ok;
 }
 
+/* Puts a leader's snapshot in place of the log. */
+static bool store_install(struct sto *s, struct promise *p)
+{
+	struct cns_members members = {.lineage = 1};
+	GBytes *data = g_bytes_new_static("state", 5);
+	struct cns_snap *snap = cns_snap_new(p->last + 3, 2, &members, data);
+	bool ok = sto_install(s, snap, NULL);
+
+	if (ok)
+		p->last = snap->index;
+	cns_snap_free(snap);
+	g_bytes_unref(data);
+	return ok;
+}
+
+/* The same of one that is far behind and gets the leader's snapshots. */
+static bool fall_behind(struct disk *d, struct promise *p)
+{
+	struct sto *s = life(d, 7, p);
+	bool ok = s && store_vote(s, p, 1) && store_entry(s, p) &&
+		  store_install(s, p) && store_entry(s, p) &&
+		  store_install(s, p) && store_entry(s, p) &&
+		  store_snapshot(s, p) && store_entry(s, p);
+
+	sto_free(s);
+	return ok;
+}
+
 /* What a voter's process does until it is killed; false: it was. */
 static bool work(struct disk *d, struct promise *p)
 {
@@ -392,19 +448,22 @@
 
 /* One choice of what goes wrong when. */
 struct woe {
+	bool (*work)(struct disk *d, struct promise *p);
 	int kill_at; /* operation of the first process */
+	int again_at; /* of one after it; 0: there is none */
 	int dark_at; /* operation of the second */
 	unsigned int mask; /* names that last */
 	enum loss loss;
 	/* what became of it */
 	bool killed; /* the first process had more to do */
+	bool again; /* so had the one after it */
 	bool cut_short; /* so had the second */
 	guint changes; /* names that weren't synced */
 };
 
 /*
- * One process is killed, the next goes on for a moment until the machine is
- * dark, and a third must find all that the two promised.
+ * One process is killed, perhaps another, the next goes on for a moment until
+ * the machine is dark, and the last must find all that they promised.
  */
 static void kill_then_dark(struct woe *woe)
 {
@@ -413,8 +472,15 @@
 	struct sto *s;
 
 	d->left = woe->kill_at;
-	woe->killed = !work(d, &p);
+	woe->killed = !woe->work(d, &p);
 	disk_killed(d);
+	if (woe->again_at) {
+		d->left = woe->again_at;
+		s = life(d, 18, &p);
+		woe->again = !s || !store_entry(s, &p);
+		sto_free(s);
+		disk_killed(d);
+	}
 	d->left = woe->dark_at;
 	s = life(d, 8, &p);
 	woe->cut_short = !s || !store_entry(s, &p);
@@ -428,17 +494,36 @@
 	disk_free(d);
 }
 
-/* Every choice of what a loss of power leaves. */
+/*
+ * Every choice of what a loss of power leaves of names, and of writes whole or
+ * not at all; writes are torn in one way at each moment, with all names or none.
+ */
 static void each_loss(struct woe *woe)
 {
 	int loss;
 
-	for (loss = 0; loss < LOSS_KINDS; loss++) {
+	for (loss = 0; loss < LOSS_TORN; loss++) {
 		woe->loss = (enum loss)loss;
 		woe->changes = 0;
 		for (woe->mask = 0; woe->mask >> woe->changes == 0; woe->mask++)
 			kill_then_dark(woe);
 	}
+	loss += (woe->kill_at + woe->dark_at) % (LOSS_KINDS - LOSS_TORN);
+	woe->loss = (enum loss)loss;
+	woe->mask = 0;
+	kill_then_dark(woe);
+	woe->mask = ~0U;
+	kill_then_dark(woe);
+}
+
+/* One choice of what a loss of power leaves, another at each moment. */
+static void one_loss(struct woe *woe)
+{
+	int n = woe->kill_at + woe->again_at + woe->dark_at;
+
+	woe->mask = n % 2 ? ~0U : 0;
+	woe->loss = (enum loss)(n % LOSS_KINDS);
+	kill_then_dark(woe);
 }
 
 /*
@@ -454,7 +539,7 @@
  */
 static void a_kill_before_a_loss_of_power_costs_no_folder(void **state)
 {
-	struct woe woe = {.killed = true};
+	struct woe woe = {.work = work, .killed = true};
 
 	for (woe.kill_at = 1; woe.killed; woe.kill_at++) {
 		woe.cut_short = true;
@@ -657,6 +742,44 @@
 	g_free(path);
 }
 
+/*
+ * The same of a voter that lies far behind, and gets snapshots of a leader in
+ * place of its log: files of before are on their way out at most moments.
+ */
+static void a_kill_during_an_install_costs_no_folder(void **state)
+{
+	struct woe woe = {.work = fall_behind, .killed = true};
+
+	for (woe.kill_at = 1; woe.killed; woe.kill_at++) {
+		woe.cut_short = true;
+		for (woe.dark_at = 1; woe.cut_short; woe.dark_at++)
+			each_loss(&woe);
+	}
+	assert_true(woe.kill_at > 30);
+}
+
+/*
+ * The same where a second process is killed during its start, as a daemon is
+ * that its supervisor starts anew at once. Of unsynced names all or none last,
+ * and of all moments every sixth is tried.
+ */
+static void two_kills_before_a_loss_of_power_cost_no_folder(void **state)
+{
+	struct woe woe = {.work = work, .killed = true};
+
+	for (woe.kill_at = 1; woe.killed; woe.kill_at++) {
+		woe.again = true;
+		woe.again_at = 1 + woe.kill_at % 2;
+		for (; woe.again; woe.again_at += 2) {
+			woe.cut_short = true;
+			woe.dark_at = 1 + woe.again_at % 3;
+			for (; woe.cut_short; woe.dark_at += 3)
+				one_loss(&woe);
+		}
+	}
+	assert_true(woe.kill_at > 30);
+}
+
 /* Turns a bit of a file around. */
 static void flip(struct disk *d, const char *name)
 {
@@ -711,6 +834,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_kill_before_a_loss_of_power_costs_no_folder),
+		cmocka_unit_test(a_kill_during_an_install_costs_no_folder),
+		cmocka_unit_test(
+			two_kills_before_a_loss_of_power_cost_no_folder),
 		cmocka_unit_test(a_log_that_cant_be_read_is_no_torn_write),
 		cmocka_unit_test(a_half_made_folder_that_cant_be_read_is_kept),
 		cmocka_unit_test(
