A start that fails for its data folder is told as folder-failed

Cause: a start now writes its newest log file anew and can run out of room doing so (here over 16 KB at a limit of 16 KB); vot told of failures after the start only, though a start could fail before as well.

Ruled out: leaving the file as it is when there is no room; what a start answers for would rest on nothing again.

Change: an error of the disk at a start gives the same line. The test changes in its schedule, and no check of it goes: before the disk that fills up at work, the voter is started once more, so that its newest log is small and it fails at work as before; then a start without room must end with status 1, tell it, and not say that it started.

--- a/src/vot.c
+++ b/src/vot.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <sodium.h>
 
+#include "err.h"
 #include "msg.h"
 
 /* Weight of the newest sync in the moving mean: 1 in so many. */
@@ -37,6 +38,7 @@
 			GError **err);
 static void vot_apply(struct vot *v, const struct cns_entry *e);
 static void vot_snapshot(struct vot *v);
+static void vot_tell_failed(const struct vot *v, const GError *why);
 static void vot_fail(struct vot *v, GError *why);
 
 /*
@@ -166,14 +168,19 @@
 		.beat_ms = v->config.beat_ms,
 		.election_ms = v->config.election_ms,
 	};
+	GError *why = NULL;
 	bool ok = true;
 
 	v->io = sto_folder_new(v->config.data, err);
 	if (!v->io)
 		return false;
-	v->sto = sto_open(v->io, v->config.node, v->config.new_id, &l, err);
-	if (!v->sto)
+	v->sto = sto_open(v->io, v->config.node, v->config.new_id, &l, &why);
+	if (!v->sto) {
+		if (g_error_matches(why, ERR_DOMAIN, ERR_IO))
+			vot_tell_failed(v, why);
+		g_propagate_error(err, why);
 		return false;
+	}
 	v->id = l.id;
 	config.id = l.id;
 	if (l.damage)
@@ -291,6 +298,13 @@
 	g_bytes_unref(data);
 }
 
+/* Tells of a failed folder; the same line at a start and later. */
+static void vot_tell_failed(const struct vot *v, const GError *why)
+{
+	msg(MSG_STO_FAILED, "node=%s why=\"%s\" does=\"stop\"", v->config.node,
+	    why->message);
+}
+
 /*
  * The folder failed: what it holds is not known any more, so this process
  * must answer nobody. The next start looks at what there is.
@@ -298,8 +312,7 @@
 static void vot_fail(struct vot *v, GError *why)
 {
 	v->failed = true;
-	msg(MSG_STO_FAILED, "node=%s why=\"%s\" does=\"stop\"", v->config.node,
-	    why->message);
+	vot_tell_failed(v, why);
 	v->ops->failed(v->arg, why);
 	g_error_free(why);
 }
--- a/tests/system/control_test.sh
+++ b/tests/system/control_test.sh
@@ -159,13 +159,32 @@
 for n in a b c; do
 	[ $n != "$l" ] && full=$n
 done
+again() {
+	start "$full"
+	wait_for "a voter whose disk was full has not caught up" same "$full"
+	kill -TERM "$(pid "$full")"
+	wait "$(pid "$full")" 2>/dev/null
+}
 kill -TERM "$(pid "$full")"
 wait "$(pid "$full")" 2>/dev/null
+# what a start writes anew of its newest log is then little
+again
 FILES=32 start "$full"
 submit --count 500 --prefix full --window 16 || fail "commands beside a full disk"
 wait "$(pid "$full")"
 [ $? = 1 ] || fail "a voter with a full disk goes on"
 grep -q msg=folder-failed "$dir/$full.log" || fail "a full disk is not told"
+
+# So does one that has no room for its start.
+again
+starts=$(grep -c msg=start "$dir/$full.log")
+FILES=32 start "$full"
+wait "$(pid "$full")"
+[ $? = 1 ] || fail "a start without room goes on"
+[ "$(grep -c msg=start "$dir/$full.log")" = "$starts" ] ||
+	fail "a start without room was told as one"
+[ "$(grep -c msg=folder-failed "$dir/$full.log")" = 2 ] ||
+	fail "a start without room is not told"
 start "$full"
 wait_for "a voter whose disk was full has not caught up" same "$full"
 
