--- a/tests/system/advice_test.sh
+++ b/tests/system/advice_test.sh
@@ -54,6 +54,22 @@
 twice=$(cat "$tmp"/w*.log | grep '^done ' | cut -d' ' -f2 | sort | uniq -d)
 [ -z "$twice" ] || fail "done twice: $twice"
 
+# A job that was accepted and is handed in again is never told that it was not,
+# also when nobody gives advice any more.
+for n in 1 2 3; do
+	[ -f "$tmp/c$n.pid" ] || continue
+	sed -i "s/^advice = .*/advice =/" "$tmp/c$n.conf"
+	kill -HUP "$(jobs_pid "c$n")"
+done
+tries=0
+until "$BIN/endive-job" --to "$entries" --jobs 1 --first 5000 --seconds 1 2>&1 |
+	grep -q 'not accepted'; do
+	tries=$((tries + 1))
+	[ $tries -lt 10 ] || fail "accepted without advice"
+done
+"$BIN/endive-job" --to "$entries" --jobs 1 --first 100 --seconds 5 \
+	>"$tmp/out" 2>&1 || { cat "$tmp/out"; fail "refused when sent again"; }
+
 # A way to give orders that isn't built is said loudly at the start.
 jobs_orders=other
 jobs_control 9 false
