A call that ends for want of a descriptor doesn't end its daemon

The bounds of a new connection are set after its request was made; without a descriptor the call is over by then, and has no connection.

Ruled out: memory over its limit (the faults come at once, at a null pointer: the test stops in ups_conn_bound).

Change: the bounds are set where there is a connection. ups_test a_call_without_a_descriptor_ends fails without it.

--- a/src/ups.c
+++ b/src/ups.c
@@ -216,7 +216,8 @@
 		/* evhttp has freed the request. */
 		call->req = NULL;
 		ups_finish(call, UPS_NOT_SENT);
-	} else if (!call->reused) {
+	} else if (!call->reused && call->conn) {
+		/* without a descriptor for it the call is over by now */
 		ups_conn_bound(call->conn);
 	}
 	return call;
--- a/tests/unit/ups_test.c
+++ b/tests/unit/ups_test.c
@@ -5,6 +5,7 @@
 #include <cmocka.h>
 
 #include <errno.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +14,8 @@
 
 #define WAIT_MS 3000
 #define MAX_ANSWER 100
+/* Open files of a process that has no more. */
+#define FEW_FILES 64
 /* More than the kernel holds for a target that doesn't read. */
 #define HELD_BYTES (16 << 20)
 
@@ -381,6 +384,41 @@
 	g_string_free(answer, TRUE);
 }
 
+/*
+ * A control daemon of a large fleet ends with a fault, and again after each
+ * start: it has as many connections to workers as it may have files open, and
+ * the next call ends within the call that begins it, for want of a socket.
+ */
+static void a_call_without_a_descriptor_ends(void **state)
+{
+	struct bed *b = *state;
+	GArray *fds = g_array_new(FALSE, FALSE, sizeof(int));
+	struct rlimit all;
+	struct rlimit few;
+	int fd;
+	guint i;
+
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &all), 0);
+	few = all;
+	few.rlim_cur = FEW_FILES;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &few), 0);
+	while ((fd = dup(b->listener)) >= 0)
+		g_array_append_val(fds, fd);
+	assert_int_equal(errno, EMFILE);
+	start(b, EVHTTP_REQ_GET, WAIT_MS);
+	wait_end(b);
+	assert_int_not_equal(b->end, UPS_WHOLE);
+	for (i = 0; i < fds->len; i++)
+		close(g_array_index(fds, int, i));
+	g_array_free(fds, TRUE);
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &all), 0);
+	start(b, EVHTTP_REQ_GET, WAIT_MS);
+	fd = play(b, OK_ANSWER);
+	wait_end(b);
+	assert_int_equal(b->end, UPS_WHOLE);
+	close(fd);
+}
+
 /* A call given up is never told, and its connection never used again. */
 static void a_cancelled_call_is_silent(void **state)
 {
@@ -489,6 +527,7 @@
 		T(only_young_connections_serve_again),
 		T(without_connection_nothing_was_sent),
 		T(larger_answers_come_in_parts),
+		T(a_call_without_a_descriptor_ends),
 		T(a_cancelled_call_is_silent),
 		T(what_is_held_up_is_lost_with_its_call),
 	};
