Tasks pack the workers of a pool instead of spreading over them

Callers saw the first seconds of a burst late: the VMs that their pool asked for were in pools whose burst was over, each with a last task on it. Placement gave each task to the emptiest worker, so all VMs of a pool stayed in use until the last of them had nothing left; moving one waits for that, up to 1.8 s.

Change: the fullest worker that has room goes first. A worker that fails all it starts is empty and so comes last now, and draws in less.

--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -270,14 +270,17 @@
 }
 
 /*
- * Spreads: the worker with the most room left, so that one that fails takes
- * little with it; where the data is counts for more than that.
+ * Packs: the fullest worker that has room. Where tasks are spread, each VM of a
+ * pool whose burst is over has a last task on it for as long as tasks take, and
+ * the next burst waits for all of these; packed, the others are empty at once. A
+ * worker that fails takes more with it, and as many fewer have anything to
+ * lose. Where the data is counts for more than that.
  */
 static double sch_score(struct sch_pool *p, const struct jtb_worker *w,
 			const struct jtb_step *s)
 {
 	double cpu = w->info.cpu ? w->info.cpu : 1;
-	double score = 1 - (w->used_cpu + w->plan_cpu) / cpu;
+	double score = (w->used_cpu + w->plan_cpu) / cpu;
 	guint i;
 
 	if (s->rack && sch_has_label(w, s->rack))
