A pool's load is what it needs once a VM has come

Callers saw VMs leave a pool in the middle of its burst and come back seconds later (load of one pool second by second: 1284, 1280, 659, 1455, 280, 611 while its use was 430 to 590 cores), and all spare VMs fetched for a single large job.

Cause: a job counted for at most its undone work over 1.2 s, whether it ran or waited, so that a burst that was served counted for less than it had in use; what comes was its rate and 4.5 times its growth, less all that was in use, so that the sum rested on the noise of a few jobs.

Change: what waits counts in full, by its chance to be of use; what runs by how much of it will still run when a VM has come; what comes by its rate then, and as far as it comes within that time, which for long work is a part of what it needs. Files: flo_rate (what comes) is apart from flo_load (what there is).

--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -6,17 +6,19 @@
 #include "sch.h"
 
 /*
- * Work that waits should be through in so long, ms: about what a job of the
- * shorter queues may take beyond its own work before it is late.
+ * Files, each using only those before it: flo_rate (what comes), flo_load (what
+ * pools have and need), flo_pick (which VM is missed least), flo (moves).
  */
-#define FLO_DRAIN_MS 1200
+
+/* From the decision to fetch a VM until work runs on it: mostly the move, ms. */
+#define FLO_FETCH_MS 1800.0
 /* A pool whose load is over this share of its room is busy. */
 #define FLO_BUSY 0.75
 /* A giver keeps this much more room than it has load. */
 #define FLO_SPARE 1.5
 /*
- * A pool is given this much more room than it has load: a VM costs a
- * fifteenth of what the work is worth that it would do in a burst.
+ * A pool is given this much more room than it has load: a VM that idles costs
+ * far less than work that is late for want of it.
  */
 #define FLO_ROOM 1.25
 /* Time over which the jobs that come are averaged, ms. */
@@ -25,10 +27,12 @@
 #define FLO_RATE_SLOW_MS 1500
 /*
  * How far ahead of a growing rate VMs are asked for, times the difference of
- * the two means: these lie about 1 s apart, a move takes 1.5 s, and a burst
- * grows for some 2 s more. From 1.5 to 6 no two were told apart.
+ * the two means: they lag by half a second and by two, and the rate is wanted
+ * as it will be when a VM has come.
  */
-#define FLO_AHEAD 4.5
+#define FLO_AHEAD ((FLO_FETCH_MS + FLO_RATE_MS) / FLO_RATE_SLOW_MS)
+/* Share of one more job in the mean of their chains. */
+#define FLO_CHAIN_SHARE 0.1
 /*
  * Jobs in that time by which half of the rate is believed: one large job alone
  * must not fetch VMs for a stream of its like. Up to so many, no rate grows: a
@@ -37,11 +41,8 @@
 #define FLO_RATE_JOBS 2
 /*
  * Share of its room that work counts for which will be late whatever is done:
- * callers have a tenth of its use or less, and it held the VMs that the next
- * burst's first jobs needed to be in time. With what runs making room for what
- * comes and the two rules below, fleets of 49 earned 0.554 of their worth
- * instead of 0.542, of 350 0.471 instead of 0.450 (means of 36 and 10 days with
- * bursts and failures).
+ * its callers have little use of it any more, and it would hold the VMs that the
+ * next burst's first jobs need to be in time.
  */
 #define FLO_LATE 0.4
 /*
@@ -122,6 +123,7 @@
 
 struct flo_move *flo_move_of(const struct flo *f, const char *vm);
 struct flo_pool *flo_pool_at(struct flo *f, const char *name);
+void flo_rate(struct flo *f, int64_t now, int64_t wall);
 void flo_measure(struct flo *f, int64_t now, int64_t wall);
 guint flo_least_vms(const struct flo_pool *p);
 double flo_least(const struct flo *f, const struct flo_pool *p);
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -9,12 +9,12 @@
 static guint flo_gang_vms(const struct flo *f, const struct flo_pool *p,
 			  const struct jtb_job *job, int64_t wall);
 static double flo_on_one(const struct flo_pool *p, const struct jtb_step *step);
+static double flo_cores(const struct flo_pool *p, const struct jtb_queue *q,
+			const struct jtb_job *job, int64_t wall);
+static double flo_at_work(const struct jtb_job *job);
 static bool flo_due(const struct jtb_job *job, int64_t wall);
 static double flo_weight(const struct jtb_queue *q, const struct jtb_job *job,
 			 int64_t wall);
-static void flo_measure_rates(struct flo *f, int64_t now, int64_t wall);
-static double flo_coming(const struct flo_pool *p);
-static double flo_fade(double value, int64_t passed, int64_t half_ms);
 
 /* Takes stock of all pools, before anything is decided. */
 void flo_measure(struct flo *f, int64_t now, int64_t wall)
@@ -44,7 +44,7 @@
 	}
 	flo_measure_vms(f);
 	flo_measure_jobs(f, wall);
-	flo_measure_rates(f, now, wall);
+	flo_rate(f, now, wall);
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 
@@ -86,10 +86,7 @@
 	}
 }
 
-/*
- * Load is what runs for good, and of the work that still has a chance to be
- * worth something as much as could run at once, or as would be through in time.
- */
+/* Adds up what the jobs of each pool need. */
 static void flo_measure_jobs(struct flo *f, int64_t wall)
 {
 	const struct jtb_config *c = jtb_config(f->jtb);
@@ -109,19 +106,56 @@
 		p->due += flo_due(job, wall);
 		p->apart = MAX(p->apart, sch_apart(job, wall));
 		p->apart = MAX(p->apart, flo_gang_vms(f, p, job, wall));
-		cores = sch_usable_cores(job, wall,
-					 p->cores && p->mem_mb
-						 ? p->mem_mb / p->cores
-						 : FLO_CORE_MB);
-		if (!sch_lasts(job))
-			cores = MIN(cores, sch_undone(job, wall) * 1000 /
-						   FLO_DRAIN_MS);
+		cores = flo_cores(p, q, job, wall);
 		if (sch_lasts(job))
 			p->lasting += cores;
-		p->load += cores * flo_weight(q, job, wall);
+		p->load += cores;
 	}
 }
 
+/*
+ * Cores that a job will need once a VM that is fetched now has come: what waits
+ * is still there then, as far as it has a chance to be worth something. Of what
+ * runs most will have ended that hasn't much left. Counted as if it went on, a
+ * pool kept VMs beyond the end of its burst while the next burst waited for
+ * them; left out, VMs left in the middle of a burst and were fetched again.
+ */
+static double flo_cores(const struct flo_pool *p, const struct jtb_queue *q,
+			const struct jtb_job *job, int64_t wall)
+{
+	double core_mb =
+		p->cores && p->mem_mb ? p->mem_mb / p->cores : FLO_CORE_MB;
+	double usable = sch_usable_cores(job, wall, core_mb);
+	double runs;
+	double left_ms;
+
+	if (sch_lasts(job) || usable <= 0)
+		return usable;
+	runs = MIN(usable, flo_at_work(job));
+	left_ms = sch_undone(job, wall) / usable * 1000;
+	return (usable - runs) * flo_weight(q, job, wall) +
+	       runs * MIN(1, left_ms / FLO_FETCH_MS);
+}
+
+/* Cores of a job's runs, and of its starts that aren't final. */
+static double flo_at_work(const struct jtb_job *job)
+{
+	double cores = 0;
+	uint32_t t;
+	uint32_t s;
+
+	for (t = 0; t < job->n_turns; t++)
+		for (s = 0; job->turns[t].parts && s < job->spec.n_steps; s++) {
+			const struct jtb_step *step = &job->spec.steps[s];
+			const struct jtb_part *part = &job->turns[t].parts[s];
+
+			if (!(step->flags & JTB_FILLS))
+				cores += (part->n_runs + part->n_planned) *
+					 (step->cpu / 1000.0);
+		}
+	return cores;
+}
+
 /*
  * VMs of a pool's kind that the largest gang of a job needs which is due: it
  * starts whole or not at all, whatever it is worth. 0 for one that is larger
@@ -197,81 +231,6 @@
 	return weights[sch_chance(q, job, wall)];
 }
 
-/*
- * Jobs that come are added to those that wait, by their rate and its growth: a
- * VM that is fetched is there 1.5 s later, when what waits now mostly still
- * waits and more has come. The larger of the two alone left a pool at half of
- * its room for the first 3 s of a burst: of what jobs were worth, less what
- * VMs cost, 0.506 was earned with it and 0.523 with the sum, mean of 36 days
- * of bursts.
- */
-static void flo_measure_rates(struct flo *f, int64_t now, int64_t wall)
-{
-	GPtrArray *live = jtb_live(f->jtb);
-	const struct jtb_config *c = jtb_config(f->jtb);
-	int64_t passed = MIN(now - f->ticked_ms, FLO_RATE_MS);
-	uint64_t newest = f->seen;
-	guint i;
-
-	for (i = 0; i < f->pools->len; i++) {
-		struct flo_pool *p = g_ptr_array_index(f->pools, i);
-		double keep = 1 - (double)passed / FLO_RATE_MS;
-
-		p->rate_slow += (p->rate - p->rate_slow) * (double)passed /
-				FLO_RATE_SLOW_MS;
-		p->rate *= keep;
-		p->rate_jobs *= keep;
-	}
-	for (i = live->len; i > 0; i--) {
-		const struct jtb_job *job = g_ptr_array_index(live, i - 1);
-		const struct jtb_queue *q;
-		struct flo_pool *p;
-
-		if (job->seq < f->seen)
-			break;
-		newest = MAX(newest, job->seq + 1);
-		q = jtb_queue(c, job->spec.queue);
-		/* for a new leader all jobs are new, also those of long ago */
-		if (!q || sch_lasts(job) ||
-		    wall - job->accepted_ms > FLO_RATE_MS)
-			continue;
-		p = flo_pool_at(f, q->pool);
-		p->rate += job->work * 1000 / FLO_RATE_MS;
-		p->rate_jobs += 1;
-	}
-	f->seen = newest;
-	for (i = 0; i < f->pools->len; i++) {
-		struct flo_pool *p = g_ptr_array_index(f->pools, i);
-
-		p->grows = p->rate > p->rate_slow * FLO_GROWS &&
-			   p->rate_jobs > FLO_RATE_JOBS;
-		p->top = MAX(p->used,
-			     flo_fade(p->top, now - f->ticked_ms, FLO_PEAK_MS));
-		p->load += flo_coming(p);
-	}
-}
-
-/*
- * Cores that jobs ask for which come until a VM that is fetched now is there,
- * beyond those that what runs now will have left by then: in a burst that goes
- * on, as much ends as comes.
- */
-static double flo_coming(const struct flo_pool *p)
-{
-	double ahead = MAX(0, p->rate - p->rate_slow) * FLO_AHEAD;
-	double sure = p->rate_jobs / (p->rate_jobs + FLO_RATE_JOBS);
-	double coming = (p->rate + ahead) * sure;
-
-	return MAX(0, coming - MAX(0, p->used - p->lasting));
-}
-
-/* A value of which half is gone each half_ms, nearly. */
-static double flo_fade(double value, int64_t passed, int64_t half_ms)
-{
-	return value *
-	       (1 - 0.7 * (double)MIN(passed, half_ms) / (double)half_ms);
-}
-
 /*
  * VMs that a pool keeps without load: as many as keep its tasks apart that
  * must be, and one more, so that one of them can have its upkeep.
