--- a/src/cli_cmd.c
+++ b/src/cli_cmd.c
@@ -49,6 +49,8 @@
 	 1, true, KEY_DUTY, NULL, cli_do_forget},
 	{"voters", "", "List voters and which one leads", 0, 0, true, KEY_READ,
 	 "voters", cli_do_query},
+	{"losses", "FILE...", "Sum up what callers lost, out of log files", 1,
+	 -1, false, KEY_READ, NULL, cli_do_losses},
 	{"trace", "JOB FILE...", "Tell the story of a job out of log files", 2,
 	 -1, false, KEY_READ, NULL, cli_do_trace},
 	{"completion", "", "Print a completion script for bash", 0, 0, false,
--- a/src/cli_trace.c
+++ b/src/cli_trace.c
@@ -3,7 +3,6 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "lgl.h"
 
@@ -25,12 +24,10 @@
 	unsigned int left_out; /* lines that daemons left out meanwhile */
 };
 
-typedef void (*trace_take)(struct trace *t, struct lgl *l);
-
-static bool trace_file(struct trace *t, const char *path, trace_take take);
-static void trace_own(struct trace *t, struct lgl *l);
+static bool trace_file(struct trace *t, const char *path, lgl_take take);
+static void trace_own(void *arg, struct lgl *l);
 static bool trace_is_own(const struct trace *t, const struct lgl *l);
-static void trace_around(struct trace *t, struct lgl *l);
+static void trace_around(void *arg, struct lgl *l);
 static bool trace_touches(struct trace *t, const struct lgl *l);
 static void trace_print(const struct cli *c, struct trace *t);
 static void trace_sum(const struct trace *t);
@@ -38,13 +35,12 @@
 static void trace_drop_echoes(struct trace *t);
 static bool trace_no_leader(const struct lgl *l);
 static int64_t trace_leaderless_ms(const struct trace *t);
-static int64_t trace_number(const struct lgl *l, const char *key);
 static int trace_earlier(gconstpointer a, gconstpointer b);
 
 /* Tells the story of a job; its id comes first, then the log files. */
 int cli_do_trace(struct cli *c, const struct cli_cmd *cmd, char **args, int n)
 {
-	static const trace_take passes[] = {trace_own, trace_around};
+	static const lgl_take passes[] = {trace_own, trace_around};
 	struct trace t = {.id = args[0]};
 	int rc = CLI_OK;
 	guint pass;
@@ -76,36 +72,18 @@
 }
 
 /* Hands each line of a file on; false after a line that says why not. */
-static bool trace_file(struct trace *t, const char *path, trace_take take)
+static bool trace_file(struct trace *t, const char *path, lgl_take take)
 {
-	char *base = g_path_get_basename(path);
-	FILE *f = fopen(path, "re");
-	char *line = NULL;
-	size_t size = 0;
-
-	if (!f) {
-		fprintf(stderr, "endivectl: %s: %s\n", path, g_strerror(errno));
-		g_free(base);
-		return false;
-	}
-	while (getline(&line, &size, f) >= 0) {
-		struct lgl *l = lgl_read(line);
-
-		if (!l)
-			continue;
-		if (!l->where)
-			l->where = g_strdup(base);
-		take(t, l);
-	}
-	free(line);
-	fclose(f);
-	g_free(base);
-	return true;
+	if (lgl_file(path, take, t))
+		return true;
+	fprintf(stderr, "endivectl: %s: %s\n", path, g_strerror(errno));
+	return false;
 }
 
 /* First pass: the job's own lines, and which pool each worker is in. */
-static void trace_own(struct trace *t, struct lgl *l)
+static void trace_own(void *arg, struct lgl *l)
 {
+	struct trace *t = arg;
 	char *worker = lgl_fact(l, "worker");
 
 	if (strcmp(l->msg, "worker") == 0 && worker)
@@ -144,15 +122,17 @@
 }
 
 /* Second pass: what else bears on it. */
-static void trace_around(struct trace *t, struct lgl *l)
+static void trace_around(void *arg, struct lgl *l)
 {
+	struct trace *t = arg;
+
 	if (l->at_ms < t->from_ms - CLI_TRACE_BEFORE_MS ||
 	    l->at_ms > t->to_ms || trace_is_own(t, l) || !trace_touches(t, l)) {
 		lgl_free(l);
 		return;
 	}
 	if (strcmp(l->msg, "suppressed") == 0)
-		t->left_out += (unsigned int)trace_number(l, "lines");
+		t->left_out += (unsigned int)lgl_number(l, "lines");
 	g_ptr_array_add(t->lines, l);
 }
 
@@ -273,9 +253,9 @@
 /* How a job ended, and where its time went. */
 static void trace_sum_end(const struct lgl *end)
 {
-	int64_t took = trace_number(end, "after_ms");
-	int64_t objective = trace_number(end, "objective_ms");
-	int64_t waited = trace_number(end, "waited_ms");
+	int64_t took = lgl_number(end, "after_ms");
+	int64_t objective = lgl_number(end, "objective_ms");
+	int64_t waited = lgl_number(end, "waited_ms");
 	char *state = lgl_fact(end, "state");
 
 	printf("%s after %" PRId64 " ms", state ? state : "ended", took);
@@ -289,11 +269,11 @@
 		       "from there to its end: %" PRId64
 		       " ms, its longest chain by its caller's guess %" PRId64
 		       " ms\n",
-		       waited, took - waited, trace_number(end, "chain_ms"));
+		       waited, took - waited, lgl_number(end, "chain_ms"));
 	else
 		puts("first start: not known, an earlier leader ordered it");
 	printf("runs beyond the first of a task: %" PRId64 "\n",
-	       trace_number(end, "again"));
+	       lgl_number(end, "again"));
 	g_free(state);
 }
 
@@ -317,16 +297,6 @@
 	return since ? sum + t->to_ms - since : sum;
 }
 
-/* A fact that is a number; 0 where it isn't told. */
-static int64_t trace_number(const struct lgl *l, const char *key)
-{
-	char *text = lgl_fact(l, key);
-	int64_t n = text ? g_ascii_strtoll(text, NULL, 10) : 0;
-
-	g_free(text);
-	return n;
-}
-
 /* Orders lines by their time. */
 static int trace_earlier(gconstpointer a, gconstpointer b)
 {
--- a/src/lgl.c
+++ b/src/lgl.c
@@ -1,5 +1,7 @@
 #include "lgl.h"
 
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 static char *lgl_word(const char *p);
@@ -7,6 +9,35 @@
 static char *lgl_facts(const char *p);
 static const char *lgl_value_end(const char *p);
 
+/*
+ * Hands each line of a log file on, with the file's name for where it came from
+ * if nothing else tells. False, with errno, if the file can't be opened.
+ */
+bool lgl_file(const char *path, lgl_take take, void *arg)
+{
+	FILE *f = fopen(path, "re");
+	char *line = NULL;
+	size_t size = 0;
+	char *base;
+
+	if (!f)
+		return false;
+	base = g_path_get_basename(path);
+	while (getline(&line, &size, f) >= 0) {
+		struct lgl *l = lgl_read(line);
+
+		if (!l)
+			continue;
+		if (!l->where)
+			l->where = g_strdup(base);
+		take(arg, l);
+	}
+	free(line);
+	fclose(f);
+	g_free(base);
+	return true;
+}
+
 /* A line, to be freed by lgl_free; NULL if it is none of ours. */
 struct lgl *lgl_read(const char *line)
 {
@@ -67,6 +98,16 @@
 	return NULL;
 }
 
+/* A fact that is a number; 0 where it isn't told. */
+int64_t lgl_number(const struct lgl *l, const char *key)
+{
+	char *text = lgl_fact(l, key);
+	int64_t n = text ? g_ascii_strtoll(text, NULL, 10) : 0;
+
+	g_free(text);
+	return n;
+}
+
 /* A copy of what stands up to the next space or end of the line. */
 static char *lgl_word(const char *p)
 {
--- a/src/lgl.h
+++ b/src/lgl.h
@@ -17,8 +17,13 @@
 	char *facts; /* what follows the message, without its place in the code */
 };
 
+/* Takes a line over, to be freed with lgl_free. */
+typedef void (*lgl_take)(void *arg, struct lgl *l);
+
+bool lgl_file(const char *path, lgl_take take, void *arg);
 struct lgl *lgl_read(const char *line);
 void lgl_free(gpointer l);
 char *lgl_fact(const struct lgl *l, const char *key);
+int64_t lgl_number(const struct lgl *l, const char *key);
 
 #endif
