A daemon tells the kernel of its sockets once a turn of its loop

A leader of 80 stand-in workers made 21.7 system calls a task (300 jobs of 16 tasks, strace -c), of which 9.6 were epoll_ctl: each message written has libevent ask for the socket and let go of it again.

Ruled out: plans and lookups; the profile is flat, 38 % of it the kernel's.

--- a/src/dmn.c
+++ b/src/dmn.c
@@ -12,6 +12,7 @@
 #define DMN_LOOK_S 1
 
 static bool dmn_keys(struct dmn *d, GError **err);
+static struct event_base *dmn_base_new(void);
 static int dmn_run(struct dmn *d);
 static void dmn_on_term(evutil_socket_t sig, short what, void *arg);
 static void dmn_on_hup(evutil_socket_t sig, short what, void *arg);
@@ -100,6 +101,23 @@
 	return true;
 }
 
+/*
+ * The loop of a daemon. Interest in a socket changes with each message that is
+ * written to it; told to the kernel once a turn, and without locks that one
+ * thread doesn't need, a leader has more of its time for callers in a burst.
+ */
+static struct event_base *dmn_base_new(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+	event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 /* Runs a daemon until it ends; returns what its process ends with. */
 static int dmn_run(struct dmn *d)
 {
@@ -110,7 +128,7 @@
 	GError *err = NULL;
 	int rc;
 
-	d->base = event_base_new();
+	d->base = dmn_base_new();
 	if (!d->ops->start(d, &err)) {
 		event_base_free(d->base);
 		return dmn_fail(d, err, 1);
