Ends are gathered where hundreds of workers are busy

Same load: each end that a worker told was answered with the next call for its list, half of what a task costs the leader. With the leader behind, ends were taken in so late that finished tasks seemed to hold their room.

Change: a worker whose ends are stored is asked again after a moment that grows with the number of busy workers, 0 up to 66 and 26 ms for 240.

wkr_test: ends_of_a_large_fleet_are_gathered.

--- a/src/wkr.c
+++ b/src/wkr.c
@@ -164,10 +164,24 @@
 		if (!l->await_no || l->w->end_no < l->await_no)
 			continue;
 		l->await_no = 0;
-		wkr_hold(l);
+		wkr_hold_after(l, wkr_gather_ms(k));
 	}
 }
 
+/*
+ * How long a worker whose ends are stored may gather more before it is asked
+ * again, ms. A call for each end is half of what a task costs a leader: in a
+ * burst on hundreds of workers it came to nothing else, and ends were taken in
+ * so late that their room looked as if it were in use. Few workers are asked at
+ * once, as each moment that an end waits delays the steps behind it.
+ */
+int64_t wkr_gather_ms(const struct wkr *k)
+{
+	return CLAMP((int64_t)(k->busy * WKR_CALL_US) / 1000 -
+			     WKR_GATHER_FROM_MS,
+		     0, WKR_GATHER_MAX_MS);
+}
+
 /* Asks a worker for its list now, unless it is being asked. */
 void wkr_ask(struct wkr *k, struct jtb_worker *w)
 {
@@ -444,9 +458,11 @@
 
 	if (!k->leading)
 		return;
+	k->busy = 0;
 	for (i = k->links->len; i > 0; i--) {
 		struct wkr_link *l = g_ptr_array_index(k->links, i - 1);
 
+		k->busy += l->w->runs->len > 0;
 		if (l->w->runs->len && wkr_lapsed(l, now)) {
 			if (l->given_up)
 				continue;
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -36,6 +36,12 @@
 #define WKR_REFUSED_MS 100
 /* Least time between two calls for a list that brought nothing new. */
 #define WKR_PAUSE_MS 40
+/* Time of the leader that one more call for a list takes, us. */
+#define WKR_CALL_US 150
+/* So much for a round of all busy workers is no burden, ms, */
+#define WKR_GATHER_FROM_MS 10
+/* and no end waits longer than this to be told: it counts as known by then. */
+#define WKR_GATHER_MAX_MS 80
 /* Orders on their way to one worker; more would only queue there. */
 #define WKR_WINDOW 4
 /* Between tries of what got no answer, doubling. */
@@ -94,6 +100,7 @@
 	const struct wkr_ops *ops;
 	void *arg;
 	struct ups *ups;
+	guint busy; /* workers with runs, as of the last look at all */
 	GPtrArray *links;
 	GHashTable *runs; /* serial: struct jtb_run */
 	uint64_t fence;
@@ -106,6 +113,7 @@
 
 void wkr_call_send(struct wkr_link *l, struct wkr_call *c,
 		   const struct wkr_order *o, int64_t timeout_ms);
+int64_t wkr_gather_ms(const struct wkr *k);
 void wkr_hold(struct wkr_link *l);
 void wkr_hold_after(struct wkr_link *l, int64_t ms);
 void wkr_hold_done(struct wkr_link *l, int status, struct lstr body,
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -138,12 +138,12 @@
 	case WKR_YES:
 		run->phase = c->kind == WKR_START ? WKR_ON : WKR_OVER;
 		run->ordered_ms = now;
-		wkr_hold(l);
+		wkr_hold_after(l, 0);
 		break;
 	case WKR_OLD:
 		run->phase = WKR_OVER;
 		run->ordered_ms = now;
-		wkr_hold(l);
+		wkr_hold_after(l, 0);
 		break;
 	case WKR_NO_TICKET:
 		if (c->kind == WKR_START) {
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #include "net.h"
-#include "wkr.h"
+#include "wkr_int.h"
 
 /* Long enough for several retries of an order, ms. */
 #define SETTLE_MS 400
@@ -779,6 +779,42 @@
 	assert_int_equal(b->ack, 1);
 }
 
+/*
+ * A burst runs on hundreds of workers. Each end was answered with a call for
+ * the next, the leader came to nothing else, and callers saw their jobs late
+ * with room free. Ends are gathered for a moment there, and not where workers
+ * are few.
+ */
+static void ends_of_a_large_fleet_are_gathered(void **state)
+{
+	struct bed *b = *state;
+	struct wkr_link *l;
+	struct jtb_name n = {.id = "j"};
+	struct pk_out o;
+
+	b->wkr->busy = 49;
+	assert_int_equal(wkr_gather_ms(b->wkr), 0);
+	b->wkr->busy = 9200;
+	assert_int_equal(wkr_gather_ms(b->wkr), WKR_GATHER_MAX_MS);
+	b->lists = true;
+	start(b);
+	net_run(b->base, SETTLE_MS);
+	b->tells_end = true;
+	wait_for(b, &b->ends);
+	b->tells_end = false;
+	pk_out_init(&o);
+	jtb_put_end(&o, "w", 1, &n, 1, JTB_DONE, lstr_n("", 0), 1);
+	apply(b, &o);
+	b->wkr->busy = 400;
+	wkr_stored(b->wkr);
+	l = g_ptr_array_index(b->wkr->links, 0);
+	assert_null(l->hold);
+	assert_true(l->hold_timer != 0);
+	b->holds = 0;
+	wait_for(b, &b->holds);
+	assert_int_equal(b->ack, 1);
+}
+
 /* A start carries its ticket, and the owner learns that it was refused. */
 static void a_start_carries_its_ticket(void **state)
 {
@@ -852,6 +888,7 @@
 		T(a_closed_port_alone_is_no_end),
 		T(another_lifetime_ends_the_one_we_meant),
 		T(an_end_is_acknowledged_once_it_is_stored),
+		T(ends_of_a_large_fleet_are_gathered),
 		T(a_start_carries_its_ticket),
 		T(a_start_without_a_ticket_is_not_sent),
 		T(a_start_that_may_come_is_stopped_without_a_ticket),
