No VMs are kept ready for the pool that was idle longest

By the time a burst begins all VMs are with the burst before it.

Removed with it: what a pool once had in use, which it was for, and two tests of the mechanism, what_is_ready_follows_what_was_in_use and what_was_in_use_long_ago_fades. VMs that nobody needs are switched off.

--- a/src/flo.c
+++ b/src/flo.c
@@ -219,13 +219,9 @@
 	return p;
 }
 
-/*
- * VMs that nobody has needed for a while go to the pool that will want them
- * next, as far as it should have some ready, and are switched off else.
- */
+/* VMs that nobody has needed for a while are switched off. */
 static void flo_spread(struct flo *f, int64_t now)
 {
-	struct flo_pool *next = flo_next(f);
 	struct flo_pool *off = NULL;
 	guint i;
 
@@ -235,7 +231,7 @@
 		if (p->standby)
 			off = p;
 	}
-	for (i = 0; i < f->pools->len; i++) {
+	for (i = 0; off && i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 		const struct vms_vm *vm;
 
@@ -244,17 +240,9 @@
 			continue;
 		while (p->vms > flo_least_vms(p) &&
 		       p->cores * (p->vms - 1) / p->vms >
-			       MAX(p->load * FLO_SPARE, flo_least(f, p)) &&
-		       (vm = flo_choose(p))) {
-			struct flo_pool *to = off;
-
-			if (next && next != p &&
-			    next->cores < flo_least(f, next))
-				to = next;
-			if (!to)
-				break;
-			flo_begin(f, vm, p, to, now);
-		}
+			       MAX(p->load * FLO_SPARE, flo_least(p)) &&
+		       (vm = flo_choose(p)))
+			flo_begin(f, vm, p, off, now);
 	}
 }
 
--- a/src/flo.h
+++ b/src/flo.h
@@ -38,7 +38,6 @@
 	double rate_slow; /* as rate, over a longer time */
 	double rate_jobs; /* how many of them it is the mean of */
 	double chain_ms; /* longest chain of jobs that came, moving mean */
-	double top; /* most cores it had in use, slowly forgotten */
 	bool grows; /* more comes than did a moment ago */
 	int64_t starved_ms; /* when work that lasts last found no room */
 	int64_t spare_ms; /* it has had too much room since; 0: it hasn't */
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -50,18 +50,11 @@
  * taken for idle, as bursts begin slowly and a VM taken is away for 3 s.
  */
 #define FLO_GROWS 1.3
-/* Half of a peak is forgotten in so long, ms: a few bursts of some seconds. */
-#define FLO_PEAK_MS 30000
 /*
  * A VM that its pool hasn't needed for so long is taken away, ms. A move costs
  * as much as 1.2 s of a VM, and bursts of one pool are far apart.
  */
 #define FLO_IDLE_MS 800
-/*
- * Share of the cores it last used at once that the pool which was idle longest
- * has ready.
- */
-#define FLO_READY 0.5
 /* VMs a pool keeps: enough to begin on a burst while others come. */
 #define FLO_LEAST 3
 /* A VM whose work isn't done by then stays where it is, ms. */
@@ -126,8 +119,7 @@
 void flo_rate(struct flo *f, int64_t now, int64_t wall);
 void flo_measure(struct flo *f, int64_t now, int64_t wall);
 guint flo_least_vms(const struct flo_pool *p);
-double flo_least(const struct flo *f, const struct flo_pool *p);
-struct flo_pool *flo_next(const struct flo *f);
+double flo_least(const struct flo_pool *p);
 void flo_rank(struct flo *f);
 const struct vms_vm *flo_choose(const struct flo_pool *from);
 int64_t flo_left_ms(const struct jtb_run *run, int64_t now);
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -50,7 +50,7 @@
 
 		if (!p->standby && p->load > FLO_BUSY * p->cores)
 			p->busy_ms = now;
-		if (p->cores <= MAX(p->load * FLO_SPARE, flo_least(f, p)) ||
+		if (p->cores <= MAX(p->load * FLO_SPARE, flo_least(p)) ||
 		    !p->busy_ms || p->grows)
 			p->spare_ms = 0;
 		else if (!p->spare_ms)
@@ -241,12 +241,9 @@
 }
 
 /* Cores that a pool keeps without load. */
-double flo_least(const struct flo *f, const struct flo_pool *p)
+double flo_least(const struct flo_pool *p)
 {
-	double one = p->vms ? p->cores / p->vms : 0;
-	double least = flo_least_vms(p) * one;
-
-	return p == flo_next(f) ? MAX(least, p->top * FLO_READY) : least;
+	return p->vms ? flo_least_vms(p) * p->cores / p->vms : 0;
 }
 
 /*
@@ -266,26 +263,3 @@
 	       run->percent;
 	return left - (now - run->moved_ms);
 }
-
-/*
- * The pool that will be busy next: where load goes round, the one that has
- * been idle longest. NULL: some pool hasn't been busy yet, and keeps what it
- * was given.
- */
-struct flo_pool *flo_next(const struct flo *f)
-{
-	struct flo_pool *best = NULL;
-	guint i;
-
-	for (i = 0; i < f->pools->len; i++) {
-		struct flo_pool *p = g_ptr_array_index(f->pools, i);
-
-		if (p->standby)
-			continue;
-		if (!p->busy_ms)
-			return NULL;
-		if (!best || p->busy_ms < best->busy_ms)
-			best = p;
-	}
-	return best;
-}
--- a/src/flo_rate.c
+++ b/src/flo_rate.c
@@ -5,7 +5,6 @@
 static void flo_rate_job(struct flo *f, const struct jtb_job *job,
 			 int64_t wall);
 static double flo_coming(const struct flo_pool *p);
-static double flo_fade(double value, int64_t passed, int64_t half_ms);
 
 /*
  * Adds to each pool's load what jobs that are still to come will need: a VM
@@ -42,8 +41,6 @@
 
 		p->grows = p->rate > p->rate_slow * FLO_GROWS &&
 			   p->rate_jobs > FLO_RATE_JOBS;
-		p->top = MAX(p->used,
-			     flo_fade(p->top, now - f->ticked_ms, FLO_PEAK_MS));
 		p->load += flo_coming(p);
 	}
 }
@@ -78,10 +75,3 @@
 
 	return (p->rate + ahead) * sure * share;
 }
-
-/* A value of which half is gone each half_ms, nearly. */
-static double flo_fade(double value, int64_t passed, int64_t half_ms)
-{
-	return value *
-	       (1 - 0.7 * (double)MIN(passed, half_ms) / (double)half_ms);
-}
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -437,39 +437,6 @@
 	assert_true(moving_after(*state, stays, G_N_ELEMENTS(stays)) > 0);
 }
 
-/*
- * The pool that is idle longest has VMs ready, as many as half of what it had
- * in use: by what it once seemed to need it was given all there were.
- */
-static void what_is_ready_follows_what_was_in_use(void **state)
-{
-	struct bed *b = *state;
-	struct flo_pool *p;
-
-	givers(b, 4, NULL);
-	vm_add(b, "vm9", "p", "w9");
-	flo_pool_at(b->flo, "p")->busy_ms = b->now;
-	flo_pool_at(b->flo, "other")->busy_ms = b->now + 1;
-	ticks(b, 1);
-	p = flo_pool_at(b->flo, "p");
-	p->top = 400;
-	assert_true(flo_next(b->flo) == p);
-	assert_float_equal(flo_least(b->flo, p), 200, 0.01);
-}
-
-/* What was in use when this replica last led, long ago, is mostly forgotten. */
-static void what_was_in_use_long_ago_fades(void **state)
-{
-	struct bed *b = *state;
-
-	vm_add(b, "vm1", "p", "w1");
-	ticks(b, 1);
-	flo_pool_at(b->flo, "p")->top = 400;
-	b->now += 2 * FLO_PEAK_MS;
-	ticks(b, 1);
-	assert_true(flo_pool(b->flo, "p")->top < 200);
-}
-
 /*
  * A pool in between two bursts is asked for a small job now and then. Each looks
  * like the begin of a burst; its VMs must go all the same.
@@ -1133,8 +1100,6 @@
 		T(work_that_lasts_makes_no_room),
 		T(no_vm_is_taken_twice),
 		T(a_pool_whose_load_grows_keeps_its_vms),
-		T(what_is_ready_follows_what_was_in_use),
-		T(what_was_in_use_long_ago_fades),
 		T(a_job_now_and_then_is_no_growth),
 		T(a_new_leader_knows_what_came_long_ago),
 		T(a_held_vm_stays),
