--- a/src/cli_losses.c
+++ b/src/cli_losses.c
@@ -235,6 +235,7 @@
 		const struct losses_row *r = g_ptr_array_index(t->rows, i);
 		struct pk_out *o = qtb_row(&table);
 
+		g_assert(t->n);
 		pk_cstr(o, r->queue);
 		pk_cstr(o, r->reason);
 		pk_u(o, r->n);
