A call without a connection of ours says nothing of the worker

Cause, by reading and a test: a leader of 1,100 workers uses up its descriptors.

ups now ends such a call as UPS_NO_ROOM, found by trying for a socket only where a call failed before a byte left. wkr tries it again and holds nothing against the worker; the older entry daemon refuses at once, with the time to come back, instead of blaming one target after another.

ups can also be bounded: calls beyond the bound wait, urgent ones (leases and stops) first, and the connection that has been idle longest makes place.

wkr_test: a_leaving_worker_is_not_over_for_want_of_a_socket and a_worker_is_not_silent_for_want_of_a_socket fail on the sources before and pass now. ups_test a_call_without_a_descriptor_ends asks for UPS_NO_ROOM instead of anything but a whole answer.

--- a/src/ent_req.c
+++ b/src/ent_req.c
@@ -13,6 +13,9 @@
  */
 #define ENT_CONNECT_MS 250
 
+/* When callers may return who came while our connections were used up, ms. */
+#define ENT_CROWDED_RETRY_MS 1000
+
 static void ent_request(void *arg, struct srv_req *srv);
 static void ent_gone(void *arg, struct srv_req *srv);
 static void ent_room(void *arg, struct srv_req *srv);
@@ -20,6 +23,7 @@
 static bool ent_call_part(void *arg, const struct ups_answer *a);
 static void ent_call_end(void *arg, enum ups_end end,
 			 const struct ups_answer *a);
+static void ent_call_untried(struct ent_req *q);
 static void ent_act(struct ent_req *q, const struct adm_verdict *v);
 static void ent_refuse(struct ent_req *q, const struct adm_verdict *v,
 		       int status);
@@ -354,6 +358,10 @@
 		ent_key_home_end(q, end, a);
 		return;
 	}
+	if (end == UPS_NO_ROOM) {
+		ent_call_untried(q);
+		return;
+	}
 	if (res.outcome == ADM_DONE_FAILED || res.outcome == ADM_DONE_TIMEOUT)
 		q->may_have_run = true;
 	if (busy && lstr_u64(lstr_from(busy), &n) && n < G_MAXINT)
@@ -392,6 +400,27 @@
 	ent_pump(e);
 }
 
+/*
+ * No connection was to be had here. No target is to blame, and none could be
+ * reached instead; what an earlier attempt may have done stays unknown.
+ */
+static void ent_call_untried(struct ent_req *q)
+{
+	struct ent *e = q->e;
+
+	adm_done(e->adm, ent_now_us(e), q->ticket,
+		 &(struct adm_result){.outcome = ADM_DONE_LEFT, .busy = -1});
+	q->ticket = 0;
+	if (q->srv)
+		ent_give_up(q, &(struct ent_refusal){
+				       q->may_have_run ? 502 : 503,
+				       q->may_have_run ? "unknown" : "not-run",
+				       "no-connection", ENT_CROWDED_RETRY_MS});
+	else
+		ent_req_free(q);
+	ent_pump(e);
+}
+
 /*
  * An attempt gave no answer to pass on. The admission says whether and where
  * to try again; if not, the caller gets the final answer.
--- a/src/ups.c
+++ b/src/ups.c
@@ -8,6 +8,7 @@
 #include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "cht.h"
 #include "hdr.h"
@@ -60,6 +61,10 @@
 	struct cht *chart;
 	GHashTable *hosts; /* address -> GPtrArray of idle ups_conn */
 	GPtrArray *conns; /* all */
+	GQueue idle; /* struct ups_conn of hosts, oldest first */
+	GQueue waiting[2]; /* struct ups_call; [1]: urgent */
+	guint most; /* of conns; 0: not bounded */
+	uint64_t next_timer;
 	struct ups_stats stats;
 	int64_t reuse_ms;
 	int64_t held_ms; /* 0: as long as the kernel likes */
@@ -74,11 +79,24 @@
 	enum ups_state state;
 	struct ups_call *call;
 	int64_t last; /* when its last answer was whole */
+	GList link; /* in ups.idle */
+};
+
+/* What a call needs kept while it waits for a connection. */
+struct ups_wait {
+	char *addr;
+	char *uri;
+	GArray *headers; /* struct ups_header */
+	struct evbuffer *body;
+	int64_t connect_ms;
+	bool urgent;
+	GList link; /* in ups.waiting */
 };
 
 struct ups_call {
 	struct ups *u;
-	struct ups_conn *conn;
+	struct ups_conn *conn; /* NULL: waits for one, or is over */
+	struct ups_wait *wait; /* NULL: it doesn't wait for a connection */
 	struct evhttp_request *req; /* NULL once evhttp is done with it */
 	const struct ups_ops *ops;
 	void *arg;
@@ -100,6 +118,17 @@
 	bool refused;
 };
 
+static bool ups_get_conn(struct ups_call *call, const char *addr);
+static void ups_send(struct ups_call *call, const struct ups_request *r);
+static bool ups_lacks_descriptors(void);
+static void ups_wait(struct ups_call *call, const struct ups_request *r);
+static void ups_wait_free(struct ups_call *call);
+static void ups_next_soon(struct ups *u);
+static void ups_next(void *arg, int64_t now);
+static bool ups_next_one(struct ups *u, GQueue *queue);
+static bool ups_has_room(const struct ups *u);
+static void ups_evict(struct ups *u);
+static void ups_unlist(struct ups_conn *c);
 static struct ups_conn *ups_conn_take(struct ups *u, const char *addr);
 static bool ups_conn_quiet(const struct ups_conn *c);
 static struct ups_conn *ups_conn_open(struct ups *u, const char *addr);
@@ -124,6 +153,7 @@
 static void ups_finish(struct ups_call *call, enum ups_end end);
 static void ups_tell_end(void *arg, int64_t now);
 static void ups_call_free(struct ups_call *call);
+static void ups_headers_free(GArray *headers);
 static void ups_tick(void *arg, int64_t now);
 
 /* A caller of targets on this loop. */
@@ -146,6 +176,9 @@
 	u->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 (GDestroyNotify)g_ptr_array_unref);
 	u->conns = g_ptr_array_new();
+	g_queue_init(&u->idle);
+	g_queue_init(&u->waiting[false]);
+	g_queue_init(&u->waiting[true]);
 	u->tick = tmr_every(tmr, UPS_REUSE_MS, ups_tick, u);
 	return u;
 }
@@ -153,9 +186,17 @@
 /* Frees it with its connections; calls still open end without being told. */
 void ups_free(struct ups *u)
 {
+	size_t i;
+
 	if (!u)
 		return;
 	tmr_cancel(u->tmr, u->tick);
+	tmr_cancel(u->tmr, u->next_timer);
+	for (i = 0; i < G_N_ELEMENTS(u->waiting); i++)
+		while (u->waiting[i].head)
+			ups_call_free(u->waiting[i].head->data);
+	while (u->idle.head)
+		ups_unlist(u->idle.head->data);
 	g_hash_table_destroy(u->hosts);
 	while (u->conns->len) {
 		struct ups_conn *c = g_ptr_array_steal_index_fast(u->conns, 0);
@@ -179,8 +220,6 @@
 			   const struct ups_ops *ops, void *arg)
 {
 	struct ups_call *call = g_new0(struct ups_call, 1);
-	struct evkeyvalq *out;
-	size_t i;
 
 	call->u = u;
 	call->ops = ops;
@@ -189,12 +228,38 @@
 	call->max_answer = r->max_answer;
 	call->held = evbuffer_new();
 	call->headers = g_array_new(FALSE, TRUE, sizeof(struct ups_header));
-	call->conn = ups_conn_take(u, r->addr);
+	call->deadline_timer =
+		tmr_once(u->tmr, r->timeout_ms, ups_on_deadline, call);
+	if (ups_get_conn(call, r->addr))
+		ups_send(call, r);
+	else
+		ups_wait(call, r);
+	return call;
+}
+
+/* Gives a call a connection, an idle one or a new one, if there may be one. */
+static bool ups_get_conn(struct ups_call *call, const char *addr)
+{
+	struct ups *u = call->u;
+
+	call->conn = ups_conn_take(u, addr);
 	call->reused = call->conn != NULL;
+	if (!call->conn && ups_has_room(u))
+		call->conn = ups_conn_open(u, addr);
 	if (!call->conn)
-		call->conn = ups_conn_open(u, r->addr);
+		return false;
 	call->conn->call = call;
-	if (ops->may)
+	return true;
+}
+
+/* Sends a request over the connection that its call has. */
+static void ups_send(struct ups_call *call, const struct ups_request *r)
+{
+	struct ups *u = call->u;
+	struct evkeyvalq *out;
+	size_t i;
+
+	if (call->ops->may)
 		call->write = event_new(u->base, -1, 0, ups_on_write, call);
 	call->req = evhttp_request_new(ups_on_done, call);
 	evhttp_request_set_header_cb(call->req, ups_on_headers);
@@ -209,18 +274,146 @@
 	if (!call->reused)
 		call->connect_timer = tmr_once(u->tmr, r->connect_ms,
 					       ups_on_connect_time, call);
-	call->deadline_timer =
-		tmr_once(u->tmr, r->timeout_ms, ups_on_deadline, call);
 	if (evhttp_make_request(call->conn->ev, call->req, r->method, r->uri) !=
 	    0) {
 		/* evhttp has freed the request. */
 		call->req = NULL;
 		ups_finish(call, UPS_NOT_SENT);
-	} else if (!call->reused && call->conn) {
-		/* without a descriptor for it the call is over by now */
+	}
+	if (!call->over && !call->reused)
 		ups_conn_bound(call->conn);
+	else if (call->over && call->end == UPS_NOT_SENT &&
+		 ups_lacks_descriptors())
+		call->end = UPS_NO_ROOM;
+}
+
+/*
+ * Whether this process can't open a socket now. libevent tells no cause, and a
+ * call that failed for it would else look like a target with a closed port.
+ */
+static bool ups_lacks_descriptors(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return true;
+	close(fd);
+	return false;
+}
+
+/* Keeps a request until there is a connection for it. */
+static void ups_wait(struct ups_call *call, const struct ups_request *r)
+{
+	struct ups *u = call->u;
+	struct ups_wait *w = g_new0(struct ups_wait, 1);
+	size_t i;
+
+	w->addr = g_strdup(r->addr);
+	w->uri = g_strdup(r->uri);
+	w->headers = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
+	for (i = 0; i < r->n_headers; i++) {
+		struct ups_header h = {g_strdup(r->headers[i].name),
+				       g_strdup(r->headers[i].value)};
+
+		g_array_append_val(w->headers, h);
 	}
-	return call;
+	w->body = r->body;
+	w->connect_ms = r->connect_ms;
+	w->urgent = r->urgent;
+	w->link.data = call;
+	call->wait = w;
+	g_queue_push_tail_link(&u->waiting[w->urgent], &w->link);
+	u->stats.waited++;
+	ups_evict(u);
+}
+
+/* The call doesn't wait any more. */
+static void ups_wait_free(struct ups_call *call)
+{
+	struct ups_wait *w = call->wait;
+
+	if (!w)
+		return;
+	call->wait = NULL;
+	g_queue_unlink(&call->u->waiting[w->urgent], &w->link);
+	ups_headers_free(w->headers);
+	g_free(w->addr);
+	g_free(w->uri);
+	g_free(w);
+}
+
+/* Looks for connections for those that wait, in the loop's next turn. */
+static void ups_next_soon(struct ups *u)
+{
+	if (!u->next_timer &&
+	    (u->waiting[true].length || u->waiting[false].length))
+		u->next_timer = tmr_once(u->tmr, 0, ups_next, u);
+}
+
+/* Starts calls that waited, the urgent ones first. */
+static void ups_next(void *arg, int64_t now)
+{
+	struct ups *u = arg;
+
+	u->next_timer = 0;
+	while (ups_next_one(u, &u->waiting[true]) ||
+	       (!u->waiting[true].length &&
+		ups_next_one(u, &u->waiting[false])))
+		;
+	if (u->waiting[true].length || u->waiting[false].length)
+		ups_evict(u);
+}
+
+/* Starts the call that has waited longest; false: none, or no connection. */
+static bool ups_next_one(struct ups *u, GQueue *queue)
+{
+	struct ups_call *call = g_queue_peek_head(queue);
+	struct ups_wait *w;
+
+	if (!call || !ups_get_conn(call, call->wait->addr))
+		return false;
+	w = call->wait;
+	ups_send(call, &(struct ups_request){
+			       .addr = w->addr,
+			       .method = call->method,
+			       .uri = w->uri,
+			       .headers = (const void *)w->headers->data,
+			       .n_headers = w->headers->len,
+			       .body = w->body,
+			       .connect_ms = w->connect_ms,
+		       });
+	ups_wait_free(call);
+	return true;
+}
+
+/* Whether one more connection may be opened. */
+static bool ups_has_room(const struct ups *u)
+{
+	return !u->most || u->conns->len < u->most;
+}
+
+/* Closes the connection that has been idle longest, for a call that waits. */
+static void ups_evict(struct ups *u)
+{
+	struct ups_conn *c = g_queue_peek_head(&u->idle);
+
+	if (!c)
+		return;
+	ups_unlist(c);
+	u->stats.evicted++;
+	ups_conn_event(c, UPS_EV_EXPIRED);
+	ups_conn_close(c);
+}
+
+/* Takes an idle connection out of the lists. */
+static void ups_unlist(struct ups_conn *c)
+{
+	GPtrArray *idle = g_hash_table_lookup(c->u->hosts, c->addr);
+
+	g_queue_unlink(&c->u->idle, &c->link);
+	g_ptr_array_remove(idle, c);
+	if (idle->len == 0)
+		g_hash_table_remove(c->u->hosts, c->addr);
 }
 
 /* Goes on reading an answer whose part call-back had asked to stop. */
@@ -286,21 +479,33 @@
 	u->held_ms = ms;
 }
 
+/*
+ * Bounds the connections there may be at once; calls beyond it wait, and the
+ * connection that has been idle longest makes place for them. 0: no bound.
+ */
+void ups_set_most(struct ups *u, unsigned int most)
+{
+	u->most = most;
+}
+
+/* Whether urgent calls wait: those who hold a connection should be brief. */
+bool ups_crowded(const struct ups *u)
+{
+	return u->waiting[true].length > 0;
+}
+
 /* Closes idle connections to a target that gets no new work. */
 void ups_forget(struct ups *u, const char *addr)
 {
-	GPtrArray *idle = g_hash_table_lookup(u->hosts, addr);
+	GPtrArray *idle;
 
-	if (!idle)
-		return;
-	while (idle->len) {
-		struct ups_conn *c =
-			g_ptr_array_steal_index(idle, idle->len - 1);
+	while ((idle = g_hash_table_lookup(u->hosts, addr))) {
+		struct ups_conn *c = g_ptr_array_index(idle, idle->len - 1);
 
+		ups_unlist(c);
 		ups_conn_event(c, UPS_EV_EXPIRED);
 		ups_conn_close(c);
 	}
-	g_hash_table_remove(u->hosts, addr);
 }
 
 /* Counters since the start. */
@@ -309,6 +514,8 @@
 	struct ups_stats s = u->stats;
 
 	s.open = u->conns->len;
+	s.idle = u->idle.length;
+	s.waiting = u->waiting[false].length + u->waiting[true].length;
 	return s;
 }
 
@@ -326,15 +533,15 @@
 /* The youngest idle connection, if it is young enough and still quiet. */
 static struct ups_conn *ups_conn_take(struct ups *u, const char *addr)
 {
-	GPtrArray *idle = g_hash_table_lookup(u->hosts, addr);
 	int64_t now = tmr_now(u->tmr);
-	struct ups_conn *c;
+	GPtrArray *idle;
+
+	while ((idle = g_hash_table_lookup(u->hosts, addr))) {
+		struct ups_conn *c = g_ptr_array_index(idle, idle->len - 1);
 
-	while (idle && idle->len) {
-		c = g_ptr_array_index(idle, idle->len - 1);
 		if (now - c->last > u->reuse_ms)
 			return NULL;
-		g_ptr_array_set_size(idle, (gint)idle->len - 1);
+		ups_unlist(c);
 		if (ups_conn_quiet(c)) {
 			ups_conn_event(c, UPS_EV_REUSE);
 			u->stats.reuses++;
@@ -396,9 +603,11 @@
 static void ups_conn_late_free(void *arg, int64_t now)
 {
 	struct ups_conn *c = arg;
+	struct ups *u = c->u;
 
-	g_ptr_array_remove_fast(c->u->conns, c);
+	g_ptr_array_remove_fast(u->conns, c);
 	ups_conn_free(c);
+	ups_next_soon(u);
 }
 
 static void ups_conn_close(struct ups_conn *c)
@@ -433,7 +642,10 @@
 		g_hash_table_insert(c->u->hosts, g_strdup(c->addr), idle);
 	}
 	c->last = tmr_now(c->u->tmr);
+	c->link.data = c;
 	g_ptr_array_add(idle, c);
+	g_queue_push_tail_link(&c->u->idle, &c->link);
+	ups_next_soon(c->u);
 }
 
 static int ups_conn_event(struct ups_conn *c, enum ups_event event)
@@ -667,6 +879,12 @@
 		return;
 	call->over = true;
 	ups_stop_timers(call);
+	call->end_timer = tmr_once(call->u->tmr, 0, ups_tell_end, call);
+	if (!c) {
+		ups_wait_free(call);
+		call->end = UPS_NO_ROOM;
+		return;
+	}
 	bev = evhttp_connection_get_bufferevent(c->ev);
 	sent = c->state == UPS_BUSY;
 	call->req = NULL;
@@ -688,7 +906,6 @@
 		ups_conn_put(c);
 	else
 		ups_conn_close(c);
-	call->end_timer = tmr_once(call->u->tmr, 0, ups_tell_end, call);
 }
 
 static void ups_tell_end(void *arg, int64_t now)
@@ -707,9 +924,8 @@
 
 static void ups_call_free(struct ups_call *call)
 {
-	guint i;
-
 	ups_stop_timers(call);
+	ups_wait_free(call);
 	tmr_cancel(call->u->tmr, call->end_timer);
 	if (call->write)
 		event_free(call->write);
@@ -718,39 +934,36 @@
 		call->over = true;
 		evhttp_cancel_request(call->req);
 	}
-	for (i = 0; i < call->headers->len; i++) {
+	ups_headers_free(call->headers);
+	evbuffer_free(call->held);
+	g_free(call);
+}
+
+/* Frees a list of headers with their texts. */
+static void ups_headers_free(GArray *headers)
+{
+	guint i;
+
+	for (i = 0; i < headers->len; i++) {
 		struct ups_header *h =
-			&g_array_index(call->headers, struct ups_header, i);
+			&g_array_index(headers, struct ups_header, i);
 
 		g_free(h->name);
 		g_free(h->value);
 	}
-	g_array_free(call->headers, TRUE);
-	evbuffer_free(call->held);
-	g_free(call);
+	g_array_free(headers, TRUE);
 }
 
 /* Closes idle connections that are too old to be used again. */
 static void ups_tick(void *arg, int64_t now)
 {
 	struct ups *u = arg;
-	GHashTableIter it;
-	gpointer value;
-
-	g_hash_table_iter_init(&it, u->hosts);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		GPtrArray *idle = value;
-
-		while (idle->len) {
-			struct ups_conn *c = g_ptr_array_index(idle, 0);
+	struct ups_conn *c;
 
-			if (now - c->last <= u->reuse_ms)
-				break;
-			g_ptr_array_remove_index(idle, 0);
-			ups_conn_event(c, UPS_EV_EXPIRED);
-			ups_conn_close(c);
-		}
-		if (idle->len == 0)
-			g_hash_table_iter_remove(&it);
+	while ((c = g_queue_peek_head(&u->idle)) &&
+	       now - c->last > u->reuse_ms) {
+		ups_unlist(c);
+		ups_conn_event(c, UPS_EV_EXPIRED);
+		ups_conn_close(c);
 	}
 }
--- a/src/ups.h
+++ b/src/ups.h
@@ -24,6 +24,8 @@
 	UPS_CUT, /* sent; the connection ended before the answer did */
 	UPS_BAD, /* sent; the answer's framing can't be trusted */
 	UPS_TIMEOUT, /* sent; no whole answer in time */
+	UPS_NO_ROOM, /* no connection was to be had here; nothing was tried */
+	UPS_ENDS
 };
 
 struct ups_header {
@@ -41,6 +43,7 @@
 	int64_t timeout_ms; /* for all of it */
 	int64_t connect_ms; /* of that, until the connection is there */
 	int64_t max_answer; /* bytes held; larger ones are passed on */
+	bool urgent; /* goes before others where connections are short */
 };
 
 /* What came back. Valid during the call-backs; headers until the call ends. */
@@ -69,8 +72,12 @@
 struct ups_stats {
 	uint64_t connects;
 	uint64_t reuses;
-	uint64_t ends[UPS_TIMEOUT + 1];
+	uint64_t ends[UPS_ENDS];
+	uint64_t waited; /* calls that had to wait for a connection */
+	uint64_t evicted; /* idle connections closed for another target */
 	uint64_t open; /* connections now */
+	uint64_t idle; /* of these, that serve no call */
+	uint64_t waiting; /* calls now that have no connection yet */
 };
 
 struct ups *ups_new(struct event_base *base, struct tmr *tmr);
@@ -81,6 +88,8 @@
 void ups_cancel(struct ups_call *call);
 int64_t ups_held(const struct ups_call *call);
 void ups_set_reuse(struct ups *u, int64_t ms);
+void ups_set_most(struct ups *u, unsigned int most);
+bool ups_crowded(const struct ups *u);
 void ups_set_held(struct ups *u, int64_t ms);
 void ups_forget(struct ups *u, const char *addr);
 struct ups_stats ups_stats(const struct ups *u);
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -26,6 +26,7 @@
 	k->lease_ms = MIN(WKR_LEASE_MS, config->hold_max_ms);
 	k->ups = ups_new(config->base, config->tmr);
 	ups_set_reuse(k->ups, WKR_REUSE_MS);
+	ups_set_most(k->ups, (unsigned int)config->conns_max);
 	k->links = g_ptr_array_new_with_free_func(wkr_link_free);
 	k->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
 	k->tick = tmr_every(config->tmr, 100, wkr_tick, k);
@@ -257,10 +258,10 @@
 	return &k->stats;
 }
 
-/* Connections to workers since the start. */
-uint64_t wkr_connects(const struct wkr *k)
+/* Connections to workers, and calls that wait for one. */
+struct ups_stats wkr_conns(const struct wkr *k)
 {
-	return ups_stats(k->ups).connects;
+	return ups_stats(k->ups);
 }
 
 /* The session with a worker, or NULL. */
@@ -319,6 +320,8 @@
 		.timeout_ms = timeout_ms,
 		.connect_ms = WKR_CONNECT_MS,
 		.max_answer = WKR_ANSWER_MAX,
+		/* leases end and cancelled work runs on while these wait */
+		.urgent = o->kind == WKR_HOLD || o->kind == WKR_STOP,
 	};
 
 	c->link = l;
@@ -385,7 +388,9 @@
 	if (end == UPS_WHOLE && c->kind != WKR_HOLD)
 		cnt_time_ms(&l->k->stats.answers,
 			    tmr_now(l->k->config.tmr) - c->sent_ms);
-	if (end != UPS_WHOLE) {
+	if (end == UPS_NO_ROOM) {
+		wkr_untried(l, c);
+	} else if (end != UPS_WHOLE) {
 		wkr_unanswered(l, c, end != UPS_NOT_SENT);
 	} else if (c->kind == WKR_HOLD) {
 		wkr_hold_done(l, a->status, body, c->sent_ms);
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -132,12 +132,14 @@
 	const struct wkr_codec *codec;
 	struct jtb *jtb;
 	int64_t hold_max_ms; /* longest lease that workers take */
+	int conns_max; /* connections to workers at once; 0: not bounded */
 };
 
 /* Counters since the start. */
 struct wkr_stats {
 	uint64_t orders[WKR_PACE + 1];
 	uint64_t unanswered;
+	uint64_t untried; /* for want of a connection of ours */
 	uint64_t refused; /* starts */
 	uint64_t unticketed; /* of these, for want of a ticket */
 	uint64_t lapses; /* workers given up since their lease was over */
@@ -165,6 +167,6 @@
 int64_t wkr_silent_since(const struct wkr *k, const struct jtb_worker *w);
 bool wkr_reached(const struct wkr *k, const struct jtb_worker *w);
 const struct wkr_stats *wkr_stats(const struct wkr *k);
-uint64_t wkr_connects(const struct wkr *k);
+struct ups_stats wkr_conns(const struct wkr *k);
 
 #endif
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -125,6 +125,7 @@
 void wkr_answered(struct wkr_link *l, const struct wkr_call *c,
 		  enum wkr_answer answer);
 void wkr_unanswered(struct wkr_link *l, const struct wkr_call *c, bool sent);
+void wkr_untried(struct wkr_link *l, const struct wkr_call *c);
 void wkr_failed(struct wkr_link *l);
 void wkr_heard(struct wkr_link *l, int64_t clock_ms);
 int64_t wkr_until(struct wkr_link *l);
--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -6,6 +6,7 @@
 static void wkr_hold_timer(void *arg, int64_t now);
 static void wkr_take(struct wkr_link *l, const struct wkr_report *r,
 		     int64_t sent_ms);
+static int64_t wkr_pause(const struct wkr_link *l, int64_t took_ms);
 static void wkr_take_row(struct wkr_link *l, const struct wkr_row *row,
 			 int64_t now);
 static void wkr_stop_stray(struct wkr_link *l, const struct wkr_row *row);
@@ -38,11 +39,16 @@
 	wkr_call_send(l, l->hold, &o, o.wait_ms + WKR_ANSWER_MS);
 }
 
-/* How long the next call for the list may wait there, ms. */
+/*
+ * How long the next call for the list may wait there, ms. Where other workers
+ * wait for a connection it doesn't: their leases would end meanwhile.
+ */
 static int64_t wkr_wait(const struct wkr_link *l)
 {
 	guint i;
 
+	if (ups_crowded(l->k->ups))
+		return 0;
 	for (i = 0; i < l->w->runs->len; i++) {
 		const struct jtb_run *run = g_ptr_array_index(l->w->runs, i);
 
@@ -117,14 +123,21 @@
 				(const struct wkr_end *)r->ends->data,
 				r->ends->len);
 	} else if (l->w->runs->len || last) {
-		/* one that doesn't wait as it was asked must not spin us */
-		wkr_hold_after(l,
-			       now - sent_ms < WKR_PAUSE_MS ? WKR_PAUSE_MS : 0);
+		wkr_hold_after(l, wkr_pause(l, now - sent_ms));
 	}
 	l->k->ops->seen(l->k->arg, l->w);
 	wkr_orders(l);
 }
 
+/* Until the next call for a list that brought nothing new, ms. */
+static int64_t wkr_pause(const struct wkr_link *l, int64_t took_ms)
+{
+	if (ups_crowded(l->k->ups))
+		return WKR_WAIT_MS;
+	/* one that doesn't wait as it was asked must not spin us */
+	return took_ms < WKR_PAUSE_MS ? WKR_PAUSE_MS : 0;
+}
+
 /* Takes one run of a worker's list. */
 static void wkr_take_row(struct wkr_link *l, const struct wkr_row *row,
 			 int64_t now)
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -6,6 +6,8 @@
 static bool wkr_wants(const struct jtb_run *run, enum wkr_order_kind *kind);
 static void wkr_start_refused(struct wkr_link *l, struct jtb_run *run);
 static void wkr_drop(struct wkr_link *l, struct jtb_run *run);
+static void wkr_take_back(struct wkr_link *l, const struct wkr_call *c,
+			  bool sent);
 
 /* Sends what runs want ordered, as far as the window goes. */
 void wkr_orders(struct wkr_link *l)
@@ -195,21 +197,13 @@
 /* An order got no answer: it may have been carried out. */
 void wkr_unanswered(struct wkr_link *l, const struct wkr_call *c, bool sent)
 {
-	struct jtb_run *run = g_hash_table_lookup(l->k->runs, &c->serial);
-
 	l->k->stats.unanswered++;
 	if (l->leaves && !sent &&
 	    tmr_now(l->k->config.tmr) - c->sent_ms < WKR_REFUSED_MS) {
 		l->k->ops->gone(l->k->arg, l->w, true);
 		return;
 	}
-	if (run && c->kind == WKR_PACE) {
-		run->pace_told = -1;
-	} else if (run) {
-		run->phase = c->kind == WKR_START ? WKR_NEW : WKR_ON;
-		/* it may be there, or come to be there */
-		run->may_be_there = run->may_be_there || sent;
-	}
+	wkr_take_back(l, c, sent);
 	/*
 	 * One call lost among others that are answered says nothing of the
 	 * worker: it goes on getting work, and just this call is repeated.
@@ -220,3 +214,32 @@
 		wkr_hold_after(l, l->retry_ms);
 	wkr_orders_after(l, l->retry_ms);
 }
+
+/*
+ * No connection was to be had here for a call, which says nothing of the
+ * worker. Taken as its silence, work of workers that are well was given to
+ * others; and one that had said that it ends was over while it still ran.
+ */
+void wkr_untried(struct wkr_link *l, const struct wkr_call *c)
+{
+	l->k->stats.untried++;
+	wkr_take_back(l, c, false);
+	if (c->kind == WKR_HOLD)
+		wkr_hold_after(l, WKR_RETRY_MIN_MS);
+	wkr_orders_after(l, WKR_RETRY_MIN_MS);
+}
+
+/* What an order without an answer asked for is still to be asked for. */
+static void wkr_take_back(struct wkr_link *l, const struct wkr_call *c,
+			  bool sent)
+{
+	struct jtb_run *run = g_hash_table_lookup(l->k->runs, &c->serial);
+
+	if (run && c->kind == WKR_PACE) {
+		run->pace_told = -1;
+	} else if (run) {
+		run->phase = c->kind == WKR_START ? WKR_NEW : WKR_ON;
+		/* it may be there, or come to be there */
+		run->may_be_there = run->may_be_there || sent;
+	}
+}
--- a/tests/unit/ups_test.c
+++ b/tests/unit/ups_test.c
@@ -407,7 +407,7 @@
 	assert_int_equal(errno, EMFILE);
 	start(b, EVHTTP_REQ_GET, WAIT_MS);
 	wait_end(b);
-	assert_int_not_equal(b->end, UPS_WHOLE);
+	assert_int_equal(b->end, UPS_NO_ROOM);
 	for (i = 0; i < fds->len; i++)
 		close(g_array_index(fds, int, i));
 	g_array_free(fds, TRUE);
@@ -419,6 +419,167 @@
 	close(fd);
 }
 
+/* One of several calls at once. */
+struct one {
+	bool ended;
+	enum ups_end end;
+};
+
+static void on_one_end(void *arg, enum ups_end end, const struct ups_answer *a)
+{
+	struct one *o = arg;
+
+	assert_false(o->ended);
+	o->ended = true;
+	o->end = end;
+}
+
+static struct ups_call *start_one(struct bed *b, const char *addr, bool urgent,
+				  int64_t timeout_ms, struct one *o)
+{
+	static const struct ups_ops ops = {.end = on_one_end};
+
+	*o = (struct one){0};
+	return ups_start(b->ups,
+			 &(struct ups_request){
+				 .addr = addr,
+				 .method = EVHTTP_REQ_GET,
+				 .uri = "/a",
+				 .timeout_ms = timeout_ms,
+				 .connect_ms = 200,
+				 .max_answer = MAX_ANSWER,
+				 .urgent = urgent,
+			 },
+			 &ops, o);
+}
+
+static void wait_one(struct bed *b, const struct one *o)
+{
+	int i;
+
+	for (i = 0; i < WAIT_MS && !o->ended; i++)
+		net_run(b->base, 1);
+	assert_true(o->ended);
+}
+
+/* Reads a request off a connection and answers it. */
+static void answer(struct bed *b, int fd)
+{
+	bool closed;
+
+	g_string_free(net_read(b->base, fd, "\r\n\r\n", WAIT_MS, &closed),
+		      TRUE);
+	assert_false(closed);
+	net_send(fd, OK_ANSWER, -1);
+}
+
+/* Guards against a daemon that takes all descriptors of its process for calls. */
+static void calls_beyond_the_bound_wait(void **state)
+{
+	struct bed *b = *state;
+	struct one o[3];
+	int fds[2];
+	int i;
+
+	ups_set_most(b->ups, 2);
+	for (i = 0; i < 3; i++)
+		start_one(b, b->addr, false, WAIT_MS, &o[i]);
+	fds[0] = net_accept(b->base, b->listener, WAIT_MS);
+	fds[1] = net_accept(b->base, b->listener, WAIT_MS);
+	assert_int_equal(net_accept(b->base, b->listener, 50), -1);
+	assert_int_equal(ups_stats(b->ups).open, 2);
+	assert_int_equal(ups_stats(b->ups).waiting, 1);
+	answer(b, fds[0]);
+	wait_one(b, &o[0]);
+	answer(b, fds[0]);
+	answer(b, fds[1]);
+	for (i = 0; i < 3; i++) {
+		wait_one(b, &o[i]);
+		assert_int_equal(o[i].end, UPS_WHOLE);
+	}
+	assert_int_equal(ups_stats(b->ups).connects, 2);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+/* Guards against idle connections that keep other targets from being asked. */
+static void an_idle_connection_makes_place(void **state)
+{
+	struct bed *b = *state;
+	struct one o[2];
+	char addr[32];
+	int port;
+	int other = net_listen(&port);
+	int fds[2];
+
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", port);
+	ups_set_most(b->ups, 1);
+	ups_set_reuse(b->ups, 2 * WAIT_MS);
+	start_one(b, b->addr, false, WAIT_MS, &o[0]);
+	fds[0] = net_accept(b->base, b->listener, WAIT_MS);
+	answer(b, fds[0]);
+	wait_one(b, &o[0]);
+	start_one(b, addr, false, WAIT_MS, &o[1]);
+	fds[1] = net_accept(b->base, other, WAIT_MS);
+	answer(b, fds[1]);
+	wait_one(b, &o[1]);
+	assert_int_equal(o[1].end, UPS_WHOLE);
+	assert_int_equal(ups_stats(b->ups).open, 1);
+	assert_int_equal(ups_stats(b->ups).evicted, 1);
+	close(fds[0]);
+	close(fds[1]);
+	close(other);
+}
+
+/* Guards against leases that end while less urgent calls go first. */
+static void urgent_calls_go_first(void **state)
+{
+	struct bed *b = *state;
+	struct one o[3];
+	int fd;
+
+	ups_set_most(b->ups, 1);
+	start_one(b, b->addr, false, WAIT_MS, &o[0]);
+	start_one(b, b->addr, false, WAIT_MS, &o[1]);
+	start_one(b, b->addr, true, WAIT_MS, &o[2]);
+	assert_true(ups_crowded(b->ups));
+	fd = net_accept(b->base, b->listener, WAIT_MS);
+	answer(b, fd);
+	wait_one(b, &o[0]);
+	answer(b, fd);
+	wait_one(b, &o[2]);
+	assert_false(o[1].ended);
+	assert_false(ups_crowded(b->ups));
+	answer(b, fd);
+	wait_one(b, &o[1]);
+	close(fd);
+}
+
+/* Guards against a call that waited in vain and is taken for one that ran. */
+static void a_call_that_waited_in_vain_was_not_tried(void **state)
+{
+	struct bed *b = *state;
+	struct ups_call *cancelled;
+	struct one o[3];
+	int fd;
+
+	ups_set_most(b->ups, 1);
+	start_one(b, b->addr, false, WAIT_MS, &o[0]);
+	start_one(b, b->addr, false, 20, &o[1]);
+	cancelled = start_one(b, b->addr, false, WAIT_MS, &o[2]);
+	wait_one(b, &o[1]);
+	assert_int_equal(o[1].end, UPS_NO_ROOM);
+	ups_cancel(cancelled);
+	fd = net_accept(b->base, b->listener, WAIT_MS);
+	answer(b, fd);
+	wait_one(b, &o[0]);
+	net_run(b->base, 20);
+	assert_int_equal(ups_stats(b->ups).waiting, 0);
+	assert_int_equal(ups_stats(b->ups).reuses, 0);
+	assert_false(o[2].ended);
+	close(fd);
+}
+
 /* A call given up is never told, and its connection never used again. */
 static void a_cancelled_call_is_silent(void **state)
 {
@@ -528,6 +689,10 @@
 		T(without_connection_nothing_was_sent),
 		T(larger_answers_come_in_parts),
 		T(a_call_without_a_descriptor_ends),
+		T(calls_beyond_the_bound_wait),
+		T(an_idle_connection_makes_place),
+		T(urgent_calls_go_first),
+		T(a_call_that_waited_in_vain_was_not_tried),
 		T(a_cancelled_call_is_silent),
 		T(what_is_held_up_is_lost_with_its_call),
 	};
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -4,7 +4,9 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <errno.h>
 #include <event2/http.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "net.h"
@@ -20,6 +22,8 @@
 #define WAIT_MS 10000
 /* Longest pause between two tries of a worker that is silent, ms. */
 #define RETRY_MOST_MS 1000
+/* Open files of a process that has no more. */
+#define FEW_FILES 64
 /* What the worker's clock always shows. */
 #define WORKER_MS 100000
 
@@ -698,6 +702,35 @@
 	assert_int_equal(b->starts, 1);
 }
 
+/* Takes all descriptors that the process may have, until give_back. */
+static GArray *take_descriptors(struct bed *b, struct rlimit *all)
+{
+	GArray *fds = g_array_new(FALSE, FALSE, sizeof(int));
+	struct rlimit few;
+	int fd;
+
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, all), 0);
+	few = *all;
+	few.rlim_cur = FEW_FILES;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &few), 0);
+	ups_forget(b->wkr->ups, jtb_worker(b->jtb, "w")->info.addr);
+	net_run(b->base, 20);
+	while ((fd = dup(STDERR_FILENO)) >= 0)
+		g_array_append_val(fds, fd);
+	assert_int_equal(errno, EMFILE);
+	return fds;
+}
+
+static void give_back(GArray *fds, const struct rlimit *all)
+{
+	guint i;
+
+	for (i = 0; i < fds->len; i++)
+		close(g_array_index(fds, int, i));
+	g_array_free(fds, TRUE);
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, all), 0);
+}
+
 static void close_port(struct bed *b)
 {
 	evhttp_free(b->http);
@@ -815,6 +848,45 @@
 	assert_int_equal(b->ack, 1);
 }
 
+/* Guards against tasks run twice: a worker that leaves, taken as gone unasked. */
+static void a_leaving_worker_is_not_over_for_want_of_a_socket(void **state)
+{
+	struct bed *b = *state;
+	struct rlimit all;
+	GArray *fds;
+
+	b->lists = true;
+	start(b);
+	net_run(b->base, SETTLE_MS);
+	b->silent_holds = true;
+	net_run(b->base, SETTLE_MS);
+	wkr_leaves(b->wkr, jtb_worker(b->jtb, "w"));
+	fds = take_descriptors(b, &all);
+	net_run(b->base, WKR_WAIT_MS + WKR_ANSWER_MS + SETTLE_MS);
+	give_back(fds, &all);
+	assert_int_equal(b->gone_for_good, 0);
+}
+
+/* Guards against work taken from workers that just couldn't be asked. */
+static void a_worker_is_not_silent_for_want_of_a_socket(void **state)
+{
+	struct bed *b = *state;
+	const struct jtb_worker *w = jtb_worker(b->jtb, "w");
+	struct rlimit all;
+	GArray *fds;
+
+	net_run(b->base, SETTLE_MS);
+	assert_true(wkr_usable(b->wkr, w));
+	fds = take_descriptors(b, &all);
+	wkr_ask(b->wkr, jtb_worker(b->jtb, "w"));
+	net_run(b->base, SETTLE_MS);
+	give_back(fds, &all);
+	assert_true(wkr_reached(b->wkr, w));
+	assert_int_equal(wkr_silent_since(b->wkr, w), 0);
+	b->holds = 0;
+	wait_for(b, &b->holds);
+}
+
 /* A start carries its ticket, and the owner learns that it was refused. */
 static void a_start_carries_its_ticket(void **state)
 {
@@ -888,6 +960,8 @@
 		T(a_closed_port_alone_is_no_end),
 		T(another_lifetime_ends_the_one_we_meant),
 		T(an_end_is_acknowledged_once_it_is_stored),
+		T(a_leaving_worker_is_not_over_for_want_of_a_socket),
+		T(a_worker_is_not_silent_for_want_of_a_socket),
 		T(ends_of_a_large_fleet_are_gathered),
 		T(a_start_carries_its_ticket),
 		T(a_start_without_a_ticket_is_not_sent),
