A listener without descriptors rests instead of asking in each turn

Cause: libevent's listener stays readable while a connection can't be taken, and nobody told it to stop. Now both kinds of listener (HTTP and wire) rest for 100 ms after such an error, and say so once for each rest. libevent's own lines come out as ours: with time and level, and bounded.

srv_test a_listener_without_descriptors_rests: at most 4 tries in 300 ms.

--- a/src/msg.c
+++ b/src/msg.c
@@ -1,5 +1,6 @@
 #include "msg.h"
 
+#include <event2/event.h>
 #include <fcntl.h>
 #include <log4c.h>
 #include <stdarg.h>
@@ -24,12 +25,15 @@
 static void msg_write(const char *file, int line, enum msg_id id,
 		      const char *text);
 static void msg_never_wait(void);
+static void msg_of_libevent(int severity, const char *text);
 
 static const struct msg_def msg_table[MSG_MAX] = {
 	/* all daemons */
 	[MSG_START] = {MSG_NOTICE, "start"},
 	[MSG_STOP] = {MSG_NOTICE, "stop"},
 	[MSG_SUPPRESSED] = {MSG_WARN, "suppressed"},
+	[MSG_LIBEVENT] = {MSG_WARN, "libevent"},
+	[MSG_ACC_FAILED] = {MSG_WARN, "accept-failed"},
 	/* wire: connections between own processes */
 	[MSG_WIRE_UP] = {MSG_INFO, "wire-up"},
 	[MSG_WIRE_DOWN] = {MSG_INFO, "wire-down"},
@@ -136,6 +140,7 @@
 	g_strlcpy(msg_program, program, sizeof(msg_program));
 	msg_lowest = lowest;
 	msg_never_wait();
+	event_set_log_callback(msg_of_libevent);
 	if (log4c_init() != 0)
 		return;
 	log4c_layout_type_set(&msg_layout_type);
@@ -296,6 +301,16 @@
 		msg_left_out++;
 }
 
+/*
+ * What libevent says, as a line of ours: bounded, and with time and program.
+ * Its own lines would go on at any rate while the process has no descriptor.
+ */
+static void msg_of_libevent(int severity, const char *text)
+{
+	if (severity >= EVENT_LOG_WARN)
+		msg(MSG_LIBEVENT, "text=\"%s\"", text);
+}
+
 /* Lines that could not be written since the start. */
 unsigned long msg_lines_left_out(void)
 {
--- a/src/msg.h
+++ b/src/msg.h
@@ -22,6 +22,8 @@
 	MSG_START,
 	MSG_STOP,
 	MSG_SUPPRESSED,
+	MSG_LIBEVENT,
+	MSG_ACC_FAILED,
 	/* wire: connections between own processes */
 	MSG_WIRE_UP,
 	MSG_WIRE_DOWN,
--- a/src/srv.c
+++ b/src/srv.c
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "acc.h"
 #include "err.h"
 #include "hdr.h"
 #include "hfd.h"
@@ -27,6 +28,7 @@
 	const struct srv_ops *ops;
 	void *arg;
 	evhtp_t *htp;
+	struct acc acc;
 	GHashTable *conns; /* struct srv_conn, all */
 	struct srv_stats stats;
 	bool draining;
@@ -59,6 +61,7 @@
 };
 
 static evhtp_res srv_on_accept(evhtp_connection_t *ev, void *arg);
+static void srv_on_accept_error(struct evconnlistener *l, void *arg);
 static void srv_on_read(struct bufferevent *bev, void *arg);
 static void srv_feed(struct srv_conn *c);
 static void srv_feed_timer(void *arg, int64_t now);
@@ -98,7 +101,7 @@
 	s->accepting = true;
 	s->conns = g_hash_table_new(NULL, NULL);
 	s->look = tmr_every(config->tmr, SRV_LOOK_MS, srv_look, s);
-	s->htp = evhtp_new(config->base, NULL);
+	s->htp = evhtp_new(config->base, s);
 	evhtp_enable_flag(s->htp, EVHTP_FLAG_ENABLE_NODELAY);
 	evhtp_set_max_body_size(s->htp, config->max_body);
 	evhtp_set_timeouts(s->htp, &slow, &slow);
@@ -107,8 +110,12 @@
 	if (evutil_parse_sockaddr_port(config->addr, (struct sockaddr *)&ss,
 				       &len) == 0 &&
 	    evhtp_bind_sockaddr(s->htp, (struct sockaddr *)&ss, (size_t)len,
-				SRV_LISTEN_BACKLOG) == 0)
+				SRV_LISTEN_BACKLOG) == 0) {
+		acc_init(&s->acc, config->tmr, s->htp->server, config->addr);
+		evconnlistener_set_error_cb(s->htp->server,
+					    srv_on_accept_error);
 		return s;
+	}
 	err_set(err, ERR_IO, "listen", config->addr, "%s", g_strerror(errno));
 	srv_free(s);
 	return NULL;
@@ -139,6 +146,7 @@
 	if (!s->accepting)
 		return;
 	s->accepting = false;
+	acc_done(&s->acc);
 	evhtp_unbind_socket(s->htp);
 }
 
@@ -170,6 +178,7 @@
 	struct srv_stats st = s->stats;
 
 	st.open = g_hash_table_size(s->conns);
+	st.unaccepted = s->acc.failed;
 	return st;
 }
 
@@ -349,6 +358,15 @@
 	return EVHTP_RES_OK;
 }
 
+/* A caller's connection couldn't be taken; libevhtp gives its own argument. */
+static void srv_on_accept_error(struct evconnlistener *l, void *arg)
+{
+	const evhtp_t *htp = arg;
+	struct srv *s = htp->arg;
+
+	acc_rest(&s->acc);
+}
+
 /* Bytes came in: libevhtp gets of them what it can't misread. */
 static void srv_on_read(struct bufferevent *bev, void *arg)
 {
--- a/src/srv.h
+++ b/src/srv.h
@@ -40,6 +40,7 @@
 struct srv_stats {
 	uint64_t requests;
 	uint64_t refused; /* framing or size, before any request was made */
+	uint64_t unaccepted; /* tries to take one, for want of a descriptor */
 	uint64_t open; /* connections now */
 	uint64_t pending; /* requests without their answer now */
 };
--- a/src/wire.c
+++ b/src/wire.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 #include <sys/socket.h>
 
+#include "acc.h"
 #include "err.h"
 #include "msg.h"
 #include "wire_frame.h"
@@ -57,6 +58,8 @@
 struct wire_listener {
 	struct wire *w;
 	struct evconnlistener *ev;
+	struct acc acc;
+	char *addr;
 	const struct wire_ops *ops;
 	void *arg;
 };
@@ -88,6 +91,7 @@
 static void wire_conn_free(struct wire_conn *c);
 static void wire_accept(struct evconnlistener *l, evutil_socket_t fd,
 			struct sockaddr *sa, int len, void *arg);
+static void wire_accept_error(struct evconnlistener *l, void *arg);
 static void wire_try_dial(void *arg, int64_t now);
 static void wire_attach(struct wire_conn *c, struct bufferevent *bev,
 			enum wire_state state);
@@ -138,7 +142,9 @@
 		struct wire_listener *l =
 			g_ptr_array_steal_index_fast(w->listeners, 0);
 
+		acc_done(&l->acc);
 		evconnlistener_free(l->ev);
+		g_free(l->addr);
 		g_free(l);
 	}
 	tmr_cancel(w->config.tmr, w->tick);
@@ -171,6 +177,9 @@
 		g_free(l);
 		return -1;
 	}
+	l->addr = g_strdup(addr);
+	acc_init(&l->acc, w->config.tmr, l->ev, l->addr);
+	evconnlistener_set_error_cb(l->ev, wire_accept_error);
 	g_ptr_array_add(w->listeners, l);
 	return 0;
 }
@@ -353,6 +362,14 @@
 	wire_attach(c, bev, WIRE_HELLO);
 }
 
+/* A peer's connection couldn't be taken. */
+static void wire_accept_error(struct evconnlistener *l, void *arg)
+{
+	struct wire_listener *wl = arg;
+
+	acc_rest(&wl->acc);
+}
+
 static void wire_try_dial(void *arg, int64_t now)
 {
 	struct wire_conn *c = arg;
--- a/tests/unit/net.c
+++ b/tests/unit/net.c
@@ -1,12 +1,16 @@
 #include "net.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define NET_TURN_US 2000
+/* Open files of a process that has no more. */
+#define NET_FEW_FILES 128
 
 /* A listening socket on a free port. */
 int net_listen(int *port)
@@ -94,3 +98,36 @@
 	}
 	return got;
 }
+
+struct net_taken net_take_descriptors(unsigned int spare)
+{
+	struct net_taken t = {.fds = g_array_new(FALSE, FALSE, sizeof(int))};
+	struct rlimit r;
+	int fd;
+
+	g_assert(getrlimit(RLIMIT_NOFILE, &r) == 0);
+	t.limit = r.rlim_cur;
+	r.rlim_cur = NET_FEW_FILES;
+	g_assert(setrlimit(RLIMIT_NOFILE, &r) == 0);
+	while ((fd = dup(STDERR_FILENO)) >= 0)
+		g_array_append_val(t.fds, fd);
+	g_assert(errno == EMFILE && t.fds->len >= spare);
+	for (; spare; spare--) {
+		close(g_array_index(t.fds, int, t.fds->len - 1));
+		g_array_set_size(t.fds, t.fds->len - 1);
+	}
+	return t;
+}
+
+void net_give_back(struct net_taken *t)
+{
+	struct rlimit r;
+	guint i;
+
+	for (i = 0; i < t->fds->len; i++)
+		close(g_array_index(t->fds, int, i));
+	g_array_free(t->fds, TRUE);
+	g_assert(getrlimit(RLIMIT_NOFILE, &r) == 0);
+	r.rlim_cur = t->limit;
+	g_assert(setrlimit(RLIMIT_NOFILE, &r) == 0);
+}
--- a/tests/unit/net.h
+++ b/tests/unit/net.h
@@ -16,4 +16,15 @@
 int net_accept(struct event_base *base, int fd, int ms);
 void net_run(struct event_base *base, int ms);
 
+/* All descriptors that a process may have, taken away from the code under
+ * test; spare ones are left to it.
+ */
+struct net_taken {
+	GArray *fds;
+	unsigned long limit;
+};
+
+struct net_taken net_take_descriptors(unsigned int spare);
+void net_give_back(struct net_taken *t);
+
 #endif
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -415,6 +415,25 @@
 	assert_int_equal(b->gone, 1);
 }
 
+/* Guards against a daemon that does nothing but ask for connections in vain. */
+static void a_listener_without_descriptors_rests(void **state)
+{
+	struct bed *b = *state;
+	int fd = net_dial(b->port);
+	struct net_taken taken = net_take_descriptors(0);
+	bool closed;
+	GString *got;
+
+	net_send(fd, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", -1);
+	net_run(b->base, 2 * QUIET_MS);
+	assert_in_range(srv_stats(b->srv).unaccepted, 1, 4);
+	net_give_back(&taken);
+	got = net_read(b->base, fd, ">", READ_MS, &closed);
+	assert_non_null(strstr(got->str, "<GET /a >"));
+	g_string_free(got, TRUE);
+	close(fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -441,6 +460,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(a_caller_who_leaves_is_told,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			a_listener_without_descriptors_rests, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/ups_test.c
+++ b/tests/unit/ups_test.c
@@ -4,8 +4,6 @@
 #include <stdint.h>
 #include <cmocka.h>
 
-#include <errno.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,8 +12,6 @@
 
 #define WAIT_MS 3000
 #define MAX_ANSWER 100
-/* Open files of a process that has no more. */
-#define FEW_FILES 64
 /* More than the kernel holds for a target that doesn't read. */
 #define HELD_BYTES (16 << 20)
 
@@ -392,26 +388,13 @@
 static void a_call_without_a_descriptor_ends(void **state)
 {
 	struct bed *b = *state;
-	GArray *fds = g_array_new(FALSE, FALSE, sizeof(int));
-	struct rlimit all;
-	struct rlimit few;
+	struct net_taken taken = net_take_descriptors(0);
 	int fd;
-	guint i;
-
-	assert_int_equal(getrlimit(RLIMIT_NOFILE, &all), 0);
-	few = all;
-	few.rlim_cur = FEW_FILES;
-	assert_int_equal(setrlimit(RLIMIT_NOFILE, &few), 0);
-	while ((fd = dup(b->listener)) >= 0)
-		g_array_append_val(fds, fd);
-	assert_int_equal(errno, EMFILE);
+
 	start(b, EVHTTP_REQ_GET, WAIT_MS);
 	wait_end(b);
 	assert_int_equal(b->end, UPS_NO_ROOM);
-	for (i = 0; i < fds->len; i++)
-		close(g_array_index(fds, int, i));
-	g_array_free(fds, TRUE);
-	assert_int_equal(setrlimit(RLIMIT_NOFILE, &all), 0);
+	net_give_back(&taken);
 	start(b, EVHTTP_REQ_GET, WAIT_MS);
 	fd = play(b, OK_ANSWER);
 	wait_end(b);
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -4,9 +4,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
-#include <errno.h>
 #include <event2/http.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include "net.h"
@@ -22,8 +20,6 @@
 #define WAIT_MS 10000
 /* Longest pause between two tries of a worker that is silent, ms. */
 #define RETRY_MOST_MS 1000
-/* Open files of a process that has no more. */
-#define FEW_FILES 64
 /* What the worker's clock always shows. */
 #define WORKER_MS 100000
 
@@ -702,33 +698,12 @@
 	assert_int_equal(b->starts, 1);
 }
 
-/* Takes all descriptors that the process may have, until give_back. */
-static GArray *take_descriptors(struct bed *b, struct rlimit *all)
+/* Leaves the leader without a descriptor or an idle connection. */
+static struct net_taken take_descriptors(struct bed *b)
 {
-	GArray *fds = g_array_new(FALSE, FALSE, sizeof(int));
-	struct rlimit few;
-	int fd;
-
-	assert_int_equal(getrlimit(RLIMIT_NOFILE, all), 0);
-	few = *all;
-	few.rlim_cur = FEW_FILES;
-	assert_int_equal(setrlimit(RLIMIT_NOFILE, &few), 0);
 	ups_forget(b->wkr->ups, jtb_worker(b->jtb, "w")->info.addr);
 	net_run(b->base, 20);
-	while ((fd = dup(STDERR_FILENO)) >= 0)
-		g_array_append_val(fds, fd);
-	assert_int_equal(errno, EMFILE);
-	return fds;
-}
-
-static void give_back(GArray *fds, const struct rlimit *all)
-{
-	guint i;
-
-	for (i = 0; i < fds->len; i++)
-		close(g_array_index(fds, int, i));
-	g_array_free(fds, TRUE);
-	assert_int_equal(setrlimit(RLIMIT_NOFILE, all), 0);
+	return net_take_descriptors(0);
 }
 
 static void close_port(struct bed *b)
@@ -852,8 +827,7 @@
 static void a_leaving_worker_is_not_over_for_want_of_a_socket(void **state)
 {
 	struct bed *b = *state;
-	struct rlimit all;
-	GArray *fds;
+	struct net_taken taken;
 
 	b->lists = true;
 	start(b);
@@ -861,9 +835,9 @@
 	b->silent_holds = true;
 	net_run(b->base, SETTLE_MS);
 	wkr_leaves(b->wkr, jtb_worker(b->jtb, "w"));
-	fds = take_descriptors(b, &all);
+	taken = take_descriptors(b);
 	net_run(b->base, WKR_WAIT_MS + WKR_ANSWER_MS + SETTLE_MS);
-	give_back(fds, &all);
+	net_give_back(&taken);
 	assert_int_equal(b->gone_for_good, 0);
 }
 
@@ -872,15 +846,14 @@
 {
 	struct bed *b = *state;
 	const struct jtb_worker *w = jtb_worker(b->jtb, "w");
-	struct rlimit all;
-	GArray *fds;
+	struct net_taken taken;
 
 	net_run(b->base, SETTLE_MS);
 	assert_true(wkr_usable(b->wkr, w));
-	fds = take_descriptors(b, &all);
+	taken = take_descriptors(b);
 	wkr_ask(b->wkr, jtb_worker(b->jtb, "w"));
 	net_run(b->base, SETTLE_MS);
-	give_back(fds, &all);
+	net_give_back(&taken);
 	assert_true(wkr_reached(b->wkr, w));
 	assert_int_equal(wkr_silent_since(b->wkr, w), 0);
 	b->holds = 0;
