--- a/src/cns.h
+++ b/src/cns.h
@@ -175,6 +175,7 @@
 
 enum cns_role cns_role(const struct cns *c);
 const char *cns_role_name(enum cns_role role);
+const char *cns_refusal_name(enum cns_refusal refusal);
 int64_t cns_sure(const struct cns *c);
 bool cns_hands_over(const struct cns *c);
 void cns_clock(struct cns *c, int64_t now_ms);
--- a/src/cns_member.c
+++ b/src/cns_member.c
@@ -12,6 +12,20 @@
 static enum cns_refusal cns_edit(const struct cns *c, uint64_t id,
 				 struct cns_members *s, struct cns_member **m);
 
+/* Why a request was refused, in the words of logs. */
+const char *cns_refusal_name(enum cns_refusal refusal)
+{
+	static const char *const names[] = {
+		[CNS_DONE] = "done",
+		[CNS_NOT_LEADER] = "not the leader",
+		[CNS_BUSY] = "another change isn't final yet",
+		[CNS_NOT_CAUGHT_UP] = "behind",
+		[CNS_NO_SUCH_MEMBER] = "no such member",
+	};
+
+	return names[refusal];
+}
+
 /* The members of now, committed or not. */
 const struct cns_members *cns_members(const struct cns *c)
 {
--- a/src/msg.h
+++ b/src/msg.h
@@ -42,6 +42,7 @@
 	MSG_CTL_ROLE,
 	MSG_CTL_MEMBER,
 	MSG_REP_LEADERLESS,
+	MSG_REP_LEARNER,
 	MSG_CTL_FOREIGN,
 	MSG_CTL_RECOVERED,
 	/* cns, sto: consensus and data folder */
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -49,6 +49,9 @@
  */
 #define REP_MISSED_MS 3000
 
+/* Between two lines on a learner that isn't a voter yet. */
+#define REP_LEARNER_MS 1000
+
 /* Another replica that we know an address of. */
 struct rep_peer {
 	struct rep *r;
@@ -79,6 +82,7 @@
 	uint64_t told_leader; /* 0: none is known */
 	int64_t leaderless_ms; /* since when none is */
 	int64_t missed_ms; /* when that was last logged */
+	int64_t learner_ms; /* when a learner's wait was last logged */
 	struct cnt_times leaderless; /* how long none was */
 	uint64_t syncs; /* of vot, as last looked at */
 	int slow_syncs; /* in a row */
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -6,6 +6,7 @@
 		     const struct rep_peer *p, int64_t now);
 static bool rep_reached(const struct rep *r, const struct cns_member *m,
 			int64_t now);
+static bool rep_promote(struct rep *r, const struct cns_member *m, int64_t now);
 static bool rep_drop_member(struct rep *r, uint64_t id, const char *why);
 static void rep_on_hello(struct rep *r, struct pk_in *in);
 
@@ -43,11 +44,8 @@
 		return;
 	}
 	for (i = 0; i < s.n; i++)
-		if (!s.m[i].voter &&
-		    cns_promote(r->cns, s.m[i].id) == CNS_DONE) {
-			msg(MSG_CTL_MEMBER, "does=voter addr=%s", s.m[i].addr);
+		if (!s.m[i].voter && rep_promote(r, &s.m[i], now))
 			return;
-		}
 	for (i = 0; i < s.n; i++) {
 		if (s.m[i].id == r->id)
 			continue;
@@ -69,6 +67,26 @@
 	}
 }
 
+/* Makes a learner a voter, or tells from time to time why it can't be yet. */
+static bool rep_promote(struct rep *r, const struct cns_member *m, int64_t now)
+{
+	enum cns_refusal refusal = cns_promote(r->cns, m->id);
+
+	if (refusal == CNS_DONE) {
+		msg(MSG_CTL_MEMBER, "does=voter addr=%s", m->addr);
+		return true;
+	}
+	if (now - r->learner_ms < REP_LEARNER_MS)
+		return false;
+	r->learner_ms = now;
+	msg(MSG_REP_LEARNER,
+	    "addr=%s why=\"%s\" match=%" PRIu64 " commit=%" PRIu64
+	    " last=%" PRIu64,
+	    m->addr, cns_refusal_name(refusal), cns_match(r->cns, m->id),
+	    cns_commit(r->cns), cns_last(r->cns));
+	return false;
+}
+
 /* Whether a member may leave before there is another in its place. */
 static bool rep_gone(const struct cns_members *s, const struct cns_member *m,
 		     const struct rep_peer *p, int64_t now)
