A batch of the log takes few turns of a busy daemon's loop

A batch is 256 KB. libevent reads 4 KB of a connection in a turn of the loop and writes 16 KB, and turns of a leader with 1,100 workers are long; besides, a batch that gets no answer for 200 ms is sent again and queues behind its first copy, heartbeats behind both.

A frame that is larger than what libevent reads at once is read on in the same turn, up to 512 KB, as much is written in one, and no more of the log is queued for a replica that has as much unsent. Small messages cost no call more.

--- a/src/rep.c
+++ b/src/rep.c
@@ -9,6 +9,7 @@
 static void rep_pump(struct rep *r);
 static void rep_pump_timer(void *arg, int64_t now);
 static void rep_send(void *arg, const struct cns_msg *m);
+static bool rep_is_bulk(const struct cns_msg *m);
 static struct wire_conn *rep_conn_to(struct rep *r, uint64_t id);
 static bool rep_restore(void *arg, struct lstr snap, GError **err);
 static void rep_apply(void *arg, const struct cns_entry *e);
@@ -344,7 +345,7 @@
 	struct wire_conn *conn = rep_conn_to(arg, m->to);
 	struct pk_out o;
 
-	if (!conn)
+	if (!conn || (rep_is_bulk(m) && wire_backlog(conn) > REP_BACKLOG_MAX))
 		return;
 	pk_out_init(&o);
 	cns_msg_pack(m, &o);
@@ -353,6 +354,12 @@
 	pk_out_done(&o);
 }
 
+/* Whether a message carries a part of the log or of a snapshot. */
+static bool rep_is_bulk(const struct cns_msg *m)
+{
+	return m->entries || m->data;
+}
+
 /* A connection that we dialled to the member's address, if it is up. */
 static struct wire_conn *rep_conn_to(struct rep *r, uint64_t id)
 {
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -52,6 +52,13 @@
 /* Between two lines on a learner that isn't a voter yet. */
 #define REP_LEARNER_MS 1000
 
+/*
+ * With so many bytes unsent no more of the log goes to a replica: what is sent
+ * again after a while without an answer would only queue behind its first
+ * copy, and heartbeats behind both.
+ */
+#define REP_BACKLOG_MAX (512u << 10)
+
 /* Another replica that we know an address of. */
 struct rep_peer {
 	struct rep *r;
--- a/src/wire.c
+++ b/src/wire.c
@@ -32,6 +32,16 @@
  */
 #define WIRE_OUT_MAX (16u << 20)
 
+/*
+ * Bytes of one connection that a turn of the loop moves. libevent's own bounds,
+ * 4 KB in and 16 KB out, have a batch of the log take a second on a daemon
+ * whose turns are long, and the replica that gets it is never caught up.
+ */
+#define WIRE_TURN_MAX (512u << 10)
+/* What libevent reads at once, and what is read where a frame is larger. */
+#define WIRE_READ_ONCE (4u << 10)
+#define WIRE_READ_MORE (64u << 10)
+
 /*
  * Connections at once of which the peer has not proved its key. Each costs
  * some kilobytes; a flood of them must not crowd out our own peers.
@@ -102,6 +112,7 @@
 static void wire_frame_out(struct wire_conn *c, struct lstr payload);
 static void wire_read(struct bufferevent *bev, void *arg);
 static void wire_event(struct bufferevent *bev, short what, void *arg);
+static bool wire_read_more(struct bufferevent *bev, size_t *read);
 static bool wire_read_frame(struct wire_conn *c);
 static bool wire_got_hello(struct wire_conn *c, struct lstr body);
 static bool wire_got_frame(struct wire_conn *c, struct lstr body);
@@ -247,6 +258,12 @@
 	c->redial_timer = tmr_once(tmr, 0, wire_reap, c);
 }
 
+/* Bytes of messages that the kernel hasn't taken yet. */
+size_t wire_backlog(const struct wire_conn *c)
+{
+	return c->bev ? evbuffer_get_length(bufferevent_get_output(c->bev)) : 0;
+}
+
 /* Whether messages can be sent. */
 bool wire_is_up(const struct wire_conn *c)
 {
@@ -400,6 +417,7 @@
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	wire_enter(c, state);
 	bufferevent_setcb(bev, wire_read, NULL, wire_event, c);
+	bufferevent_set_max_single_write(bev, WIRE_TURN_MAX);
 	/* The largest frame a proved peer may send must fit in. */
 	bufferevent_setwatermark(bev, EV_READ, 0, WIRE_HELLO_MAX + 64);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
@@ -478,10 +496,38 @@
 static void wire_read(struct bufferevent *bev, void *arg)
 {
 	struct wire_conn *c = arg;
+	size_t read = 0;
 
 	c->heard = tmr_now(c->w->config.tmr);
-	while (!c->closing && c->bev == bev && wire_read_frame(c))
-		;
+	do {
+		while (!c->closing && c->bev == bev && wire_read_frame(c))
+			;
+		if (c->closing || c->bev != bev)
+			return;
+	} while (wire_read_more(bev, &read));
+}
+
+/*
+ * Reads on in a frame that is larger than what libevent reads at once; false:
+ * nothing more is there. Its end or error is left to libevent: it comes again.
+ */
+static bool wire_read_more(struct bufferevent *bev, size_t *read)
+{
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct evbuffer_iovec v;
+	ssize_t n;
+
+	if (evbuffer_get_length(in) < WIRE_READ_ONCE || *read >= WIRE_TURN_MAX)
+		return false;
+	/* a bufferevent lets only its socket add to its input */
+	evbuffer_unfreeze(in, 0);
+	evbuffer_reserve_space(in, WIRE_READ_MORE, &v, 1);
+	n = recv(bufferevent_getfd(bev), v.iov_base, v.iov_len, MSG_DONTWAIT);
+	v.iov_len = n > 0 ? (size_t)n : 0;
+	evbuffer_commit_space(in, &v, 1);
+	evbuffer_freeze(in, 0);
+	*read += v.iov_len;
+	return n > 0;
 }
 
 /* Takes one frame out of the buffer; false when none is whole. */
--- a/src/wire.h
+++ b/src/wire.h
@@ -54,6 +54,7 @@
 bool wire_send(struct wire_conn *c, struct lstr payload);
 void wire_hurry(struct wire_conn *c);
 void wire_close(struct wire_conn *c);
+size_t wire_backlog(const struct wire_conn *c);
 bool wire_is_up(const struct wire_conn *c);
 const char *wire_node(const struct wire_conn *c);
 const char *wire_zone(const struct wire_conn *c);
--- a/tests/unit/wire_test.c
+++ b/tests/unit/wire_test.c
@@ -20,6 +20,9 @@
 #define HEX_A "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 #define HEX_B "ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 #define SILENCE_MS 200
+/* A batch of the log, and the turns of the loop that it may take. */
+#define LARGE (256 << 10)
+#define LARGE_TURNS 16
 /* Attempts are a second apart after so long, and none is due for a while. */
 #define AWAY_MS 1700
 
@@ -196,6 +199,26 @@
 	pair_done(&p);
 }
 
+/* Guards against a replica that gets a batch of the log in a second or two. */
+static void a_large_message_takes_few_turns(void **state)
+{
+	char *large = g_strnfill(LARGE, 'x');
+	struct pair p;
+	int turns = 0;
+
+	pair_init(&p, "peer peer " HEX_A "\n", "peer peer " HEX_A);
+	wire_dial(p.a.w, p.addr, &side_ops, &p.a);
+	assert_true(run_until(p.base, &p.a.ups, 1));
+	assert_true(run_until(p.base, &p.b.ups, 1));
+	assert_true(wire_send(p.a.conn, lstr_n(large, LARGE)));
+	for (turns = 0; p.b.got->len < LARGE && turns < 1000; turns++)
+		event_base_loop(p.base, EVLOOP_ONCE);
+	assert_int_equal(p.b.got->len, LARGE);
+	assert_in_range(turns, 1, LARGE_TURNS);
+	pair_done(&p);
+	g_free(large);
+}
+
 /*
  * A process with another key under a known name: its connection is closed
  * with its first tagged frame, nothing it sends is ever a message.
@@ -391,6 +414,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(messages_pass_between_known_peers),
+		cmocka_unit_test(a_large_message_takes_few_turns),
 		cmocka_unit_test(a_wrong_key_is_not_let_in),
 		cmocka_unit_test(garbage_and_oversized_frames_close),
 		cmocka_unit_test(unproved_connections_are_bounded),
