A budget of descriptors, shared out among the parts of each daemon

Cause: nothing bounded calls to workers, idle connections and those that come in together (by reading, and by the gauges that are new here).

Each daemon now splits the limit that it runs under, or the one its settings name, at its start: files, own processes, operators, callers, targets. With too few for the least of each it doesn't start and says so. Half of the own processes' share may be unproved at once, since 147 entry daemons dial a replica that is back at the same moment. The balancer's and the metrics address no longer share callers' bound. Gauges on each metrics address; the older daemons get a flag.

--- a/src/adv.h
+++ b/src/adv.h
@@ -24,6 +24,10 @@
 
 /* Workers named in one call at most; the service takes no more. */
 #define ADV_NAMES_MAX 100
+/* Connections to the service that gives advice: one call at a time, and an idle
+ * connection that was given up.
+ */
+#define ADV_CONNS_MAX 4
 
 /* A question: which of these workers may run that step. */
 struct adv_ask {
--- a/src/adv_line.c
+++ b/src/adv_line.c
@@ -77,6 +77,7 @@
 	l->arg = arg;
 	l->ups = ups_new(config->base, config->tmr);
 	ups_set_reuse(l->ups, ADV_REUSE_MS);
+	ups_set_most(l->ups, ADV_CONNS_MAX);
 	return l;
 }
 
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -13,6 +13,7 @@
 static void ctl_in_up(void *arg, struct wire_conn *conn);
 static void ctl_in_recv(void *arg, struct wire_conn *conn, struct lstr payload);
 static void ctl_in_down(void *arg, struct wire_conn *conn, const GError *why);
+static bool ctl_in_goes_first(void *arg, const char *ip);
 static void ctl_out_up(void *arg, struct wire_conn *conn);
 static void ctl_out_recv(void *arg, struct wire_conn *conn,
 			 struct lstr payload);
@@ -29,6 +30,7 @@
 	.up = ctl_in_up,
 	.recv = ctl_in_recv,
 	.down = ctl_in_down,
+	.goes_first = ctl_in_goes_first,
 };
 
 /* Connections to the other voters, for what we send to them. */
@@ -65,6 +67,9 @@
 		.node = config->node,
 		.zone = config->zone,
 		.silence_ms = config->silence_ms,
+		.conns_max = config->descriptors.share[FDB_PEERS],
+		.conns_kept = MIN(CNS_MEMBERS_MAX,
+				  config->descriptors.share[FDB_PEERS] / 2),
 	});
 	if (!ctl_peers_read(c, err) || !ctl_voter_open(c, err) ||
 	    !ctl_http_open(c, err) ||
@@ -104,6 +109,21 @@
 	g_free(c);
 }
 
+/* Whether a voter dials: entry daemons must not take the places of all. */
+static bool ctl_in_goes_first(void *arg, const char *ip)
+{
+	const struct ctl *c = arg;
+	guint i;
+
+	for (i = 0; i < c->peers->len; i++) {
+		const struct ctl_peer *p = g_ptr_array_index(c->peers, i);
+
+		if (wire_addr_is_of(p->addr, ip))
+			return true;
+	}
+	return false;
+}
+
 /* Planned stop: hands leadership over, then ends the loop. */
 void ctl_drain(struct ctl *c)
 {
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "fdb.h"
 #include "key.h"
 
 /*
@@ -21,6 +22,7 @@
 	char *zone;
 	char *listen; /* IP:PORT */
 	char *http; /* health and metrics, IP:PORT */
+	struct fdb descriptors;
 	char **peers; /* NODE=IP:PORT of every voter, this one too */
 	char *data; /* folder */
 	gboolean initial; /* a new fleet may be begun */
--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -4,7 +4,6 @@
 
 #define CTL_HTTP_BODY_MAX 1024
 #define CTL_HTTP_SLOW_MS 5000
-#define CTL_HTTP_CONNS 64
 
 static void ctl_http_request(void *arg, struct srv_req *r);
 static void ctl_http_gone(void *arg, struct srv_req *r);
@@ -55,7 +54,7 @@
 		.addr = c->config.http,
 		.max_body = CTL_HTTP_BODY_MAX,
 		.slow_ms = CTL_HTTP_SLOW_MS,
-		.max_conns = CTL_HTTP_CONNS,
+		.max_conns = c->config.descriptors.share[FDB_OPERATORS],
 	};
 
 	c->srv = srv_new(&config, &ctl_http_ops, c, err);
--- a/src/dmn.c
+++ b/src/dmn.c
@@ -53,7 +53,11 @@
 	d.changed = dmn_changed(d.settings->path);
 	msg_level_parse(d.settings->level, &lowest);
 	msg_init(ops->name, lowest);
-	if (!dmn_keys(&d, &err))
+	if (!fdb_split(&d.descriptors,
+		       fdb_limit(d.settings->descriptors,
+				 d.settings->descriptors_kept),
+		       ops->descriptors, &err) ||
+	    !dmn_keys(&d, &err))
 		rc = dmn_fail(&d, err, SET_EXIT_USAGE);
 	else
 		rc = dmn_run(&d);
--- a/src/dmn.h
+++ b/src/dmn.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "fdb.h"
 #include "key.h"
 #include "nst.h"
 
@@ -17,6 +18,7 @@
 struct dmn_ops {
 	const char *name;
 	const char *summary;
+	struct fdb_want descriptors[FDB_PARTS];
 	bool (*start)(struct dmn *d, GError **err);
 	void (*stop)(struct dmn *d);
 	/* a planned stop: end the loop when nothing is left to do */
@@ -32,6 +34,7 @@
 	struct nst *settings;
 	struct nst *first; /* the settings it was started with */
 	struct keyring *keys;
+	struct fdb descriptors;
 	void *service;
 	struct event *look;
 	long long changed; /* of the file, ns */
--- a/src/ent.c
+++ b/src/ent.c
@@ -9,7 +9,6 @@
 #define ENT_SLOW_MS 15000
 
 #define ENT_ADMIN_BODY_MAX 4096
-#define ENT_ADMIN_CONNS_MAX 4096
 
 #define ENT_TICK_MS 100
 
@@ -25,6 +24,8 @@
 	e->config = *config;
 	e->tmr = tmr_new(config->base);
 	e->ups = ups_new(config->base, e->tmr);
+	ups_set_most(e->ups,
+		     (unsigned int)config->descriptors.share[FDB_TARGETS]);
 	e->adm = adm_new(&(struct adm_config){
 		.seed = g_str_hash(config->node),
 		.entries = 1,
@@ -44,6 +45,7 @@
 		.node = config->node,
 		.zone = config->zone,
 		.silence_ms = config->silence_ms,
+		.conns_max = config->descriptors.share[FDB_PEERS],
 	});
 	e->admin = srv_new(
 		&(struct srv_config){
@@ -52,7 +54,7 @@
 			.addr = config->admin,
 			.max_body = ENT_ADMIN_BODY_MAX,
 			.slow_ms = ENT_SLOW_MS,
-			.max_conns = ENT_ADMIN_CONNS_MAX,
+			.max_conns = config->descriptors.share[FDB_OPERATORS],
 		},
 		&ent_admin_ops, e, err);
 	if (e->admin)
@@ -63,7 +65,9 @@
 				.addr = config->listen,
 				.max_body = ENT_BODY_MAX,
 				.slow_ms = ENT_SLOW_MS,
-				.max_conns = (int)config->max_conns,
+				.max_conns = MIN(
+					(int)config->max_conns,
+					config->descriptors.share[FDB_CALLERS]),
 			},
 			&ent_caller_ops, e, err);
 	if (!e->callers || !ent_peer_start(e, err)) {
--- a/src/ent.h
+++ b/src/ent.h
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <glib.h>
 
+#include "fdb.h"
 #include "key.h"
 
 /*
@@ -23,6 +24,7 @@
 	char **voters; /* IP:PORT of control daemons, or NULL */
 	char **peers; /* IP:PORT of all entry daemons' wires, or NULL */
 	long long max_conns; /* callers' connections at once */
+	struct fdb descriptors;
 	long long drain_ms; /* from SIGTERM until new connections are refused */
 	long long stop_ms; /* longest wait for requests in flight after that */
 	long long silence_ms; /* of a peer, until it is taken as gone */
--- /dev/null
+++ b/src/fdb.c
@@ -0,0 +1,101 @@
+#include "fdb.h"
+
+#include <sys/resource.h>
+
+#include "err.h"
+
+/* Where the system sets no limit: more than any daemon of ours can use. */
+#define FDB_LIMIT_MAX 100000
+
+static const char *const fdb_names[FDB_PARTS] = {
+	[FDB_FILES] = "files",	       [FDB_PEERS] = "peers",
+	[FDB_OPERATORS] = "operators", [FDB_CALLERS] = "callers",
+	[FDB_TARGETS] = "targets",
+};
+
+/*
+ * Descriptors that this process may have: the limit that it runs under, or the
+ * one that its settings name if that is less (0: none). kept are taken off the
+ * latter, as not for us.
+ */
+int fdb_limit(long long set, long long kept)
+{
+	long long limit = FDB_LIMIT_MAX;
+	struct rlimit r;
+
+	if (getrlimit(RLIMIT_NOFILE, &r) == 0 && r.rlim_cur < FDB_LIMIT_MAX)
+		limit = (long long)r.rlim_cur;
+	if (set)
+		limit = MIN(limit, set - kept);
+	return (int)MAX(limit, 0);
+}
+
+/*
+ * Shares a limit out among FDB_PARTS parts. False with ERR_INPUT: it is less
+ * than what they need.
+ */
+bool fdb_split(struct fdb *f, int limit, const struct fdb_want *want,
+	       GError **err)
+{
+	int least = 0;
+	int weights = 0;
+	size_t i;
+
+	for (i = 0; i < FDB_PARTS; i++) {
+		least += want[i].least;
+		weights += want[i].weight;
+	}
+	if (limit < least) {
+		err_set(err, ERR_INPUT, "share descriptors", NULL,
+			"%d open files are allowed; at least %d are needed",
+			limit, least);
+		return false;
+	}
+	f->limit = limit;
+	for (i = 0; i < FDB_PARTS; i++) {
+		f->share[i] = want[i].least;
+		if (weights)
+			f->share[i] += (int)((long long)(limit - least) *
+					     want[i].weight / weights);
+	}
+	return true;
+}
+
+/* Appends how the parts stand, in the text form that monitoring reads. */
+void fdb_text(const struct fdb *f, const struct fdb_use *use, GString *out)
+{
+	size_t i;
+
+	g_string_append_printf(
+		out,
+		"# HELP endive_descriptors_limit Descriptors we may have\n"
+		"# TYPE endive_descriptors_limit gauge\n"
+		"endive_descriptors_limit %d\n"
+		"# HELP endive_descriptors_share Of these, a part's own\n"
+		"# TYPE endive_descriptors_share gauge\n",
+		f->limit);
+	for (i = 0; i < FDB_PARTS; i++)
+		g_string_append_printf(
+			out, "endive_descriptors_share{part=\"%s\"} %d\n",
+			fdb_names[i], f->share[i]);
+	g_string_append(out, "# HELP endive_descriptors_used In use now\n"
+			     "# TYPE endive_descriptors_used gauge\n");
+	for (i = 0; i < FDB_PARTS; i++)
+		if (i != FDB_FILES)
+			g_string_append_printf(out,
+					       "endive_descriptors_used{part="
+					       "\"%s\"} %" G_GUINT64_FORMAT
+					       "\n",
+					       fdb_names[i], use[i].used);
+	g_string_append(
+		out, "# HELP endive_descriptors_refused_total Connections "
+		     "refused, made to wait or closed early for want of more\n"
+		     "# TYPE endive_descriptors_refused_total counter\n");
+	for (i = 0; i < FDB_PARTS; i++)
+		if (i != FDB_FILES)
+			g_string_append_printf(
+				out,
+				"endive_descriptors_refused_total{part=\"%s\"} "
+				"%" G_GUINT64_FORMAT "\n",
+				fdb_names[i], use[i].refused);
+}
--- a/src/gat.c
+++ b/src/gat.c
@@ -6,13 +6,12 @@
 #define GAT_LEAVE_MS 2600
 /* Kept of the grace so that the last answers are out before the end. */
 #define GAT_GRACE_REST_MS 700
-/* Callers at once: what the descriptors of a small VM allow. */
-#define GAT_CONNS_MAX 3000
 #define GAT_SLOW_MS 15000
 
 static bool gat_open_http(struct gat *g, GError **err);
 static void gat_on_ready(void *arg, struct srv_req *r);
 static void gat_on_metrics(void *arg, struct srv_req *r);
+static void gat_tell_descriptors(const struct gat *g, GString *out);
 static void gat_no_gone(void *arg, struct srv_req *r);
 static void gat_tick(void *arg, int64_t now);
 static void gat_tick_drain(struct gat *g, int64_t now);
@@ -76,6 +75,7 @@
 		.node = config->node,
 		.zone = config->zone,
 		.silence_ms = GAT_SILENCE_MS,
+		.conns_max = config->descriptors->share[FDB_PEERS],
 	});
 	if (!gat_open_http(g, err)) {
 		gat_free(g);
@@ -136,12 +136,14 @@
 		.addr = g->config.callers,
 		.max_body = (uint64_t)g->config.body_max,
 		.slow_ms = GAT_SLOW_MS,
-		.max_conns = GAT_CONNS_MAX,
+		.max_conns = g->config.descriptors->share[FDB_CALLERS],
 	};
 
 	g->srv = srv_new(&c, &gat_srv_ops, g, err);
 	if (!g->srv)
 		return false;
+	/* the balancer and whoever reads metrics, half each */
+	c.max_conns = g->config.descriptors->share[FDB_OPERATORS] / 2;
 	if (g->config.ready) {
 		c.addr = g->config.ready;
 		g->ready = srv_new(&c, &gat_ready_ops, g, err);
@@ -183,6 +185,7 @@
 		       "Requests, until they were refused", &g->refusals);
 	cnt_times_text(text, "endive_entry_leaderless_seconds",
 		       "Times without a leader", &g->leaderless);
+	gat_tell_descriptors(g, text);
 	cnt_process(text);
 	evbuffer_add(body, text->str, text->len);
 	srv_reply(r, 200, &type, 1, body);
@@ -190,6 +193,24 @@
 	g_string_free(text, TRUE);
 }
 
+/* Appends how many descriptors each part has in use, and may have. */
+static void gat_tell_descriptors(const struct gat *g, GString *out)
+{
+	struct srv_stats callers = srv_stats(g->srv);
+	struct srv_stats metrics = srv_stats(g->metrics);
+	struct srv_stats ready =
+		g->ready ? srv_stats(g->ready) : (struct srv_stats){0};
+	struct wire_stats peers = wire_stats(g->wire);
+	const struct fdb_use use[FDB_PARTS] = {
+		[FDB_PEERS] = {peers.open, peers.crowded},
+		[FDB_OPERATORS] = {metrics.open + ready.open,
+				   metrics.crowded + ready.crowded},
+		[FDB_CALLERS] = {callers.open, callers.crowded},
+	};
+
+	fdb_text(g->config.descriptors, use, out);
+}
+
 /* For answers that are whole before a caller can leave. */
 static void gat_no_gone(void *arg, struct srv_req *r)
 {
--- a/src/gat.h
+++ b/src/gat.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fdb.h"
 #include "key.h"
 
 /*
@@ -27,6 +28,7 @@
 	const char *patience_header; /* how long a caller waits, ms; or NULL */
 	long long body_max; /* bytes */
 	long long grace_ms; /* from a stop until we are killed */
+	const struct fdb *descriptors;
 };
 
 struct gat *gat_new(const struct gat_config *config, GError **err);
--- a/src/hub.c
+++ b/src/hub.c
@@ -10,8 +10,6 @@
 #define HUB_TICK_MS 200
 /* Longest wait for another replica to take leadership over at a stop. */
 #define HUB_DRAIN_MS 1500
-/* Connections of workers and operators at once; a worker has one or two. */
-#define HUB_CONNS_MAX 2000
 /* A sender that pauses for longer within a request is cut. */
 #define HUB_SLOW_MS 15000
 
@@ -74,6 +72,8 @@
 			.codec = config->face->codec,
 			.jtb = h->jtb,
 			.hold_max_ms = config->hold_max_ms,
+			.conns_max = config->descriptors->share[FDB_TARGETS] -
+				     VMS_CONNS_MAX - ADV_CONNS_MAX,
 		},
 		&hub_wkr_ops, h);
 	h->adv = adv_new(h->jtb);
@@ -98,6 +98,7 @@
 			.seeds = config->seeds,
 			.bootstrap = config->bootstrap,
 			.voters_min = config->voters_min,
+			.conns_max = config->descriptors->share[FDB_PEERS],
 		},
 		&hub_rep_ops, h, err);
 	if (!h->rep || !hub_open_http(h, err)) {
@@ -212,13 +213,14 @@
 		.addr = h->config.control,
 		.max_body = (uint64_t)h->config.body_max,
 		.slow_ms = HUB_SLOW_MS,
-		.max_conns = HUB_CONNS_MAX,
+		.max_conns = h->config.descriptors->share[FDB_CALLERS],
 	};
 
 	h->srv = srv_new(&c, &hub_srv_ops, h, err);
 	if (!h->srv || !h->config.metrics)
 		return h->srv != NULL;
 	c.addr = h->config.metrics;
+	c.max_conns = h->config.descriptors->share[FDB_OPERATORS];
 	h->metrics = srv_new(&c, &hub_metrics_ops, h, err);
 	return h->metrics != NULL;
 }
--- a/src/hub.h
+++ b/src/hub.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "adv.h"
+#include "fdb.h"
 #include "jtb.h"
 #include "key.h"
 #include "vms.h"
@@ -64,6 +65,7 @@
 	long long vm_lease_ms; /* between orders of two leaders for a VM */
 	long long keep_ms; /* an ended job is told of for so long */
 	long long body_max; /* bytes */
+	const struct fdb *descriptors;
 };
 
 struct hub *hub_new(const struct hub_config *config, GError **err);
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -5,6 +5,7 @@
 /* What a control daemon tells monitoring of itself. */
 
 static void hub_tell_state(const struct hub *h, GString *out);
+static void hub_tell_descriptors(const struct hub *h, GString *out);
 
 static const struct cnt_def hub_counters[HUB_COUNTS] = {
 	[HUB_CALLS] = {"endive_calls_total", "counter",
@@ -90,9 +91,27 @@
 	cnt_times_text(out, "endive_leaderless_seconds",
 		       "Times without a leader, as this replica saw them",
 		       rep_leaderless(h->rep));
+	hub_tell_descriptors(h, out);
 	cnt_process(out);
 }
 
+/* Appends how many descriptors each part has in use, and may have. */
+static void hub_tell_descriptors(const struct hub *h, GString *out)
+{
+	struct srv_stats callers = srv_stats(h->srv);
+	struct srv_stats operators = srv_stats(h->metrics);
+	struct wire_stats peers = rep_wire_stats(h->rep);
+	struct ups_stats workers = wkr_conns(h->wkr);
+	const struct fdb_use use[FDB_PARTS] = {
+		[FDB_PEERS] = {peers.open, peers.crowded},
+		[FDB_OPERATORS] = {operators.open, operators.crowded},
+		[FDB_CALLERS] = {callers.open, callers.crowded},
+		[FDB_TARGETS] = {workers.open, workers.waited},
+	};
+
+	fdb_text(h->config.descriptors, use, out);
+}
+
 /* Appends how things stand now, and what other parts count. */
 static void hub_tell_state(const struct hub *h, GString *out)
 {
--- a/src/main_endive-controld.c
+++ b/src/main_endive-controld.c
@@ -77,6 +77,12 @@
 	char *key_path = NULL;
 	char *level = NULL;
 	char *recover = NULL;
+	static const struct fdb_want wants[FDB_PARTS] = {
+		[FDB_FILES] = {.least = 32},
+		[FDB_PEERS] = {.least = 96, .weight = 8},
+		[FDB_OPERATORS] = {.least = 16, .weight = 1},
+	};
+	long long descriptors = 0;
 	const struct set_def defs[] = {
 		{"node", SET_NAME, &cfg.node, NULL, 0, 0, NULL,
 		 "Name of this process, one in the fleet"},
@@ -97,6 +103,8 @@
 		{"recover-alone", SET_WORD, &recover, "", 0, 0, "accept-loss",
 		 "Make this the only voter, then end: the others are gone for "
 		 "good, with what only they had accepted"},
+		{"descriptors", SET_INT, &descriptors, "0", 0, 10000000, NULL,
+		 "Open files it may have; 0: the limit that it runs under"},
 		{"silence-ms", SET_INT, &cfg.silence_ms, "2000", 100, 60000,
 		 NULL, "A peer not heard for so long is taken as gone"},
 		{"log-level", SET_WORD, &level, "notice", 0, 0,
@@ -116,7 +124,8 @@
 	signal(SIGXFSZ, SIG_IGN);
 	msg_level_parse(level, &lowest);
 	msg_init("endive-controld", lowest);
-	cfg.keys = keyring_load(key_path, &err);
+	if (fdb_split(&cfg.descriptors, fdb_limit(descriptors, 0), wants, &err))
+		cfg.keys = keyring_load(key_path, &err);
 	if (!cfg.keys) {
 		fprintf(stderr, "endive-controld: %s\n", err->message);
 		g_clear_error(&err);
--- a/src/main_endive-entryd.c
+++ b/src/main_endive-entryd.c
@@ -18,6 +18,15 @@
 	struct ent_config cfg = {0};
 	char *key_path = NULL;
 	char *level = NULL;
+	static const struct fdb_want wants[FDB_PARTS] = {
+		[FDB_FILES] = {.least = 32},
+		[FDB_PEERS] = {.least = 48, .weight = 1},
+		/* targets announce themselves there */
+		[FDB_OPERATORS] = {.least = 48, .weight = 4},
+		[FDB_CALLERS] = {.least = 48, .weight = 4},
+		[FDB_TARGETS] = {.least = 48, .weight = 4},
+	};
+	long long descriptors = 0;
 	const struct set_def defs[] = {
 		{"node", SET_NAME, &cfg.node, NULL, 0, 0, NULL,
 		 "Name of this process, one in the fleet"},
@@ -37,6 +46,8 @@
 		 "Key file; its first key is this process's own"},
 		{"max-conns", SET_INT, &cfg.max_conns, "4000", 1, 60000, NULL,
 		 "Callers' connections at once"},
+		{"descriptors", SET_INT, &descriptors, "0", 0, 10000000, NULL,
+		 "Open files it may have; 0: the limit that it runs under"},
 		{"drain-ms", SET_INT, &cfg.drain_ms, "3000", 0, 600000, NULL,
 		 "After SIGTERM: serve on while the health page fails"},
 		{"stop-ms", SET_INT, &cfg.stop_ms, "60000", 1, 3600000, NULL,
@@ -61,7 +72,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	msg_level_parse(level, &lowest);
 	msg_init("endive-entryd", lowest);
-	cfg.keys = keyring_load(key_path, &err);
+	if (fdb_split(&cfg.descriptors, fdb_limit(descriptors, 0), wants, &err))
+		cfg.keys = keyring_load(key_path, &err);
 	if (!cfg.keys) {
 		fprintf(stderr, "endive-entryd: %s\n", err->message);
 		return SET_EXIT_USAGE;
--- a/src/main_endive-gated.c
+++ b/src/main_endive-gated.c
@@ -15,6 +15,13 @@
 static const struct dmn_ops gated_ops = {
 	.name = "endive-gated",
 	.summary = "Passes callers' requests on to the replica that leads.",
+	.descriptors =
+		{
+			[FDB_FILES] = {.least = 32},
+			[FDB_PEERS] = {.least = 32},
+			[FDB_OPERATORS] = {.least = 32},
+			[FDB_CALLERS] = {.least = 32, .weight = 1},
+		},
 	.start = gated_start,
 	.stop = gated_stop,
 	.drain = gated_drain,
@@ -37,6 +44,7 @@
 		.seeds = s->seeds,
 		.patience_header = PLT_PATIENCE,
 		.body_max = s->body_max,
+		.descriptors = &d->descriptors,
 		.grace_ms = s->grace_ms,
 	};
 
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -17,6 +17,15 @@
 static const struct dmn_ops schedd_ops = {
 	.name = "endive-schedd",
 	.summary = "Agrees with its replicas on jobs, and runs them.",
+	.descriptors =
+		{
+			[FDB_FILES] = {.least = 32},
+			/* replicas twice each, as many that aren't proved yet */
+			[FDB_PEERS] = {.least = 96, .weight = 1},
+			[FDB_OPERATORS] = {.least = 16},
+			[FDB_CALLERS] = {.least = 32, .weight = 4},
+			[FDB_TARGETS] = {.least = 48, .weight = 8},
+		},
 	.start = schedd_start,
 	.stop = schedd_stop,
 	.drain = schedd_drain,
@@ -47,6 +56,7 @@
 		.vm_lease_ms = s->vm_lease_ms,
 		.keep_ms = s->keep_ms,
 		.body_max = s->body_max,
+		.descriptors = &d->descriptors,
 	};
 
 	if (!dmn_needs(d, "control", s->control, err) ||
--- a/src/nst.c
+++ b/src/nst.c
@@ -54,6 +54,10 @@
 	 0, 600000},
 	{"bounds", "keep-s", NST_INT, NST_AT(keep_ms), false, "120", 1, 86400},
 	{"bounds", "grace-s", NST_INT, NST_AT(grace_ms), false, "6", 1, 3600},
+	{"bounds", "descriptors", NST_INT, NST_AT(descriptors), false, "0", 0,
+	 10000000},
+	{"bounds", "descriptors-kept", NST_INT, NST_AT(descriptors_kept), false,
+	 "0", 0, 10000000},
 	{"bounds", "body-max", NST_INT, NST_AT(body_max), false, "1048576",
 	 1024, 16777216},
 };
--- a/src/rep.c
+++ b/src/rep.c
@@ -35,6 +35,7 @@
 	.up = rep_in_up,
 	.recv = rep_in_recv,
 	.down = rep_in_down,
+	.goes_first = rep_in_goes_first,
 };
 
 /* Replicas that we dialled. */
@@ -68,6 +69,8 @@
 		.node = config->node,
 		.zone = config->zone,
 		.silence_ms = REP_SILENCE_MS,
+		.conns_max = config->conns_max,
+		.conns_kept = MIN(CNS_MEMBERS_MAX, config->conns_max / 2),
 	});
 	if (!rep_open(r, err) ||
 	    wire_listen(r->wire, config->addr, &rep_in_ops, r, err) != 0) {
@@ -196,6 +199,12 @@
 	return cns_members(r->cns);
 }
 
+/* Connections with own processes. */
+struct wire_stats rep_wire_stats(const struct rep *r)
+{
+	return wire_stats(r->wire);
+}
+
 /* Syncs since the start. */
 uint64_t rep_syncs(const struct rep *r)
 {
--- a/src/rep.h
+++ b/src/rep.h
@@ -48,6 +48,7 @@
 	char **seeds; /* IP:PORT of replicas to ask first */
 	bool bootstrap; /* the fleet begins: seeds are its first voters */
 	long long voters_min; /* never fewer by our own doing */
+	int conns_max; /* with own processes, both ways; 0: not bounded */
 };
 
 /* What of a quorum a replica can see. */
@@ -74,6 +75,7 @@
 char *rep_leader_addr(const struct rep *r);
 const struct cns_members *rep_members(const struct rep *r);
 struct rep_quorum rep_quorum(const struct rep *r);
+struct wire_stats rep_wire_stats(const struct rep *r);
 const struct cnt_times *rep_sync_times(const struct rep *r);
 const struct cnt_times *rep_leaderless(const struct rep *r);
 uint64_t rep_syncs(const struct rep *r);
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -103,6 +103,7 @@
 void rep_in_up(void *arg, struct wire_conn *conn);
 void rep_in_recv(void *arg, struct wire_conn *conn, struct lstr payload);
 void rep_in_down(void *arg, struct wire_conn *conn, const GError *why);
+bool rep_in_goes_first(void *arg, const char *ip);
 void rep_out_up(void *arg, struct wire_conn *conn);
 void rep_out_recv(void *arg, struct wire_conn *conn, struct lstr payload);
 void rep_out_down(void *arg, struct wire_conn *conn, const GError *why);
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -264,6 +264,23 @@
 	r->ops->gone(r->arg, conn);
 }
 
+/*
+ * Whether somebody dials from where a replica is. Entry daemons that have used
+ * up all other places must not keep replicas apart: these make the quorum.
+ */
+bool rep_in_goes_first(void *arg, const char *ip)
+{
+	const struct rep *r = arg;
+	GHashTableIter it;
+	const char *addr;
+
+	g_hash_table_iter_init(&it, r->peers);
+	while (g_hash_table_iter_next(&it, (gpointer *)&addr, NULL))
+		if (wire_addr_is_of(addr, ip))
+			return true;
+	return false;
+}
+
 /* A peer is reached: it is told who we are. */
 void rep_out_up(void *arg, struct wire_conn *conn)
 {
--- a/src/srv.c
+++ b/src/srv.c
@@ -20,6 +20,19 @@
 
 #define SRV_LISTEN_BACKLOG 1024
 
+/*
+ * One in so many of the connections is kept for callers who are told, by a
+ * whole answer, that there are too many of them; all of them when few.
+ */
+#define SRV_TOLD_PART 16
+/* When these may come again, s: most connections are free sooner. */
+#define SRV_CROWDED_RETRY_S "1"
+/* A connection that has been idle for so long makes place for another, ms. */
+#define SRV_IDLE_MS 500
+
+/* Connections with a request half sent that are passed over for one that isn't. */
+#define SRV_LOOK_MAX 16
+
 /* How often waiting callers are looked after, ms. */
 #define SRV_LOOK_MS 200
 
@@ -30,6 +43,7 @@
 	evhtp_t *htp;
 	struct acc acc;
 	GHashTable *conns; /* struct srv_conn, all */
+	GQueue idle; /* struct srv_conn without a request, longest first */
 	struct srv_stats stats;
 	bool draining;
 	bool accepting;
@@ -47,6 +61,10 @@
 	struct evbuffer *held; /* came in and is not passed on to libevhtp */
 	bufferevent_data_cb read; /* libevhtp's */
 	uint64_t feed_timer;
+	GList link; /* in srv.idle, */
+	bool listed; /* while it is there */
+	int64_t idle_since;
+	bool crowded; /* its request is refused, as there are too many */
 	char ip[48];
 };
 
@@ -62,6 +80,12 @@
 
 static evhtp_res srv_on_accept(evhtp_connection_t *ev, void *arg);
 static void srv_on_accept_error(struct evconnlistener *l, void *arg);
+static int srv_served_max(const struct srv *s);
+static void srv_make_room(struct srv *s);
+static bool srv_is_idle(const struct srv_conn *c);
+static void srv_idle_from_now(struct srv_conn *c);
+static void srv_not_idle(struct srv_conn *c);
+static void srv_refuse_crowded(struct srv_req *r);
 static void srv_on_read(struct bufferevent *bev, void *arg);
 static void srv_feed(struct srv_conn *c);
 static void srv_feed_timer(void *arg, int64_t now);
@@ -100,6 +124,7 @@
 	s->arg = arg;
 	s->accepting = true;
 	s->conns = g_hash_table_new(NULL, NULL);
+	g_queue_init(&s->idle);
 	s->look = tmr_every(config->tmr, SRV_LOOK_MS, srv_look, s);
 	s->htp = evhtp_new(config->base, s);
 	evhtp_enable_flag(s->htp, EVHTP_FLAG_ENABLE_NODELAY);
@@ -163,10 +188,7 @@
 	for (i = conns; i; i = i->next) {
 		struct srv_conn *c = i->data;
 
-		/* request is NULL between two requests only */
-		if (!c->ev->request && !c->req &&
-		    evbuffer_get_length(c->held) == 0 &&
-		    evbuffer_get_length(bufferevent_get_input(c->ev->bev)) == 0)
+		if (srv_is_idle(c))
 			evhtp_connection_free(c->ev);
 	}
 	g_list_free(conns);
@@ -327,9 +349,11 @@
 	void *cb_arg;
 
 	if ((int)g_hash_table_size(s->conns) >= s->config.max_conns) {
-		s->stats.refused++;
+		s->stats.crowded++;
 		return EVHTP_RES_ERROR;
 	}
+	if ((int)g_hash_table_size(s->conns) >= srv_served_max(s))
+		srv_make_room(s);
 	c = g_new0(struct srv_conn, 1);
 	c->s = s;
 	c->ev = ev;
@@ -342,7 +366,10 @@
 			? (void *)&((struct sockaddr_in *)sa)->sin_addr
 			: (void *)&((struct sockaddr_in6 *)sa)->sin6_addr,
 		c->ip, sizeof(c->ip));
+	c->crowded = (int)g_hash_table_size(s->conns) >= srv_served_max(s);
 	g_hash_table_add(s->conns, c);
+	c->link.data = c;
+	srv_idle_from_now(c);
 	evhtp_connection_set_hook(ev, evhtp_hook_on_headers_start,
 				  (evhtp_hook)srv_on_start, c);
 	evhtp_connection_set_hook(ev, evhtp_hook_on_header,
@@ -358,6 +385,61 @@
 	return EVHTP_RES_OK;
 }
 
+/* Connections whose requests are served, of those that there may be. */
+static int srv_served_max(const struct srv *s)
+{
+	return s->config.max_conns - s->config.max_conns / SRV_TOLD_PART;
+}
+
+/*
+ * Closes the connection that has been idle longest. Callers who keep theirs
+ * open between requests would else keep others out for good.
+ */
+static void srv_make_room(struct srv *s)
+{
+	int64_t until = tmr_now(s->config.tmr) - SRV_IDLE_MS;
+	const GList *i = s->idle.head;
+	int looked;
+
+	for (looked = 0; i && looked < SRV_LOOK_MAX; looked++, i = i->next) {
+		struct srv_conn *c = i->data;
+
+		if (c->idle_since > until)
+			return;
+		if (!srv_is_idle(c))
+			continue;
+		s->stats.crowded++;
+		evhtp_connection_free(c->ev);
+		return;
+	}
+}
+
+/* Whether nothing of a request has come on a connection since the last. */
+static bool srv_is_idle(const struct srv_conn *c)
+{
+	/* request is NULL between two requests only */
+	return !c->ev->request && !c->req &&
+	       evbuffer_get_length(c->held) == 0 &&
+	       evbuffer_get_length(bufferevent_get_input(c->ev->bev)) == 0;
+}
+
+/* The connection waits for a request from now on. */
+static void srv_idle_from_now(struct srv_conn *c)
+{
+	srv_not_idle(c);
+	c->idle_since = tmr_now(c->s->config.tmr);
+	c->listed = true;
+	g_queue_push_tail_link(&c->s->idle, &c->link);
+}
+
+/* The connection has a request, or ends. */
+static void srv_not_idle(struct srv_conn *c)
+{
+	if (c->listed)
+		g_queue_unlink(&c->s->idle, &c->link);
+	c->listed = false;
+}
+
 /* A caller's connection couldn't be taken; libevhtp gives its own argument. */
 static void srv_on_accept_error(struct evconnlistener *l, void *arg)
 {
@@ -374,6 +456,8 @@
 	struct srv_conn *c = ev->hooks->on_connection_fini_arg;
 
 	evbuffer_add_buffer(c->held, bufferevent_get_input(bev));
+	if (c->listed)
+		srv_idle_from_now(c);
 	srv_feed(c);
 }
 
@@ -522,6 +606,7 @@
 	/* libevhtp ends the request after the connection. */
 	evhtp_connection_unset_hook(ev, evhtp_hook_on_request_fini);
 	g_hash_table_remove(c->s->conns, c);
+	srv_not_idle(c);
 	tmr_cancel(c->s->config.tmr, c->feed_timer);
 	evbuffer_free(c->held);
 	g_free(c);
@@ -576,6 +661,13 @@
 	c->req = r;
 	s->stats.requests++;
 	s->stats.pending++;
+	srv_not_idle(c);
+	c->crowded = c->crowded &&
+		     (int)g_hash_table_size(s->conns) > srv_served_max(s);
+	if (c->crowded) {
+		srv_refuse_crowded(r);
+		return;
+	}
 	s->ops->request(s->arg, r);
 	if (c->req == r && !r->in_parts) {
 		r->paused = true;
@@ -583,6 +675,18 @@
 	}
 }
 
+/* Refuses a request at once, as there are too many connections. */
+static void srv_refuse_crowded(struct srv_req *r)
+{
+	static const struct ups_header headers[] = {
+		{(char *)"Retry-After", (char *)SRV_CROWDED_RETRY_S},
+		{(char *)"Endive-Outcome", (char *)"not-run"},
+	};
+
+	r->conn->s->stats.crowded++;
+	srv_reply(r, 503, headers, G_N_ELEMENTS(headers), NULL);
+}
+
 /*
  * libevhtp does not read a connection whose request waits, so it does not see
  * a caller leave: its request would keep its place in the queue, and work
@@ -616,6 +720,7 @@
 {
 	r->conn->req = NULL;
 	r->conn->s->stats.pending--;
+	srv_idle_from_now(r->conn);
 	g_free(r->uri);
 	g_free(r);
 }
@@ -630,7 +735,7 @@
 		evhtp_headers_add_header(out, evhtp_header_new(headers[i].name,
 							       headers[i].value,
 							       1, 1));
-	if (r->conn->s->draining) {
+	if (r->conn->s->draining || r->conn->crowded) {
 		r->ev->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
 		evhtp_headers_add_header(out, evhtp_header_new("Connection",
 							       "close", 0, 0));
--- a/src/srv.h
+++ b/src/srv.h
@@ -34,12 +34,13 @@
 	const char *addr; /* IP:PORT */
 	uint64_t max_body;
 	int64_t slow_ms; /* a sender that pauses for longer is cut */
-	int max_conns;
+	int max_conns; /* the last few of these are only told to come again */
 };
 
 struct srv_stats {
 	uint64_t requests;
 	uint64_t refused; /* framing or size, before any request was made */
+	uint64_t crowded; /* connections refused or closed to make room */
 	uint64_t unaccepted; /* tries to take one, for want of a descriptor */
 	uint64_t open; /* connections now */
 	uint64_t pending; /* requests without their answer now */
--- a/src/vms.c
+++ b/src/vms.c
@@ -85,6 +85,7 @@
 	v->ups = ups_new(config->base, config->tmr);
 	ups_set_reuse(v->ups, VMS_REUSE_MS);
 	ups_set_held(v->ups, VMS_HELD_MS);
+	ups_set_most(v->ups, VMS_CONNS_MAX);
 	v->calls = g_ptr_array_new();
 	v->vms = g_ptr_array_new_with_free_func(vms_vm_free);
 	v->by_name = g_hash_table_new(g_str_hash, g_str_equal);
--- a/src/vms.h
+++ b/src/vms.h
@@ -15,6 +15,9 @@
  */
 struct vms;
 
+/* Connections to the service that switches VMs, at most. */
+#define VMS_CONNS_MAX 16
+
 enum vms_state {
 	VMS_UP,
 	VMS_MOVING,
--- a/src/wire.c
+++ b/src/wire.c
@@ -43,8 +43,9 @@
 #define WIRE_READ_MORE (64u << 10)
 
 /*
- * Connections at once of which the peer has not proved its key. Each costs
- * some kilobytes; a flood of them must not crowd out our own peers.
+ * Connections at once of which the peer has not proved its key, at least; or
+ * half of all. Each costs some kilobytes, and a flood of them must not crowd
+ * out our own peers; but all of these dial at once when a VM is back.
  */
 #define WIRE_UNPROVED_MAX 64
 
@@ -102,6 +103,8 @@
 static void wire_accept(struct evconnlistener *l, evutil_socket_t fd,
 			struct sockaddr *sa, int len, void *arg);
 static void wire_accept_error(struct evconnlistener *l, void *arg);
+static unsigned int wire_unproved_max(const struct wire *w);
+static bool wire_has_room(const struct wire_listener *l, const char *ip);
 static void wire_try_dial(void *arg, int64_t now);
 static void wire_attach(struct wire_conn *c, struct bufferevent *bev,
 			enum wire_state state);
@@ -258,6 +261,14 @@
 	c->redial_timer = tmr_once(tmr, 0, wire_reap, c);
 }
 
+/* Whether an address, IP:PORT, is of that machine. */
+bool wire_addr_is_of(const char *addr, const char *ip)
+{
+	size_t len = strlen(ip);
+
+	return strncmp(addr, ip, len) == 0 && addr[len] == ':';
+}
+
 /* Bytes of messages that the kernel hasn't taken yet. */
 size_t wire_backlog(const struct wire_conn *c)
 {
@@ -315,7 +326,10 @@
 /* Counters since the start. */
 struct wire_stats wire_stats(const struct wire *w)
 {
-	return w->stats;
+	struct wire_stats s = w->stats;
+
+	s.open = w->conns->len;
+	return s;
 }
 
 static struct wire_conn *wire_conn_new(struct wire *w, const char *addr,
@@ -363,13 +377,20 @@
 		   ntohs(sa->sa_family == AF_INET
 				 ? ((struct sockaddr_in *)sa)->sin_port
 				 : ((struct sockaddr_in6 *)sa)->sin6_port));
-	if (w->unproved >= WIRE_UNPROVED_MAX) {
+	if (w->unproved >= wire_unproved_max(w)) {
 		w->stats.refused++;
 		msg(MSG_WIRE_REFUSED, "peer=%s why=\"too many unproved\"",
 		    text);
 		evutil_closesocket(fd);
 		return;
 	}
+	if (!wire_has_room(wl, ip)) {
+		w->stats.crowded++;
+		msg(MSG_WIRE_REFUSED, "peer=%s why=\"%u connections\"", text,
+		    w->conns->len);
+		evutil_closesocket(fd);
+		return;
+	}
 	bev = bufferevent_socket_new(w->config.base, fd, BEV_OPT_CLOSE_ON_FREE);
 	if (!bev) {
 		evutil_closesocket(fd);
@@ -379,6 +400,24 @@
 	wire_attach(c, bev, WIRE_HELLO);
 }
 
+/* Connections whose peers haven't proved their key, at most. */
+static unsigned int wire_unproved_max(const struct wire *w)
+{
+	return MAX(WIRE_UNPROVED_MAX, (unsigned int)w->config.conns_max / 2);
+}
+
+/* Whether a connection from there may be taken. */
+static bool wire_has_room(const struct wire_listener *l, const char *ip)
+{
+	const struct wire_config *c = &l->w->config;
+	int open = (int)l->w->conns->len;
+
+	if (!c->conns_max || open < c->conns_max - c->conns_kept)
+		return true;
+	return open < c->conns_max && l->ops->goes_first &&
+	       l->ops->goes_first(l->arg, ip);
+}
+
 /* A peer's connection couldn't be taken. */
 static void wire_accept_error(struct evconnlistener *l, void *arg)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -33,6 +33,8 @@
 	 * accepted one is freed after this call
 	 */
 	void (*down)(void *arg, struct wire_conn *c, const GError *why);
+	/* whether who dials from there may take a kept place; NULL: nobody */
+	bool (*goes_first)(void *arg, const char *ip);
 };
 
 /* Who we are, and the patience of every connection. */
@@ -43,6 +45,8 @@
 	const char *node; /* name of this process, one in the fleet */
 	const char *zone;
 	int64_t silence_ms; /* nothing heard for that long: the peer is gone */
+	int conns_max; /* at once, both ways; 0: not bounded */
+	int conns_kept; /* of these, for those who go first */
 };
 
 struct wire *wire_new(const struct wire_config *config);
@@ -55,6 +59,7 @@
 void wire_hurry(struct wire_conn *c);
 void wire_close(struct wire_conn *c);
 size_t wire_backlog(const struct wire_conn *c);
+bool wire_addr_is_of(const char *addr, const char *ip);
 bool wire_is_up(const struct wire_conn *c);
 const char *wire_node(const struct wire_conn *c);
 const char *wire_zone(const struct wire_conn *c);
@@ -71,6 +76,8 @@
 	uint64_t msgs_in;
 	uint64_t msgs_out;
 	uint64_t refused; /* wrong key, stale or bad frame, oversized */
+	uint64_t crowded; /* of others' connections: there were too many */
+	uint64_t open; /* connections now, both ways */
 };
 struct wire_stats wire_stats(const struct wire *w);
 
--- a/tests/unit/ent_test.c
+++ b/tests/unit/ent_test.c
@@ -250,6 +250,7 @@
 		.drain_ms = 100,
 		.stop_ms = 5000,
 		.silence_ms = 1000,
+		.descriptors = net_descriptors,
 	};
 	b->ent = ent_new(&b->cfg, NULL);
 	assert_non_null(b->ent);
--- a/tests/unit/gat_test.c
+++ b/tests/unit/gat_test.c
@@ -202,6 +202,7 @@
 			.seeds = b->seeds,
 			.body_max = 1000,
 			.grace_ms = 5000,
+			.descriptors = &net_descriptors,
 		},
 		&err);
 	assert_non_null(b->gat);
--- a/tests/unit/net.c
+++ b/tests/unit/net.c
@@ -12,6 +12,11 @@
 /* Open files of a process that has no more. */
 #define NET_FEW_FILES 128
 
+const struct fdb net_descriptors = {
+	.limit = 500,
+	.share = {100, 100, 100, 100, 100},
+};
+
 /* A listening socket on a free port. */
 int net_listen(int *port)
 {
--- a/tests/unit/net.h
+++ b/tests/unit/net.h
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "fdb.h"
+
 /* Raw loopback sockets beside a loop of the code under test. */
 
 int net_listen(int *port);
@@ -24,6 +26,9 @@
 	unsigned long limit;
 };
 
+/* More than a test uses of each. */
+extern const struct fdb net_descriptors;
+
 struct net_taken net_take_descriptors(unsigned int spare);
 void net_give_back(struct net_taken *t);
 
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -13,6 +13,9 @@
 #define READ_MS 3000
 #define QUIET_MS 150
 #define BODY_MAX 1000
+#define MAX_CONNS 16
+/* Longer than a connection is idle before it makes place. */
+#define IDLE_MS 700
 
 /* A server that echoes method, uri and body, or holds requests back. */
 struct bed {
@@ -79,7 +82,7 @@
 			.addr = addr,
 			.max_body = BODY_MAX,
 			.slow_ms = 300,
-			.max_conns = 10,
+			.max_conns = MAX_CONNS,
 		},
 		&bed_ops, b, NULL);
 	assert_non_null(b->srv);
@@ -415,6 +418,73 @@
 	assert_int_equal(b->gone, 1);
 }
 
+/* Guards against callers left without a word when there are too many. */
+static void one_too_many_is_told_when_to_come(void **state)
+{
+	struct bed *b = *state;
+	int fds[MAX_CONNS + 1];
+	struct srv_req *held = NULL;
+	bool closed;
+	GString *got;
+	int i;
+
+	b->hold = true;
+	for (i = 0; i <= MAX_CONNS; i++) {
+		fds[i] = net_dial(b->port);
+		net_send(fds[i], "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", -1);
+		net_run(b->base, 5);
+		if (i == 0)
+			held = b->held;
+	}
+	assert_int_equal(b->requests, MAX_CONNS - MAX_CONNS / 16);
+	/* the last that is taken gets an answer, one more isn't taken */
+	got = net_read(b->base, fds[MAX_CONNS - 1], NULL, READ_MS, &closed);
+	assert_true(closed);
+	assert_non_null(strstr(got->str, "HTTP/1.1 503"));
+	assert_non_null(strstr(got->str, "Retry-After: 1"));
+	assert_non_null(strstr(got->str, "Endive-Outcome: not-run"));
+	g_string_free(got, TRUE);
+	got = net_read(b->base, fds[MAX_CONNS], NULL, READ_MS, &closed);
+	assert_true(closed);
+	g_string_free(got, TRUE);
+	assert_int_equal(srv_stats(b->srv).crowded, 2);
+	echo(held);
+	got = net_read(b->base, fds[0], ">", READ_MS, &closed);
+	assert_non_null(strstr(got->str, "<GET /a >"));
+	g_string_free(got, TRUE);
+	for (i = 0; i <= MAX_CONNS; i++)
+		close(fds[i]);
+	net_run(b->base, QUIET_MS);
+}
+
+/* Guards against idle connections that keep new callers out. */
+static void an_idle_caller_makes_place(void **state)
+{
+	struct bed *b = *state;
+	int fds[MAX_CONNS];
+	bool closed;
+	GString *got;
+	int fd;
+	int i;
+
+	for (i = 0; i < MAX_CONNS; i++) {
+		fds[i] = net_dial(b->port);
+		net_run(b->base, 5);
+	}
+	net_run(b->base, IDLE_MS);
+	fd = net_dial(b->port);
+	net_send(fd, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", -1);
+	got = net_read(b->base, fd, ">", READ_MS, &closed);
+	assert_non_null(strstr(got->str, "<GET /a >"));
+	g_string_free(got, TRUE);
+	got = net_read(b->base, fds[0], NULL, READ_MS, &closed);
+	assert_true(closed);
+	g_string_free(got, TRUE);
+	for (i = 0; i < MAX_CONNS; i++)
+		close(fds[i]);
+	close(fd);
+}
+
 /* Guards against a daemon that does nothing but ask for connections in vain. */
 static void a_listener_without_descriptors_rests(void **state)
 {
@@ -460,6 +530,10 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(a_caller_who_leaves_is_told,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			one_too_many_is_told_when_to_come, setup, teardown),
+		cmocka_unit_test_setup_teardown(an_idle_caller_makes_place,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			a_listener_without_descriptors_rests, setup, teardown),
 	};
--- a/tests/unit/wire_test.c
+++ b/tests/unit/wire_test.c
@@ -37,6 +37,7 @@
 	int ups;
 	int downs;
 	bool echo;
+	bool first; /* who dials takes a kept place */
 };
 
 static void side_up(void *arg, struct wire_conn *c)
@@ -298,6 +299,52 @@
 	pair_done(&p);
 }
 
+static bool goes_first(void *arg, const char *ip)
+{
+	const struct side *s = arg;
+
+	return s->first;
+}
+
+/* Guards against entry daemons that keep the replicas of a quorum apart. */
+static void the_last_places_are_kept(void **state)
+{
+	struct wire_ops ops = side_ops;
+	struct pair p;
+
+	ops.goes_first = goes_first;
+	p.base = event_base_new();
+	p.tmr = tmr_new(p.base);
+	p.port = free_port();
+	g_snprintf(p.addr, sizeof(p.addr), "127.0.0.1:%d", p.port);
+	side_init(&p.a, p.base, p.tmr, "peer peer " HEX_A "\n", "alpha");
+	side_init(&p.b, p.base, p.tmr, "peer peer " HEX_A "\n", "beta");
+	wire_free(p.b.w);
+	p.b.w = wire_new(&(struct wire_config){
+		.base = p.base,
+		.tmr = p.tmr,
+		.keys = p.b.keys,
+		.node = "beta",
+		.zone = "a",
+		.silence_ms = SILENCE_MS,
+		.conns_max = 2,
+		.conns_kept = 1,
+	});
+	assert_int_equal(wire_listen(p.b.w, p.addr, &ops, &p.b, NULL), 0);
+	wire_dial(p.a.w, p.addr, &side_ops, &p.a);
+	assert_true(run_until(p.base, &p.b.ups, 1));
+	wire_dial(p.a.w, p.addr, &side_ops, &p.a);
+	net_run(p.base, SILENCE_MS);
+	assert_int_equal(p.b.ups, 1);
+	assert_true(wire_stats(p.b.w).crowded > 0);
+	p.b.first = true;
+	assert_true(run_until(p.base, &p.b.ups, 2));
+	wire_dial(p.a.w, p.addr, &side_ops, &p.a);
+	net_run(p.base, SILENCE_MS);
+	assert_int_equal(p.b.ups, 2);
+	pair_done(&p);
+}
+
 /*
  * The peer is stopped, or the network between forgot the connection: no byte
  * comes and no reset. The owner is told within the silence time, and a new
@@ -418,6 +465,7 @@
 		cmocka_unit_test(a_wrong_key_is_not_let_in),
 		cmocka_unit_test(garbage_and_oversized_frames_close),
 		cmocka_unit_test(unproved_connections_are_bounded),
+		cmocka_unit_test(the_last_places_are_kept),
 		cmocka_unit_test(a_silent_connection_is_given_up),
 		cmocka_unit_test(a_peer_heard_elsewhere_is_dialled_at_once),
 		cmocka_unit_test(a_replayed_frame_fails_its_tag),
