Lists aren't waited for where connections are fewer than busy workers need

A leader with fewer connections than twice its busy workers holds nearly all of them in calls that wait up to 500 ms for an end; orders and the leases of other workers wait behind.

There the list is now asked for without a wait, four times a second. wkr_test a_list_is_not_waited_for_where_connections_are_few.

--- a/src/cns_int.h
+++ b/src/cns_int.h
@@ -49,7 +49,8 @@
 	uint64_t window[CNS_WINDOW]; /* last index of each batch sent */
 	int n_window;
 	uint64_t round; /* newest heartbeat it answered */
-	uint64_t sent_round; /* newest heartbeat when it was last sent entries */
+	uint64_t
+		sent_round; /* newest heartbeat when it was last sent entries */
 	int64_t heard_ms;
 	int64_t progress_ms; /* when something was sent or answered last */
 	uint64_t catch_up_to; /* learner: last entry as it was asked; 0: not */
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -34,6 +34,8 @@
 #define WKR_CONNECT_MS 500
 /* A connection that fails within this was refused, not left unanswered. */
 #define WKR_REFUSED_MS 100
+/* Between calls for a list that don't wait, as connections are few. */
+#define WKR_SHARE_PAUSE_MS 250
 /* Least time between two calls for a list that brought nothing new. */
 #define WKR_PAUSE_MS 40
 /* Time of the leader that one more call for a list takes, us. */
--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -3,6 +3,7 @@
 /* What workers say they run: calls for their lists, and what they bring. */
 
 static int64_t wkr_wait(const struct wkr_link *l);
+static bool wkr_must_share(const struct wkr *k);
 static void wkr_hold_timer(void *arg, int64_t now);
 static void wkr_take(struct wkr_link *l, const struct wkr_report *r,
 		     int64_t sent_ms);
@@ -39,15 +40,12 @@
 	wkr_call_send(l, l->hold, &o, o.wait_ms + WKR_ANSWER_MS);
 }
 
-/*
- * How long the next call for the list may wait there, ms. Where other workers
- * wait for a connection it doesn't: their leases would end meanwhile.
- */
+/* How long the next call for the list may wait there, ms. */
 static int64_t wkr_wait(const struct wkr_link *l)
 {
 	guint i;
 
-	if (ups_crowded(l->k->ups))
+	if (wkr_must_share(l->k))
 		return 0;
 	for (i = 0; i < l->w->runs->len; i++) {
 		const struct jtb_run *run = g_ptr_array_index(l->w->runs, i);
@@ -129,11 +127,22 @@
 	wkr_orders(l);
 }
 
+/*
+ * Whether connections are too few for each busy worker to hold one while it
+ * waits for an end. Orders would find none then, and leases of others run out.
+ */
+static bool wkr_must_share(const struct wkr *k)
+{
+	guint most = (guint)k->config.conns_max;
+
+	return ups_crowded(k->ups) || (most && k->busy > most / 2);
+}
+
 /* Until the next call for a list that brought nothing new, ms. */
 static int64_t wkr_pause(const struct wkr_link *l, int64_t took_ms)
 {
-	if (ups_crowded(l->k->ups))
-		return WKR_WAIT_MS;
+	if (wkr_must_share(l->k))
+		return WKR_SHARE_PAUSE_MS;
 	/* one that doesn't wait as it was asked must not spin us */
 	return took_ms < WKR_PAUSE_MS ? WKR_PAUSE_MS : 0;
 }
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -54,7 +54,8 @@
 	int tickets_refused;
 	int64_t until_ms; /* lease of the last start */
 	int64_t hold_until_ms; /* and of the last call for the list */
-	uint64_t ack; /* of the last call for the list */
+	uint64_t ack; /* of the last call for the list, */
+	int64_t wait_ms; /* and how long it may wait */
 	int lost;
 	int gone;
 	int gone_for_good;
@@ -83,6 +84,7 @@
 	if (o->kind == WKR_HOLD) {
 		the_bed->hold_until_ms = o->until_ms;
 		the_bed->ack = o->ack;
+		the_bed->wait_ms = o->wait_ms;
 	}
 	evbuffer_add_printf(body, "%d", (int)o->kind);
 	return paths[o->kind];
@@ -860,6 +862,20 @@
 	wait_for(b, &b->holds);
 }
 
+/* Guards against lists that are waited for on all connections there may be. */
+static void a_list_is_not_waited_for_where_connections_are_few(void **state)
+{
+	struct bed *b = *state;
+
+	b->lists = true;
+	start(b);
+	net_run(b->base, SETTLE_MS);
+	assert_true(b->wait_ms > 0);
+	b->wkr->config.conns_max = 1;
+	net_run(b->base, SETTLE_MS);
+	assert_int_equal(b->wait_ms, 0);
+}
+
 /* A start carries its ticket, and the owner learns that it was refused. */
 static void a_start_carries_its_ticket(void **state)
 {
@@ -935,6 +951,7 @@
 		T(an_end_is_acknowledged_once_it_is_stored),
 		T(a_leaving_worker_is_not_over_for_want_of_a_socket),
 		T(a_worker_is_not_silent_for_want_of_a_socket),
+		T(a_list_is_not_waited_for_where_connections_are_few),
 		T(ends_of_a_large_fleet_are_gathered),
 		T(a_start_carries_its_ticket),
 		T(a_start_without_a_ticket_is_not_sent),
