Bodies of requests are bounded by the memory that a daemon may use

The question asked of descriptors, asked of memory: an entry daemon may hold 3,800 callers with a body of 1 MB each on a VM of 160 MB, and is killed with all of them.

The settings name the memory. Bodies that came or are announced may take a quarter of it at once; a request beyond it is refused with 503, not-run, and a time to come back, before its body is read. srv_test bodies_beyond_the_bound_are_refused.

--- a/src/gat.c
+++ b/src/gat.c
@@ -135,6 +135,7 @@
 		.tmr = g->tmr,
 		.addr = g->config.callers,
 		.max_body = (uint64_t)g->config.body_max,
+		.max_bytes = (uint64_t)g->config.bodies_max,
 		.slow_ms = GAT_SLOW_MS,
 		.max_conns = g->config.descriptors->share[FDB_CALLERS],
 	};
--- a/src/gat.h
+++ b/src/gat.h
@@ -28,6 +28,7 @@
 	const char *patience_header; /* how long a caller waits, ms; or NULL */
 	long long body_max; /* bytes */
 	long long grace_ms; /* from a stop until we are killed */
+	long long bodies_max; /* bytes of all at once; 0: no bound */
 	const struct fdb *descriptors;
 };
 
--- a/src/hub.c
+++ b/src/hub.c
@@ -212,6 +212,7 @@
 		.tmr = h->tmr,
 		.addr = h->config.control,
 		.max_body = (uint64_t)h->config.body_max,
+		.max_bytes = (uint64_t)h->config.bodies_max,
 		.slow_ms = HUB_SLOW_MS,
 		.max_conns = h->config.descriptors->share[FDB_CALLERS],
 	};
--- a/src/hub.h
+++ b/src/hub.h
@@ -65,6 +65,7 @@
 	long long vm_lease_ms; /* between orders of two leaders for a VM */
 	long long keep_ms; /* an ended job is told of for so long */
 	long long body_max; /* bytes */
+	long long bodies_max; /* bytes of all at once; 0: no bound */
 	const struct fdb *descriptors;
 };
 
--- a/src/main_endive-gated.c
+++ b/src/main_endive-gated.c
@@ -6,6 +6,9 @@
 #include "gat.h"
 #include "plt.h"
 
+/* The part of its memory that bodies of requests may take. */
+#define BODIES_PART 4
+
 static bool gated_start(struct dmn *d, GError **err);
 static void gated_stop(struct dmn *d);
 static void gated_drain(struct dmn *d);
@@ -44,6 +47,7 @@
 		.seeds = s->seeds,
 		.patience_header = PLT_PATIENCE,
 		.body_max = s->body_max,
+		.bodies_max = s->memory / BODIES_PART,
 		.descriptors = &d->descriptors,
 		.grace_ms = s->grace_ms,
 	};
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -7,6 +7,9 @@
 #include "msg.h"
 #include "plt.h"
 
+/* The part of its memory that bodies of requests may take. */
+#define BODIES_PART 4
+
 static bool schedd_start(struct dmn *d, GError **err);
 static void schedd_stop(struct dmn *d);
 static void schedd_drain(struct dmn *d);
@@ -56,6 +59,7 @@
 		.vm_lease_ms = s->vm_lease_ms,
 		.keep_ms = s->keep_ms,
 		.body_max = s->body_max,
+		.bodies_max = s->memory / BODIES_PART,
 		.descriptors = &d->descriptors,
 	};
 
--- a/src/nst.c
+++ b/src/nst.c
@@ -54,6 +54,8 @@
 	 0, 600000},
 	{"bounds", "keep-s", NST_INT, NST_AT(keep_ms), false, "120", 1, 86400},
 	{"bounds", "grace-s", NST_INT, NST_AT(grace_ms), false, "6", 1, 3600},
+	{"bounds", "memory-mb", NST_INT, NST_AT(memory), false, "0", 0,
+	 1000000},
 	{"bounds", "descriptors", NST_INT, NST_AT(descriptors), false, "0", 0,
 	 10000000},
 	{"bounds", "descriptors-kept", NST_INT, NST_AT(descriptors_kept), false,
@@ -98,6 +100,7 @@
 	}
 	s->keep_ms *= 1000;
 	s->grace_ms *= 1000;
+	s->memory <<= 20;
 	nst_seeds_to_wire(s);
 	return s;
 }
--- a/src/nst.h
+++ b/src/nst.h
@@ -31,6 +31,7 @@
 	long long keep_ms;
 	long long grace_ms;
 	long long body_max;
+	long long memory; /* bytes that we may use; 0: not told */
 	long long descriptors; /* open files that we may have; 0: not told */
 	long long descriptors_kept; /* of these, not for us */
 	char *level; /* least level that is logged */
--- a/src/srv.c
+++ b/src/srv.c
@@ -65,6 +65,7 @@
 	bool listed; /* while it is there */
 	int64_t idle_since;
 	bool crowded; /* its request is refused, as there are too many */
+	uint64_t bytes; /* that its request's body takes at most */
 	char ip[48];
 };
 
@@ -99,6 +100,8 @@
 static evhtp_res srv_on_write(evhtp_connection_t *ev, void *arg);
 static void srv_on_request(evhtp_request_t *ev, void *arg);
 static evhtp_res srv_turn_away(struct srv_conn *c, int status, const char *why);
+static bool srv_take_bytes(struct srv_conn *c, evhtp_request_t *ev);
+static void srv_give_bytes(struct srv_conn *c);
 static const char *srv_fault(evhtp_request_t *ev, int *status);
 static void srv_look(void *arg, int64_t now);
 static bool srv_has_left(const struct srv_conn *c);
@@ -527,7 +530,39 @@
 
 	if (why)
 		return srv_turn_away(c, status, why);
-	return EVHTP_RES_OK;
+	if (srv_take_bytes(c, ev))
+		return EVHTP_RES_OK;
+	c->s->stats.too_many_bytes++;
+	return srv_turn_away(c, 503, "too many bytes of bodies at once");
+}
+
+/*
+ * Counts the body that a request says it brings; false: with it there would be
+ * more than this process can hold, and it would be killed with all of them.
+ */
+static bool srv_take_bytes(struct srv_conn *c, evhtp_request_t *ev)
+{
+	struct srv *s = c->s;
+	struct hdr_framing f = {0};
+	uint64_t bytes;
+	evhtp_kv_t *kv;
+
+	TAILQ_FOREACH(kv, ev->headers_in, next)
+		hdr_framing_add(&f, kv->key, kv->val);
+	bytes = f.chunked ? s->config.max_body : f.has_length ? f.length : 0;
+	if (s->config.max_bytes && bytes &&
+	    s->stats.bytes + bytes > s->config.max_bytes)
+		return false;
+	c->bytes = bytes;
+	s->stats.bytes += bytes;
+	return true;
+}
+
+/* The body of a connection's request isn't kept any more. */
+static void srv_give_bytes(struct srv_conn *c)
+{
+	c->s->stats.bytes -= c->bytes;
+	c->bytes = 0;
 }
 
 /*
@@ -580,13 +615,17 @@
 	ssize_t sent;
 
 	c->s->stats.refused++;
-	len = g_snprintf(text, sizeof(text),
-			 "HTTP/1.1 %d Refused\r\n"
-			 "Endive-Outcome: not-run\r\n"
-			 "Content-Type: text/plain; charset=utf-8\r\n"
-			 "Content-Length: %zu\r\n"
-			 "Connection: close\r\n\r\n%s\n",
-			 status, strlen(why) + 1, why);
+	len = g_snprintf(
+		text, sizeof(text),
+		"HTTP/1.1 %d Refused\r\n"
+		"Endive-Outcome: not-run\r\n"
+		"%s"
+		"Content-Type: text/plain; charset=utf-8\r\n"
+		"Content-Length: %zu\r\n"
+		"Connection: close\r\n\r\n%s\n",
+		status,
+		status == 503 ? "Retry-After: " SRV_CROWDED_RETRY_S "\r\n" : "",
+		strlen(why) + 1, why);
 	/* Best effort: the close that follows says the same. */
 	sent = send(bufferevent_getfd(c->ev->bev), text, (size_t)len,
 		    MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -607,6 +646,7 @@
 	evhtp_connection_unset_hook(ev, evhtp_hook_on_request_fini);
 	g_hash_table_remove(c->s->conns, c);
 	srv_not_idle(c);
+	srv_give_bytes(c);
 	tmr_cancel(c->s->config.tmr, c->feed_timer);
 	evbuffer_free(c->held);
 	g_free(c);
@@ -720,6 +760,7 @@
 {
 	r->conn->req = NULL;
 	r->conn->s->stats.pending--;
+	srv_give_bytes(r->conn);
 	srv_idle_from_now(r->conn);
 	g_free(r->uri);
 	g_free(r);
--- a/src/srv.h
+++ b/src/srv.h
@@ -33,6 +33,7 @@
 	struct tmr *tmr;
 	const char *addr; /* IP:PORT */
 	uint64_t max_body;
+	uint64_t max_bytes; /* of all bodies not answered yet; 0: no bound */
 	int64_t slow_ms; /* a sender that pauses for longer is cut */
 	int max_conns; /* the last few of these are only told to come again */
 };
@@ -44,6 +45,8 @@
 	uint64_t unaccepted; /* tries to take one, for want of a descriptor */
 	uint64_t open; /* connections now */
 	uint64_t pending; /* requests without their answer now */
+	uint64_t bytes; /* of bodies that came or are to come for these */
+	uint64_t too_many_bytes; /* requests refused for the bound on that */
 };
 
 /* Fields of a request that serving and calling share. */
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -14,6 +14,7 @@
 #define QUIET_MS 150
 #define BODY_MAX 1000
 #define MAX_CONNS 16
+#define MAX_BYTES 4000
 /* Longer than a connection is idle before it makes place. */
 #define IDLE_MS 700
 
@@ -81,6 +82,7 @@
 			.tmr = b->tmr,
 			.addr = addr,
 			.max_body = BODY_MAX,
+			.max_bytes = MAX_BYTES,
 			.slow_ms = 300,
 			.max_conns = MAX_CONNS,
 		},
@@ -485,6 +487,47 @@
 	close(fd);
 }
 
+/* Guards against a daemon that is killed for the bodies of many callers. */
+static void bodies_beyond_the_bound_are_refused(void **state)
+{
+	static const char large[] = "POST /a HTTP/1.1\r\nHost: x\r\n"
+				    "Content-Length: 900\r\n\r\nhalf";
+	struct bed *b = *state;
+	int fds[MAX_BYTES / 900];
+	bool closed;
+	GString *got;
+	size_t i;
+	int fd;
+
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = net_dial(b->port);
+		net_send(fds[i], large, -1);
+		net_run(b->base, 5);
+	}
+	fd = net_dial(b->port);
+	net_send(fd, large, -1);
+	got = net_read(b->base, fd, "at once", READ_MS, &closed);
+	assert_non_null(strstr(got->str, "HTTP/1.1 503"));
+	assert_non_null(strstr(got->str, "Retry-After: 1"));
+	assert_non_null(strstr(got->str, "Endive-Outcome: not-run"));
+	g_string_free(got, TRUE);
+	close(fd);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	net_run(b->base, QUIET_MS);
+	assert_int_equal(srv_stats(b->srv).bytes, 0);
+	fd = net_dial(b->port);
+	net_send(fd,
+		 "POST /a HTTP/1.1\r\nHost: x\r\n"
+		 "Content-Length: 4\r\n\r\nbody",
+		 -1);
+	got = net_read(b->base, fd, ">", READ_MS, &closed);
+	assert_non_null(strstr(got->str, "<POST /a body>"));
+	assert_int_equal(srv_stats(b->srv).bytes, 0);
+	g_string_free(got, TRUE);
+	close(fd);
+}
+
 /* Guards against a daemon that does nothing but ask for connections in vain. */
 static void a_listener_without_descriptors_rests(void **state)
 {
@@ -534,6 +577,8 @@
 			one_too_many_is_told_when_to_come, setup, teardown),
 		cmocka_unit_test_setup_teardown(an_idle_caller_makes_place,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			bodies_beyond_the_bound_are_refused, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			a_listener_without_descriptors_rests, setup, teardown),
 	};
