--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -60,8 +60,15 @@
 {
 	struct jtb_worker *w = jtb_worker(h->jtb, info->id);
 
-	if (jtb_was_removed(h->jtb, info->id) ||
-	    hub_late_word(h, info->id, sequence)) {
+	if (jtb_was_removed(h->jtb, info->id)) {
+		msg(MSG_HUB_ODD,
+		    "what=\"word of a worker that is over\" worker=%s addr=%s "
+		    "sequence=%" PRIu64,
+		    info->id, info->addr, sequence);
+		then(h, c);
+		return;
+	}
+	if (hub_late_word(h, info->id, sequence)) {
 		then(h, c);
 		return;
 	}
