Orders at once to a worker fit the connections there are

Each order closed the connection that was idle longest at another worker, and that worker's next order opened a new one. Before, a call without a descriptor failed and was tried again 100 ms later, mostly over a connection of its own worker that was idle by then.

The orders that are on their way to one worker are now bounded by its part of the connections: one on this fleet when all are busy, four on the others.

--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -116,6 +116,7 @@
 void wkr_call_send(struct wkr_link *l, struct wkr_call *c,
 		   const struct wkr_order *o, int64_t timeout_ms);
 int64_t wkr_gather_ms(const struct wkr *k);
+guint wkr_window(const struct wkr *k);
 void wkr_hold(struct wkr_link *l);
 void wkr_hold_after(struct wkr_link *l, int64_t ms);
 void wkr_hold_done(struct wkr_link *l, int status, struct lstr body,
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -12,12 +12,13 @@
 /* Sends what runs want ordered, as far as the window goes. */
 void wkr_orders(struct wkr_link *l)
 {
+	guint window = wkr_window(l->k);
 	enum wkr_order_kind kind;
 	guint i;
 
 	if (!l->known || l->failed_since || l->given_up)
 		return;
-	for (i = 0; i < l->w->runs->len && l->calls->len < WKR_WINDOW; i++) {
+	for (i = 0; i < l->w->runs->len && l->calls->len < window; i++) {
 		struct jtb_run *run = g_ptr_array_index(l->w->runs, i);
 
 		if (wkr_wants(run, &kind))
@@ -25,6 +26,21 @@
 	}
 }
 
+/*
+ * Orders on their way to one worker at most. Each takes a connection, and one
+ * more lists the worker's ends: where these are few, a connection that is idle
+ * at one worker would be closed for an order to the next, and each order cost
+ * a new one.
+ */
+guint wkr_window(const struct wkr *k)
+{
+	guint each = WKR_WINDOW + 1;
+
+	if (k->config.conns_max && k->busy)
+		each = MIN(each, (guint)k->config.conns_max / k->busy);
+	return MAX(each, 2) - 1;
+}
+
 /* Looks for orders after so long. */
 void wkr_orders_after(struct wkr_link *l, int64_t ms)
 {
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -876,6 +876,23 @@
 	assert_int_equal(b->wait_ms, 0);
 }
 
+/* Guards against a new connection for each order where these are few. */
+static void orders_at_once_fit_the_connections(void **state)
+{
+	struct bed *b = *state;
+
+	b->wkr->busy = 1100;
+	assert_int_equal(wkr_window(b->wkr), WKR_WINDOW);
+	b->wkr->config.conns_max = 2400;
+	assert_int_equal(wkr_window(b->wkr), 1);
+	b->wkr->config.conns_max = 4000;
+	assert_int_equal(wkr_window(b->wkr), 2);
+	b->wkr->config.conns_max = 100;
+	assert_int_equal(wkr_window(b->wkr), 1);
+	b->wkr->busy = 0;
+	assert_int_equal(wkr_window(b->wkr), WKR_WINDOW);
+}
+
 /* A start carries its ticket, and the owner learns that it was refused. */
 static void a_start_carries_its_ticket(void **state)
 {
@@ -952,6 +969,7 @@
 		T(a_leaving_worker_is_not_over_for_want_of_a_socket),
 		T(a_worker_is_not_silent_for_want_of_a_socket),
 		T(a_list_is_not_waited_for_where_connections_are_few),
+		T(orders_at_once_fit_the_connections),
 		T(ends_of_a_large_fleet_are_gathered),
 		T(a_start_carries_its_ticket),
 		T(a_start_without_a_ticket_is_not_sent),
