A repair of membership under load: a test over real replicas

rep_test a_lost_folder_is_replaced_under_load: three replicas over real connections and folders, a command of 10 KB in each turn of the loop, turns of 20 ms and more, as a leader of 1,100 workers has them; one loses its folder 200 entries behind. The bound is 300 turns, about six seconds of such a loop.

--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -16,6 +16,13 @@
 /* Repairs broken off, each so much later than the one before, ms. */
 #define ROUNDS 6
 #define ROUND_MS 150
+/* A leader of 1,100 workers: entries that a newcomer lacks, how large each is,
+ * how long a turn of the loop lasts, and the turns that a repair may take.
+ */
+#define LOAD_ENTRIES 200
+#define LOAD_BYTES (10 << 10)
+#define BUSY_US 20000
+#define REPAIR_TURNS 300
 
 struct bed;
 
@@ -425,6 +432,66 @@
 	}
 }
 
+/* One long turn of a loop that is busy, in which a command comes. */
+static void busy_turn(struct bed *b, const char *cmd)
+{
+	const struct node *n = NULL;
+	uint64_t index;
+	int i;
+
+	for (i = 0; i < REPLICAS; i++)
+		if (b->nodes[i].rep && rep_leading(b->nodes[i].rep))
+			n = &b->nodes[i];
+	if (n)
+		rep_propose(n->rep, lstr_from(cmd), &index);
+	event_base_loop(b->base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	g_usleep(BUSY_US);
+}
+
+/* Whether all replicas of now are voters, and nobody else is a member. */
+static bool whole(const struct bed *b)
+{
+	const struct cns_members *s = NULL;
+	int voters = 0;
+	int i;
+
+	for (i = 0; i < REPLICAS; i++)
+		if (b->nodes[i].rep && rep_leading(b->nodes[i].rep))
+			s = rep_members(b->nodes[i].rep);
+	for (i = 0; s && i < REPLICAS; i++) {
+		const struct rep *r = b->nodes[i].rep;
+		const struct cns_member *m = cns_find(s, r->id);
+
+		voters += m && m->voter;
+	}
+	return s && s->n == REPLICAS && voters == REPLICAS;
+}
+
+/* Guards against a repair that lasts as long as the load does. */
+static void a_lost_folder_is_replaced_under_load(void **state)
+{
+	struct bed *b = *state;
+	char *cmd = g_strnfill(LOAD_BYTES, 'x');
+	struct node *lost;
+	int turns;
+	int i;
+
+	say(b, "one ");
+	for (i = 0; i < LOAD_ENTRIES; i++)
+		busy_turn(b, cmd);
+	lost = leader(b) == &b->nodes[0] ? &b->nodes[1] : &b->nodes[0];
+	rep_free(lost->rep);
+	lost->rep = NULL;
+	empty_folder(lost->data);
+	g_string_truncate(lost->log, 0);
+	lost->restarted = true;
+	node_start(lost);
+	for (turns = 0; turns < REPAIR_TURNS && !whole(b); turns++)
+		busy_turn(b, cmd);
+	assert_true(whole(b));
+	g_free(cmd);
+}
+
 /*
  * Whether a leader took out another member at its own address; false: it lost
  * its leadership first, as on a busy machine.
@@ -607,6 +674,7 @@
 		T(a_replica_says_what_its_quorum_lacks),
 		T(all_lose_power_and_one_its_folder),
 		T(all_lose_power_during_a_repair),
+		T(a_lost_folder_is_replaced_under_load),
 		T(a_newcomer_without_a_place_holds_nothing_up),
 		T(a_lost_folder_is_replaced_though_places_are_full),
 		T(a_leader_takes_out_who_it_was),
