ups: what the analyzer can't follow, said plainly; a test that may look too early

make lint found three places: two in ups.c that can't occur (a call that is over has no connection; waiting calls are unlinked as they are freed) and are written so now that it is seen, and one in rep_test, which would read a replica that isn't started. No behaviour changes.

--- a/src/ups.c
+++ b/src/ups.c
@@ -123,6 +123,7 @@
 static bool ups_lacks_descriptors(void);
 static void ups_wait(struct ups_call *call, const struct ups_request *r);
 static void ups_wait_free(struct ups_call *call);
+static void ups_drop_waiting(GQueue *queue);
 static void ups_next_soon(struct ups *u);
 static void ups_next(void *arg, int64_t now);
 static bool ups_next_one(struct ups *u, GQueue *queue);
@@ -193,8 +194,7 @@
 	tmr_cancel(u->tmr, u->tick);
 	tmr_cancel(u->tmr, u->next_timer);
 	for (i = 0; i < G_N_ELEMENTS(u->waiting); i++)
-		while (u->waiting[i].head)
-			ups_call_free(u->waiting[i].head->data);
+		ups_drop_waiting(&u->waiting[i]);
 	while (u->idle.head)
 		ups_unlist(u->idle.head->data);
 	g_hash_table_destroy(u->hosts);
@@ -212,6 +212,15 @@
 	g_free(u);
 }
 
+/* Frees calls that wait for a connection, without telling them. */
+static void ups_drop_waiting(GQueue *queue)
+{
+	struct ups_call *call;
+
+	while ((call = g_queue_peek_head(queue)))
+		ups_call_free(call);
+}
+
 /*
  * Sends a request. ops->end is told exactly once unless ups_cancel comes
  * first. Nothing is tried twice here: whether that is safe is not known here.
@@ -280,7 +289,8 @@
 		call->req = NULL;
 		ups_finish(call, UPS_NOT_SENT);
 	}
-	if (!call->over && !call->reused)
+	/* a call that is over by now has no connection any more */
+	if (call->conn && !call->reused)
 		ups_conn_bound(call->conn);
 	else if (call->over && call->end == UPS_NOT_SENT &&
 		 ups_lacks_descriptors())
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -460,7 +460,7 @@
 			s = rep_members(b->nodes[i].rep);
 	for (i = 0; s && i < REPLICAS; i++) {
 		const struct rep *r = b->nodes[i].rep;
-		const struct cns_member *m = cns_find(s, r->id);
+		const struct cns_member *m = r ? cns_find(s, r->id) : NULL;
 
 		voters += m && m->voter;
 	}
