The leader's time by kind of work, and the lag of its loop

Operators saw one figure for a leader's processor time. /metrics and a line a second now split it by callers, beats, orders, lists, planning, upkeep, log and applied commands, each charged once where they nest, and show how late the loop comes to its timers.

--- a/src/hub.c
+++ b/src/hub.c
@@ -230,12 +230,14 @@
 static void hub_apply(void *arg, uint64_t index, struct lstr cmd)
 {
 	struct hub *h = arg;
+	enum cpu_kind before = cpu_enter(CPU_APPLY);
 
 	if (!jtb_apply(h->jtb, cmd))
 		msg(MSG_HUB_ODD, "what=command index=%" PRIu64, index);
 	if (h->leading)
 		wkr_stored(h->wkr);
 	hub_log_applied(h, index);
+	cpu_leave(before);
 }
 
 /* The table is read from a snapshot. */
@@ -280,11 +282,13 @@
 			struct pk_in *in)
 {
 	struct hub *h = arg;
+	enum cpu_kind before;
 	struct hub_call *c;
 	struct lstr body;
 
 	if (kind != PROTO_CALL)
 		return;
+	before = cpu_enter(CPU_CALLERS);
 	c = hub_call_new(h, HUB_CALLERS);
 	c->conn = conn;
 	c->no = pk_get_u(in);
@@ -300,6 +304,7 @@
 		hub_status(h, c, 421);
 	else
 		h->config.face->call(h, c);
+	cpu_leave(before);
 }
 
 /* An entry daemon's connection ended, with the calls it waited for. */
@@ -312,6 +317,7 @@
 static void hub_on_request(void *arg, struct srv_req *r)
 {
 	struct hub *h = arg;
+	enum cpu_kind before = cpu_enter(CPU_BEATS);
 	struct hub_call *c = hub_call_new(h, HUB_CONTROL);
 	struct srv_req_info info = srv_info(r);
 	struct evbuffer *body = srv_body(r);
@@ -323,6 +329,7 @@
 	c->path = g_strdup(info.path);
 	c->body = g_bytes_new(evbuffer_pullup(body, -1), len);
 	h->config.face->call(h, c);
+	cpu_leave(before);
 }
 
 /* Who sent a request at the control address left. */
--- a/src/hub_held.c
+++ b/src/hub_held.c
@@ -25,6 +25,7 @@
 void hub_held_tick(struct hub *h, int64_t now)
 {
 	GHashTable *closed;
+	enum cpu_kind before;
 	struct sch_view plan;
 	struct hld_view v = {
 		.sch = &plan,
@@ -34,6 +35,7 @@
 
 	if (now - h->held_ms < HUB_HELD_MS)
 		return;
+	before = cpu_enter(CPU_UPKEEP);
 	h->held_ms = now;
 	closed = g_hash_table_new(g_str_hash, g_str_equal);
 	v.moving = g_hash_table_new(g_str_hash, g_str_equal);
@@ -47,6 +49,7 @@
 	g_hash_table_destroy(closed);
 	g_hash_table_destroy(v.moving);
 	g_hash_table_destroy(v.upkeep);
+	cpu_leave(before);
 }
 
 /* Why a worker may not be given work, but for being emptied. */
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -3,6 +3,7 @@
 
 #include "adv.h"
 #include "cnt.h"
+#include "cpu.h"
 #include "est.h"
 #include "flo.h"
 #include "gcm.h"
@@ -99,6 +100,8 @@
 	struct upk *upk;
 	struct flo *flo;
 	int64_t told_ms; /* when pools were logged last */
+	int64_t work_told_ms; /* when the work by kind was, */
+	uint64_t work_told_us[CPU_KINDS]; /* and how much of each then */
 	int64_t forgot_ms; /* when ended jobs were last looked through */
 	int64_t vm_from; /* no orders to VMs before */
 	uint64_t vm_timer; /* looks at them then */
@@ -164,5 +167,6 @@
 /* hub_tell */
 void hub_time(struct hub *h, enum hub_time what, int64_t ms);
 void hub_tell_metrics(const struct hub *h, GString *out);
+void hub_tell_work(struct hub *h, int64_t now);
 
 #endif
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -134,10 +134,12 @@
 void hub_plan_tick(struct hub *h, int64_t now)
 {
 	GHashTableIter it;
+	enum cpu_kind before;
 	struct jtb_worker *w;
 
 	if (!h->leading)
 		return;
+	before = cpu_enter(CPU_UPKEEP);
 	g_hash_table_iter_init(&it, jtb_workers(h->jtb));
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
 		hub_check_runs(h, w, now);
@@ -146,6 +148,8 @@
 	hub_forget(h, now);
 	hub_plan_all(h);
 	h->looks = true;
+	hub_tell_work(h, now);
+	cpu_leave(before);
 }
 
 /* All pools are to be planned. */
@@ -383,10 +387,12 @@
 static void hub_plan_timer(void *arg, int64_t now)
 {
 	struct hub *h = arg;
+	enum cpu_kind before = cpu_enter(CPU_PLAN);
 
 	h->plan_timer = 0;
 	if (h->leading)
 		hub_plan(h);
+	cpu_leave(before);
 }
 
 /* Starts what can be started in one pool. */
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -2,8 +2,13 @@
 
 #include <inttypes.h>
 
+#include "msg.h"
+
 /* What a control daemon tells monitoring of itself. */
 
+/* Between two lines on the leader's own work, ms. */
+#define HUB_WORK_MS 1000
+
 static void hub_tell_state(const struct hub *h, GString *out);
 static void hub_tell_descriptors(const struct hub *h, GString *out);
 
@@ -92,9 +97,39 @@
 		       "Times without a leader, as this replica saw them",
 		       rep_leaderless(h->rep));
 	hub_tell_descriptors(h, out);
+	cpu_text(out);
+	cnt_times_text(out, "endive_loop_lag_seconds",
+		       "How late timers are called", tmr_lag(h->tmr));
 	cnt_process(out);
 }
 
+/*
+ * Tells each second where the leader's time went, us by kind of work: after a
+ * bad day it says whether the leader was behind, and with what.
+ */
+void hub_tell_work(struct hub *h, int64_t now)
+{
+	GString *text;
+	int i;
+
+	if (now - h->work_told_ms < HUB_WORK_MS)
+		return;
+	text = g_string_new(NULL);
+	g_string_append_printf(text, "for_ms=%" PRId64 " lag_ms=%" PRId64,
+			       h->work_told_ms ? now - h->work_told_ms : 0,
+			       tmr_lag_ms(h->tmr));
+	for (i = CPU_LOOP + 1; i < CPU_KINDS; i++) {
+		uint64_t used = cpu_used_us(i);
+
+		g_string_append_printf(text, " %s=%" PRIu64, cpu_name(i),
+				       used - h->work_told_us[i]);
+		h->work_told_us[i] = used;
+	}
+	msg(MSG_HUB_WORK, "%s", text->str);
+	g_string_free(text, TRUE);
+	h->work_told_ms = now;
+}
+
 /* Appends how many descriptors each part has in use, and may have. */
 static void hub_tell_descriptors(const struct hub *h, GString *out)
 {
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -189,9 +189,11 @@
 static void hub_vm_listed(void *arg)
 {
 	struct hub *h = arg;
+	enum cpu_kind before = cpu_enter(CPU_UPKEEP);
 
 	hub_vm_dead(h);
 	hub_vm_decide(h, tmr_now(h->tmr));
+	cpu_leave(before);
 }
 
 /*
--- a/src/rep.c
+++ b/src/rep.c
@@ -334,9 +334,12 @@
 /* Has all that is due done at the end of this turn of the loop. */
 static void rep_pump(struct rep *r)
 {
+	enum cpu_kind before = cpu_enter(CPU_LOG);
+
 	vot_pump(r->vot);
 	rep_watch(r);
 	rep_spare_disk(r);
+	cpu_leave(before);
 }
 
 /* Does all that is due. */
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -7,6 +7,7 @@
 #include <sodium.h>
 #include <time.h>
 
+#include "cpu.h"
 #include "err.h"
 #include "msg.h"
 #include "proto.h"
--- a/src/tmr.c
+++ b/src/tmr.c
@@ -4,6 +4,9 @@
 #include <glib.h>
 #include <time.h>
 
+/* Weight of the newest lag in the moving mean: 1 in so many. */
+#define TMR_LAG_MEAN 8
+
 /* One subscription; ordered by due time, then by id. */
 struct tmr_sub {
 	int64_t due;
@@ -23,6 +26,8 @@
 	struct event *ev;
 	int64_t manual_now;
 	uint64_t next_id;
+	struct cnt_times lag; /* how late the loop came to what was due */
+	double lag_ms; /* moving mean of it */
 };
 
 static gint tmr_order(gconstpointer a, gconstpointer b, gpointer unused);
@@ -30,6 +35,7 @@
 			void *arg);
 static struct tmr_sub *tmr_first(struct tmr *t);
 static void tmr_run_due(struct tmr *t, int64_t now);
+static void tmr_late(struct tmr *t, int64_t now);
 static void tmr_arm(struct tmr *t);
 static void tmr_fire(evutil_socket_t fd, short what, void *arg);
 
@@ -129,6 +135,21 @@
 	t->manual_now = end;
 }
 
+/* How late the loop has come to what was due, since the start. */
+const struct cnt_times *tmr_lag(const struct tmr *t)
+{
+	return &t->lag;
+}
+
+/*
+ * How late the loop comes to what is due, ms, a moving mean: about the length of
+ * its turns, which grow without end where more comes in than it gets done.
+ */
+int64_t tmr_lag_ms(const struct tmr *t)
+{
+	return (int64_t)t->lag_ms;
+}
+
 static uint64_t tmr_add(struct tmr *t, int64_t delay, int64_t period, tmr_fn fn,
 			void *arg)
 {
@@ -200,11 +221,24 @@
 	evtimer_add(t->ev, &tv);
 }
 
+/* Notes how late the first subscription that is due is called. */
+static void tmr_late(struct tmr *t, int64_t now)
+{
+	struct tmr_sub *sub = tmr_first(t);
+	int64_t late = sub ? MAX(0, now - sub->due) : 0;
+
+	cnt_time_ms(&t->lag, late);
+	t->lag_ms += ((double)late - t->lag_ms) / TMR_LAG_MEAN;
+}
+
 static void tmr_fire(evutil_socket_t fd, short what, void *arg)
 {
 	struct tmr *t = arg;
 
-	tmr_run_due(t, tmr_now(t));
+	int64_t now = tmr_now(t);
+
+	tmr_late(t, now);
+	tmr_run_due(t, now);
 	tmr_arm(t);
 }
 
--- a/src/tmr.h
+++ b/src/tmr.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cnt.h"
+
 struct event_base;
 struct tmr;
 
@@ -17,5 +19,7 @@
 uint64_t tmr_once(struct tmr *t, int64_t delay_ms, tmr_fn fn, void *arg);
 void tmr_cancel(struct tmr *t, uint64_t id);
 void tmr_advance(struct tmr *t, int64_t by_ms);
+const struct cnt_times *tmr_lag(const struct tmr *t);
+int64_t tmr_lag_ms(const struct tmr *t);
 
 #endif
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -374,6 +374,8 @@
 	struct wkr_link *l = c->link;
 	struct lstr body = {0};
 	enum wkr_answer answer;
+	enum cpu_kind before =
+		cpu_enter(c->kind == WKR_HOLD ? CPU_LISTS : CPU_ORDERS);
 	int64_t clock_ms = 0;
 
 	if (c->kind == WKR_HOLD)
@@ -400,6 +402,7 @@
 		wkr_answered(l, c, answer);
 	}
 	wkr_call_free(c);
+	cpu_leave(before);
 }
 
 /* A worker gave no good answer: the next try waits longer. */
@@ -459,10 +462,12 @@
 static void wkr_tick(void *arg, int64_t now)
 {
 	struct wkr *k = arg;
+	enum cpu_kind before;
 	guint i;
 
 	if (!k->leading)
 		return;
+	before = cpu_enter(CPU_LISTS);
 	k->busy = 0;
 	for (i = k->links->len; i > 0; i--) {
 		struct wkr_link *l = g_ptr_array_index(k->links, i - 1);
@@ -484,6 +489,7 @@
 			wkr_hold(l);
 		}
 	}
+	cpu_leave(before);
 }
 
 /*
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -5,6 +5,7 @@
 
 #include <inttypes.h>
 
+#include "cpu.h"
 #include "msg.h"
 
 /*
--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -69,9 +69,11 @@
 static void wkr_hold_timer(void *arg, int64_t now)
 {
 	struct wkr_link *l = arg;
+	enum cpu_kind before = cpu_enter(CPU_LISTS);
 
 	l->hold_timer = 0;
 	wkr_hold(l);
+	cpu_leave(before);
 }
 
 /* A call for the list ended. */
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -53,9 +53,11 @@
 static void wkr_orders_timer(void *arg, int64_t now)
 {
 	struct wkr_link *l = arg;
+	enum cpu_kind before = cpu_enter(CPU_ORDERS);
 
 	l->order_timer = 0;
 	wkr_orders(l);
+	cpu_leave(before);
 }
 
 /* Whether a run has something to be ordered, and what. */
