A leader that is behind plans, asks and repeats less

What callers saw: on the largest fleet, bursts started after seconds with free VMs in the pools. A plan was made at each turn with anything new, 18 to 30 % of the leader's time before it was behind. Ruled out: too few VMs (without charge for time all is served).

Now plans go just before the batch that carries their starts, and take an eighth of the time at most; limits of calls and the pause between two calls for a list grow with the lag of the loop. The decisions are in lod, apart from I/O; lod_test replays a burst in which something changes each ms.

--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -9,6 +9,7 @@
 #include "gcm.h"
 #include "hld.h"
 #include "hub.h"
+#include "lod.h"
 #include "rep.h"
 #include "sch.h"
 #include "srv.h"
@@ -126,6 +127,7 @@
 	struct hld_sum held; /* what is owed and doesn't run */
 	int64_t held_ms; /* when that was last looked at */
 	bool looks; /* the next plan is of all pools: it may be looked at */
+	struct lod_plan planned; /* when the next plan is made */
 	uint64_t plan_timer;
 	uint64_t tick;
 	int64_t drain_until;
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -369,9 +369,16 @@
 /* A pool has something new to plan. */
 static void hub_dirty(struct hub *h, const char *pool)
 {
+	int64_t now;
+
 	g_hash_table_add(h->dirty, g_strdup(pool));
-	if (!h->plan_timer && h->leading)
-		h->plan_timer = tmr_once(h->tmr, 0, hub_plan_timer, h);
+	if (h->plan_timer || !h->leading)
+		return;
+	now = tmr_now(h->tmr);
+	h->plan_timer = tmr_once(
+		h->tmr,
+		lod_plan_wait_ms(&h->planned, gcm_wait_ms(&h->gcm, now), now),
+		hub_plan_timer, h);
 }
 
 /* The pool of a job has something new to plan. */
@@ -388,11 +395,15 @@
 {
 	struct hub *h = arg;
 	enum cpu_kind before = cpu_enter(CPU_PLAN);
+	uint64_t from_us = cpu_used_us(CPU_PLAN);
 
 	h->plan_timer = 0;
 	if (h->leading)
 		hub_plan(h);
 	cpu_leave(before);
+	lod_planned(&h->planned,
+		    (double)(cpu_used_us(CPU_PLAN) - from_us) / 1000,
+		    tmr_now(h->tmr));
 }
 
 /* Starts what can be started in one pool. */
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -157,6 +157,7 @@
 /* Commands were applied: sessions that waited for their ends go on. */
 void wkr_stored(struct wkr *k)
 {
+	int64_t lag = tmr_lag_ms(k->config.tmr);
 	guint i;
 
 	for (i = 0; i < k->links->len; i++) {
@@ -165,24 +166,10 @@
 		if (!l->await_no || l->w->end_no < l->await_no)
 			continue;
 		l->await_no = 0;
-		wkr_hold_after(l, wkr_gather_ms(k));
+		wkr_hold_after(l, lod_gather_ms(k->busy, lag));
 	}
 }
 
-/*
- * How long a worker whose ends are stored may gather more before it is asked
- * again, ms. A call for each end is half of what a task costs a leader: in a
- * burst on hundreds of workers it came to nothing else, and ends were taken in
- * so late that their room looked as if it were in use. Few workers are asked at
- * once, as each moment that an end waits delays the steps behind it.
- */
-int64_t wkr_gather_ms(const struct wkr *k)
-{
-	return CLAMP((int64_t)(k->busy * WKR_CALL_US) / 1000 -
-			     WKR_GATHER_FROM_MS,
-		     0, WKR_GATHER_MAX_MS);
-}
-
 /* Asks a worker for its list now, unless it is being asked. */
 void wkr_ask(struct wkr *k, struct jtb_worker *w)
 {
@@ -317,7 +304,8 @@
 		.method = EVHTTP_REQ_POST,
 		.headers = headers,
 		.n_headers = G_N_ELEMENTS(headers),
-		.timeout_ms = timeout_ms,
+		.timeout_ms = lod_patience_ms(timeout_ms,
+					      tmr_lag_ms(l->k->config.tmr)),
 		.connect_ms = WKR_CONNECT_MS,
 		.max_answer = WKR_ANSWER_MAX,
 		/* leases end and cancelled work runs on while these wait */
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -6,6 +6,7 @@
 #include <inttypes.h>
 
 #include "cpu.h"
+#include "lod.h"
 #include "msg.h"
 
 /*
@@ -39,12 +40,6 @@
 #define WKR_SHARE_PAUSE_MS 250
 /* Least time between two calls for a list that brought nothing new. */
 #define WKR_PAUSE_MS 40
-/* Time of the leader that one more call for a list takes, us. */
-#define WKR_CALL_US 150
-/* So much for a round of all busy workers is no burden, ms, */
-#define WKR_GATHER_FROM_MS 10
-/* and no end waits longer than this to be told: it counts as known by then. */
-#define WKR_GATHER_MAX_MS 80
 /* Orders on their way to one worker; more would only queue there. */
 #define WKR_WINDOW 4
 /* Between tries of what got no answer, doubling. */
@@ -116,7 +111,6 @@
 
 void wkr_call_send(struct wkr_link *l, struct wkr_call *c,
 		   const struct wkr_order *o, int64_t timeout_ms);
-int64_t wkr_gather_ms(const struct wkr *k);
 guint wkr_window(const struct wkr *k);
 void wkr_hold(struct wkr_link *l);
 void wkr_hold_after(struct wkr_link *l, int64_t ms);
--- /dev/null
+++ b/tests/unit/lod_test.c
@@ -0,0 +1,107 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "lod.h"
+
+#define SECOND_MS 1000
+
+/*
+ * Plans one second of a burst in which something changes each ms, with batches
+ * every batch_ms; returns the time that plans of took_ms each came to.
+ */
+static int64_t planned_ms(struct lod_plan *p, int64_t took_ms, int64_t batch_ms)
+{
+	int64_t batch = SECOND_MS;
+	int64_t now = SECOND_MS;
+	int64_t sum = 0;
+
+	while (now < 2 * SECOND_MS) {
+		if (now >= batch)
+			batch += batch_ms;
+		if (lod_plan_wait_ms(p, batch - now, now) > 0) {
+			now++;
+			continue;
+		}
+		now += took_ms;
+		sum += took_ms;
+		lod_planned(p, (double)took_ms, now);
+		now++;
+	}
+	return sum;
+}
+
+/* Guards against a job that waits on an idle leader. */
+static void an_idle_leader_plans_at_once(void **state)
+{
+	struct lod_plan p = {0};
+
+	lod_planned(&p, 0.5, SECOND_MS);
+	assert_int_equal(lod_plan_wait_ms(&p, 0, SECOND_MS + 5), 0);
+}
+
+/* Guards against starts that just miss a batch and wait for the next one. */
+static void a_plan_is_made_just_before_the_batch(void **state)
+{
+	struct lod_plan p = {0};
+
+	assert_int_equal(lod_plan_wait_ms(&p, 20, SECOND_MS), 19);
+	assert_int_equal(lod_plan_wait_ms(&p, 1, SECOND_MS), 0);
+}
+
+/* Guards against a backlog that is planned so often that nothing is ordered. */
+static void a_long_backlog_leaves_time_for_orders(void **state)
+{
+	struct lod_plan p = {0};
+
+	/* the first plans of a burst come before their cost is known */
+	planned_ms(&p, 15, 10);
+	assert_in_range(planned_ms(&p, 15, 10), 15, SECOND_MS / 7);
+}
+
+/* Guards against room that stays free since plans are put off too long. */
+static void no_plan_is_put_off_for_long(void **state)
+{
+	struct lod_plan p = {0};
+	int i;
+
+	for (i = 0; i < 20; i++)
+		lod_planned(&p, 5000, SECOND_MS);
+	assert_in_range(lod_plan_wait_ms(&p, 0, SECOND_MS), 1, 150);
+}
+
+/* Guards against workers taken for silent whose answers lie in our sockets. */
+static void a_leader_that_is_behind_waits_longer_for_answers(void **state)
+{
+	assert_int_equal(lod_patience_ms(400, 0), 400);
+	/* to the worker in one turn, and three until its answer is read */
+	assert_true(lod_patience_ms(400, 150) >= 400 + 3 * 150);
+	/* a worker that is gone is given up while its lease lasts */
+	assert_true(lod_patience_ms(400, 60000) <= 2000);
+	assert_int_equal(lod_patience_ms(2500, 60000), 2500);
+}
+
+/* Guards against a call for each end while orders wait. */
+static void a_leader_that_is_behind_gathers_more_ends(void **state)
+{
+	assert_int_equal(lod_gather_ms(10, 0), 0);
+	assert_true(lod_gather_ms(1100, 100) > lod_gather_ms(1100, 0));
+	assert_true(lod_gather_ms(9200, 60000) <= 250);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_idle_leader_plans_at_once),
+		cmocka_unit_test(a_plan_is_made_just_before_the_batch),
+		cmocka_unit_test(a_long_backlog_leaves_time_for_orders),
+		cmocka_unit_test(no_plan_is_put_off_for_long),
+		cmocka_unit_test(
+			a_leader_that_is_behind_waits_longer_for_answers),
+		cmocka_unit_test(a_leader_that_is_behind_gathers_more_ends),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -802,10 +802,9 @@
 	struct jtb_name n = {.id = "j"};
 	struct pk_out o;
 
-	b->wkr->busy = 49;
-	assert_int_equal(wkr_gather_ms(b->wkr), 0);
+	assert_int_equal(lod_gather_ms(49, 0), 0);
+	assert_int_equal(lod_gather_ms(9200, 0), 80);
 	b->wkr->busy = 9200;
-	assert_int_equal(wkr_gather_ms(b->wkr), WKR_GATHER_MAX_MS);
 	b->lists = true;
 	start(b);
 	net_run(b->base, SETTLE_MS);
