Reports of workers with nothing new are answered by any replica

What a worker says that is in the table any replica knows, as it is agreed on; only something new goes on to the leader, as before. A leader names another voter that it has heard of late, by the worker's id, as the address for the next reports. A replica without a leader answers nothing itself: it may be far behind. That a worker leaves is acknowledged only once it is in the table, by whoever acknowledges it.

jobs_test failed before (no replica but the leader had taken a report); the stand-in worker follows the addresses it is told.

--- a/src/hub.c
+++ b/src/hub.c
@@ -13,6 +13,7 @@
 /* A sender that pauses for longer within a request is cut. */
 #define HUB_SLOW_MS 15000
 
+static char *hub_control_of(const struct hub *h, char *addr);
 static bool hub_open_http(struct hub *h, GError **err);
 static void hub_apply(void *arg, uint64_t index, struct lstr cmd);
 static bool hub_restore(void *arg, struct lstr snap);
@@ -179,25 +180,38 @@
 char *hub_leader_control(const struct hub *h)
 {
 	char *addr = rep_leader_addr(h->rep);
-	char *colon = addr ? strrchr(addr, ':') : NULL;
+
+	if (addr && strcmp(addr, h->config.wire) != 0)
+		return hub_control_of(h, addr);
+	g_free(addr);
+	return NULL;
+}
+
+/*
+ * Where a worker should report next, to be freed. A leader names another
+ * replica, which knows the worker just as well: thousands of reports that say
+ * nothing new would else take much of the leader's time.
+ */
+char *hub_reports_to(const struct hub *h, const char *worker)
+{
+	char *addr =
+		h->leading ? rep_other_addr(h->rep, g_str_hash(worker)) : NULL;
+
+	return addr ? hub_control_of(h, addr) : g_strdup(h->config.control);
+}
+
+/* Where a replica takes calls, by its address for own processes: it is freed. */
+static char *hub_control_of(const struct hub *h, char *addr)
+{
+	char *colon = strrchr(addr, ':');
 	char *out;
 
-	if (!colon || strcmp(addr, h->config.wire) == 0) {
-		g_free(addr);
-		return NULL;
-	}
 	*colon = '\0';
 	out = g_strconcat(addr, strrchr(h->config.control, ':'), NULL);
 	g_free(addr);
 	return out;
 }
 
-/* Where operators and workers reach us. */
-const char *hub_own_control(const struct hub *h)
-{
-	return h->config.control;
-}
-
 /* The job table. */
 const struct jtb *hub_jobs(const struct hub *h)
 {
--- a/src/hub.h
+++ b/src/hub.h
@@ -88,7 +88,7 @@
 void hub_status(struct hub *h, struct hub_call *c, int status);
 bool hub_leads(const struct hub *h);
 char *hub_leader_control(const struct hub *h);
-const char *hub_own_control(const struct hub *h);
+char *hub_reports_to(const struct hub *h, const char *worker);
 const struct jtb *hub_jobs(const struct hub *h);
 int64_t hub_wall_ms(void);
 struct pk_out *hub_put(struct hub *h);
@@ -101,6 +101,7 @@
 void hub_told_worker(struct hub *h, struct hub_call *c,
 		     const struct jtb_worker_info *info, uint64_t sequence,
 		     int64_t clock_ms, hub_then then);
+bool hub_knows_worker(struct hub *h, const struct jtb_worker_info *info);
 void hub_told_leave(struct hub *h, struct hub_call *c, const char *id,
 		    hub_then then);
 
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -5,6 +5,8 @@
 #include "msg.h"
 
 static bool hub_late_word(struct hub *h, const char *id, uint64_t sequence);
+static bool hub_nothing_new(const struct jtb_worker_info *known,
+			    const struct jtb_worker_info *told);
 static bool hub_same_info(const struct jtb_worker_info *a,
 			  const struct jtb_worker_info *b);
 static void hub_addr_taken(struct hub *h, const struct jtb_worker_info *info);
@@ -76,8 +78,8 @@
 		wkr_clock(h->wkr, w, clock_ms);
 	else
 		hub_addr_taken(h, info);
-	if (w && (hub_same_info(&w->info, info) ||
-		  (w->info.draining && !info->draining))) {
+	if (w && hub_nothing_new(&w->info, info)) {
+		h->counts[HUB_REPORTS]++;
 		then(h, c);
 		return;
 	}
@@ -85,6 +87,22 @@
 	hub_commit(h, c, then);
 }
 
+/*
+ * Whether a replica that doesn't lead may acknowledge what a worker told of
+ * itself: it is all in the table, so that any leader knows it too. One that has
+ * lost its leader may be far behind, and sends the worker elsewhere.
+ */
+bool hub_knows_worker(struct hub *h, const struct jtb_worker_info *info)
+{
+	const struct jtb_worker *w = jtb_worker(h->jtb, info->id);
+	char *leader = rep_leader_addr(h->rep);
+	bool knows = leader && w && hub_nothing_new(&w->info, info);
+
+	g_free(leader);
+	h->counts[HUB_REPORTS] += knows;
+	return knows;
+}
+
 /* A worker says that it ends; it may still run something for a moment. */
 void hub_told_leave(struct hub *h, struct hub_call *c, const char *id,
 		    hub_then then)
@@ -115,6 +133,17 @@
 	return false;
 }
 
+/*
+ * Whether what a worker told is known. That it doesn't leave, told after it
+ * said that it does, is an older word of it.
+ */
+static bool hub_nothing_new(const struct jtb_worker_info *known,
+			    const struct jtb_worker_info *told)
+{
+	return hub_same_info(known, told) ||
+	       (known->draining && !told->draining);
+}
+
 /* Whether a worker told the same of itself as before. */
 static bool hub_same_info(const struct jtb_worker_info *a,
 			  const struct jtb_worker_info *b)
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -41,6 +41,8 @@
 			      "VMs whose upkeep was done"},
 	[HUB_UNKNOWN_CALLS] = {"endive_calls_unknown_total", "counter",
 			       "Calls that a lost leadership left unanswered"},
+	[HUB_REPORTS] = {"endive_worker_reports_total", "counter",
+			 "Reports of workers with nothing new"},
 	[HUB_UNADVISED] =
 		{"endive_jobs_unadvised_total", "counter",
 		 "Jobs refused, as nobody gives the advice they need"},
--- a/src/rep.h
+++ b/src/rep.h
@@ -73,6 +73,7 @@
 bool rep_hands_over(const struct rep *r);
 uint64_t rep_term(const struct rep *r);
 char *rep_leader_addr(const struct rep *r);
+char *rep_other_addr(const struct rep *r, uint32_t no);
 const struct cns_members *rep_members(const struct rep *r);
 struct rep_quorum rep_quorum(const struct rep *r);
 struct wire_stats rep_wire_stats(const struct rep *r);
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -107,6 +107,25 @@
 	       (p && p->id == m->id && now - p->heard_ms <= REP_SILENCE_MS);
 }
 
+/*
+ * Address of another voter that was heard of late, to be freed; NULL: there is
+ * none. The same no gives the same voter while they stay the same.
+ */
+char *rep_other_addr(const struct rep *r, uint32_t no)
+{
+	const struct cns_members *s = cns_members(r->cns);
+	int64_t now = tmr_now(r->config.tmr);
+	const struct cns_member *others[CNS_MEMBERS_MAX];
+	uint32_t n = 0;
+	int i;
+
+	for (i = 0; i < s->n; i++)
+		if (s->m[i].voter && s->m[i].id != r->id &&
+		    rep_reached(r, &s->m[i], now))
+			others[n++] = &s->m[i];
+	return n ? g_strdup(others[no % n]->addr) : NULL;
+}
+
 /* What of a quorum this replica can see now. */
 struct rep_quorum rep_quorum(const struct rep *r)
 {
--- a/tests/system/jobs_test.sh
+++ b/tests/system/jobs_test.sh
@@ -38,6 +38,15 @@
 n=$(jobs_metric 4 endive_entry_answer_seconds_count)
 [ "${n:-0}" -ge 10 ] || fail "endive_entry_answer_seconds: ${n:-none}"
 
+# Guards against a leader that takes all reports of workers by itself.
+others=0
+for n in 1 2 3; do
+	[ "$n" = "$leader" ] && continue
+	reports=$(jobs_metric "$n" endive_worker_reports_total)
+	others=$((others + ${reports:-0}))
+done
+[ "$others" -gt 0 ] || fail "no other replica has taken a worker's report"
+
 # A leader is killed while jobs run; they go on under the next one.
 "$BIN/endive-job" --to "$entries" --jobs 20 --first 1000 --seconds 60 \
 	>"$tmp/out" 2>&1 &
--- a/tools/endive-worker.c
+++ b/tools/endive-worker.c
@@ -39,6 +39,7 @@
 	struct jtb_worker_info info;
 	char **control;
 	guint at; /* of control */
+	char *reports_to; /* as the last answer told; NULL: it told none */
 	uint64_t sequence;
 	uint64_t fence;
 	uint64_t end_no;
@@ -302,7 +303,8 @@
 	plt_peer_beat(&w->info, ++w->sequence, now, body);
 	ups_start(w->ups,
 		  &(struct ups_request){
-			  .addr = w->control[w->at],
+			  .addr = w->reports_to ? w->reports_to
+						: w->control[w->at],
 			  .method = EVHTTP_REQ_PUT,
 			  .uri = uri,
 			  .headers = &type,
@@ -318,15 +320,29 @@
 	g_free(uri);
 }
 
-/* Any but a good answer: the next control daemon is asked. */
+/*
+ * The next report goes where a good answer says, or to the one that a replica
+ * names as its leader; after any other answer, to the next control daemon.
+ */
 static void worker_beat_end(void *arg, enum ups_end end,
 			    const struct ups_answer *a)
 {
 	struct worker *w = arg;
-
-	if (end == UPS_WHOLE && a->status == 200)
-		return;
-	w->at = (w->at + 1) % g_strv_length(w->control);
+	struct evbuffer *body = end == UPS_WHOLE ? a->body : NULL;
+	const char *leader = NULL;
+	char *next = NULL;
+
+	if (body && a->status == 200)
+		next = plt_peer_reports_to(lstr_n(evbuffer_pullup(body, -1),
+						  evbuffer_get_length(body)));
+	else if (body && a->status == 307)
+		leader = ups_header_find(a, "Location");
+	if (leader)
+		next = plt_peer_host(leader);
+	g_free(w->reports_to);
+	w->reports_to = next;
+	if (!leader && (end != UPS_WHOLE || a->status != 200))
+		w->at = (w->at + 1) % g_strv_length(w->control);
 }
 
 /* True with that chance in a hundred. */
