--- a/src/cli_cmd.c
+++ b/src/cli_cmd.c
@@ -51,6 +51,8 @@
 	 "voters", cli_do_query},
 	{"losses", "FILE...", "Sum up what callers lost, out of log files", 1,
 	 -1, false, KEY_READ, NULL, cli_do_losses},
+	{"work", "FILE...", "Sum up where leaders' time went, out of log files",
+	 1, -1, false, KEY_READ, NULL, cli_do_work},
 	{"trace", "JOB FILE...", "Tell the story of a job out of log files", 2,
 	 -1, false, KEY_READ, NULL, cli_do_trace},
 	{"completion", "", "Print a completion script for bash", 0, 0, false,
