--- a/src/flo_pick.c
+++ b/src/flo_pick.c
@@ -16,9 +16,8 @@
 
 /*
  * Puts the VMs of each pool in the order in which they may be taken, once a
- * tick. To look through all of them for each that is taken held the loop up for
- * 80 to 103 ms of a whole core just as a burst began, with 350 VMs of which 268
- * were fetched; this way that tick takes 0.2 ms (flo_bench).
+ * tick. To look through all of them for each that is taken held the loop up
+ * just as a burst began.
  */
 void flo_rank(struct flo *f)
 {
--- a/src/gcm.c
+++ b/src/gcm.c
@@ -4,11 +4,8 @@
 
 /*
  * Between two batches, in times that a batch takes to be stored. Each costs the
- * loop a sync, during which it stands still, and a message to each replica. A
- * leader of 350 workers that sent one every 5 ms came to little else in a
- * burst: its fleets earned 0.402 of their worth, and 0.450 this way; fleets of
- * 49 earned 0.533 and 0.542 (days with bursts and failures, two plays differ by
- * 0.02 and 0.006). With 2.5 in place of 1.5 it was 0.439 and 0.523.
+ * loop a sync, during which it stands still, and a message to each replica: a
+ * busy leader that sent one every few ms came to little else in a burst.
  */
 #define GCM_SHARE 1.5
 /* Least and most time between two batches, ms; a sound disk syncs in 4 to 6. */
--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -333,7 +333,7 @@
 /*
  * Counts for each worker how many tasks of a step it runs or is about to run:
  * once before the step's tasks are placed, since to count for each task and
- * worker took 100 ms for 400 tasks on 70 VMs.
+ * worker held the loop up with a large step.
  */
 void sch_count_same(struct sch_pool *p, const struct jtb_job *job,
 		    uint32_t turn, uint32_t step)
