--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -31,6 +31,9 @@
 	struct evhttp *http;
 	struct jtb *jtb;
 	struct wkr *wkr;
+	struct rly *rly;
+	bool carried; /* calls go by a carrier that tells nothing of them */
+	int carries; /* messages to it */
 	struct jtb_run *run;
 	int starts;
 	int stops;
@@ -236,6 +239,31 @@
 	return tmr_now(b->tmr) - b->unsure_ms;
 }
 
+/* Loses what it gets. */
+static bool bed_carry(void *arg, const char *addr, struct lstr payload)
+{
+	struct bed *b = arg;
+
+	b->carries++;
+	return true;
+}
+
+static uint64_t bed_term(void *arg)
+{
+	return FENCE;
+}
+
+static const struct rly_ops bed_rly_ops = {.send = bed_carry, .term = bed_term};
+
+/* The carrier is asked first, and the leader itself after each loss. */
+static const char *bed_carrier(void *arg, const struct jtb_worker *w,
+			       uint32_t turn)
+{
+	const struct bed *b = arg;
+
+	return b->carried && turn == 0 ? "carrier" : NULL;
+}
+
 static const struct wkr_ops bed_ops = {
 	.ends = bed_ends,
 	.lost = bed_lost,
@@ -244,6 +272,7 @@
 	.ticket = bed_ticket,
 	.ticket_refused = bed_ticket_refused,
 	.sure = bed_sure,
+	.carrier = bed_carrier,
 };
 
 static void apply(struct bed *b, struct pk_out *cmd)
@@ -331,6 +360,7 @@
 		evhttp_bind_socket(b->http, "127.0.0.1", (uint16_t)b->port), 0);
 	b->jtb = jtb_new(NULL, NULL);
 	fill_table(b, b->port);
+	b->rly = rly_new(b->tmr, &bed_rly_ops, b);
 	b->wkr = wkr_new(
 		&(struct wkr_config){
 			.base = b->base,
@@ -338,6 +368,7 @@
 			.codec = &bed_codec,
 			.jtb = b->jtb,
 			.hold_max_ms = LEASE_MS,
+			.rly = b->rly,
 		},
 		&bed_ops, b);
 	b->led_ms = tmr_now(b->tmr);
@@ -352,6 +383,7 @@
 	struct bed *b = *state;
 
 	wkr_free(b->wkr);
+	rly_free(b->rly);
 	jtb_free(b->jtb);
 	evhttp_free(b->http);
 	tmr_free(b->tmr);
@@ -420,6 +452,37 @@
 	assert_int_equal(b->run->phase, WKR_OVER);
 }
 
+/* Guards against two runs of a task where a carrier may have given its order. */
+static void a_start_that_its_carrier_lost_is_stopped_first(void **state)
+{
+	struct bed *b = *state;
+
+	b->carried = true;
+	b->refuse_starts = 1;
+	start(b);
+	net_run(b->base, 1600);
+	assert_true(b->carries >= 1);
+	assert_int_equal(b->starts, 1);
+	assert_int_equal(b->stops, 1);
+	assert_int_equal(b->run->phase, WKR_OVER);
+}
+
+/* Guards against a worker without work since the replica between is lost. */
+static void a_lost_carrier_says_nothing_of_the_worker(void **state)
+{
+	struct bed *b = *state;
+
+	b->carried = true;
+	b->lists = true;
+	start(b);
+	net_run(b->base, 1600);
+	assert_true(b->carries >= 1);
+	assert_int_equal(b->starts, 1);
+	assert_int_equal(b->run->phase, WKR_ON);
+	assert_int_equal(wkr_silent_since(b->wkr, jtb_worker(b->jtb, "w")), 0);
+	assert_int_equal(wkr_stats(b->wkr)->lapses, 0);
+}
+
 /* An order that was taken is held on to, and asked after. */
 static void a_taken_start_is_looked_after(void **state)
 {
@@ -946,6 +1009,8 @@
 	const struct CMUnitTest tests[] = {
 		T(a_refused_start_is_not_tried_again),
 		T(a_start_that_may_come_late_is_stopped_first),
+		T(a_start_that_its_carrier_lost_is_stopped_first),
+		T(a_lost_carrier_says_nothing_of_the_worker),
 		T(a_taken_start_is_looked_after),
 		T(a_run_that_is_nowhere_is_told_as_lost),
 		T(a_leader_that_stood_still_starts_nothing),
