--- a/src/hub.c
+++ b/src/hub.c
@@ -13,7 +13,7 @@
 /* A sender that pauses for longer within a request is cut. */
 #define HUB_SLOW_MS 15000
 
-static char *hub_control_of(const struct hub *h, char *addr);
+static char *hub_control_of(const struct hub *h, const char *wire);
 static bool hub_open_http(struct hub *h, GError **err);
 static void hub_apply(void *arg, uint64_t index, struct lstr cmd);
 static bool hub_restore(void *arg, struct lstr snap);
@@ -178,18 +178,16 @@
 	return h->leading;
 }
 
-/*
- * Where operators and workers reach the leader, to be freed; NULL: not known.
- * Ports are the same on all VMs.
- */
+/* Where operators and workers reach the leader, to be freed; NULL: not known. */
 char *hub_leader_control(const struct hub *h)
 {
 	char *addr = rep_leader_addr(h->rep);
+	char *out = NULL;
 
 	if (addr && strcmp(addr, h->config.wire) != 0)
-		return hub_control_of(h, addr);
+		out = hub_control_of(h, addr);
 	g_free(addr);
-	return NULL;
+	return out;
 }
 
 /*
@@ -200,23 +198,27 @@
 char *hub_reports_to(const struct hub *h, const char *worker)
 {
 	guint n = h->carriers->len;
+	char *addr = NULL;
 
-	if (!h->leading || !n)
-		return g_strdup(h->config.control);
-	return hub_control_of(h, g_strdup(g_ptr_array_index(
-					 h->carriers, g_str_hash(worker) % n)));
+	if (h->leading && n)
+		addr = hub_control_of(
+			h,
+			g_ptr_array_index(h->carriers, g_str_hash(worker) % n));
+	return addr ? addr : g_strdup(h->config.control);
 }
 
-/* Where a replica takes calls, by its address for own processes: it is freed. */
-static char *hub_control_of(const struct hub *h, char *addr)
+/*
+ * Where a replica takes calls, by its address for own processes, to be freed;
+ * NULL: that is no address. Ports are the same on all VMs.
+ */
+static char *hub_control_of(const struct hub *h, const char *wire)
 {
-	char *colon = strrchr(addr, ':');
-	char *out;
+	const char *colon = strrchr(wire, ':');
 
-	*colon = '\0';
-	out = g_strconcat(addr, strrchr(h->config.control, ':'), NULL);
-	g_free(addr);
-	return out;
+	if (!colon)
+		return NULL;
+	return g_strdup_printf("%.*s%s", (int)(colon - wire), wire,
+			       strrchr(h->config.control, ':'));
 }
 
 /* The job table. */
--- a/src/hub_carry.c
+++ b/src/hub_carry.c
@@ -1,5 +1,9 @@
 #include "hub_int.h"
 
+#include <inttypes.h>
+
+#include "msg.h"
+
 /* Which replica makes the calls to a worker. */
 
 static bool hub_carry_send(void *arg, const char *addr, struct lstr payload);
@@ -34,8 +38,13 @@
 /* Looks which replicas can make calls for us. */
 void hub_carry_tick(struct hub *h)
 {
+	guint before = h->carriers->len;
+
 	g_ptr_array_set_size(h->carriers, 0);
 	rep_others(h->rep, h->carriers);
+	if (h->carriers->len != before)
+		msg(MSG_HUB_CARRIERS, "reached=%u before=%u lost=%" PRIu64,
+		    h->carriers->len, before, rly_stats(h->rly).lost);
 }
 
 /* The replica that makes the calls to a worker, or NULL: we do. */
--- a/src/msg.c
+++ b/src/msg.c
@@ -81,6 +81,7 @@
 	[MSG_HUB_ODD] = {MSG_WARN, "not-understood"},
 	[MSG_HUB_POOL] = {MSG_INFO, "pool"},
 	[MSG_HUB_WORK] = {MSG_INFO, "work"},
+	[MSG_HUB_CARRIERS] = {MSG_NOTICE, "carriers"},
 	[MSG_HUB_PACE] = {MSG_INFO, "pace"},
 	[MSG_HUB_HELD] = {MSG_NOTICE, "held-back"},
 	[MSG_HUB_SUSPECT] = {MSG_WARN, "worker-fails-all"},
