--- a/tests/unit/rly_test.c
+++ b/tests/unit/rly_test.c
@@ -171,7 +171,7 @@
 {
 	struct bed *b = g_new0(struct bed, 1);
 	struct evhttp_bound_socket *s;
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = {0};
 	socklen_t len = sizeof(sin);
 
 	the_bed = b;
@@ -203,7 +203,8 @@
 	evhttp_free(b->http);
 	tmr_free(b->tmr);
 	event_base_free(b->base);
-	g_clear_pointer(&b->held, g_bytes_unref);
+	if (b->held)
+		g_bytes_unref(b->held);
 	g_free(b);
 	return 0;
 }
