A carrier knows by its own clock what is late; a lost lead sends nothing

By reading, before anybody saw it.

Each batch is marked with the carrier's clock as it told it last and the time since, asked for five times a second; a call is looked at as it is written; calls go under the term in which they were decided and are dropped with the lead.

--- a/src/hub.c
+++ b/src/hub.c
@@ -197,13 +197,13 @@
  */
 char *hub_reports_to(const struct hub *h, const char *worker)
 {
-	guint n = h->carriers->len;
+	guint n = h->others->len;
 	char *addr = NULL;
 
 	if (h->leading && n)
 		addr = hub_control_of(
 			h,
-			g_ptr_array_index(h->carriers, g_str_hash(worker) % n));
+			g_ptr_array_index(h->others, g_str_hash(worker) % n));
 	return addr ? addr : g_strdup(h->config.control);
 }
 
@@ -310,7 +310,7 @@
 	struct lstr body;
 
 	if (kind == PROTO_CARRIED) {
-		rly_answers(h->rly, in);
+		rly_answers(h->rly, wire_addr(conn), in);
 		return;
 	}
 	if (kind == PROTO_CARRY) {
@@ -402,6 +402,7 @@
 {
 	struct hub *h = arg;
 
+	hub_carry_tick(h);
 	hub_plan_tick(h, now);
 	if (!h->drain_until)
 		return;
--- a/src/hub_carry.c
+++ b/src/hub_carry.c
@@ -7,18 +7,18 @@
 /* Which replica makes the calls to a worker. */
 
 static bool hub_carry_send(void *arg, const char *addr, struct lstr payload);
-static uint64_t hub_carry_term(void *arg);
+static bool hub_carry_large(const struct hub *h);
 
 static const struct rly_ops hub_rly_ops = {
 	.send = hub_carry_send,
-	.term = hub_carry_term,
 };
 
 /* Begins without carriers. */
 void hub_carry_init(struct hub *h)
 {
 	h->rly = rly_new(h->tmr, &hub_rly_ops, h);
-	h->carriers = g_ptr_array_new_with_free_func(g_free);
+	h->others = g_ptr_array_new_with_free_func(g_free);
+	h->carriers = g_ptr_array_new();
 }
 
 /* Frees it; no call may be open. */
@@ -26,36 +26,54 @@
 {
 	rly_free(h->rly);
 	g_ptr_array_free(h->carriers, TRUE);
+	g_ptr_array_free(h->others, TRUE);
 }
 
 /* We lead: what an earlier leader had us do is broken off. */
-void hub_carry_lead(struct hub *h)
+void hub_carry_lead(struct hub *h, uint64_t term)
 {
 	rly_carry_drop(h->carry);
-	hub_carry_tick(h);
+	rly_lead(h->rly, term);
 }
 
-/* Looks which replicas can make calls for us. */
+/*
+ * Looks which replicas are reached, and which of them can make calls. Those that
+ * don't lead ask too: the next leader has many calls to make in its first moment.
+ */
 void hub_carry_tick(struct hub *h)
 {
 	guint before = h->carriers->len;
+	guint i;
 
 	g_ptr_array_set_size(h->carriers, 0);
-	rep_others(h->rep, h->carriers);
-	if (h->carriers->len != before)
-		msg(MSG_HUB_CARRIERS, "reached=%u before=%u lost=%" PRIu64,
-		    h->carriers->len, before, rly_stats(h->rly).lost);
+	g_ptr_array_set_size(h->others, 0);
+	rep_others(h->rep, h->others);
+	for (i = 0; hub_carry_large(h) && i < h->others->len; i++) {
+		char *addr = g_ptr_array_index(h->others, i);
+
+		if (rly_ready(h->rly, addr))
+			g_ptr_array_add(h->carriers, addr);
+		rly_ask(h->rly, addr);
+	}
+	if (h->leading && h->carriers->len != before)
+		msg(MSG_HUB_CARRIERS,
+		    "ready=%u before=%u reached=%u lost=%" PRIu64,
+		    h->carriers->len, before, h->others->len,
+		    rly_stats(h->rly).lost);
+}
+
+/* Whether the fleet is so large that its leader leaves calls to others. */
+static bool hub_carry_large(const struct hub *h)
+{
+	return g_hash_table_size(jtb_workers(h->jtb)) >= h->config.carry_from;
 }
 
 /* The replica that makes the calls to a worker, or NULL: we do. */
 const char *hub_carrier(void *arg, const struct jtb_worker *w, uint32_t turn)
 {
 	const struct hub *h = arg;
-	guint workers = g_hash_table_size(jtb_workers(h->jtb));
-	int i = -1;
+	int i = lod_carrier(h->carriers->len, g_str_hash(w->info.id), turn);
 
-	if (workers >= h->config.carry_from)
-		i = lod_carrier(h->carriers->len, g_str_hash(w->info.id), turn);
 	return i < 0 ? NULL : g_ptr_array_index(h->carriers, i);
 }
 
@@ -66,11 +84,3 @@
 
 	return rep_send_to(h->rep, addr, payload);
 }
-
-/* The term in which we lead. */
-static uint64_t hub_carry_term(void *arg)
-{
-	const struct hub *h = arg;
-
-	return rep_term(h->rep);
-}
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -99,7 +99,8 @@
 	struct wkr *wkr;
 	struct rly *rly; /* calls that other replicas make for us, */
 	struct rly_carry *carry; /* and that we make for a leader */
-	GPtrArray *carriers; /* addresses of those who can */
+	GPtrArray *others; /* addresses of the voters that are reached, */
+	GPtrArray *carriers; /* and of those that can make calls; others' */
 	struct vms *vms; /* NULL: nobody switches VMs */
 	struct adv *adv;
 	struct adv_line *advice;
@@ -154,7 +155,7 @@
 /* hub_carry */
 void hub_carry_init(struct hub *h);
 void hub_carry_free(struct hub *h);
-void hub_carry_lead(struct hub *h);
+void hub_carry_lead(struct hub *h, uint64_t term);
 void hub_carry_tick(struct hub *h);
 const char *hub_carrier(void *arg, const struct jtb_worker *w, uint32_t turn);
 /* hub_plan */
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -100,7 +100,7 @@
 	jtb_unplan_all(h->jtb);
 	est_clear(h->est);
 	adv_line_lead(h->advice);
-	hub_carry_lead(h);
+	hub_carry_lead(h, term);
 	wkr_lead(h->wkr, term);
 	hub_vm_lead(h, term);
 	hub_held_lead(h);
@@ -124,6 +124,7 @@
 	h->leading = false;
 	h->held = (struct hld_sum){0};
 	wkr_rest(h->wkr);
+	rly_rest(h->rly);
 	adv_line_rest(h->advice);
 	hub_vm_rest(h);
 	jtb_unplan_all(h->jtb);
@@ -142,7 +143,6 @@
 	if (!h->leading)
 		return;
 	before = cpu_enter(CPU_UPKEEP);
-	hub_carry_tick(h);
 	g_hash_table_iter_init(&it, jtb_workers(h->jtb));
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
 		hub_check_runs(h, w, now);
--- a/src/proto.h
+++ b/src/proto.h
@@ -41,9 +41,9 @@
 	PROTO_CALL = 60,
 	/* hub to gat: [kind, call no, status, retry after s, type, body] */
 	PROTO_ANSWER,
-	/* rly: leader to replica: [kind, term, its clock ms, calls] */
+	/* rly: leader to replica: [kind, term, the replica's clock ms, calls] */
 	PROTO_CARRY = 70,
-	/* rly: replica to leader: [kind, [[call no, end, status, body]...]] */
+	/* rly: replica to leader: [kind, clock ms, [[no, end, status, body]...]] */
 	PROTO_CARRIED,
 };
 
--- a/src/rly.c
+++ b/src/rly.c
@@ -9,8 +9,16 @@
 /* Bytes of a batch that goes at once. */
 #define RLY_BATCH_MAX (128u << 10)
 
-/* Calls for one carrier, not sent yet. */
-struct rly_batch {
+/*
+ * A carrier that has told nothing for so long isn't given calls, ms: three times
+ * as long as between two questions.
+ */
+#define RLY_HEARD_MS 600
+
+/* A carrier: its clock, and calls for it that are not sent yet. */
+struct rly_way {
+	int64_t clock_ms; /* as it told last, */
+	int64_t heard_ms; /* and when; 0: never */
 	struct pk_out calls; /* one after another */
 	GArray *nos; /* their numbers, uint64_t */
 };
@@ -20,7 +28,8 @@
 	const struct rly_ops *ops;
 	void *arg;
 	GHashTable *calls; /* number: struct rly_call */
-	GHashTable *batches; /* carrier: struct rly_batch */
+	GHashTable *ways; /* address: struct rly_way */
+	uint64_t term; /* in which we lead */
 	struct evbuffer *body; /* of the answer that is being told */
 	uint64_t next_no;
 	uint64_t flush_timer;
@@ -36,12 +45,13 @@
 	int64_t until_ms; /* it is lost then */
 };
 
-static struct rly_batch *rly_batch_of(struct rly *r, const char *carrier);
-static void rly_batch_free(gpointer arg);
-static void rly_put(struct rly_batch *b, uint64_t no,
+static struct rly_way *rly_way_of(struct rly *r, const char *carrier);
+static void rly_way_free(gpointer arg);
+static void rly_put(struct rly_way *w, uint64_t no,
 		    const struct ups_request *q);
 static void rly_flush(void *arg, int64_t now);
-static void rly_send(struct rly *r, const char *carrier, struct rly_batch *b);
+static void rly_send(struct rly *r, const char *carrier, struct rly_way *w);
+static void rly_clear(struct rly_way *w);
 static void rly_tick(void *arg, int64_t now);
 static void rly_end(struct rly *r, uint64_t no, enum ups_end end,
 		    const struct ups_answer *a);
@@ -57,8 +67,8 @@
 	r->next_no = 1;
 	r->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
-	r->batches = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   rly_batch_free);
+	r->ways = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					rly_way_free);
 	r->body = evbuffer_new();
 	r->tick = tmr_every(tmr, RLY_TICK_MS, rly_tick, r);
 	return r;
@@ -72,7 +82,7 @@
 	tmr_cancel(r->tmr, r->tick);
 	tmr_cancel(r->tmr, r->flush_timer);
 	evbuffer_free(r->body);
-	g_hash_table_destroy(r->batches);
+	g_hash_table_destroy(r->ways);
 	g_hash_table_destroy(r->calls);
 	g_free(r);
 }
@@ -86,7 +96,7 @@
 			   const struct ups_request *q,
 			   const struct ups_ops *ops, void *arg)
 {
-	struct rly_batch *b = rly_batch_of(r, carrier);
+	struct rly_way *w = rly_way_of(r, carrier);
 	struct rly_call *c = g_new0(struct rly_call, 1);
 
 	c->r = r;
@@ -95,27 +105,75 @@
 	c->arg = arg;
 	c->until_ms = tmr_now(r->tmr) + q->timeout_ms + RLY_WAY_MS;
 	g_hash_table_insert(r->calls, &c->no, c);
-	rly_put(b, c->no, q);
-	g_array_append_val(b->nos, c->no);
+	rly_put(w, c->no, q);
+	g_array_append_val(w->nos, c->no);
 	r->stats.calls++;
 	if (!r->flush_timer)
 		r->flush_timer = tmr_once(r->tmr, 0, rly_flush, r);
-	if (b->calls.buf.size > RLY_BATCH_MAX)
-		rly_send(r, carrier, b);
+	if (w->calls.buf.size > RLY_BATCH_MAX)
+		rly_send(r, carrier, w);
 	return c;
 }
 
+/* We lead in a term: calls go out under it. */
+void rly_lead(struct rly *r, uint64_t term)
+{
+	rly_rest(r);
+	r->term = term;
+}
+
+/*
+ * We don't lead any more: what waits to be sent isn't. Under the term that we
+ * know by then a carrier would take it for another leader's.
+ */
+void rly_rest(struct rly *r)
+{
+	GHashTableIter it;
+	struct rly_way *w;
+
+	g_hash_table_iter_init(&it, r->ways);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		rly_clear(w);
+}
+
+/*
+ * Asks a replica for its clock, with which calls to it are marked. It is to be
+ * asked often: one that tells nothing is given no calls.
+ */
+void rly_ask(struct rly *r, const char *carrier)
+{
+	rly_send(r, carrier, rly_way_of(r, carrier));
+}
+
+/* Whether a replica that was asked has answered of late. */
+bool rly_ready(const struct rly *r, const char *carrier)
+{
+	const struct rly_way *w = g_hash_table_lookup(r->ways, carrier);
+
+	return w && w->heard_ms &&
+	       tmr_now(r->tmr) - w->heard_ms <= RLY_HEARD_MS;
+}
+
 /* Forgets a call: its end is not told. */
 void rly_cancel(struct rly_call *c)
 {
 	g_hash_table_remove(c->r->calls, &c->no);
 }
 
-/* A carrier tells what became of calls: [[number, end, status, body]...] */
-void rly_answers(struct rly *r, struct pk_in *in)
+/*
+ * A carrier tells its clock, and what became of calls:
+ * [clock, [[number, end, status, body]...]]
+ */
+void rly_answers(struct rly *r, const char *carrier, struct pk_in *in)
 {
+	int64_t clock_ms = pk_get_i(in);
 	struct pk_in rows = pk_get_arr(in);
+	struct rly_way *w = g_hash_table_lookup(r->ways, carrier);
 
+	if (!pk_in_ok(in) || !w)
+		return;
+	w->clock_ms = clock_ms;
+	w->heard_ms = tmr_now(r->tmr);
 	while (pk_in_ok(&rows) && pk_in_left(&rows)) {
 		struct pk_in row = pk_get_arr(&rows);
 		uint64_t no = pk_get_u(&row);
@@ -138,51 +196,50 @@
 	return r->stats;
 }
 
-/* The batch for a carrier, begun here if there is none. */
-static struct rly_batch *rly_batch_of(struct rly *r, const char *carrier)
+/* What is kept of a carrier, begun here if it is new. */
+static struct rly_way *rly_way_of(struct rly *r, const char *carrier)
 {
-	struct rly_batch *b = g_hash_table_lookup(r->batches, carrier);
-
-	if (b)
-		return b;
-	b = g_new0(struct rly_batch, 1);
-	pk_out_init(&b->calls);
-	b->nos = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	g_hash_table_insert(r->batches, g_strdup(carrier), b);
-	return b;
+	struct rly_way *w = g_hash_table_lookup(r->ways, carrier);
+
+	if (w)
+		return w;
+	w = g_new0(struct rly_way, 1);
+	pk_out_init(&w->calls);
+	w->nos = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_hash_table_insert(r->ways, g_strdup(carrier), w);
+	return w;
 }
 
-/* Frees a batch. */
-static void rly_batch_free(gpointer arg)
+/* Frees what is kept of a carrier. */
+static void rly_way_free(gpointer arg)
 {
-	struct rly_batch *b = arg;
+	struct rly_way *w = arg;
 
-	pk_out_done(&b->calls);
-	g_array_free(b->nos, TRUE);
-	g_free(b);
+	pk_out_done(&w->calls);
+	g_array_free(w->nos, TRUE);
+	g_free(w);
 }
 
 /* [number, address, path, limit, limit to connect, urgent, most, headers, body] */
-static void rly_put(struct rly_batch *b, uint64_t no,
-		    const struct ups_request *q)
+static void rly_put(struct rly_way *w, uint64_t no, const struct ups_request *q)
 {
 	size_t len = q->body ? evbuffer_get_length(q->body) : 0;
 	size_t i;
 
-	pk_arr(&b->calls, 9);
-	pk_u(&b->calls, no);
-	pk_cstr(&b->calls, q->addr);
-	pk_cstr(&b->calls, q->uri);
-	pk_i(&b->calls, q->timeout_ms);
-	pk_i(&b->calls, q->connect_ms);
-	pk_bool(&b->calls, q->urgent);
-	pk_i(&b->calls, q->max_answer);
-	pk_arr(&b->calls, 2 * q->n_headers);
+	pk_arr(&w->calls, 9);
+	pk_u(&w->calls, no);
+	pk_cstr(&w->calls, q->addr);
+	pk_cstr(&w->calls, q->uri);
+	pk_i(&w->calls, q->timeout_ms);
+	pk_i(&w->calls, q->connect_ms);
+	pk_bool(&w->calls, q->urgent);
+	pk_i(&w->calls, q->max_answer);
+	pk_arr(&w->calls, 2 * q->n_headers);
 	for (i = 0; i < q->n_headers; i++) {
-		pk_cstr(&b->calls, q->headers[i].name);
-		pk_cstr(&b->calls, q->headers[i].value);
+		pk_cstr(&w->calls, q->headers[i].name);
+		pk_cstr(&w->calls, q->headers[i].value);
 	}
-	pk_str(&b->calls,
+	pk_str(&w->calls,
 	       lstr_n(len ? (char *)evbuffer_pullup(q->body, -1) : "", len));
 }
 
@@ -192,42 +249,56 @@
 	struct rly *r = arg;
 	GHashTableIter it;
 	char *carrier;
-	struct rly_batch *b;
+	struct rly_way *w;
 
 	r->flush_timer = 0;
-	g_hash_table_iter_init(&it, r->batches);
+	g_hash_table_iter_init(&it, r->ways);
 	while (g_hash_table_iter_next(&it, (gpointer *)&carrier,
-				      (gpointer *)&b))
-		if (b->nos->len)
-			rly_send(r, carrier, b);
+				      (gpointer *)&w))
+		if (w->nos->len)
+			rly_send(r, carrier, w);
 }
 
-/* Sends a batch: [kind, term, our clock, calls]. */
-static void rly_send(struct rly *r, const char *carrier, struct rly_batch *b)
+/*
+ * Sends what there is for a carrier: [kind, term, its clock, calls]. Its clock
+ * is as it told last, with the time since: never ahead of what it shows, and
+ * behind by the way there and back. 0: it isn't known.
+ */
+static void rly_send(struct rly *r, const char *carrier, struct rly_way *w)
 {
+	int64_t by_ms = 0;
 	struct pk_out o;
 	guint i;
 
+	if (w->heard_ms)
+		by_ms = w->clock_ms + tmr_now(r->tmr) - w->heard_ms;
+
 	pk_out_init(&o);
 	pk_arr(&o, 4);
 	pk_u(&o, PROTO_CARRY);
-	pk_u(&o, r->ops->term(r->arg));
-	pk_i(&o, tmr_now(r->tmr));
-	pk_arr(&o, b->nos->len);
-	msgpack_sbuffer_write(&o.buf, b->calls.buf.data, b->calls.buf.size);
+	pk_u(&o, r->term);
+	pk_i(&o, by_ms);
+	pk_arr(&o, w->nos->len);
+	msgpack_sbuffer_write(&o.buf, w->calls.buf.data, w->calls.buf.size);
 	if (!r->ops->send(r->arg, carrier, pk_out_view(&o))) {
 		/* told as lost with the next tick: never from within a start */
-		for (i = 0; i < b->nos->len; i++) {
+		for (i = 0; i < w->nos->len; i++) {
 			struct rly_call *c = g_hash_table_lookup(
-				r->calls, &g_array_index(b->nos, uint64_t, i));
+				r->calls, &g_array_index(w->nos, uint64_t, i));
 
 			if (c)
 				c->until_ms = 0;
 		}
 	}
 	pk_out_done(&o);
-	msgpack_sbuffer_clear(&b->calls.buf);
-	g_array_set_size(b->nos, 0);
+	rly_clear(w);
+}
+
+/* Forgets what was to be sent. */
+static void rly_clear(struct rly_way *w)
+{
+	msgpack_sbuffer_clear(&w->calls.buf);
+	g_array_set_size(w->nos, 0);
 }
 
 /* Ends calls of which no carrier has told anything in time. */
--- a/src/rly.h
+++ b/src/rly.h
@@ -18,8 +18,9 @@
  *
  * An order that a carrier writes late is as one that the network held up: it
  * has the leader's fence and the end of its lease on it, and means nothing to
- * a worker after either. A carrier also drops what reached it late, and what a
- * leader gave out whose term is over.
+ * a worker after either. A carrier also drops what reached it late by its own
+ * clock, what it can't write within the call's limit, and what was given out
+ * under a term that is over.
  */
 struct rly; /* the leader's side */
 struct rly_call;
@@ -29,8 +30,6 @@
 struct rly_ops {
 	/* sends a message to the replica at an address; false: it can't be */
 	bool (*send)(void *arg, const char *addr, struct lstr payload);
-	/* our term */
-	uint64_t (*term)(void *arg);
 };
 
 /* Sends answers back over the connection that calls came in on. */
@@ -46,11 +45,15 @@
 
 struct rly *rly_new(struct tmr *tmr, const struct rly_ops *ops, void *arg);
 void rly_free(struct rly *r);
+void rly_lead(struct rly *r, uint64_t term);
+void rly_rest(struct rly *r);
+void rly_ask(struct rly *r, const char *carrier);
+bool rly_ready(const struct rly *r, const char *carrier);
 struct rly_call *rly_start(struct rly *r, const char *carrier,
 			   const struct ups_request *q,
 			   const struct ups_ops *ops, void *arg);
 void rly_cancel(struct rly_call *c);
-void rly_answers(struct rly *r, struct pk_in *in);
+void rly_answers(struct rly *r, const char *carrier, struct pk_in *in);
 struct rly_stats rly_stats(const struct rly *r);
 
 struct rly_carry *rly_carry_new(struct tmr *tmr, struct ups *ups,
--- a/src/rly_carry.c
+++ b/src/rly_carry.c
@@ -10,10 +10,11 @@
 /* Bytes of answers that go at once. */
 #define RLY_ANSWERS_MAX (128u << 10)
 /*
- * Calls that took so much longer to get here than the fastest are dropped, ms:
- * this replica or the leader stood still, and may have been replaced.
+ * Calls whose mark is so old by our clock are dropped, ms: this replica or the
+ * leader stood still, and may have been replaced. It leaves room for the way
+ * there and back and some turns of both loops.
  */
-#define RLY_LATE_MS 300
+#define RLY_LATE_MS 400
 
 /* A leader's connection: what it sent, and answers not sent back yet. */
 struct rly_source {
@@ -21,8 +22,6 @@
 	struct wire_conn *conn;
 	struct pk_out answers; /* one after another */
 	uint32_t n;
-	bool began; /* a batch has come */
-	int64_t fastest_ms; /* least of our clock less the leader's */
 	uint64_t flush_timer;
 };
 
@@ -32,6 +31,7 @@
 	uint64_t no;
 	struct ups_call *call;
 	struct evbuffer *body;
+	int64_t until_ms; /* not to be written later */
 };
 
 struct rly_carry {
@@ -46,15 +46,18 @@
 static struct rly_source *rly_source_of(struct rly_carry *r,
 					struct wire_conn *conn);
 static void rly_source_free(gpointer arg);
-static bool rly_is_late(struct rly_source *s, int64_t at_ms);
+static bool rly_is_late(const struct rly_carry *r, int64_t by_ms);
 static bool rly_carry_one(struct rly_source *s, struct pk_in *row, bool late);
+static bool rly_may(void *arg);
 static void rly_on_end(void *arg, enum ups_end end, const struct ups_answer *a);
 static void rly_answer(struct rly_source *s, uint64_t no, enum ups_end end,
 		       int status, struct lstr body);
+static void rly_answers_soon(struct rly_source *s);
 static void rly_answers_go(void *arg, int64_t now);
 static void rly_job_free(gpointer arg);
 
 static const struct ups_ops rly_ups_ops = {
+	.may = rly_may,
 	.end = rly_on_end,
 };
 
@@ -83,21 +86,23 @@
 }
 
 /*
- * A leader's batch: [term, its clock, calls]. Where its term is over, or the
- * batch is late, nothing of it is tried, and the leader is told so.
+ * A leader's batch: [term, our clock as it knew it, calls]. Where its term is
+ * over, or the batch is late, nothing of it is tried, and the leader is told so.
+ * An empty one asks for our clock.
  */
 void rly_carry_calls(struct rly_carry *r, struct wire_conn *conn,
 		     uint64_t own_term, struct pk_in *in)
 {
 	uint64_t term = pk_get_u(in);
-	int64_t at_ms = pk_get_i(in);
+	int64_t by_ms = pk_get_i(in);
 	struct pk_in rows = pk_get_arr(in);
 	struct rly_source *s = rly_source_of(r, conn);
 	bool late;
 
 	if (!pk_in_ok(in))
 		return;
-	late = rly_is_late(s, at_ms) || term < own_term;
+	late = rly_is_late(r, by_ms) || term < own_term;
+	rly_answers_soon(s);
 	while (pk_in_ok(&rows) && pk_in_left(&rows)) {
 		struct pk_in row = pk_get_arr(&rows);
 
@@ -160,17 +165,15 @@
 }
 
 /*
- * Whether a batch took long to get here. Clocks of two machines differ by what
- * nobody knows, but always by the same: the fastest batch tells how much.
+ * Whether a batch took long to get here. It is marked with our own clock as the
+ * leader knew it, so that also the first one after a standstill is seen to be
+ * late. A mark that is ahead is of a clock that began anew since.
  */
-static bool rly_is_late(struct rly_source *s, int64_t at_ms)
+static bool rly_is_late(const struct rly_carry *r, int64_t by_ms)
 {
-	int64_t apart = tmr_now(s->r->tmr) - at_ms;
+	int64_t age_ms = tmr_now(r->tmr) - by_ms;
 
-	if (!s->began || apart < s->fastest_ms)
-		s->fastest_ms = apart;
-	s->began = true;
-	return apart - s->fastest_ms > RLY_LATE_MS;
+	return age_ms < 0 || age_ms > RLY_LATE_MS;
 }
 
 /* Begins one call of a batch; false: it can't be read. */
@@ -214,6 +217,7 @@
 		j->s = s;
 		j->no = no;
 		j->body = evbuffer_new();
+		j->until_ms = tmr_now(s->r->tmr) + q.timeout_ms;
 		evbuffer_add(j->body, body.p, body.len);
 		q.body = j->body;
 		g_hash_table_add(s->r->jobs, j);
@@ -229,6 +233,18 @@
 	return ok;
 }
 
+/*
+ * Whether a call may still be written. One whose connection came while this
+ * replica stood still would else be written as it wakes, before its limit is
+ * looked at: the leader has long had it made another way.
+ */
+static bool rly_may(void *arg)
+{
+	const struct rly_job *j = arg;
+
+	return tmr_now(j->s->r->tmr) <= j->until_ms;
+}
+
 /* A call ended: the leader is told. */
 static void rly_on_end(void *arg, enum ups_end end, const struct ups_answer *a)
 {
@@ -257,12 +273,19 @@
 	s->n++;
 	if (s->answers.buf.size > RLY_ANSWERS_MAX)
 		rly_answers_go(s, 0);
-	else if (!s->flush_timer)
+	else
+		rly_answers_soon(s);
+}
+
+/* Has what is to be told go with what else there is by then. */
+static void rly_answers_soon(struct rly_source *s)
+{
+	if (!s->flush_timer)
 		s->flush_timer =
 			tmr_once(s->r->tmr, RLY_GATHER_MS, rly_answers_go, s);
 }
 
-/* Sends the answers gathered: [kind, answers]. */
+/* Sends our clock and the answers gathered: [kind, clock, answers]. */
 static void rly_answers_go(void *arg, int64_t now)
 {
 	struct rly_source *s = arg;
@@ -270,11 +293,10 @@
 
 	tmr_cancel(s->r->tmr, s->flush_timer);
 	s->flush_timer = 0;
-	if (!s->n)
-		return;
 	pk_out_init(&o);
-	pk_arr(&o, 2);
+	pk_arr(&o, 3);
 	pk_u(&o, PROTO_CARRIED);
+	pk_i(&o, tmr_now(s->r->tmr));
 	pk_arr(&o, s->n);
 	msgpack_sbuffer_write(&o.buf, s->answers.buf.data, s->answers.buf.size);
 	s->r->tell(s->conn, pk_out_view(&o));
--- a/tests/unit/lod_test.c
+++ b/tests/unit/lod_test.c
@@ -78,12 +78,13 @@
 /* Guards against workers taken for silent whose answers lie in our sockets. */
 static void a_leader_that_is_behind_waits_longer_for_answers(void **state)
 {
-	assert_int_equal(lod_patience_ms(400, 0), 400);
+	assert_int_equal(lod_patience_ms(400, 5000, 0), 400);
 	/* to the worker in one turn, and three until its answer is read */
-	assert_true(lod_patience_ms(400, 150) >= 400 + 3 * 150);
+	assert_true(lod_patience_ms(400, 5000, 150) >= 400 + 3 * 150);
 	/* a worker that is gone is given up while its lease lasts */
-	assert_true(lod_patience_ms(400, 60000) <= 2000);
-	assert_int_equal(lod_patience_ms(2500, 60000), 2500);
+	assert_true(lod_patience_ms(400, 5000, 60000) <= 2500);
+	assert_true(lod_patience_ms(400, 1000, 60000) <= 500);
+	assert_int_equal(lod_patience_ms(2500, 1000, 60000), 2500);
 }
 
 /* Guards against a call for each end while orders wait. */
--- a/tests/unit/rly_test.c
+++ b/tests/unit/rly_test.c
@@ -79,12 +79,7 @@
 	return !b->cut;
 }
 
-static uint64_t bed_term(void *arg)
-{
-	return TERM;
-}
-
-static const struct rly_ops bed_ops = {.send = bed_send, .term = bed_term};
+static const struct rly_ops bed_ops = {.send = bed_send};
 
 /* The leader gets the carrier's answers. */
 static bool bed_tell(struct wire_conn *conn, struct lstr payload)
@@ -96,7 +91,7 @@
 		return true;
 	assert_true(pk_in_init(&in, payload));
 	assert_int_equal(pk_get_u(&in), PROTO_CARRIED);
-	rly_answers(b->rly, &in);
+	rly_answers(b->rly, CARRIER, &in);
 	pk_in_done(&in);
 	return true;
 }
@@ -189,6 +184,10 @@
 		    &len);
 	g_snprintf(b->addr, sizeof(b->addr), "127.0.0.1:%d",
 		   ntohs(sin.sin_port));
+	rly_lead(b->rly, TERM);
+	rly_ask(b->rly, CARRIER);
+	net_run(b->base, 20);
+	assert_true(rly_ready(b->rly, CARRIER));
 	*state = b;
 	return 0;
 }
@@ -275,27 +274,122 @@
 	assert_int_equal(b->end, UPS_TIMEOUT);
 }
 
+/* Hands on what was held up. */
+static void let_go(struct bed *b)
+{
+	gsize len;
+	const char *p = g_bytes_get_data(b->held, &len);
+
+	b->hold = false;
+	deliver(b, lstr_n(p, len));
+}
+
 /* Guards against orders that a replica gives after it has stood still. */
 static void what_a_carrier_gets_late_is_not_made(void **state)
 {
 	struct bed *b = *state;
-	gsize len;
-	const char *p;
 
-	call(b);
-	wait_end(b);
 	b->hold = true;
 	call(b);
 	net_run(b->base, 20);
 	frozen_ms = FREEZE_MS;
-	p = g_bytes_get_data(b->held, &len);
-	deliver(b, lstr_n(p, len));
+	let_go(b);
 	wait_end(b);
-	assert_int_equal(b->made, 1);
+	assert_int_equal(b->made, 0);
 	assert_true(b->end == UPS_LOST || b->end == UPS_NO_ROOM);
 	assert_int_equal(rly_carry_stats(b->carry).dropped, 1);
 }
 
+/* Guards against the same on a connection over which nothing has come before. */
+static void the_first_calls_after_a_standstill_are_late(void **state)
+{
+	struct bed *b = *state;
+
+	rly_carry_gone(b->carry, (struct wire_conn *)b);
+	what_a_carrier_gets_late_is_not_made(state);
+}
+
+/* Guards against calls by way of a replica whose clock isn't known. */
+static void a_call_without_a_mark_is_not_made(void **state)
+{
+	struct bed *b = *state;
+	struct rly *other = rly_new(b->tmr, &bed_ops, b);
+
+	rly_free(b->rly);
+	b->rly = other;
+	rly_lead(b->rly, TERM);
+	assert_false(rly_ready(b->rly, CARRIER));
+	call(b);
+	wait_end(b);
+	assert_int_equal(b->made, 0);
+	assert_int_equal(b->end, UPS_NO_ROOM);
+}
+
+/* Guards against a carrier that began anew and takes old marks for young. */
+static void a_mark_that_is_ahead_is_late(void **state)
+{
+	struct bed *b = *state;
+
+	b->hold = true;
+	frozen_ms = FREEZE_MS;
+	call(b);
+	net_run(b->base, 100);
+	frozen_ms = 0;
+	let_go(b);
+	wait_end(b);
+	assert_int_equal(b->made, 0);
+}
+
+/* Guards against calls by way of a replica that tells nothing any more. */
+static void a_carrier_that_is_not_heard_is_not_ready(void **state)
+{
+	struct bed *b = *state;
+
+	b->mute = true;
+	rly_ask(b->rly, CARRIER);
+	net_run(b->base, 700);
+	assert_false(rly_ready(b->rly, CARRIER));
+	b->mute = false;
+	rly_ask(b->rly, CARRIER);
+	net_run(b->base, 20);
+	assert_true(rly_ready(b->rly, CARRIER));
+}
+
+/*
+ * Guards against an order that a carrier writes as it wakes: it stood still
+ * after it had begun to connect, and the loop looks at sockets before timers.
+ */
+static void what_cannot_be_written_in_time_is_not_made(void **state)
+{
+	struct bed *b = *state;
+	int turns = 0;
+
+	call(b);
+	while (!ups_stats(b->ups).connects && turns++ < 100)
+		event_base_loop(b->base, EVLOOP_ONCE);
+	assert_int_equal(ups_stats(b->ups).connects, 1);
+	frozen_ms = FREEZE_MS;
+	wait_end(b);
+	net_run(b->base, 50);
+	assert_int_equal(b->made, 0);
+}
+
+/* Guards against orders that go out after the lead is lost, in the next term. */
+static void what_waits_to_be_sent_goes_with_the_lead(void **state)
+{
+	struct bed *b = *state;
+
+	rly_cancel(call(b));
+	rly_rest(b->rly);
+	net_run(b->base, 50);
+	assert_int_equal(b->made, 0);
+	/* a later lead begins with nothing of it */
+	call(b);
+	rly_lead(b->rly, TERM + 1);
+	net_run(b->base, 50);
+	assert_int_equal(b->made, 0);
+}
+
 /* Guards against orders of a leader that has been replaced. */
 static void a_carrier_knows_a_later_term(void **state)
 {
@@ -375,6 +469,12 @@
 		ONE(what_no_carrier_tells_is_lost),
 		ONE(a_silent_worker_is_told_as_such),
 		ONE(what_a_carrier_gets_late_is_not_made),
+		ONE(the_first_calls_after_a_standstill_are_late),
+		ONE(a_call_without_a_mark_is_not_made),
+		ONE(a_mark_that_is_ahead_is_late),
+		ONE(a_carrier_that_is_not_heard_is_not_ready),
+		ONE(what_cannot_be_written_in_time_is_not_made),
+		ONE(what_waits_to_be_sent_goes_with_the_lead),
 		ONE(a_carrier_knows_a_later_term),
 		ONE(a_new_leader_breaks_off_what_it_carried),
 		ONE(a_connection_that_is_gone_gets_no_answer),
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -248,12 +248,7 @@
 	return true;
 }
 
-static uint64_t bed_term(void *arg)
-{
-	return FENCE;
-}
-
-static const struct rly_ops bed_rly_ops = {.send = bed_carry, .term = bed_term};
+static const struct rly_ops bed_rly_ops = {.send = bed_carry};
 
 /* The carrier is asked first, and the leader itself after each loss. */
 static const char *bed_carrier(void *arg, const struct jtb_worker *w,
@@ -483,6 +478,21 @@
 	assert_int_equal(wkr_stats(b->wkr)->lapses, 0);
 }
 
+/* Guards against a leader that keeps the calls of every carrier once lost. */
+static void a_carrier_is_tried_again_after_a_while(void **state)
+{
+	struct bed *b = *state;
+	int before;
+
+	b->carried = true;
+	b->lists = true;
+	start(b);
+	net_run(b->base, 1600);
+	before = b->carries;
+	net_run(b->base, 2 * LEASE_MS + 1600);
+	assert_true(b->carries > before);
+}
+
 /* An order that was taken is held on to, and asked after. */
 static void a_taken_start_is_looked_after(void **state)
 {
@@ -1011,6 +1021,7 @@
 		T(a_start_that_may_come_late_is_stopped_first),
 		T(a_start_that_its_carrier_lost_is_stopped_first),
 		T(a_lost_carrier_says_nothing_of_the_worker),
+		T(a_carrier_is_tried_again_after_a_while),
 		T(a_taken_start_is_looked_after),
 		T(a_run_that_is_nowhere_is_told_as_lost),
 		T(a_leader_that_stood_still_starts_nothing),
