Calls go back to their carrier; limits grow to half of a lease at most

A worker whose call was lost once had the leader itself among its ways for good, so that with each failure more calls stayed with the leader: after a lease's time without a loss its first way is tried again (wkr_test, failed before). The longest limit of a call was a fixed 2,000 ms, which is more than a lease where workers take short ones; it is half of the lease now (lod_test). Comments lose what were figures of tuning.

--- a/src/lod.c
+++ b/src/lod.c
@@ -10,8 +10,8 @@
 #define LOD_PLAN_MEAN 4
 /* Turns of the loop between a call and its answer that a limit allows for. */
 #define LOD_TURNS 4
-/* Longest that a time limit grows to, ms: about half of a worker's lease. */
-#define LOD_PATIENCE_MOST_MS 2000
+/* A limit grows to one part in so many of a lease at most: it is renewed in time. */
+#define LOD_PATIENCE_PARTS 2
 /* Time of the leader that one more call for a list takes, us. */
 #define LOD_CALL_US 150
 /* So much for a round of all busy workers is no burden, ms. */
@@ -52,19 +52,19 @@
  * or more, and workers that had answered counted as silent. Their orders were
  * given again over new connections, which put the leader further behind.
  */
-int64_t lod_patience_ms(int64_t patience_ms, int64_t lag_ms)
+int64_t lod_patience_ms(int64_t patience_ms, int64_t lease_ms, int64_t lag_ms)
 {
-	return MIN(patience_ms + LOD_TURNS * lag_ms,
-		   MAX(patience_ms, LOD_PATIENCE_MOST_MS));
+	int64_t most = MAX(patience_ms, lease_ms / LOD_PATIENCE_PARTS);
+
+	return MIN(patience_ms + LOD_TURNS * lag_ms, most);
 }
 
 /*
  * How long a worker whose ends are stored may gather more before it is asked
  * again, ms; busy: how many have something to run. Made for bursts on hundreds
- * of workers: a call for each end is half of what a task costs a leader, and
- * ends were taken in so late that their room looked as if it were in use. Few
- * workers are asked at once, as each moment that an end waits delays the steps
- * behind it.
+ * of workers: with a call for each end a leader came to little else, and ends
+ * were taken in so late that their room looked as if it were in use. Few workers
+ * are asked at once, as each moment that an end waits delays the steps behind it.
  */
 int64_t lod_gather_ms(unsigned int busy, int64_t lag_ms)
 {
--- a/src/tmr.c
+++ b/src/tmr.c
@@ -204,7 +204,7 @@
 
 /*
  * Sets the loop's timer to what is due first. Most subscriptions are behind it
- * and leave it as it is, which saves a busy daemon two fifths of their time.
+ * and leave it as it is.
  */
 static void tmr_arm(struct tmr *t)
 {
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -313,7 +313,7 @@
 		.method = EVHTTP_REQ_POST,
 		.headers = headers,
 		.n_headers = G_N_ELEMENTS(headers),
-		.timeout_ms = lod_patience_ms(timeout_ms,
+		.timeout_ms = lod_patience_ms(timeout_ms, l->k->lease_ms,
 					      tmr_lag_ms(l->k->config.tmr)),
 		.connect_ms = WKR_CONNECT_MS,
 		.max_answer = WKR_ANSWER_MAX,
@@ -428,10 +428,17 @@
 	cpu_leave(before);
 }
 
+/* A call was lost or got no answer: the next goes another way. */
+void wkr_next_way(struct wkr_link *l)
+{
+	l->turn++;
+	l->turned_ms = tmr_now(l->k->config.tmr);
+}
+
 /* A worker gave no good answer: the next try waits longer. */
 void wkr_failed(struct wkr_link *l)
 {
-	l->turn++;
+	wkr_next_way(l);
 	if (!l->failed_since) {
 		l->failed_since = tmr_now(l->k->config.tmr);
 		msg(MSG_WKR_LOST, "worker=%s addr=%s runs=%u", l->w->info.id,
@@ -451,6 +458,12 @@
 		msg(MSG_WKR_BACK, "worker=%s away_ms=%" PRId64, l->w->info.id,
 		    now - l->failed_since);
 	}
+	/*
+	 * After a lease's time without a loss the first way is tried again: with
+	 * each failure more calls would else stay with the leader for good.
+	 */
+	if (now - l->turned_ms > l->k->lease_ms)
+		l->turn = 0;
 	l->ok_ms = now;
 	l->failed_since = 0;
 	l->retry_ms = WKR_RETRY_MIN_MS;
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -84,7 +84,8 @@
 	int64_t failed_since; /* not reached since; 0: it was */
 	int64_t retry_ms;
 	int64_t shun_until;
-	uint32_t turn; /* calls lost, for whose turn it is to make them */
+	uint32_t turn; /* calls lost, for whose turn it is to make them, */
+	int64_t turned_ms; /* and when that last grew */
 	uint64_t await_no; /* end that must be stored before the next hold */
 	bool leaves; /* it has said that it ends */
 	/*
@@ -126,6 +127,7 @@
 		  enum wkr_answer answer);
 void wkr_unanswered(struct wkr_link *l, const struct wkr_call *c, bool sent);
 void wkr_untried(struct wkr_link *l, const struct wkr_call *c);
+void wkr_next_way(struct wkr_link *l);
 void wkr_lost(struct wkr_link *l, const struct wkr_call *c);
 void wkr_failed(struct wkr_link *l);
 void wkr_heard(struct wkr_link *l, int64_t clock_ms);
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -258,7 +258,7 @@
 /* Repeats what a call asked for, by another way if there is one. */
 static void wkr_again(struct wkr_link *l, const struct wkr_call *c, bool sent)
 {
-	l->turn++;
+	wkr_next_way(l);
 	wkr_take_back(l, c, sent);
 	if (c->kind == WKR_HOLD)
 		wkr_hold_after(l, WKR_RETRY_MIN_MS);
