--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -5,10 +5,6 @@
 #include "msg.h"
 
 static bool hub_late_word(struct hub *h, const char *id, uint64_t sequence);
-static bool hub_nothing_new(const struct jtb_worker_info *known,
-			    const struct jtb_worker_info *told);
-static bool hub_same_info(const struct jtb_worker_info *a,
-			  const struct jtb_worker_info *b);
 static void hub_addr_taken(struct hub *h, const struct jtb_worker_info *info);
 
 /*
@@ -78,7 +74,7 @@
 		wkr_clock(h->wkr, w, clock_ms);
 	else
 		hub_addr_taken(h, info);
-	if (w && hub_nothing_new(&w->info, info)) {
+	if (w && jtb_worker_known(&w->info, info)) {
 		h->counts[HUB_REPORTS]++;
 		then(h, c);
 		return;
@@ -96,7 +92,7 @@
 {
 	const struct jtb_worker *w = jtb_worker(h->jtb, info->id);
 	char *leader = rep_leader_addr(h->rep);
-	bool knows = leader && w && hub_nothing_new(&w->info, info);
+	bool knows = leader && w && jtb_worker_known(&w->info, info);
 
 	g_free(leader);
 	h->counts[HUB_REPORTS] += knows;
@@ -133,28 +129,6 @@
 	return false;
 }
 
-/*
- * Whether what a worker told is known. That it doesn't leave, told after it
- * said that it does, is an older word of it.
- */
-static bool hub_nothing_new(const struct jtb_worker_info *known,
-			    const struct jtb_worker_info *told)
-{
-	return hub_same_info(known, told) ||
-	       (known->draining && !told->draining);
-}
-
-/* Whether a worker told the same of itself as before. */
-static bool hub_same_info(const struct jtb_worker_info *a,
-			  const struct jtb_worker_info *b)
-{
-	return strcmp(a->pool, b->pool) == 0 && strcmp(a->addr, b->addr) == 0 &&
-	       a->cpu == b->cpu && a->mem_mb == b->mem_mb &&
-	       a->gpus == b->gpus && a->draining == b->draining &&
-	       g_strv_equal((const char *const *)a->labels,
-			    (const char *const *)b->labels);
-}
-
 /*
  * Another lifetime at the address of one that we know: the older is asked for
  * by its id, and is over if somebody else answers.
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -330,6 +330,8 @@
 void jtb_pool_free(gpointer p);
 void jtb_spec_clear(struct jtb_spec *s);
 void jtb_worker_info_clear(struct jtb_worker_info *i);
+bool jtb_worker_known(const struct jtb_worker_info *known,
+		      const struct jtb_worker_info *told);
 struct jtb_wave *jtb_wave_new(uint64_t no);
 struct jtb_wave_vm *jtb_wave_add(struct jtb_wave *w, const char *vm);
 struct jtb_wave_vm *jtb_wave_find(const struct jtb_wave *w, const char *vm);
--- a/src/jtb_type.c
+++ b/src/jtb_type.c
@@ -2,6 +2,9 @@
 
 #include <stdio.h>
 
+static bool jtb_worker_same(const struct jtb_worker_info *a,
+			    const struct jtb_worker_info *b);
+
 static const char *const jtb_states[JTB_JOB_STATES] = {
 	[JTB_QUEUED] = "queued",       [JTB_RUNNING] = "running",
 	[JTB_COMPLETED] = "completed", [JTB_FAILED] = "failed",
@@ -126,6 +129,28 @@
 	*i = (struct jtb_worker_info){0};
 }
 
+/*
+ * Whether the table has all that a worker told of itself. That it doesn't leave,
+ * told after it said that it does, is an older word of it.
+ */
+bool jtb_worker_known(const struct jtb_worker_info *known,
+		      const struct jtb_worker_info *told)
+{
+	return jtb_worker_same(known, told) ||
+	       (known->draining && !told->draining);
+}
+
+/* Whether two words of a worker say the same. */
+static bool jtb_worker_same(const struct jtb_worker_info *a,
+			    const struct jtb_worker_info *b)
+{
+	return strcmp(a->pool, b->pool) == 0 && strcmp(a->addr, b->addr) == 0 &&
+	       a->cpu == b->cpu && a->mem_mb == b->mem_mb &&
+	       a->gpus == b->gpus && a->draining == b->draining &&
+	       g_strv_equal((const char *const *)a->labels,
+			    (const char *const *)b->labels);
+}
+
 /* A wave without VMs. */
 struct jtb_wave *jtb_wave_new(uint64_t no)
 {
--- a/tests/system/advice_test.sh
+++ b/tests/system/advice_test.sh
@@ -8,12 +8,6 @@
 tmp=$(mktemp -d)
 . "$(dirname "$0")/jobs.sh"
 
-fail() {
-	echo "FAIL: $*"
-	for f in "$tmp"/*.log; do echo "== $f" && tail -n 5 "$f"; done
-	exit 1
-}
-
 jobs_advised=1
 jobs_fleet --tickets 1 || fail "configuration"
 leader=$(jobs_leader) || fail "no leader"
--- a/tests/system/carry_test.sh
+++ b/tests/system/carry_test.sh
@@ -8,18 +8,6 @@
 tmp=$(mktemp -d)
 . "$(dirname "$0")/jobs.sh"
 
-fail() {
-	echo "FAIL: $*"
-	for f in "$tmp"/*.log; do echo "== $f" && tail -n 5 "$f"; done
-	exit 1
-}
-
-done_once() {
-	twice=$(cat "$tmp"/w*.log | grep '^done ' | cut -d' ' -f2 | sort |
-		uniq -d)
-	[ -z "$twice" ] || fail "done twice: $twice"
-}
-
 # FIRST: jobs in the background, some of them handed in already
 load() {
 	"$BIN/endive-job" --to "$entries" --jobs 25 --first "$1" --seconds 60 \
@@ -73,4 +61,19 @@
 kill -9 "$(jobs_pid "c$leader")"
 rm -f "$tmp/c$leader.pid"
 loaded "the leader is killed"
+
+# Guards against a replica that goes on to acknowledge workers' reports when it
+# has lost its leader, and may know too little.
+last=$(follower)
+for n in 1 2 3; do
+	[ "$n" != "$last" ] && [ -f "$tmp/c$n.pid" ] || continue
+	kill -9 "$(jobs_pid "c$n")"
+	rm -f "$tmp/c$n.pid"
+done
+sleep 3
+before=$(jobs_metric "$last" endive_worker_reports_total)
+sleep 3
+after=$(jobs_metric "$last" endive_worker_reports_total)
+[ -n "$before" ] && [ "$before" = "$after" ] ||
+	fail "reports acknowledged without a leader: ${before:-none}, $after"
 echo "carry: all completed, none doubled"
--- a/tests/system/descriptors_test.sh
+++ b/tests/system/descriptors_test.sh
@@ -9,20 +9,6 @@
 tmp=$(mktemp -d)
 . "$(dirname "$0")/jobs.sh"
 
-fail() {
-	echo "FAIL: $*"
-	for f in "$tmp"/c*.log "$tmp"/e*.log; do
-		echo "== $f" && tail -n 5 "$f"
-	done
-	exit 1
-}
-
-done_once() {
-	twice=$(cat "$tmp"/w*.log | grep '^done ' | cut -d' ' -f2 | sort |
-		uniq -d)
-	[ -z "$twice" ] || fail "done twice: $twice"
-}
-
 # NO: a control daemon under the limit
 control_under_limit() {
 	files=$(ulimit -S -n)
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -21,6 +21,23 @@
 trap 'jobs_end; rm -rf "$tmp"' EXIT
 trap 'exit 1' HUP INT PIPE TERM
 
+# WHAT: ends the test, with the last lines of all logs, our daemons' at the end
+fail() {
+	echo "FAIL: $*"
+	for f in "$tmp"/w*.log "$tmp"/[!w]*.log; do
+		echo "== $f"
+		tail -n 5 "$f"
+	done
+	exit 1
+}
+
+# Every task that was done was done once, over all workers.
+done_once() {
+	twice=$(cat "$tmp"/w*.log | grep '^done ' | cut -d' ' -f2 | sort |
+		uniq -d)
+	[ -z "$twice" ] || fail "done twice: $twice"
+}
+
 # NAME COMMAND...: runs it in the background, output in NAME.log
 jobs_run() {
 	name=$1
--- a/tests/system/jobs_test.sh
+++ b/tests/system/jobs_test.sh
@@ -7,19 +7,6 @@
 tmp=$(mktemp -d)
 . "$(dirname "$0")/jobs.sh"
 
-fail() {
-	echo "FAIL: $*"
-	for f in "$tmp"/*.log; do echo "== $f" && tail -n 5 "$f"; done
-	exit 1
-}
-
-# Every task that was done was done once, over all workers.
-done_once() {
-	twice=$(cat "$tmp"/w*.log | grep '^done ' | cut -d' ' -f2 | sort |
-		uniq -d)
-	[ -z "$twice" ] || fail "done twice: $twice"
-}
-
 jobs_fleet --late-percent 5 --fail-percent 3 || fail "configuration"
 "$BIN/endive-job" --to "$entries" --jobs 10 || fail "calm"
 done_once
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -579,6 +579,41 @@
 
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
+/*
+ * Guards against a replica that acknowledges that a worker leaves, or is another
+ * than it was, without the fleet knowing it.
+ */
+static void what_a_worker_says_anew_is_not_known(void **state)
+{
+	char *labels[] = {(char *)"kind-a", (char *)"rack-1", NULL};
+	char *others[] = {(char *)"kind-a", (char *)"rack-2", NULL};
+	const struct jtb_worker_info known = {.id = (char *)"w",
+					      .pool = (char *)"p",
+					      .addr = (char *)"127.0.0.1:1",
+					      .labels = labels,
+					      .cpu = 16000,
+					      .mem_mb = 64000};
+	struct jtb_worker_info told = known;
+
+	assert_true(jtb_worker_known(&known, &told));
+	told.draining = true;
+	assert_false(jtb_worker_known(&known, &told));
+	/* and once it is known an older word changes nothing */
+	assert_true(jtb_worker_known(&told, &known));
+	told = known;
+	told.pool = (char *)"q";
+	assert_false(jtb_worker_known(&known, &told));
+	told = known;
+	told.addr = (char *)"127.0.0.1:2";
+	assert_false(jtb_worker_known(&known, &told));
+	told = known;
+	told.mem_mb = 32000;
+	assert_false(jtb_worker_known(&known, &told));
+	told = known;
+	told.labels = others;
+	assert_false(jtb_worker_known(&known, &told));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -589,6 +624,7 @@
 		T(a_job_fails_with_its_last_attempt),
 		T(ends_told_again_change_nothing),
 		T(a_leaving_worker_gets_no_work),
+		T(what_a_worker_says_anew_is_not_known),
 		T(a_lifetime_that_is_over_stays_over),
 		T(an_older_configuration_changes_nothing),
 		T(a_configuration_of_before_tickets_is_read),
