A standstill in the middle of a plan doesn't slow the next ones

A machine that stood still for 12 s while its leader planned was taken for plans that take so long: with the old mean the leader put off each of some 25 plans by 150 ms. lod_test failed before.

--- a/src/lod.c
+++ b/src/lod.c
@@ -10,7 +10,7 @@
 #define LOD_PLAN_MEAN 4
 /* Turns of the loop between a call and its answer that a limit allows for. */
 #define LOD_TURNS 4
-/* A limit grows to one part in so many of a lease at most: it is renewed in time. */
+/* A limit grows to one part in so many of a lease: that is renewed in time. */
 #define LOD_PATIENCE_PARTS 2
 /* Time of the leader that one more call for a list takes, us. */
 #define LOD_CALL_US 150
@@ -39,11 +39,16 @@
 	return MAX(0, MAX(batch_ms - 1, p->ended_ms + pause - now_ms));
 }
 
-/* A plan is made and took so long. */
+/*
+ * A plan is made and took so long. What a standstill of the machine in the middle
+ * of it added says nothing of the next ones.
+ */
 void lod_planned(struct lod_plan *p, double took_ms, int64_t now_ms)
 {
+	double took = MIN(took_ms, LOD_PLAN_MOST_MS);
+
 	p->ended_ms = now_ms;
-	p->took_ms += (took_ms - p->took_ms) / LOD_PLAN_MEAN;
+	p->took_ms += (took - p->took_ms) / LOD_PLAN_MEAN;
 }
 
 /*
--- a/tests/unit/lod_test.c
+++ b/tests/unit/lod_test.c
@@ -75,6 +75,18 @@
 	assert_in_range(lod_plan_wait_ms(&p, 0, SECOND_MS), 1, 150);
 }
 
+/* Guards against a leader that plans seldom long after it has stood still. */
+static void a_standstill_is_soon_forgotten(void **state)
+{
+	struct lod_plan p = {0};
+	int i;
+
+	lod_planned(&p, 12000, SECOND_MS);
+	for (i = 0; i < 10; i++)
+		lod_planned(&p, 0.5, SECOND_MS);
+	assert_in_range(lod_plan_wait_ms(&p, 0, SECOND_MS), 0, 20);
+}
+
 /* Guards against workers taken for silent whose answers lie in our sockets. */
 static void a_leader_that_is_behind_waits_longer_for_answers(void **state)
 {
@@ -130,6 +142,7 @@
 		cmocka_unit_test(a_plan_is_made_just_before_the_batch),
 		cmocka_unit_test(a_long_backlog_leaves_time_for_orders),
 		cmocka_unit_test(no_plan_is_put_off_for_long),
+		cmocka_unit_test(a_standstill_is_soon_forgotten),
 		cmocka_unit_test(
 			a_leader_that_is_behind_waits_longer_for_answers),
 		cmocka_unit_test(a_leader_that_is_behind_gathers_more_ends),
