--- a/bench/flo_bench.c
+++ b/bench/flo_bench.c
@@ -142,6 +142,13 @@
 	bench_apply(t, &o, 1);
 }
 
+/* Prints how long a step took that began then. */
+static void tell(const char *part, int vms, const char *what, double from)
+{
+	printf("%s/%d/%s\t%.3f\tms\t%.1f\n", part, vms, what,
+	       bench_now_ms() - from, STEP_MS);
+}
+
 /* Ticks of one fleet, each after what it is named for. */
 static void fleet(int vms)
 {
@@ -169,20 +176,16 @@
 	put_burst(t);
 	from = bench_now_ms();
 	flo_tick(f, WALL_MS + 100, WALL_MS + 100);
-	printf("flo/%d/burst-begins\t%.3f\tms\t%.1f\n", vms,
-	       bench_now_ms() - from, STEP_MS);
+	tell("flo", vms, "burst-begins", from);
 	from = bench_now_ms();
 	flo_tick(f, WALL_MS + 200, WALL_MS + 200);
-	printf("flo/%d/burst-goes-on\t%.3f\tms\t%.1f\n", vms,
-	       bench_now_ms() - from, STEP_MS);
+	tell("flo", vms, "burst-goes-on", from);
 	from = bench_now_ms();
 	upk_tick(u, WALL_MS + 200, WALL_MS + 200);
-	printf("upk/%d/wave-begins\t%.3f\tms\t%.1f\n", vms,
-	       bench_now_ms() - from, STEP_MS);
+	tell("upk", vms, "wave-begins", from);
 	from = bench_now_ms();
 	flo_tick(f, WALL_MS + 400, WALL_MS + 400);
-	printf("flo/%d/beside-wave\t%.3f\tms\t%.1f\n", vms,
-	       bench_now_ms() - from, STEP_MS);
+	tell("flo", vms, "beside-wave", from);
 	fprintf(stderr, "flo_bench: %u VMs on their way\n", flo_moving(f));
 	flo_free(f);
 	upk_free(u);
--- a/src/cli.h
+++ b/src/cli.h
@@ -8,6 +8,7 @@
 #include "cfg.h"
 #include "fcm.h"
 #include "key.h"
+#include "lgl.h"
 #include "pk.h"
 #include "proto.h"
 #include "qtb.h"
@@ -93,6 +94,7 @@
 int cli_submit(struct cli *c, struct fcm_cmd *cmd, struct fcm_result *result);
 int cli_exit_of(enum proto_result code);
 
+bool cli_read_log(const char *path, lgl_take take, void *arg);
 void cli_print(const struct cli *c, const struct qtb_in *t);
 void cli_print_local(const struct cli *c, struct qtb *t);
 void cli_print_result(const struct cli *c, const struct fcm_cmd *cmd,
--- a/src/cli_losses.c
+++ b/src/cli_losses.c
@@ -1,6 +1,5 @@
 #include "cli.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -67,20 +66,15 @@
 {
 	struct losses t = {
 		.rows = g_ptr_array_new_with_free_func(losses_row_free)};
-	int rc = CLI_OK;
+	bool ok = true;
 	int i;
 
-	for (i = 0; i < n && rc == CLI_OK; i++) {
-		if (lgl_file(args[i], losses_line, &t))
-			continue;
-		fprintf(stderr, "endivectl: %s: %s\n", args[i],
-			g_strerror(errno));
-		rc = CLI_REFUSED;
-	}
-	if (rc == CLI_OK)
+	for (i = 0; i < n && ok; i++)
+		ok = cli_read_log(args[i], losses_line, &t);
+	if (ok)
 		losses_print(c, &t);
 	g_ptr_array_free(t.rows, TRUE);
-	return rc;
+	return ok ? CLI_OK : CLI_REFUSED;
 }
 
 /* Takes in a line, if it tells of something lost. */
--- a/src/cli_out.c
+++ b/src/cli_out.c
@@ -1,5 +1,6 @@
 #include "cli.h"
 
+#include <errno.h>
 #include <json-glib/json-glib.h>
 #include <stdio.h>
 
@@ -10,6 +11,15 @@
 static char *cli_cell_text(const struct qtb_cell *cell);
 static void cli_put_json(JsonBuilder *b);
 
+/* Hands each line of a log file on; false after a line that says why not. */
+bool cli_read_log(const char *path, lgl_take take, void *arg)
+{
+	if (lgl_file(path, take, arg))
+		return true;
+	fprintf(stderr, "endivectl: %s: %s\n", path, g_strerror(errno));
+	return false;
+}
+
 /* Prints an answer: columns for people, or an array of objects. */
 void cli_print(const struct cli *c, const struct qtb_in *t)
 {
--- a/src/cli_trace.c
+++ b/src/cli_trace.c
@@ -1,6 +1,5 @@
 #include "cli.h"
 
-#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 
@@ -24,7 +23,6 @@
 	unsigned int left_out; /* lines that daemons left out meanwhile */
 };
 
-static bool trace_file(struct trace *t, const char *path, lgl_take take);
 static void trace_own(void *arg, struct lgl *l);
 static bool trace_is_own(const struct trace *t, const struct lgl *l);
 static void trace_around(void *arg, struct lgl *l);
@@ -53,7 +51,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (pass = 0; pass < G_N_ELEMENTS(passes) && rc == CLI_OK; pass++) {
 		for (i = 1; i < n && rc == CLI_OK; i++)
-			if (!trace_file(&t, args[i], passes[pass]))
+			if (!cli_read_log(args[i], passes[pass], &t))
 				rc = CLI_REFUSED;
 		if (rc == CLI_OK && !t.lines->len) {
 			fprintf(stderr,
@@ -71,15 +69,6 @@
 	return rc;
 }
 
-/* Hands each line of a file on; false after a line that says why not. */
-static bool trace_file(struct trace *t, const char *path, lgl_take take)
-{
-	if (lgl_file(path, take, t))
-		return true;
-	fprintf(stderr, "endivectl: %s: %s\n", path, g_strerror(errno));
-	return false;
-}
-
 /* First pass: the job's own lines, and which pool each worker is in. */
 static void trace_own(void *arg, struct lgl *l)
 {
--- a/src/cli_work.c
+++ b/src/cli_work.c
@@ -1,7 +1,5 @@
 #include "cli.h"
 
-#include <errno.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "cpu.h"
@@ -41,21 +39,17 @@
 int cli_do_work(struct cli *c, const struct cli_cmd *cmd, char **args, int n)
 {
 	struct work t = {.rows = g_ptr_array_new_with_free_func(work_row_free)};
-	int rc = CLI_OK;
+	bool ok = true;
 	int i;
 
-	for (i = 0; i < n && rc == CLI_OK; i++) {
+	for (i = 0; i < n && ok; i++) {
 		t.file = args[i];
-		if (lgl_file(args[i], work_line, &t))
-			continue;
-		fprintf(stderr, "endivectl: %s: %s\n", args[i],
-			g_strerror(errno));
-		rc = CLI_REFUSED;
+		ok = cli_read_log(args[i], work_line, &t);
 	}
-	if (rc == CLI_OK)
+	if (ok)
 		work_print(c, &t);
 	g_ptr_array_free(t.rows, TRUE);
-	return rc;
+	return ok ? CLI_OK : CLI_REFUSED;
 }
 
 /* Takes in a line, if it tells of work. */
