carry_test: the check proves where each first order went

Seen: "replicas relayed 146 calls for 153 runs", 1 of 12 times alone. Cause, traced from the logs of that run: both relays were ready before the first start, and stand-in workers leave 1 order in 20 unanswered (--late-percent 5); each such silence (msg=worker-silent, five in the second in question) moves the worker's next calls to another route, of which one in three is the leader itself, until a lease has passed without a lost call. So the leader makes some first orders itself by design (lod_pick_relay). Ruled out: lost orders (all tasks done once in each run), relays that flap (one msg=carriers line).

The old check compared all relayed calls, polls too, with runs: it passed with first orders unaccounted for, and failed when enough went direct. Now the leader counts the runs whose first order a relay made (endive_starts_carried_total) and those it gave itself (endive_starts_direct_total, msg=start-direct with its reason); the test wants their sum to be the runs, to the last one, and for each direct one that the log shows no relay ready, or that worker silent before.

--- a/src/hub_carry.c
+++ b/src/hub_carry.c
@@ -84,6 +84,23 @@
 	return i < 0 ? NULL : g_ptr_array_index(h->relays, i);
 }
 
+/*
+ * Records that the leader of a relaying fleet gave the first order of a run
+ * itself, since no relay was ready or a call to the worker had no answer.
+ */
+void hub_relay_direct(void *arg, const struct jtb_run *run, uint32_t n_lost)
+{
+	struct hub *h = arg;
+
+	if (!hub_relay_needed(h))
+		return;
+	h->counts[HUB_DIRECT_STARTS]++;
+	msg_job(MSG_HUB_DIRECT, run->job->spec.id,
+		"job=%s step=%u index=%u worker=%s why=%s lost=%u",
+		run->job->spec.id, run->step, run->index, run->worker->info.id,
+		h->relays->len ? "calls-lost" : "no-relay", n_lost);
+}
+
 /* Sends a message to another replica. */
 static bool hub_relay_send(void *arg, const char *addr, struct lstr payload)
 {
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -83,6 +83,9 @@
 	HUB_CRASHING_JOBS,
 	HUB_LATE_ENDS,
 	HUB_COUNTS
+	HUB_KEYS_REFUSED,
+	HUB_NEVER_FIT,
+	HUB_DIRECT_STARTS,
 };
 
 /* Durations in /metrics. */
@@ -171,6 +174,7 @@
 const char *hub_relay_addr(void *arg, const struct jtb_worker *w,
 			   uint32_t turn);
 /* hub_plan */
+void hub_relay_direct(void *arg, const struct jtb_run *run, uint32_t n_lost);
 extern const struct jtb_watch hub_watch;
 extern const struct wkr_ops hub_wkr_ops;
 extern const struct adv_ops hub_adv_ops;
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -96,6 +96,7 @@
 	.ticket_refused = hub_on_ticket_refused,
 	.confirmed_ms = hub_lead_confirmed_ms,
 	.relay = hub_relay_addr,
+	.direct = hub_relay_direct,
 };
 
 static const char *const hub_phase_names[] = {
--- a/src/msg.c
+++ b/src/msg.c
@@ -87,6 +87,7 @@
 	[MSG_HUB_HELD] = {MSG_NOTICE, "held-back"},
 	[MSG_HUB_CRASH] = {MSG_NOTICE, "worker-lost"},
 	[MSG_HUB_LEFT] = {MSG_NOTICE, "worker-left"},
+	[MSG_HUB_DIRECT] = {MSG_INFO, "start-direct"},
 	[MSG_HUB_SUSPECTED] = {MSG_NOTICE, "crashed-under"},
 	[MSG_HUB_SUSPECT] = {MSG_WARN, "worker-fails-all"},
 	/* wkr: sessions with workers */
--- a/src/msg.h
+++ b/src/msg.h
@@ -77,6 +77,7 @@
 	MSG_HUB_HELD,
 	MSG_HUB_SUSPECT,
 	MSG_HUB_CRASH,
+	MSG_HUB_DIRECT,
 	MSG_HUB_LEFT,
 	MSG_HUB_SUSPECTED,
 	/* wkr: sessions with workers */
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -148,6 +148,11 @@
 	 */
 	const char *(*relay)(void *arg, const struct jtb_worker *w,
 			     uint32_t n_lost);
+	/*
+	 * Reports that the leader makes the first call that starts a run
+	 * itself; may be NULL.
+	 */
+	void (*direct)(void *arg, const struct jtb_run *run, uint32_t n_lost);
 };
 
 struct wkr_config {
@@ -166,6 +171,7 @@
 	uint64_t unanswered;
 	/* orders not sent for lack of a connection of this replica */
 	uint64_t not_sent;
+	uint64_t starts_relayed; /* runs whose first order went by a relay */
 	uint64_t refused; /* starts refused by workers */
 	uint64_t ticket_refusals; /* of these, for lack of a ticket */
 	uint64_t expired; /* workers abandoned as their leases expired */
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -11,6 +11,8 @@
 					     const struct wkr_call *c);
 static void wkr_on_stale_stop_end(struct wkr_session *s,
 				  const struct wkr_call *c, bool acked);
+static void wkr_count_route(struct wkr_session *s, const struct jtb_run *run,
+			    const struct wkr_call *c);
 static void wkr_on_start_refused(struct wkr_session *s, struct jtb_run *run);
 static bool wkr_drop_unsent(struct wkr_session *s, struct jtb_run *run);
 static void wkr_retry_call(struct wkr_session *s, const struct wkr_call *c,
@@ -162,6 +164,18 @@
 	wkr_send_call(s, c, &o, WKR_ORDER_TIMEOUT_MS);
 }
 
+	if (o.kind == WKR_START && run->orders_sent == 1)
+		wkr_count_route(s, run, c);
+}
+
+/* Records by which route the first order of a run went. */
+static void wkr_count_route(struct wkr_session *s, const struct jtb_run *run,
+			    const struct wkr_call *c)
+{
+	if (c->rly)
+		s->k->stats.starts_relayed++;
+	else if (s->k->ops->direct)
+		s->k->ops->direct(s->k->arg, run, s->n_lost);
 /* Sends a stop for a run that the job table does not have. */
 void wkr_send_stop(struct wkr_session *s, const struct jtb_name *name,
 		   uint32_t attempt, struct wkr_stale_start *stale)
--- a/tests/system/carry_test.sh
+++ b/tests/system/carry_test.sh
@@ -33,15 +33,40 @@
 	done
 }
 
+# LEADER: fails unless each start that it ordered itself is in its log, and
+# either no relay was ready by its log or that worker had just been silent.
+direct_starts_have_a_cause() {
+	bad=$(awk -v direct="$direct" '
+		/ msg=carriers / { sub(/.* ready=/, ""); ready = $1 + 0 }
+		/ msg=worker-silent / { silent[worker($0)] = 1 }
+		/ msg=start-direct / {
+			n++
+			if (/ why=no-relay / && ready == 0) next
+			if (/ why=calls-lost / && silent[worker($0)]) next
+			print
+		}
+		function worker(line) {
+			sub(/.* worker=/, "", line)
+			sub(/ .*/, "", line)
+			return line
+		}
+		END { if (n != direct) print n + 0, "of", direct, "in the log" }
+	' "$tmp/c$1.log")
+	[ -z "$bad" ] || fail "ordered without a relay: $bad"
+}
+
 jobs_fleet --late-percent 5 --fail-percent 3 || fail "configuration"
 start_load 1
 wait_load "no faults"
 leader=$(jobs_leader) || fail "no leader"
-relayed=$(jobs_metric "$leader" endive_calls_carried_total)
+relayed=$(jobs_metric "$leader" endive_starts_carried_total)
+direct=$(jobs_metric "$leader" endive_starts_direct_total)
 starts=$(jobs_metric "$leader" endive_starts_total)
 [ "${starts:-0}" -gt 0 ] || fail "no run was ordered"
-[ "${relayed:-0}" -ge "$starts" ] ||
-	fail "replicas relayed ${relayed:-no} calls for $starts runs"
+[ "${relayed:-0}" -gt 0 ] || fail "no run was relayed"
+[ "$((relayed + direct))" -eq "$starts" ] ||
+	fail "$relayed runs relayed and $direct direct, of $starts"
+direct_starts_have_a_cause "$leader"
 
 start_load 1000
 paused=$(follower)
