--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -15,6 +15,7 @@
 			       const struct jtb_step *step);
 static double flo_job_cores(const struct flo_pool *p, const struct jtb_queue *q,
 			    const struct jtb_job *job, int64_t wall);
+static double flo_limited_cores(const struct jtb_job *job, double cores);
 static double flo_running_cores(const struct jtb_job *job);
 static bool flo_has_due_task(const struct jtb_job *job, int64_t wall);
 static double flo_job_weight(const struct jtb_queue *q,
@@ -101,6 +102,7 @@
 	GPtrArray *live = jtb_live(f->jtb);
 	guint i;
 
+	quo_reset_planned(jtb_usage(f->jtb));
 	for (i = 0; i < live->len; i++) {
 		const struct jtb_job *job = g_ptr_array_index(live, i);
 		const struct jtb_queue *q = jtb_queue(c, job->spec.queue);
@@ -136,7 +138,8 @@
 {
 	double core_mb = p->cores && p->mem_mb ? p->mem_mb / p->cores
 					       : FLO_DEFAULT_CORE_MB;
-	double usable = sch_usable_cores(job, wall, core_mb);
+	double usable =
+		flo_limited_cores(job, sch_usable_cores(job, wall, core_mb));
 	double runs;
 	double left_ms;
 
@@ -148,6 +151,22 @@
 	       runs * MIN(1, left_ms / FLO_FETCH_MS);
 }
 
+/*
+ * Returns the part of cores that a job may use within its organisation's limit,
+ * beside the jobs before it. Load: an organisation submits several times its
+ * limit. Harm: its pool would fetch VMs on which nothing may start.
+ */
+static double flo_limited_cores(const struct jtb_job *job, double cores)
+{
+	double left = quo_free_cores(job->use);
+
+	if (left < 0)
+		return cores;
+	cores = MIN(cores, MAX(left, flo_running_cores(job)));
+	job->use->planned_cores += cores;
+	return cores;
+}
+
 /*
  * Returns the cores of a job's runs and of its starts that are not committed.
  */
--- a/src/flo_rate.c
+++ b/src/flo_rate.c
@@ -48,7 +48,10 @@
 	}
 }
 
-/* Adds a new job to the rate of its pool. */
+/*
+ * Adds a new job to the rate of its pool, unless its organisation's limit is
+ * used up by the jobs before it.
+ */
 static void flo_add_job_rate(struct flo *f, const struct jtb_job *job,
 			     int64_t wall)
 {
@@ -58,7 +61,8 @@
 
 	/* For a new leader all jobs are new, also those accepted long ago. */
 	if (!q || sch_is_long_running(job) ||
-	    wall - job->accepted_ms > FLO_RATE_MS)
+	    wall - job->accepted_ms > FLO_RATE_MS ||
+	    quo_free_cores(job->use) == 0)
 		return;
 	p = flo_get_pool(f, q->pool);
 	p->rate += job->core_seconds * 1000 / FLO_RATE_MS;
--- a/src/gat.h
+++ b/src/gat.h
@@ -30,6 +30,8 @@
 	char *metrics; /* IP:PORT; or NULL */
 	char **seeds; /* IP:PORT of the replicas to contact first */
 	const char *timeout_header; /* has a caller's timeout, ms; or NULL */
+	const char *key_header; /* has a caller's key; or NULL */
+	const char *key_scheme; /* of WWW-Authenticate with 401; or NULL */
 	long long body_max; /* largest request body, bytes */
 	long long grace_ms; /* from a stop until this process is killed */
 	long long bodies_max; /* bytes of all bodies at once; 0: no limit */
--- a/src/gat_call.c
+++ b/src/gat_call.c
@@ -17,6 +17,7 @@
 #define GAT_RETRY_MAX_S 4
 
 static struct gat_call *gat_call_new(struct gat *g, struct srv_req *r);
+static char *gat_credentials(const struct gat *g, const struct srv_req *r);
 static void gat_call_refuse(struct gat *g, struct gat_call *c);
 
 /* Forwards a caller's request to the leader, or refuses it if there is none. */
@@ -56,12 +57,43 @@
 		*colon = '\0';
 	c->path = g_strdup(info.path);
 	c->method = g_strdup(info.method);
+	c->credentials = gat_credentials(g, r);
 	c->body = g_bytes_new(evbuffer_pullup(body, -1), len);
 	srv_set_user(r, c);
 	g_hash_table_insert(g->calls, &c->id, c);
 	return c;
 }
 
+/*
+ * Returns the header with the caller's key, or "". Several such headers are
+ * joined by a newline, which none can hold: which of them counts is not for this
+ * daemon to choose, and the leader refuses the call as malformed.
+ */
+static char *gat_credentials(const struct gat *g, const struct srv_req *r)
+{
+	GArray *headers;
+	GString *out = g_string_new(NULL);
+	guint n = 0;
+	guint i;
+
+	if (!g->config.key_header)
+		return g_string_free(out, FALSE);
+	headers = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
+	srv_headers(r, headers);
+	for (i = 0; i < headers->len; i++) {
+		const struct ups_header *h =
+			&g_array_index(headers, struct ups_header, i);
+
+		if (g_ascii_strcasecmp(h->name, g->config.key_header) != 0)
+			continue;
+		if (n++)
+			g_string_append_c(out, '\n');
+		g_string_append(out, h->value);
+	}
+	g_array_free(headers, TRUE);
+	return g_string_free(out, FALSE);
+}
+
 /* Frees a call. */
 void gat_call_free(gpointer p)
 {
@@ -70,6 +102,7 @@
 	g_free(c->host);
 	g_free(c->path);
 	g_free(c->method);
+	g_free(c->credentials);
 	g_bytes_unref(c->body);
 	g_free(c);
 }
@@ -82,13 +115,14 @@
 	const char *p = g_bytes_get_data(c->body, &len);
 
 	pk_out_init(&o);
-	pk_arr(&o, 6);
+	pk_arr(&o, 7);
 	pk_u(&o, PROTO_CALL);
 	pk_u(&o, c->id);
 	pk_cstr(&o, c->method);
 	pk_cstr(&o, c->host);
 	pk_cstr(&o, c->path);
 	pk_str(&o, lstr_n(p ? p : "", len));
+	pk_cstr(&o, c->credentials);
 	c->routed_ms = tmr_now(g->tmr);
 	if (wire_send(g->leader->conn, pk_out_view(&o))) {
 		c->replica = g->leader;
@@ -106,7 +140,7 @@
 	struct lstr type = pk_get_str(in);
 	struct lstr body = pk_get_str(in);
 	struct gat_call *c = g_hash_table_lookup(g->calls, &id);
-	struct ups_header h[2];
+	struct ups_header h[3];
 	char type_text[64];
 	char retry_after_text[24];
 	struct evbuffer *buf;
@@ -131,6 +165,9 @@
 		h[n++] = (struct ups_header){(char *)"Retry-After",
 					     retry_after_text};
 	}
+	if (status == 401 && g->config.key_scheme)
+		h[n++] = (struct ups_header){(char *)"WWW-Authenticate",
+					     (char *)g->config.key_scheme};
 	buf = evbuffer_new();
 	evbuffer_add(buf, body.p, body.len);
 	g->counts[GAT_ANSWERS]++;
--- a/src/gat_int.h
+++ b/src/gat_int.h
@@ -43,6 +43,7 @@
 	char *host;
 	char *path;
 	char *method;
+	char *credentials; /* header with the caller's key; "": none */
 	GBytes *body;
 };
 
--- a/src/hld.c
+++ b/src/hld.c
@@ -50,6 +50,7 @@
 	[HLD_GANG] = {"rest-of-gang", 0},
 	[HLD_JUST_ENDED] = {"just-ended", 400},
 	[HLD_ISOLATED_RETRY] = {"tried-alone", 5000},
+	[HLD_ORG_LIMIT] = {"organisation-limit", 0},
 	[HLD_NO_WORKER] = {"no-worker", 0},
 	[HLD_NO_LABEL] = {"no-label", 0},
 	[HLD_TOO_LARGE] = {"too-large", 0},
@@ -118,6 +119,8 @@
 static void hld_scan_job(struct hld_scan *scan, struct jtb_job *job);
 static enum hld_reason hld_scan_step(struct hld_scan *scan, struct jtb_job *job,
 				     uint32_t turn, uint32_t step);
+static void hld_count(struct hld_scan *scan, const struct jtb_job *job,
+		      enum hld_reason why, uint32_t tasks);
 static void hld_scan_long_running(struct hld_scan *scan, struct jtb_job *job,
 				  uint32_t turn, uint32_t step);
 static struct jtb_pending_reason *hld_job_records(struct jtb_job *job);
@@ -229,6 +232,8 @@
 {
 	const struct jtb_queue *q =
 		jtb_queue(jtb_config(v->sch->jtb), job->spec.queue);
+	const struct jtb_step *s = &job->spec.steps[step];
+	struct org_amount amount;
 
 	if (jtb_job_ended(job) || job->turns[turn].done & 1ULL << step)
 		return HLD_OVER;
@@ -238,6 +243,10 @@
 		return HLD_EARLIER_STEP;
 	if (!q)
 		return HLD_NO_QUEUE;
+	amount = jtb_step_amount(s);
+	if (!quo_may_start(job->use, &amount,
+			   s->flags & JTB_GANG ? s->count : 1))
+		return HLD_ORG_LIMIT;
 	return HLD_NONE;
 }
 
@@ -362,6 +371,7 @@
 	guint i;
 
 	memset(sum->tasks, 0, sizeof(sum->tasks));
+	quo_reset_waiting(jtb_usage(v->sch->jtb));
 	sum->longest_ms = 0;
 	scan.pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   hld_pool_free);
@@ -497,10 +507,21 @@
 		why = hld_cached_reason(scan, job, turn, step);
 	if (why == HLD_NONE && job->suspects && job->suspects->len)
 		why = HLD_ISOLATED_RETRY;
-	scan->sum->tasks[why] += waiting;
+	hld_count(scan, job, why, waiting);
 	return why;
 }
 
+/* Adds pending tasks to the sum, and to what their organisation waits for. */
+static void hld_count(struct hld_scan *scan, const struct jtb_job *job,
+		      enum hld_reason why, uint32_t tasks)
+{
+	scan->sum->tasks[why] += tasks;
+	if (!job->use || !hld_is_pending(why))
+		return;
+	job->use->waiting += tasks;
+	job->use->at_limit += why == HLD_ORG_LIMIT ? tasks : 0;
+}
+
 /* Scans each task of a long-running step. */
 static void hld_scan_long_running(struct hld_scan *scan, struct jtb_job *job,
 				  uint32_t turn, uint32_t step)
@@ -522,7 +543,7 @@
 			pool_why = hld_cached_reason(scan, job, turn, step);
 		why = why == HLD_NONE ? hld_check_suspect(pool_why, job, &n)
 				      : why;
-		scan->sum->tasks[why] += hld_is_pending(why);
+		hld_count(scan, job, why, hld_is_pending(why));
 		hld_record(scan, job, &n, &records[n.index], why);
 	}
 }
--- a/src/hld.h
+++ b/src/hld.h
@@ -36,6 +36,8 @@
 	HLD_JUST_ENDED,
 	/* the task may have crashed a worker and awaits its isolated retry */
 	HLD_ISOLATED_RETRY,
+	/* the organisation's usage limit leaves no room for the task */
+	HLD_ORG_LIMIT,
 	/*
 	 * given by the workers of the task's pool: what keeps the best of them,
 	 * the one with the last of these reasons, from taking the task
--- a/src/hub.c
+++ b/src/hub.c
@@ -343,6 +343,9 @@
 	c->path = lstr_dup(pk_get_str(in));
 	body = pk_get_str(in);
 	c->body = g_bytes_new(body.p, body.len);
+	/* entry daemons of versions without keys end here */
+	if (pk_in_left(in))
+		c->credentials = lstr_dup(pk_get_str(in));
 	if (!pk_in_ok(in))
 		hub_call_disconnect(c);
 	else if (!h->leading)
--- a/src/hub.h
+++ b/src/hub.h
@@ -38,6 +38,16 @@
 	const char *location; /* URL at another replica; or NULL */
 };
 
+/* Why a caller's key is refused. */
+enum hub_key_fault {
+	HUB_KEY_VALID,
+	HUB_KEY_MISSING, /* the call has no key */
+	HUB_KEY_MALFORMED, /* its header cannot be read, or is doubled */
+	HUB_KEY_UNKNOWN, /* no organisation has the key */
+	HUB_KEY_OF_OTHER, /* the job belongs to another organisation */
+	HUB_KEY_FAULTS
+};
+
 /* Resumes a call once the log has stored its entry or confirmed its read. */
 typedef void (*hub_resume_fn)(struct hub *h, struct hub_call *c);
 
@@ -90,10 +100,16 @@
 const char *hub_host(const struct hub_call *c);
 const char *hub_path(const struct hub_call *c);
 struct lstr hub_body(const struct hub_call *c);
+struct lstr hub_credentials(const struct hub_call *c);
 void hub_set_user(struct hub_call *c, void *user);
 void *hub_user(const struct hub_call *c);
 void hub_answer(struct hub *h, struct hub_call *c, const struct hub_answer *a);
 void hub_answer_status(struct hub *h, struct hub_call *c, int status);
+void hub_answer_text(struct hub *h, struct hub_call *c, int status,
+		     const char *text);
+void hub_refuse_key(struct hub *h, struct hub_call *c,
+		    const struct jtb_queue *q, enum hub_key_fault why,
+		    struct lstr key);
 bool hub_leads(const struct hub *h);
 char *hub_leader_control(const struct hub *h);
 char *hub_report_addr(const struct hub *h, const char *worker);
--- a/src/hub_call.c
+++ b/src/hub_call.c
@@ -33,6 +33,7 @@
 	g_free(c->method);
 	g_free(c->host);
 	g_free(c->path);
+	g_free(c->credentials);
 	g_free(c->user);
 	g_free(c);
 }
@@ -99,6 +100,12 @@
 	return lstr_n(p ? p : "", len);
 }
 
+/* Returns the header with a caller's key, as the caller sent it, or "". */
+struct lstr hub_credentials(const struct hub_call *c)
+{
+	return lstr_from(c->credentials ? c->credentials : "");
+}
+
 /* Attaches data to a call; g_free frees the data with the call. */
 void hub_set_user(struct hub_call *c, void *user)
 {
@@ -131,6 +138,16 @@
 	hub_answer(h, c, &(struct hub_answer){.status = status});
 }
 
+/* Answers a call with a status and a line of text that says why. */
+void hub_answer_text(struct hub *h, struct hub_call *c, int status,
+		     const char *text)
+{
+	hub_answer(h, c,
+		   &(struct hub_answer){.status = status,
+					.type = "text/plain; charset=utf-8",
+					.body = lstr_from(text)});
+}
+
 /* Sends an answer to the entry daemon that relayed the call. */
 static void hub_answer_wire(struct hub_call *c, const struct hub_answer *a)
 {
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -40,6 +40,7 @@
 	char *method;
 	char *host;
 	char *path;
+	char *credentials; /* caller's header with its key; "": none */
 	GBytes *body;
 	void *user; /* freed with the call */
 	bool answered;
@@ -82,10 +83,10 @@
 	HUB_CRASHES,
 	HUB_CRASHING_JOBS,
 	HUB_LATE_ENDS,
-	HUB_COUNTS
 	HUB_KEYS_REFUSED,
 	HUB_NEVER_FIT,
 	HUB_DIRECT_STARTS,
+	HUB_COUNTS
 };
 
 /* Durations in /metrics. */
@@ -173,8 +174,8 @@
 void hub_relay_tick(struct hub *h);
 const char *hub_relay_addr(void *arg, const struct jtb_worker *w,
 			   uint32_t turn);
-/* hub_plan */
 void hub_relay_direct(void *arg, const struct jtb_run *run, uint32_t n_lost);
+/* hub_plan */
 extern const struct jtb_watch hub_watch;
 extern const struct wkr_ops hub_wkr_ops;
 extern const struct adv_ops hub_adv_ops;
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -391,9 +391,11 @@
 
 	if (!h->leading)
 		return;
-	msg(MSG_HUB_CONFIG, "version=%" PRIu64 " queues=%u pools=%u",
+	msg(MSG_HUB_CONFIG,
+	    "version=%" PRIu64 " queues=%u pools=%u organisations=%u",
 	    jtb_config(h->jtb)->version, jtb_config(h->jtb)->queues->len,
-	    jtb_config(h->jtb)->pools->len);
+	    jtb_config(h->jtb)->pools->len,
+	    orgs_count(jtb_config(h->jtb)->orgs));
 	hub_warn_no_advice(h);
 	hub_mark_all_pools(h);
 }
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -7,6 +7,16 @@
 static bool hub_report_outdated(struct hub *h, const char *id,
 				uint64_t sequence);
 static void hub_probe_addr(struct hub *h, const struct jtb_worker_info *info);
+static bool hub_refuse_too_large(struct hub *h, struct hub_call *c,
+				 const struct jtb_spec *spec);
+
+static const char *const hub_key_faults[HUB_KEY_FAULTS] = {
+	[HUB_KEY_VALID] = "valid",
+	[HUB_KEY_MISSING] = "no-key",
+	[HUB_KEY_MALFORMED] = "malformed-header",
+	[HUB_KEY_UNKNOWN] = "unknown-key",
+	[HUB_KEY_OF_OTHER] = "job-of-another-organisation",
+};
 
 /*
  * Retry-After, s, of a job that is refused because its queue needs advice and
@@ -14,6 +24,11 @@
  * ever. Settings are changed by hand, so callers need not retry soon.
  */
 #define HUB_NO_ADVICE_RETRY_S 30
+/*
+ * Retry-After, s, of a job with a task that is larger than its organisation's
+ * limit. Limits are changed by hand, too.
+ */
+#define HUB_NEVER_FITS_RETRY_S 30
 
 /* Accepts a job, and resumes the call once the job is stored permanently. */
 void hub_submit(struct hub *h, struct hub_call *c, const struct jtb_spec *spec,
@@ -21,6 +36,8 @@
 {
 	const struct jtb_queue *q = jtb_queue(jtb_config(h->jtb), spec->queue);
 
+	if (hub_refuse_too_large(h, c, spec))
+		return;
 	if (q && q->advised && !adv_line_configured(h->advice)) {
 		h->counts[HUB_UNADVISED]++;
 		hub_answer(h, c,
@@ -38,6 +55,67 @@
 	hub_commit(h, c, resume);
 }
 
+/*
+ * Refuses a job of which a step could never run within its organisation's
+ * limit: it would be pending for ever. Returns false if there is none.
+ */
+static bool hub_refuse_too_large(struct hub *h, struct hub_call *c,
+				 const struct jtb_spec *spec)
+{
+	const struct jtb_config *config = jtb_config(h->jtb);
+	const struct org *o =
+		spec->org ? orgs_by_name(config->orgs, spec->org) : NULL;
+	uint32_t i;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		const struct jtb_step *s = &spec->steps[i];
+		struct org_amount amount = jtb_step_amount(s);
+		uint32_t n = s->flags & JTB_GANG ? s->count : 1;
+		char text[160];
+
+		if (quo_ever_fits(o, &amount, n))
+			continue;
+		h->counts[HUB_NEVER_FIT]++;
+		g_snprintf(text, sizeof(text),
+			   "step %u needs more at a time than the limit of its "
+			   "organisation in configuration %" PRIu64 "\n",
+			   i, config->version);
+		msg_job_fails(MSG_HUB_NEVER_FITS, spec->id,
+			      "job=%s queue=%s organisation=\"%s\" step=%u "
+			      "config=%" PRIu64,
+			      spec->id, spec->queue, o->name, i,
+			      config->version);
+		hub_answer(h, c,
+			   &(struct hub_answer){
+				   .status = 429,
+				   .retry_after_s = HUB_NEVER_FITS_RETRY_S,
+				   .type = "text/plain; charset=utf-8",
+				   .body = lstr_from(text)});
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Refuses a call for its key: 401 without a valid key, 403 for a job of another
+ * organisation. The log shows a digest of the key, never the key.
+ */
+void hub_refuse_key(struct hub *h, struct hub_call *c,
+		    const struct jtb_queue *q, enum hub_key_fault why,
+		    struct lstr key)
+{
+	char digest[ORG_DIGEST_TEXT] = "none";
+
+	if (key.len)
+		org_key_digest(key, digest);
+	h->counts[HUB_KEYS_REFUSED]++;
+	msg(MSG_HUB_KEY_REFUSED,
+	    "why=%s key=%s queue=%s method=%s path=%s config=%" PRIu64,
+	    hub_key_faults[why], digest, q->name, c->method, c->path,
+	    jtb_config(h->jtb)->version);
+	hub_answer_status(h, c, why == HUB_KEY_OF_OTHER ? 403 : 401);
+}
+
 /*
  * Cancels a job, and resumes the call once no task of the job can be started
  * any more.
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -96,6 +96,7 @@
 	cnt_text(out, hub_counters, h->counts, HUB_COUNTS, "");
 	hub_write_state(h, out);
 	hld_append_metrics(&h->pending, out);
+	quo_append_metrics(jtb_usage(h->jtb), out);
 	for (i = 0; i < HUB_TIMES; i++)
 		cnt_times_text(out, hub_time_defs[i].name,
 			       hub_time_defs[i].help, &h->times[i]);
@@ -194,9 +195,9 @@
 		 "Calls to workers that other replicas made for us"},
 		{"endive_calls_lost_total", "counter",
 		 "Of these, what no replica told the end of"},
-		{"endive_calls_carried_for_others_total", "counter",
 		{"endive_starts_carried_total", "counter",
 		 "Runs whose first order another replica made for us"},
+		{"endive_calls_carried_for_others_total", "counter",
 		 "Calls to workers made for a leader"},
 		{"endive_calls_dropped_total", "counter",
 		 "Of these, that came too late to be made"},
@@ -235,10 +236,10 @@
 		r.lost,
 		rc.relayed,
 		rc.dropped,
+		s->starts_relayed,
 		s->refused,
 		s->expired,
 		adv_waiting(h->adv, tmr_now(h->tmr), hub_wall_ms()),
-		s->starts_relayed,
 		adv_step_count(h->adv),
 		a->calls,
 		a->failed,
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -39,6 +39,7 @@
 	t->removed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	t->waves = g_ptr_array_new_with_free_func(jtb_wave_free);
+	t->usage = quo_new();
 	t->next_serial = 1;
 	return t;
 }
@@ -55,6 +56,7 @@
 	g_hash_table_destroy(t->workers);
 	g_hash_table_destroy(t->removed);
 	g_ptr_array_free(t->waves, TRUE);
+	quo_free(t->usage);
 	g_free(t);
 }
 
@@ -72,6 +74,7 @@
 		g_ptr_array_set_size(w->runs, 0);
 	}
 	g_ptr_array_set_size(t->live, 0);
+	quo_clear(t->usage);
 	g_hash_table_remove_all(t->jobs);
 	g_hash_table_remove_all(t->workers);
 	g_hash_table_remove_all(t->removed);
@@ -120,6 +123,12 @@
 	return t->waves;
 }
 
+/* Returns what runs for each organisation. */
+const struct quo *jtb_usage(const struct jtb *t)
+{
+	return t->usage;
+}
+
 /* Returns the maintenance wave of a number, or NULL. */
 struct jtb_wave *jtb_wave(const struct jtb *t, uint64_t no)
 {
@@ -235,6 +244,20 @@
 	       w->used_gpus + s->gpus <= w->info.gpus;
 }
 
+/*
+ * Returns what a task of a step counts against its organisation's limit. Cores
+ * count in full also where they take nothing from other work on the worker:
+ * the limit is on what an organisation has running.
+ */
+struct org_amount jtb_step_amount(const struct jtb_step *s)
+{
+	return (struct org_amount){
+		.cpu = s->cpu,
+		.mem_mb = s->mem_mb,
+		.gpus = s->gpus,
+	};
+}
+
 /* Whether a worker's runs exceed its capacity, since that was reduced. */
 bool jtb_is_overcommitted(const struct jtb_worker *w)
 {
@@ -381,7 +404,20 @@
 	return &turn->steps[n->step].tasks[n->index];
 }
 
-/* Adds a run of a task and charges its size to the worker. */
+/* Adds a job to the table, under the account of its organisation. */
+void jtb_add_job(struct jtb *t, struct jtb_job *job)
+{
+	g_hash_table_insert(t->jobs, job->spec.id, job);
+	if (!job->spec.org)
+		return;
+	job->use = quo_use(t->usage, job->spec.org);
+	job->use->org = orgs_by_name(t->config->orgs, job->spec.org);
+}
+
+/*
+ * Adds a run of a task and charges its size to the worker and to the job's
+ * organisation.
+ */
 struct jtb_run *jtb_run_new(struct jtb *t, struct jtb_job *job,
 			    const struct jtb_name *name, uint32_t attempt,
 			    struct jtb_worker *w)
@@ -389,6 +425,7 @@
 	const struct jtb_step *step = &job->spec.steps[name->step];
 	struct jtb_task *task = jtb_task_at(job, name, true);
 	struct jtb_run *run = g_new0(struct jtb_run, 1);
+	struct org_amount amount = jtb_step_amount(step);
 
 	*run = (struct jtb_run){
 		.job = job,
@@ -410,6 +447,7 @@
 	w->used_cpu += step->flags & JTB_BEST_EFFORT ? 0 : step->cpu;
 	w->used_mem += step->mem_mb;
 	w->used_gpus += step->gpus;
+	quo_run_begins(job->use, &amount);
 	return run;
 }
 
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -10,6 +10,7 @@
 #include "evd.h"
 #include "lstr.h"
 #include "pk.h"
+#include "quo.h"
 
 /*
  * The table holds the configuration, the workers, the jobs and their runs, as
@@ -39,6 +40,7 @@
 	uint32_t priority; /* 0 is scheduled first */
 	uint32_t attempts; /* failed runs of one task that fail the job */
 	double stretch; /* objective's multiple of the critical path */
+	bool open; /* callers need no key */
 	bool advised; /* starts need a ticket from the advice service */
 	uint32_t advice_ms; /* time of one call to the advice service */
 	uint32_t advice_each_ms; /* additional time for each worker named */
@@ -61,6 +63,7 @@
 	GHashTable
 		*queues_by_host; /* lower case: GPtrArray of struct jtb_queue */
 	GHashTable *pool_by_name; /* first pool of each name */
+	struct orgs *orgs;
 	GBytes *document; /* text of the configuration as submitted */
 };
 
@@ -94,6 +97,7 @@
 	char id[JTB_ID_MAX + 1];
 	char *queue;
 	char *text; /* opaque payload, passed to the workers */
+	char *org; /* organisation whose key submitted it; or NULL */
 	struct jtb_step *steps;
 	uint32_t n_steps;
 	uint32_t repeats; /* 0: runs once, immediately */
@@ -181,6 +185,7 @@
 	uint32_t n_turns;
 	uint32_t turns_done;
 	uint32_t n_runs;
+	struct quo_use *use; /* account of its organisation; or NULL */
 	GArray *suspects; /* struct jtb_suspect; NULL: there never was one */
 	bool started; /* the start of one of its tasks was committed */
 	bool start_unconfirmed; /* leader's: and no worker confirmed one */
@@ -329,6 +334,7 @@
 GHashTable *jtb_jobs(const struct jtb *t);
 GPtrArray *jtb_live(const struct jtb *t);
 GPtrArray *jtb_waves(const struct jtb *t);
+const struct quo *jtb_usage(const struct jtb *t);
 struct jtb_wave *jtb_wave(const struct jtb *t, uint64_t no);
 bool jtb_worker_was_removed(const struct jtb *t, const char *worker);
 const struct jtb_queue *jtb_queue(const struct jtb_config *c, const char *name);
@@ -352,6 +358,7 @@
 void jtb_drop_proposals(struct jtb *t);
 bool jtb_run_is_stopping(const struct jtb_run *run);
 bool jtb_fits(const struct jtb_worker *w, const struct jtb_step *s);
+struct org_amount jtb_step_amount(const struct jtb_step *s);
 bool jtb_is_overcommitted(const struct jtb_worker *w);
 bool jtb_may_forget(struct jtb_job *job, int64_t now_ms, int64_t retention_ms);
 int64_t jtb_turn_due(const struct jtb_job *job, uint32_t turn);
@@ -382,6 +389,7 @@
 void jtb_config_free(struct jtb_config *c);
 void jtb_config_add_queue(struct jtb_config *c, struct jtb_queue *q);
 void jtb_config_add_pool(struct jtb_config *c, struct jtb_pool *p);
+enum org_fault jtb_config_add_org(struct jtb_config *c, struct org *o);
 void jtb_queue_free(gpointer p);
 void jtb_pool_free(gpointer p);
 void jtb_spec_clear(struct jtb_spec *s);
--- a/src/jtb_cmd.c
+++ b/src/jtb_cmd.c
@@ -5,6 +5,8 @@
 static bool jtb_unpack_names(struct pk_in *in, GArray *out);
 static char *jtb_unpack_optional_text(struct pk_in *in);
 static char *jtb_unpack_text(struct pk_in *in);
+static void jtb_pack_orgs(struct pk_out *o, const struct orgs *all);
+static bool jtb_unpack_orgs(struct pk_in *in, struct jtb_config *c);
 static void jtb_pack_step(struct pk_out *o, const struct jtb_step *s);
 static bool jtb_unpack_step(struct pk_in *in, struct jtb_step *s);
 
@@ -207,14 +209,14 @@
 	const char *p = g_bytes_get_data(c->document, &len);
 	guint i;
 
-	pk_arr(o, 4);
+	pk_arr(o, 5);
 	pk_u(o, c->version);
 	pk_str(o, lstr_n(p, len));
 	pk_arr(o, c->queues->len);
 	for (i = 0; i < c->queues->len; i++) {
 		const struct jtb_queue *q = g_ptr_array_index(c->queues, i);
 
-		pk_arr(o, 13);
+		pk_arr(o, 14);
 		pk_cstr(o, q->name);
 		pk_cstr(o, q->host);
 		pk_cstr(o, q->prefix);
@@ -228,6 +230,7 @@
 		pk_u(o, q->advice_ms);
 		pk_u(o, q->advice_each_ms);
 		pk_u(o, q->advice_valid_ms);
+		pk_bool(o, q->open);
 	}
 	pk_arr(o, c->pools->len);
 	for (i = 0; i < c->pools->len; i++) {
@@ -238,6 +241,55 @@
 		pk_bool(o, pool->enforces_capacity);
 		pk_bool(o, pool->standby);
 	}
+	jtb_pack_orgs(o, c->orgs);
+}
+
+/* Packs the organisations of a configuration. */
+static void jtb_pack_orgs(struct pk_out *o, const struct orgs *all)
+{
+	guint i;
+	guint k;
+
+	pk_arr(o, orgs_count(all));
+	for (i = 0; i < orgs_count(all); i++) {
+		const struct org *org = orgs_at(all, i);
+
+		pk_arr(o, 6);
+		pk_cstr(o, org->name);
+		pk_f(o, org->weight);
+		pk_u(o, org->limit.cpu);
+		pk_u(o, org->limit.mem_mb);
+		pk_u(o, org->limit.gpus);
+		pk_arr(o, org->keys->len);
+		for (k = 0; k < org->keys->len; k++)
+			pk_cstr(o, g_ptr_array_index(org->keys, k));
+	}
+}
+
+/* Unpacks the organisations; returns false if one is malformed. */
+static bool jtb_unpack_orgs(struct pk_in *in, struct jtb_config *c)
+{
+	struct pk_in list = pk_get_arr(in);
+	bool ok = pk_in_ok(in);
+
+	while (ok && pk_in_left(&list)) {
+		struct pk_in row = pk_get_arr(&list);
+		char *name = jtb_unpack_text(&row);
+		struct org *org = org_new(name);
+		struct pk_in keys;
+
+		g_free(name);
+		org->weight = pk_get_f(&row);
+		org->limit.cpu = pk_get_u(&row);
+		org->limit.mem_mb = pk_get_u(&row);
+		org->limit.gpus = pk_get_u(&row);
+		keys = pk_get_arr(&row);
+		while (pk_in_ok(&keys) && pk_in_left(&keys))
+			org_add_key(org, pk_get_str(&keys));
+		ok = pk_in_ok(&row) && pk_in_ok(&keys);
+		ok = jtb_config_add_org(c, org) == ORG_VALID && ok;
+	}
+	return ok;
 }
 
 /* Unpacks a configuration; returns NULL if it is malformed. */
@@ -271,6 +323,8 @@
 		/* data folders of versions without ticket validity end here */
 		if (pk_in_left(&row))
 			q->advice_valid_ms = (uint32_t)pk_get_u(&row);
+		/* ... and of versions without organisations here */
+		q->open = !pk_in_left(&row) || pk_get_bool(&row);
 		jtb_config_add_queue(c, q);
 		at.bad |= !pk_in_ok(&row);
 	}
@@ -285,6 +339,8 @@
 		jtb_config_add_pool(c, p);
 		at.bad |= !pk_in_ok(&row);
 	}
+	if (pk_in_left(&at))
+		at.bad |= !jtb_unpack_orgs(&at, c);
 	if (pk_in_ok(&at))
 		return c;
 	jtb_config_free(c);
@@ -296,7 +352,7 @@
 {
 	uint32_t i;
 
-	pk_arr(o, 7);
+	pk_arr(o, 8);
 	pk_cstr(o, s->id);
 	pk_cstr(o, s->queue);
 	pk_cstr(o, s->text);
@@ -306,6 +362,7 @@
 	pk_arr(o, s->n_steps);
 	for (i = 0; i < s->n_steps; i++)
 		jtb_pack_step(o, &s->steps[i]);
+	pk_cstr(o, s->org);
 }
 
 /* Unpacks a job specification; returns false if it is malformed. */
@@ -330,6 +387,9 @@
 	s->steps = g_new0(struct jtb_step, MAX(1, s->n_steps));
 	for (i = 0; i < s->n_steps; i++)
 		at.bad |= !jtb_unpack_step(&steps, &s->steps[i]);
+	/* data folders of versions without organisations end here */
+	if (pk_in_left(&at))
+		s->org = jtb_unpack_optional_text(&at);
 	if (pk_in_ok(&at) && s->n_steps && s->n_steps <= JTB_STEPS_MAX)
 		return true;
 	jtb_spec_clear(s);
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -124,6 +124,7 @@
 	}
 	jtb_config_free(t->config);
 	t->config = c;
+	quo_set_orgs(t->usage, c->orgs);
 	t->watch->config_changed(t->arg);
 	return true;
 }
@@ -144,7 +145,7 @@
 	job = jtb_job_new(&spec);
 	job->accepted_ms = wall_ms;
 	job->seq = t->next_seq++;
-	g_hash_table_insert(t->jobs, job->spec.id, job);
+	jtb_add_job(t, job);
 	g_ptr_array_add(t->live, job);
 	jtb_notify_job(t, job);
 	return true;
@@ -197,7 +198,8 @@
 
 /*
  * Whether a proposed start is still valid: a cancellation, an end, another
- * configuration or a smaller worker may have been committed before it.
+ * configuration with a lower limit, or a smaller worker may have been committed
+ * before it.
  */
 static bool jtb_may_start(const struct jtb *t, const struct jtb_job *job,
 			  const struct jtb_task *task, const struct jtb_name *n,
@@ -205,10 +207,12 @@
 {
 	const struct jtb_queue *q = jtb_queue(t->config, job->spec.queue);
 	const struct jtb_step *step = &job->spec.steps[n->step];
+	struct org_amount amount = jtb_step_amount(step);
 	uint64_t after = step->after;
 
 	/* a gang's tasks start together or not at all: wkr_send_order */
-	if (!(step->flags & JTB_GANG) && !jtb_fits(w, step))
+	if (!(step->flags & JTB_GANG) &&
+	    (!jtb_fits(w, step) || !quo_may_commit(job->use, &amount)))
 		return false;
 	if (jtb_job_ended(job) || task->done || task->run ||
 	    attempt <= task->attempt || w->info.draining)
@@ -611,6 +615,7 @@
 	struct jtb_job *job = run->job;
 	const struct jtb_step *step = &job->spec.steps[run->step];
 	struct jtb_worker *w = run->worker;
+	struct org_amount amount = jtb_step_amount(step);
 	struct jtb_task *task;
 	struct jtb_name n;
 
@@ -624,6 +629,7 @@
 	w->used_cpu -= step->flags & JTB_BEST_EFFORT ? 0 : step->cpu;
 	w->used_mem -= step->mem_mb;
 	w->used_gpus -= step->gpus;
+	quo_run_ends(job->use, &amount);
 	g_free(run);
 	job->start_unconfirmed = job->start_unconfirmed && how == JTB_LOST;
 	jtb_count_failures(w, job, task, how);
--- a/src/jtb_int.h
+++ b/src/jtb_int.h
@@ -35,6 +35,7 @@
 	GHashTable *workers; /* id: struct jtb_worker */
 	GHashTable *removed; /* ids of workers that were removed permanently */
 	GPtrArray *waves; /* struct jtb_wave */
+	struct quo *usage; /* by the organisations of jobs */
 	uint64_t next_seq;
 	uint64_t next_serial;
 };
@@ -61,6 +62,7 @@
 struct jtb_suspect *jtb_add_suspect(struct jtb_job *job, uint32_t step,
 				    uint32_t index);
 void jtb_remove_suspect(struct jtb_job *job, uint32_t step, uint32_t index);
+void jtb_add_job(struct jtb *t, struct jtb_job *job);
 struct jtb_run *jtb_run_new(struct jtb *t, struct jtb_job *job,
 			    const struct jtb_name *name, uint32_t attempt,
 			    struct jtb_worker *w);
--- a/src/jtb_plan.c
+++ b/src/jtb_plan.c
@@ -25,6 +25,7 @@
 		       struct jtb_worker *w)
 {
 	const struct jtb_step *step = &job->spec.steps[n->step];
+	struct org_amount amount = jtb_step_amount(step);
 	struct jtb_task *task = jtb_task_at(job, n, true);
 
 	g_assert(!task->start_proposed && !task->run && !task->done);
@@ -34,6 +35,8 @@
 	w->proposed_cpu += step->flags & JTB_BEST_EFFORT ? 0 : step->cpu;
 	w->proposed_mem += step->mem_mb;
 	w->proposed_gpus += step->gpus;
+	if (job->use)
+		quo_add(&job->use->proposed, &amount);
 }
 
 /*
@@ -44,10 +47,13 @@
 			     struct jtb_worker *w)
 {
 	const struct jtb_step *step = &job->spec.steps[n->step];
+	struct org_amount amount = jtb_step_amount(step);
 	struct jtb_task *task = jtb_task_at(job, n, true);
 
 	task->start_proposed = false;
 	job->turns[n->turn].steps[n->step].n_proposed--;
+	if (job->use)
+		quo_sub(&job->use->proposed, &amount);
 	if (!w)
 		return;
 	w->proposed_cpu -= step->flags & JTB_BEST_EFFORT ? 0 : step->cpu;
@@ -80,6 +86,7 @@
 			run->end_evidence = (struct evd){0};
 		}
 	}
+	quo_clear_proposed(t->usage);
 	/* ended jobs too: the log may still deliver their starts */
 	g_hash_table_iter_init(&it, t->jobs);
 	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&job))
--- a/src/jtb_snap.c
+++ b/src/jtb_snap.c
@@ -171,6 +171,7 @@
 	ok = pk_in_ok(in);
 	if (!t->config)
 		t->config = jtb_config_new();
+	quo_set_orgs(t->usage, t->config->orgs);
 	list = pk_get_arr(in);
 	while (ok && pk_in_left(&list))
 		ok = jtb_unpack_worker(t, &list);
@@ -220,7 +221,7 @@
 	if (!jtb_unpack_spec(&at, &spec))
 		return false;
 	job = jtb_job_new(&spec);
-	g_hash_table_insert(t->jobs, job->spec.id, job);
+	jtb_add_job(t, job);
 	job->state = (enum jtb_job_state)pk_get_u(&at);
 	job->seq = pk_get_u(&at);
 	job->accepted_ms = pk_get_i(&at);
--- a/src/jtb_type.c
+++ b/src/jtb_type.c
@@ -32,6 +32,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
 	c->pool_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	c->orgs = orgs_new();
 	return c;
 }
 
@@ -66,6 +67,15 @@
 		g_hash_table_insert(c->pool_by_name, p->name, p);
 }
 
+/*
+ * Adds an organisation and takes ownership of it; returns what keeps it from
+ * being added.
+ */
+enum org_fault jtb_config_add_org(struct jtb_config *c, struct org *o)
+{
+	return orgs_add(c->orgs, o);
+}
+
 /* Frees a configuration; c may be NULL. */
 void jtb_config_free(struct jtb_config *c)
 {
@@ -76,6 +86,7 @@
 	g_hash_table_destroy(c->pool_by_name);
 	g_ptr_array_free(c->queues, TRUE);
 	g_ptr_array_free(c->pools, TRUE);
+	orgs_free(c->orgs);
 	if (c->document)
 		g_bytes_unref(c->document);
 	g_free(c);
@@ -115,6 +126,7 @@
 	g_free(s->steps);
 	g_free(s->queue);
 	g_free(s->text);
+	g_free(s->org);
 	*s = (struct jtb_spec){0};
 }
 
--- a/src/main_endive-gated.c
+++ b/src/main_endive-gated.c
@@ -46,6 +46,8 @@
 		.metrics = s->metrics,
 		.seeds = s->seeds,
 		.timeout_header = PLT_PATIENCE,
+		.key_header = PLT_KEY,
+		.key_scheme = PLT_KEY_SCHEME,
 		.body_max = s->body_max,
 		.bodies_max = s->memory / BODIES_PART,
 		.descriptors = &d->descriptors,
--- a/src/proto.h
+++ b/src/proto.h
@@ -37,7 +37,7 @@
 	PROTO_REPLICA = 50,
 	/* rep: replica to anybody: [kind, leader's address, [addresses]] */
 	PROTO_LEADER,
-	/* gat to hub: [kind, call no, method, host, path, body, patience ms] */
+	/* gat to hub: [kind, call no, method, host, path, body, credentials] */
 	PROTO_CALL = 60,
 	/* hub to gat: [kind, call no, status, retry after s, type, body] */
 	PROTO_ANSWER,
--- a/src/sch.c
+++ b/src/sch.c
@@ -205,17 +205,24 @@
 	}
 }
 
-/* Plans the waiting tasks of a step, each by itself. */
+/*
+ * Plans the waiting tasks of a step, each by itself. A step that waits for its
+ * organisation's limit shows nothing about the pool's capacity: it must neither
+ * keep other jobs out nor make the pool ask for VMs.
+ */
 static void sch_plan_step(struct sch_pool *p, struct jtb_job *job,
 			  uint32_t turn, uint32_t step)
 {
 	const struct jtb_step_state *part = jtb_step_state(job, turn, step);
 	uint32_t count = job->spec.steps[step].count;
+	struct org_amount amount = jtb_step_amount(&job->spec.steps[step]);
 	struct jtb_name n = {.turn = turn, .step = step};
 	struct jtb_worker *w;
 
 	if (part && part->n_done + part->n_runs + part->n_proposed >= count)
 		return;
+	if (!quo_may_start(job->use, &amount, 1))
+		return;
 	if (!sch_apply_tickets(p, job, turn, step))
 		return;
 	g_strlcpy(n.id, job->spec.id, sizeof(n.id));
@@ -223,6 +230,8 @@
 	for (n.index = 0; n.index < count; n.index++) {
 		const struct jtb_task *task = NULL;
 
+		if (!quo_may_start(job->use, &amount, 1))
+			return;
 		part = jtb_step_state(job, turn, step);
 		if (part)
 			task = &part->tasks[n.index];
@@ -270,6 +279,7 @@
 	const struct jtb_step_state *part = jtb_step_state(job, turn, step);
 	uint32_t count = job->spec.steps[step].count;
 	struct jtb_name n = {.turn = turn, .step = step};
+	struct org_amount amount = jtb_step_amount(&job->spec.steps[step]);
 	bool suspected = sch_is_suspect_task(job, step, 0);
 	struct jtb_worker *w;
 	GPtrArray *places;
@@ -279,6 +289,8 @@
 
 	if (part && part->n_runs + part->n_proposed + part->n_done)
 		return;
+	if (!quo_may_start(job->use, &amount, count))
+		return;
 	for (i = 0; part && i < count; i++) {
 		attempt = MAX(attempt, part->tasks[i].attempt);
 		if (p->v->now_ms - part->tasks[i].last_end_ms <
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -132,13 +132,15 @@
 		/*
 		 * No start is sent to a worker that is draining or has shrunk
 		 * below its runs, nor without a required ticket: a new leader
-		 * has no ticket, and one may expire meanwhile. A run that was
-		 * never sent is simply over; otherwise the worker must be told
-		 * to forget it.
+		 * has no ticket, and one may expire meanwhile. Nor is one sent
+		 * for an organisation whose limit has fallen below its runs. A
+		 * run that was never sent is simply over; otherwise the worker
+		 * must be told to forget it.
 		 */
 		bool withheld = !s->k->ops->ticket(s->k->arg, run, &o.ticket) ||
 				s->w->info.draining ||
-				jtb_is_overcommitted(s->w);
+				jtb_is_overcommitted(s->w) ||
+				quo_is_over(run->job->use);
 
 		if (withheld && wkr_drop_unsent(s, run))
 			return;
@@ -162,8 +164,6 @@
 	run->orders_sent += kind != WKR_PACE;
 	g_ptr_array_add(s->calls, c);
 	wkr_send_call(s, c, &o, WKR_ORDER_TIMEOUT_MS);
-}
-
 	if (o.kind == WKR_START && run->orders_sent == 1)
 		wkr_count_route(s, run, c);
 }
@@ -176,6 +176,8 @@
 		s->k->stats.starts_relayed++;
 	else if (s->k->ops->direct)
 		s->k->ops->direct(s->k->arg, run, s->n_lost);
+}
+
 /* Sends a stop for a run that the job table does not have. */
 void wkr_send_stop(struct wkr_session *s, const struct jtb_name *name,
 		   uint32_t attempt, struct wkr_stale_start *stale)
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -1135,6 +1135,27 @@
 	assert_int_equal(f->orders, 0);
 }
 
+/*
+ * Guards against VMs fetched for work that may not run: an organisation that
+ * submits several times its limit needs no more than its limit.
+ */
+static void load_ends_at_an_organisations_limit(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_step s = {.count = 30, .cpu = 1000, .estimate_ms = 100000};
+
+	add_other_vms(f, 4, NULL);
+	jobs_config_limit(f->jtb, 2, "org", 12000);
+	jobs_job_of(f->jtb, "org", "a", &s, 1, JOBS_WALL_MS);
+	jobs_job_of(f->jtb, "org", "b", &s, 1, JOBS_WALL_MS);
+	tick(f);
+	assert_true(flo_pool(f->flo, "p")->load > 11.9);
+	assert_true(flo_pool(f->flo, "p")->load < 12.1);
+	jobs_job(f->jtb, "c", &s, 1, JOBS_WALL_MS);
+	tick(f);
+	assert_true(flo_pool(f->flo, "p")->load > 41.9);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -1177,6 +1198,7 @@
 		T(move_with_a_lost_answer_keeps_its_worker_closed),
 		T(lost_rack_costs_one_move_for_each_vm),
 		T(accepted_move_is_done_with_a_later_list),
+		T(load_ends_at_an_organisations_limit),
 	};
 
 	return cmocka_run_group_tests_name("flo", tests, NULL, NULL);
--- a/tests/unit/gat_test.c
+++ b/tests/unit/gat_test.c
@@ -30,6 +30,7 @@
 	int calls;
 	uint64_t call_id; /* of the newest call */
 	GString *path; /* of the newest call */
+	GString *credentials; /* of the newest call */
 };
 
 struct fixture {
@@ -107,6 +108,7 @@
 static void replica_recv(void *arg, struct wire_conn *conn, struct lstr payload)
 {
 	struct replica *r = arg;
+	struct lstr credentials;
 	struct lstr path;
 	struct pk_in in;
 
@@ -119,6 +121,11 @@
 		path = pk_get_str(&in);
 		g_string_truncate(r->path, 0);
 		g_string_append_len(r->path, path.p, (gssize)path.len);
+		pk_get_str(&in); /* body */
+		credentials = pk_get_str(&in);
+		g_string_truncate(r->credentials, 0);
+		g_string_append_len(r->credentials, credentials.p,
+				    (gssize)credentials.len);
 	}
 	pk_in_done(&in);
 }
@@ -186,6 +193,7 @@
 
 		r->fixture = f;
 		r->path = g_string_new(NULL);
+		r->credentials = g_string_new(NULL);
 		addr_of_free_port(r->addr, sizeof(r->addr), &port);
 		f->seeds[i] = r->addr;
 		replica_start(r);
@@ -200,6 +208,8 @@
 			.zone = zone,
 			.callers = f->callers_addr,
 			.seeds = f->seeds,
+			.key_header = "X-Key",
+			.key_scheme = "Scheme",
 			.body_max = 1000,
 			.grace_ms = 5000,
 			.descriptors = &net_descriptors,
@@ -222,6 +232,7 @@
 	for (i = 0; i < REPLICAS; i++) {
 		wire_free(f->replicas[i].wire);
 		g_string_free(f->replicas[i].path, TRUE);
+		g_string_free(f->replicas[i].credentials, TRUE);
 	}
 	keyring_free(f->keys);
 	tmr_free(f->tmr);
@@ -380,6 +391,43 @@
 	expect_answer(f, fd, "HTTP/1.1 200", NULL);
 }
 
+/* Sends a request with these headers and waits until the leader has it. */
+static int get_with(struct fixture *f, const char *headers)
+{
+	char *text = g_strdup_printf("GET /q/1 HTTP/1.1\r\nHost: h\r\n%s\r\n",
+				     headers);
+	int calls = f->replicas[0].calls;
+	int fd = net_dial(f->callers_port);
+
+	net_send(fd, text, -1);
+	g_free(text);
+	wait_for_calls(&f->replicas[0], calls + 1);
+	return fd;
+}
+
+/*
+ * Guards against a request obeyed for the one key that another parser would
+ * not have chosen: two headers reach the leader as one that no key can match.
+ */
+static void doubled_key_header_is_no_key(void **state)
+{
+	struct fixture *f = *state;
+	struct replica *r = &f->replicas[0];
+	int fd;
+
+	become_leader(r, 1);
+	fd = get_with(f, "X-Key: one\r\n");
+	assert_string_equal(r->credentials->str, "one");
+	close(fd);
+	fd = get_with(f, "");
+	assert_string_equal(r->credentials->str, "");
+	close(fd);
+	fd = get_with(f, "x-key: one\r\nX-Key: one\r\n");
+	assert_string_equal(r->credentials->str, "one\none");
+	send_answer(r, 401, 0, "");
+	expect_answer(f, fd, "HTTP/1.1 401", "WWW-Authenticate: Scheme");
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -393,6 +441,7 @@
 		T(ignores_later_claim_of_lower_term),
 		T(resends_request_answered_by_nonleader),
 		T(discards_answer_after_caller_disconnects),
+		T(doubled_key_header_is_no_key),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/hld_test.c
+++ b/tests/unit/hld_test.c
@@ -376,6 +376,23 @@
 	assert_true(hld_is_pending(HLD_NONE) && !hld_is_pending(HLD_RUNS));
 }
 
+/* Work at its organisation's limit says so, beside a pool with room. */
+static void organisation_at_its_limit_is_the_reason(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_step s = {.count = 2, .cpu = 1000, .estimate_ms = 100};
+
+	jobs_config_limit(f->jtb, 2, "org", 1000);
+	jobs_worker(f->jtb, "w", 8000, false);
+	jobs_job_of(f->jtb, "org", "a", &s, 1, JOBS_WALL_MS);
+	assert_int_equal(reason_of(f, "a", 0, 0), HLD_NONE);
+	jobs_start(f->jtb, "a", 0, 0, 1, "w");
+	assert_int_equal(reason_of(f, "a", 0, 1), HLD_ORG_LIMIT);
+	assert_true(hld_is_pending(HLD_ORG_LIMIT));
+	jobs_end(f->jtb, "a", 0, 0, 1, "w", JTB_DONE);
+	assert_int_equal(reason_of(f, "a", 0, 1), HLD_NONE);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -390,6 +407,7 @@
 		T(task_without_ticket_waits_for_one),
 		T(gang_waiting_for_a_rack_has_that_reason),
 		cmocka_unit_test(every_reason_has_a_distinct_name),
+		T(organisation_at_its_limit_is_the_reason),
 	};
 
 	return cmocka_run_group_tests_name("hld", tests, NULL, NULL);
--- a/tests/unit/jobs_make.h
+++ b/tests/unit/jobs_make.h
@@ -27,9 +27,13 @@
 	pk_out_done(cmd);
 }
 
-/* Applies a configuration of one pool, and of queue "q" in it. */
-static inline void jobs_config(struct jtb *t, uint64_t version,
-			       const char *pool, uint32_t attempts)
+/*
+ * Applies a configuration of one pool, of queue "q" in it, and of the
+ * organisation org, or of none if org is NULL.
+ */
+static inline void jobs_config_org(struct jtb *t, uint64_t version,
+				   const char *pool, uint32_t attempts,
+				   struct org *org)
 {
 	struct jtb_config *c = jtb_config_new();
 	struct jtb_queue *q = g_new0(struct jtb_queue, 1);
@@ -48,12 +52,32 @@
 	p->name = g_strdup(pool);
 	jtb_config_add_queue(c, q);
 	jtb_config_add_pool(c, p);
+	if (org)
+		jtb_config_add_org(c, org);
 	pk_out_init(&o);
 	jtb_put_config(&o, c);
 	jobs_apply(t, &o);
 	jtb_config_free(c);
 }
 
+/* Applies a configuration of one pool, and of queue "q" in it. */
+static inline void jobs_config(struct jtb *t, uint64_t version,
+			       const char *pool, uint32_t attempts)
+{
+	jobs_config_org(t, version, pool, attempts, NULL);
+}
+
+/* The same with an organisation that may run this many thousandths of a core. */
+static inline void jobs_config_limit(struct jtb *t, uint64_t version,
+				     const char *name, uint64_t cpu)
+{
+	struct org *org = org_new(name);
+
+	org->limit.cpu = cpu;
+	org->weight = 1;
+	jobs_config_org(t, version, "p", 3, org);
+}
+
 /* Adds a worker to pool "p", or updates it; cpu in thousandths of a core. */
 static inline void jobs_worker(struct jtb *t, const char *id, uint32_t cpu,
 			       bool draining)
@@ -75,15 +99,16 @@
 	jobs_apply(t, &o);
 }
 
-/* Accepts a job in queue "q"; the strings of the steps are copied. */
-static inline void jobs_job(struct jtb *t, const char *id,
-			    struct jtb_step *steps, uint32_t n, int64_t wall)
+/* Accepts a job of an organisation in queue "q"; the strings are copied. */
+static inline void jobs_job_of(struct jtb *t, const char *org, const char *id,
+			       struct jtb_step *steps, uint32_t n, int64_t wall)
 {
 	struct jtb_spec spec = {};
 	struct pk_out o;
 
 	spec.queue = (char *)"q";
 	spec.text = (char *)"text";
+	spec.org = (char *)org;
 	spec.steps = steps;
 	spec.n_steps = n;
 	g_strlcpy(spec.id, id, sizeof(spec.id));
@@ -92,6 +117,13 @@
 	jobs_apply(t, &o);
 }
 
+/* The same for a job of no organisation. */
+static inline void jobs_job(struct jtb *t, const char *id,
+			    struct jtb_step *steps, uint32_t n, int64_t wall)
+{
+	jobs_job_of(t, NULL, id, steps, n, wall);
+}
+
 /* Starts a task of the first turn of a job. */
 static inline void jobs_start(struct jtb *t, const char *id, uint32_t step,
 			      uint32_t index, uint32_t attempt,
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -769,6 +769,137 @@
 		jtb_step_state(jtb_job(t, "a"), 0, 0)->tasks[0].start_proposed);
 }
 
+static const struct quo_use *use_of(const struct jtb *t, const char *org)
+{
+	GPtrArray *all = quo_list(jtb_usage(t));
+	guint i;
+
+	for (i = 0; i < all->len; i++) {
+		const struct quo_use *u = g_ptr_array_index(all, i);
+
+		if (strcmp(u->name, org) == 0)
+			return u;
+	}
+	return NULL;
+}
+
+/*
+ * Guards against work beyond a usage limit: two leaders may each have proposed
+ * a start that fits by itself.
+ */
+static void start_beyond_the_limit_is_not_committed(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb_step s = {.count = 3, .cpu = 1000, .estimate_ms = 100};
+
+	jobs_config_limit(t, 2, "org", 2000);
+	jobs_job_of(t, "org", "a", &s, 1, JOBS_WALL_MS);
+	jobs_start(t, "a", 0, 0, 1, "w1");
+	jobs_start(t, "a", 0, 1, 1, "w2");
+	jobs_start(t, "a", 0, 2, 1, "w2");
+	assert_int_equal(jtb_job(t, "a")->n_runs, 2);
+	assert_int_equal(use_of(t, "org")->running.cpu, 2000);
+	jobs_end(t, "a", 0, 0, 1, "w1", JTB_DONE);
+	jobs_start(t, "a", 0, 2, 2, "w2");
+	assert_int_equal(jtb_job(t, "a")->n_runs, 2);
+	assert_int_equal(use_of(t, "org")->runs, 2);
+}
+
+/*
+ * Guards against work beyond a usage limit after a change of leader: what runs
+ * on a silent worker counts until its end is certain, also in a table that
+ * starts from a snapshot.
+ */
+static void usage_survives_a_snapshot(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb *u = jtb_new(NULL, NULL);
+	struct jtb_step s = {
+		.count = 2, .cpu = 1000, .mem_mb = 10, .estimate_ms = 100};
+	const struct org *org;
+	GBytes *bytes;
+	gsize len;
+	const char *p;
+
+	jobs_config_limit(t, 2, "org", 2000);
+	jobs_job_of(t, "org", "a", &s, 1, JOBS_WALL_MS);
+	jobs_start(t, "a", 0, 0, 1, "w1");
+	bytes = snapshot(t);
+	p = g_bytes_get_data(bytes, &len);
+	assert_true(jtb_restore(u, lstr_n(p, len)));
+	assert_int_equal(use_of(u, "org")->running.cpu, 1000);
+	assert_int_equal(use_of(u, "org")->running.mem_mb, 10);
+	org = use_of(u, "org")->org;
+	assert_non_null(org);
+	assert_int_equal(org->limit.cpu, 2000);
+	assert_string_equal(jtb_job(u, "a")->spec.org, "org");
+	jobs_worker_lost(u, "w1", true);
+	assert_int_equal(use_of(u, "org")->running.cpu, 0);
+	g_bytes_unref(bytes);
+	jtb_free(u);
+}
+
+/* Guards against runs that are stopped, or counted wrong, as a limit falls. */
+static void lowered_limit_stops_nothing_and_starts_nothing(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb_step s = {.count = 4, .cpu = 1000, .estimate_ms = 100};
+
+	jobs_config_limit(t, 2, "org", 3000);
+	jobs_job_of(t, "org", "a", &s, 1, JOBS_WALL_MS);
+	jobs_start(t, "a", 0, 0, 1, "w1");
+	jobs_start(t, "a", 0, 1, 1, "w1");
+	jobs_config_limit(t, 3, "org", 1000);
+	assert_true(quo_is_over(use_of(t, "org")));
+	assert_int_equal(jtb_job(t, "a")->n_runs, 2);
+	jobs_start(t, "a", 0, 2, 1, "w2");
+	jobs_end(t, "a", 0, 0, 1, "w1", JTB_DONE);
+	assert_false(quo_is_over(use_of(t, "org")));
+	jobs_start(t, "a", 0, 2, 1, "w2");
+	assert_int_equal(jtb_job(t, "a")->n_runs, 1);
+	/* without the organisation its work goes on, and has no limit */
+	jobs_config(t, 4, "p", 3);
+	jobs_start(t, "a", 0, 2, 2, "w2");
+	assert_int_equal(jtb_job(t, "a")->n_runs, 2);
+}
+
+/*
+ * Guards against data folders of earlier versions that can't be read, and
+ * against their queues asking for keys that nobody has.
+ */
+static void configuration_without_organisations_is_read(void **state)
+{
+	struct jtb *t = *state;
+	struct pk_out o;
+
+	pk_out_init(&o);
+	pk_arr(&o, 2);
+	pk_u(&o, JTB_CMD_CONFIG);
+	pk_arr(&o, 4);
+	pk_u(&o, 9);
+	pk_cstr(&o, "doc");
+	pk_arr(&o, 1);
+	pk_arr(&o, 13);
+	pk_cstr(&o, "old");
+	pk_cstr(&o, "h");
+	pk_cstr(&o, "/old/");
+	pk_cstr(&o, "p");
+	pk_u(&o, 3000);
+	pk_u(&o, 600);
+	pk_u(&o, 0);
+	pk_u(&o, 3);
+	pk_f(&o, 1.5);
+	pk_bool(&o, false);
+	pk_u(&o, 0);
+	pk_u(&o, 0);
+	pk_u(&o, 0);
+	pk_arr(&o, 0);
+	jobs_apply(t, &o);
+	assert_int_equal(jtb_config(t)->version, 9);
+	assert_true(jtb_queue(jtb_config(t), "old")->open);
+	assert_int_equal(orgs_count(jtb_config(t)->orgs), 0);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 /*
@@ -843,6 +974,10 @@
 		T(proposed_stop_is_dropped_with_the_leader),
 		T(snapshot_keeps_the_order_of_jobs),
 		T(task_names_parse_as_formatted),
+		T(start_beyond_the_limit_is_not_committed),
+		T(usage_survives_a_snapshot),
+		T(lowered_limit_stops_nothing_and_starts_nothing),
+		T(configuration_without_organisations_is_read),
 	};
 
 	return cmocka_run_group_tests_name("jtb", tests, NULL, NULL);
--- a/tests/unit/plt_test.c
+++ b/tests/unit/plt_test.c
@@ -102,7 +102,7 @@
 static struct jtb_config *read_config(const char *text)
 {
 	GBytes *b = doc(text);
-	struct jtb_config *c = plt_config(view(b));
+	struct jtb_config *c = plt_config(view(b), NULL);
 
 	g_bytes_unref(b);
 	return c;
@@ -153,7 +153,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(bad); i++)
 		assert_null(read_config(bad[i]));
-	assert_null(plt_config(lstr_n("", 0)));
+	assert_null(plt_config(lstr_n("", 0), NULL));
 }
 
 /* Cut short at any byte it is no configuration. */
@@ -167,12 +167,154 @@
 	for (i = 0; i < all.len; i++) {
 		char *cut = g_memdup2(all.p, i ? i : 1);
 
-		assert_null(plt_config(lstr_n(cut, i)));
+		assert_null(plt_config(lstr_n(cut, i), NULL));
 		g_free(cut);
 	}
 	g_bytes_unref(b);
 }
 
+#define KEYED(tenants)                                                        \
+	"{version=7,routes=[{" ROUTE "},{" OPEN_ROUTE "}],services=[" SERVICE \
+	"],tenants=[" tenants "]}"
+#define OPEN_ROUTE                                                         \
+	"name=o,hostname=h.example,path-prefix=/o/,backend=s,public=true," \
+	"timeout-ms=3000"
+
+static void organisations_are_read(void **state)
+{
+	struct jtb_config *c = read_config(
+		KEYED("{name=a,api-keys=[k1,k2],weight=3,maximum={cpu=5000,"
+		      "mem-mb=64,gpus=2}},{name=b,api-keys=[]},{name=c}"));
+	const struct org *o;
+
+	assert_non_null(c);
+	assert_int_equal(orgs_count(c->orgs), 3);
+	o = orgs_by_key(c->orgs, LSTR("k2"));
+	assert_non_null(o);
+	assert_string_equal(o->name, "a");
+	assert_true(o->weight > 2.9 && o->weight < 3.1);
+	assert_int_equal(o->limit.cpu, 5000);
+	assert_int_equal(o->limit.mem_mb, 64);
+	assert_int_equal(o->limit.gpus, 2);
+	assert_null(orgs_by_key(c->orgs, LSTR("k")));
+	assert_null(orgs_by_key(c->orgs, LSTR("")));
+	assert_int_equal(orgs_by_name(c->orgs, "b")->limit.cpu, 0);
+	assert_false(jtb_queue(c, "r")->open);
+	assert_true(jtb_queue(c, "o")->open);
+	jtb_config_free(c);
+}
+
+/* Queues of an installation without organisations need no key. */
+static void queues_without_organisations_are_open(void **state)
+{
+	struct jtb_config *c = read_config("{version=7,routes=[{" ROUTE
+					   "}],services=[" SERVICE "]}");
+
+	assert_true(jtb_queue(c, "r")->open);
+	jtb_config_free(c);
+}
+
+/*
+ * Guards against queues that open as their last organisation goes: an empty
+ * list still asks for keys.
+ */
+static void queues_stay_closed_without_any_key(void **state)
+{
+	struct jtb_config *c = read_config(KEYED(""));
+
+	assert_non_null(c);
+	assert_false(jtb_queue(c, "r")->open);
+	jtb_config_free(c);
+}
+
+static void what_is_wrong_with_organisations(void **state)
+{
+	static const struct {
+		const char *text;
+		const char *why;
+	} bad[] = {
+		{KEYED("{name=a,api-keys=[k]},{name=b,api-keys=[k]}"),
+		 "tenant 1: a key is listed twice"},
+		{KEYED("{name=a,api-keys=[k,k]}"),
+		 "tenant 0: a key is listed twice"},
+		{KEYED("{name=a},{name=a}"),
+		 "tenant 1: another organisation has its name"},
+		{KEYED("{name=,api-keys=[k]}"),
+		 "tenant 0: its name is empty or too long"},
+		{KEYED("{api-keys=[k]}"),
+		 "a field of tenant 0 (\"\") is missing or of another type"},
+		{KEYED("{name=a,api-keys=[two words]}"),
+		 "tenant 0: a key is empty, too long, or not printable ASCII"},
+		{KEYED("{name=a,api-keys=[1]}"),
+		 "a field of tenant 0 (\"a\") is missing or of another type"},
+		{KEYED("{name=a,api-keys=k}"),
+		 "a field of tenant 0 (\"a\") is missing or of another type"},
+		{KEYED("{name=a,weight=much}"),
+		 "a field of tenant 0 (\"a\") is missing or of another type"},
+		{KEYED("{name=a,maximum=9}"),
+		 "a field of tenant 0 (\"a\") is missing or of another type"},
+		{KEYED("{name=a,maximum={cpu=many}}"),
+		 "a field of tenant 0 (\"a\") is missing or of another type"},
+		{KEYED("{name=a,maximum={cpu=-1}}"),
+		 "a field of tenant 0 (\"a\") is missing or of another type"},
+		{KEYED("a"),
+		 "a field of tenant 0 (\"\") is missing or of another type"},
+		{"{version=7,routes=[],services=[],tenants={}}",
+		 "\"tenants\" is not a list"},
+		{"{version=7,routes=[{" ROUTE ",public=no}],services=[" SERVICE
+		 "]}",
+		 "a field of route 0 (\"r\") is missing or of another type"},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		GBytes *b = doc(bad[i].text);
+		GError *err = NULL;
+
+		assert_null(plt_config(view(b), &err));
+		assert_non_null(err);
+		assert_string_equal(err->message, bad[i].why);
+		/* an error reaches logs and answers: it must hold no key */
+		assert_null(strstr(err->message, "two words"));
+		g_error_free(err);
+		g_bytes_unref(b);
+	}
+}
+
+static void a_callers_key_is_read(void **state)
+{
+	static const struct {
+		const char *header;
+		enum hub_key_fault fault;
+		const char *key;
+	} cases[] = {
+		{"Token abc", HUB_KEY_VALID, "abc"},
+		{"token abc", HUB_KEY_VALID, "abc"},
+		{"Token   abc", HUB_KEY_VALID, "abc"},
+		{"", HUB_KEY_MISSING, ""},
+		{"Token", HUB_KEY_MALFORMED, ""},
+		{"Token ", HUB_KEY_MALFORMED, ""},
+		{"Tokenabc", HUB_KEY_MALFORMED, ""},
+		{"abc", HUB_KEY_MALFORMED, ""},
+		{"Bearer abc", HUB_KEY_MALFORMED, ""},
+		{"Tokens abc", HUB_KEY_MALFORMED, ""},
+		{" Token abc", HUB_KEY_MALFORMED, ""},
+		{"Token abc def", HUB_KEY_MALFORMED, ""},
+		{"Token abc ", HUB_KEY_MALFORMED, ""},
+		{"Token a\tb", HUB_KEY_MALFORMED, ""},
+		{"Token abc\nToken abc", HUB_KEY_MALFORMED, ""},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct lstr key;
+
+		assert_int_equal(plt_key(lstr_from(cases[i].header), &key),
+				 cases[i].fault);
+		assert_true(lstr_eq(key, lstr_from(cases[i].key)));
+	}
+}
+
 static bool read_job(const char *text, struct jtb_spec *out)
 {
 	GBytes *b = doc(text);
@@ -478,6 +620,11 @@
 		cmocka_unit_test(advice_of_a_queue_is_read),
 		cmocka_unit_test(advice_is_asked_for),
 		cmocka_unit_test(advice_is_read_whole_or_not),
+		cmocka_unit_test(organisations_are_read),
+		cmocka_unit_test(queues_without_organisations_are_open),
+		cmocka_unit_test(queues_stay_closed_without_any_key),
+		cmocka_unit_test(what_is_wrong_with_organisations),
+		cmocka_unit_test(a_callers_key_is_read),
 	};
 
 	return cmocka_run_group_tests_name("plt", tests, NULL, NULL);
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -1217,6 +1217,83 @@
 	assert_string_equal(f->log->str, "c.0.0@w1 ");
 }
 
+static void submit_of(struct fixture *f, const char *org, const char *id,
+		      uint32_t count, uint32_t flags)
+{
+	struct jtb_step s = {.count = count,
+			     .cpu = 1000,
+			     .estimate_ms = 1000,
+			     .flags = flags};
+
+	jobs_job_of(f->jtb, org, id, &s, 1, f->wall);
+}
+
+/*
+ * Guards against one organisation's burst taking a pool from the others: its
+ * jobs come last and would go first, and wait at its limit instead.
+ */
+static void burst_beyond_a_limit_delays_no_other_organisation(void **state)
+{
+	struct fixture *f = *state;
+	int i;
+
+	jobs_config_limit(f->jtb, 2, "big", 3000);
+	jobs_worker(f->jtb, "w1", 8000, false);
+	submit_of(f, "small", "s", 4, 0);
+	for (i = 0; i < 20; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "b%d", i);
+		submit_of(f, "big", id, 8, 0);
+	}
+	f->keep_proposed = true;
+	run_plan(f);
+	assert_int_equal(jtb_worker(f->jtb, "w1")->proposed_cpu, 7000);
+	assert_int_equal(jtb_step_state(jtb_job(f->jtb, "s"), 0, 0)->n_proposed,
+			 4);
+	assert_int_equal(f->unschedulable, 0);
+	run_plan(f);
+	assert_string_equal(f->log->str, "");
+}
+
+/* Guards against a gang of which only some members fit into a limit. */
+static void gang_starts_within_its_limit_or_not_at_all(void **state)
+{
+	struct fixture *f = *state;
+
+	jobs_config_limit(f->jtb, 2, "org", 3000);
+	jobs_worker(f->jtb, "w1", 8000, false);
+	submit_of(f, "org", "a", 1, 0);
+	run_plan(f);
+	submit_of(f, "org", "g", 3, JTB_GANG);
+	run_plan(f);
+	assert_string_equal(f->log->str, "");
+	jobs_end(f->jtb, "a", 0, 0, 1, "w1", JTB_DONE);
+	run_plan(f);
+	assert_int_equal(jtb_job(f->jtb, "g")->n_runs, 3);
+}
+
+/*
+ * Guards against work that waits for ever beside a free pool: what a lost
+ * worker ran no longer counts once it is over.
+ */
+static void work_starts_as_soon_as_its_limit_has_room(void **state)
+{
+	struct fixture *f = *state;
+
+	jobs_config_limit(f->jtb, 2, "org", 1000);
+	jobs_worker(f->jtb, "w1", 8000, false);
+	submit_of(f, "org", "a", 2, 0);
+	run_plan(f);
+	assert_string_equal(f->log->str, "a.0.0@w1 ");
+	run_plan(f);
+	assert_string_equal(f->log->str, "");
+	jobs_end(f->jtb, "a", 0, 0, 1, "w1", JTB_LOST);
+	f->elapsed_ms = 1000;
+	run_plan(f);
+	assert_string_equal(f->log->str, "a.0.0@w1 ");
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -1264,6 +1341,9 @@
 		T(suspect_task_is_retried_in_isolation),
 		T(worker_is_reserved_for_isolated_retry),
 		T(suspect_gang_is_retried_in_isolation),
+		T(burst_beyond_a_limit_delays_no_other_organisation),
+		T(gang_starts_within_its_limit_or_not_at_all),
+		T(work_starts_as_soon_as_its_limit_has_room),
 	};
 
 	return cmocka_run_group_tests_name("sch", tests, NULL, NULL);
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -345,21 +345,15 @@
 	put_worker_with_cpu(f, port, 16000, draining);
 }
 
-static void fill_job_table(struct fixture *f, int port)
+/* Applies a configuration with the organisation "org" and its limit of cores. */
+static void put_config(struct fixture *f, uint64_t version, uint64_t limit_cpu)
 {
-	char queue[] = "q";
-	char text[] = "t";
-	struct jtb_step step = {.count = 1, .cpu = 1000, .estimate_ms = 100};
-	struct jtb_spec spec = {.id = "j",
-				.queue = queue,
-				.text = text,
-				.steps = &step,
-				.n_steps = 1};
 	struct jtb_config *c = jtb_config_new();
 	struct jtb_queue *q = g_new0(struct jtb_queue, 1);
+	struct org *org = org_new("org");
 	struct pk_out o;
 
-	c->version = 1;
+	c->version = version;
 	c->document = g_bytes_new("d", 1);
 	q->name = g_strdup("q");
 	q->host = g_strdup("h");
@@ -367,10 +361,29 @@
 	q->pool = g_strdup("p");
 	q->attempts = 3;
 	jtb_config_add_queue(c, q);
+	org->limit.cpu = limit_cpu;
+	jtb_config_add_org(c, org);
 	pk_out_init(&o);
 	jtb_put_config(&o, c);
 	apply_command(f, &o);
 	jtb_config_free(c);
+}
+
+static void fill_job_table(struct fixture *f, int port)
+{
+	char queue[] = "q";
+	char text[] = "t";
+	char org[] = "org";
+	struct jtb_step step = {.count = 1, .cpu = 1000, .estimate_ms = 100};
+	struct jtb_spec spec = {.id = "j",
+				.queue = queue,
+				.text = text,
+				.org = org,
+				.steps = &step,
+				.n_steps = 1};
+	struct pk_out o;
+
+	put_config(f, 1, 0);
 	put_worker(f, port, false);
 	pk_out_init(&o);
 	jtb_put_job(&o, &spec, 1);
@@ -938,6 +951,21 @@
 	assert_int_equal(f->starts, 0);
 }
 
+/*
+ * Guards against work beyond a usage limit that fell between the commit of a
+ * start and its order.
+ */
+static void start_beyond_a_lowered_limit_is_not_sent(void **state)
+{
+	struct fixture *f = *state;
+
+	start_run(f);
+	put_config(f, 2, 500);
+	wait_for(f, &f->lost);
+	net_run(f->base, SETTLE_MS);
+	assert_int_equal(f->starts, 0);
+}
+
 /*
  * Guards against an overloaded worker that shrank before a start was sent
  * again: the first one may still arrive.
@@ -1317,6 +1345,7 @@
 		T(unanswered_stop_does_not_end_a_run),
 		T(refused_stop_does_not_end_a_run),
 		T(start_that_no_longer_fits_is_not_sent),
+		T(start_beyond_a_lowered_limit_is_not_sent),
 		T(unanswered_start_that_no_longer_fits_is_stopped),
 		T(stop_of_earlier_term_is_dropped),
 		T(committed_stop_is_sent_by_next_leader),
--- a/tools/endive-job.c
+++ b/tools/endive-job.c
@@ -24,6 +24,7 @@
 	guint at;
 	int status;
 	char *state; /* a job's, from the last answer */
+	char *credentials; /* header with the key; or NULL */
 };
 
 /* What the flags say. */
@@ -31,6 +32,8 @@
 	char *pools;
 	char *host;
 	char *pool;
+	char *organisations;
+	char *key;
 	long long advised;
 	long long version;
 	long long jobs;
@@ -45,6 +48,7 @@
 static bool job_until(struct job_call *c, enum evhttp_cmd_type method,
 		      const char *uri, struct evbuffer *body, int64_t end_ms);
 static bool job_wait(struct job_call *c, const char *uri, int64_t end_ms);
+static bool job_orgs(const char *text, struct orgs **out);
 static int job_apply(struct job_call *c, const struct job_flags *f,
 		     int64_t end_ms);
 static void job_hand_in(struct job_call *c, const struct job_flags *f,
@@ -79,6 +83,7 @@
 {
 	struct ups_header headers[] = {
 		{(char *)"Content-Type", (char *)PLT_TYPE},
+		{(char *)PLT_KEY, c->credentials},
 	};
 	struct evbuffer *copy = evbuffer_new();
 
@@ -90,7 +95,7 @@
 			  .method = method,
 			  .uri = uri,
 			  .headers = headers,
-			  .n_headers = G_N_ELEMENTS(headers),
+			  .n_headers = c->credentials ? 2 : 1,
 			  .body = copy,
 			  .timeout_ms = JOB_CALL_MS,
 			  .connect_ms = 500,
@@ -131,15 +136,51 @@
 	return over;
 }
 
+/*
+ * Reads organisations as NAME:KEY:CPU, separated by commas: CPU is the limit,
+ * thousandths of a core, and KEY may be empty for an organisation without keys.
+ * Returns false, with a line on standard error, if one is not valid.
+ */
+static bool job_orgs(const char *text, struct orgs **out)
+{
+	char **list = g_strsplit(text, ",", -1);
+	enum org_fault fault = ORG_VALID;
+	guint i;
+
+	*out = orgs_new();
+	for (i = 0; list[i] && fault == ORG_VALID; i++) {
+		char **part = g_strsplit(list[i], ":", -1);
+		struct org *o = org_new(part[0]);
+
+		o->weight = 1;
+		if (g_strv_length(part) > 1 && *part[1])
+			org_add_key(o, lstr_from(part[1]));
+		if (g_strv_length(part) > 2)
+			o->limit.cpu = strtoull(part[2], NULL, 10);
+		fault = orgs_add(*out, o);
+		g_strfreev(part);
+	}
+	if (fault != ORG_VALID)
+		fprintf(stderr, "endive-job: organisation %u: %s\n", i - 1,
+			org_fault_name(fault));
+	g_strfreev(list);
+	return fault == ORG_VALID;
+}
+
 /* Applies a configuration; 0 when a control daemon accepted it. */
 static int job_apply(struct job_call *c, const struct job_flags *f,
 		     int64_t end_ms)
 {
 	struct evbuffer *body = evbuffer_new();
 	char **pools = g_strsplit(f->pools, ",", -1);
+	struct orgs *orgs = NULL;
 	bool good;
 
-	plt_peer_config((uint64_t)f->version, f->host, pools, f->advised, body);
+	if (f->organisations && *f->organisations &&
+	    !job_orgs(f->organisations, &orgs))
+		return 2;
+	plt_peer_config((uint64_t)f->version, f->host, pools, f->advised, orgs,
+			body);
 	good = job_until(c, EVHTTP_REQ_PUT, "/v1/config", body, end_ms);
 	if (good)
 		printf("configuration %lld accepted\n", f->version);
@@ -147,6 +188,8 @@
 		printf("configuration %lld not accepted, status %d\n",
 		       f->version, c->status);
 	g_strfreev(pools);
+	if (orgs)
+		orgs_free(orgs);
 	evbuffer_free(body);
 	return good ? 0 : 1;
 }
@@ -213,6 +256,10 @@
 		 "Its pools, with commas between"},
 		{"advised", SET_INT, &f.advised, "0", 0, 1, NULL,
 		 "1: its tasks need advice"},
+		{"organisations", SET_STR, &f.organisations, "", 0, 0, NULL,
+		 "Its organisations: NAME:KEY:CPU,..."},
+		{"key", SET_STR, &f.key, "", 0, 0, NULL,
+		 "Key that the calls carry"},
 		{"host", SET_STR, &f.host, "127.0.0.4", 0, 0, NULL,
 		 "Whose jobs it takes: the address callers use"},
 		{"pool", SET_STR, &f.pool, "p", 0, 0, NULL,
@@ -236,12 +283,15 @@
 	c.base = event_base_new();
 	c.tmr = tmr_new(c.base);
 	c.ups = ups_new(c.base, c.tmr);
+	if (f.key && *f.key)
+		c.credentials = g_strdup_printf("%s %s", PLT_KEY_SCHEME, f.key);
 	end_ms = tmr_now(c.tmr) + f.seconds * 1000;
 	if (f.version)
 		rc = job_apply(&c, &f, end_ms);
 	else
 		rc = job_run(&c, &f, end_ms);
 	g_free(c.state);
+	g_free(c.credentials);
 	ups_free(c.ups);
 	tmr_free(c.tmr);
 	event_base_free(c.base);
