A full disk ends no daemon

Cause: any failed write was final for the folder, and a start writes before it does anything else.

A write or a new file without space is no failure of the folder now: the call reports ERR_NO_SPACE, what was synced before stands, and sto_resume cuts a torn part off, so that nothing follows it. A leader gives its leadership up at once and resigns when it is back, since only an election tells who leads. A failed sync stays final, since the kernel may have dropped pages. A start waits for space.

Ruled out: going on in a new log file behind the torn part (the loader rightly takes a torn tail that isn't the newest for damage).

--- a/src/cns.h
+++ b/src/cns.h
@@ -184,6 +184,7 @@
 enum cns_refusal cns_promote(struct cns *c, uint64_t id);
 enum cns_refusal cns_remove(struct cns *c, uint64_t id);
 enum cns_refusal cns_transfer_leadership(struct cns *c);
+void cns_resign(struct cns *c);
 const struct cns_snap *cns_compact(struct cns *c, uint64_t index, GBytes *data);
 
 enum cns_role cns_role(const struct cns *c);
--- a/src/cns_election.c
+++ b/src/cns_election.c
@@ -49,6 +49,16 @@
 	cns_reset_election_timeout(c);
 }
 
+/*
+ * Gives up leadership without a successor, as if the quorum had been lost; does
+ * nothing on a member that does not lead.
+ */
+void cns_resign(struct cns *c)
+{
+	if (c->role == CNS_LEADER)
+		cns_event(c, CNS_EV_QUORUM_LOST);
+}
+
 /* Chart action: starts a pre-vote. */
 void cns_start_pre_vote(struct cns *c)
 {
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -135,7 +135,8 @@
 	if (c->drain_end)
 		return;
 	c->drain_end = tmr_now(c->tmr) + CTL_DRAIN_MS;
-	cns_transfer_leadership(c->cns);
+	if (!vot_is_full(c->vot))
+		cns_transfer_leadership(c->cns);
 	ctl_pump(c);
 }
 
@@ -149,7 +150,8 @@
 {
 	struct ctl *c = arg;
 
-	cns_tick(c->cns, now);
+	if (!vot_is_full(c->vot))
+		cns_tick(c->cns, now);
 	ctl_pump(c);
 	if (c->drain_end && (c->role != CNS_LEADER || now >= c->drain_end)) {
 		msg(MSG_STOP, "node=%s", c->config.node);
@@ -161,9 +163,11 @@
 {
 	struct ctl *c = arg;
 
-	ctl_update_members(c);
-	ctl_nodes_tick(c, now);
-	ctl_moves_tick(c, now);
+	if (!vot_is_full(c->vot)) {
+		ctl_update_members(c);
+		ctl_nodes_tick(c, now);
+		ctl_moves_tick(c, now);
+	}
 	ctl_pump(c);
 }
 
@@ -258,7 +262,7 @@
 {
 	struct cns_msg *m;
 
-	if (!ctl_same_lineage(c, cc->peer))
+	if (!ctl_same_lineage(c, cc->peer) || vot_is_full(c->vot))
 		return;
 	m = cns_msg_unpack(payload);
 	if (!m)
--- a/src/ctl_client.c
+++ b/src/ctl_client.c
@@ -22,6 +22,8 @@
 	enum cns_refusal r;
 	struct pk_out o;
 
+	if (vot_is_full(c->vot))
+		return CNS_NOT_LEADER;
 	pk_out_init(&o);
 	fst_entry_pack(&o, ctl_clock_ms(), sender, role, cmd);
 	r = cns_propose(c->cns, pk_out_view(&o), index);
@@ -85,7 +87,7 @@
 		pk_out_done(&o);
 		return;
 	}
-	if (cns_role(c->cns) != CNS_LEADER) {
+	if (cns_role(c->cns) != CNS_LEADER || vot_is_full(c->vot)) {
 		ctl_send_result(c, conn, request, ctl_refusal_code(c),
 				LSTR(""));
 		return;
--- a/src/ctl_voter.c
+++ b/src/ctl_voter.c
@@ -28,6 +28,7 @@
 static void ctl_snapshot(void *arg, struct pk_out *o);
 static void ctl_read(void *arg, const struct cns_read *r);
 static void ctl_update_role(struct ctl *c);
+static void ctl_folder_full(void *arg, bool full);
 static void ctl_folder_failed(void *arg, const GError *why);
 static uint64_t ctl_random_id(void);
 static const char *ctl_find_own_addr(const struct ctl_config *config);
@@ -42,6 +43,7 @@
 	.restore = ctl_restore,
 	.snapshot = ctl_snapshot,
 	.read_done = ctl_read,
+	.full = ctl_folder_full,
 	.failed = ctl_folder_failed,
 };
 
@@ -84,7 +86,7 @@
 	vot_pump(c->vot);
 	c->counts[CTL_SYNCS] = vot_syncs(c->vot);
 	c->counts[CTL_SNAPSHOTS] = vot_snapshots(c->vot);
-	if (vot_failed(c->vot))
+	if (vot_failed(c->vot) || vot_is_full(c->vot))
 		return;
 	ctl_update_role(c);
 	if (c->role == CNS_LEADER)
@@ -168,6 +170,20 @@
 	c->term = term;
 }
 
+/*
+ * The disk has no space, or has some again. Without space this voter is no part
+ * of the quorum, and what it was to store may have been stored by the others.
+ */
+static void ctl_folder_full(void *arg, bool full)
+{
+	struct ctl *c = arg;
+
+	if (!full)
+		return;
+	ctl_fail_commands(c);
+	c->role = CNS_FOLLOWER;
+}
+
 /*
  * The data folder failed: ends the event loop, as this process must not answer
  * any request.
--- a/src/dmn.c
+++ b/src/dmn.c
@@ -10,10 +10,13 @@
 
 /* How often the file is looked at; it may change without a signal. */
 #define DMN_LOOK_S 1
+/* Interval between attempts to start on a full disk, us. */
+#define DMN_FULL_RETRY_US (500 * G_TIME_SPAN_MILLISECOND)
 
 static bool dmn_keys(struct dmn *d, GError **err);
 static struct event_base *dmn_base_new(void);
 static int dmn_run(struct dmn *d);
+static bool dmn_start(struct dmn *d, GError **err);
 static void dmn_on_term(evutil_socket_t sig, short what, void *arg);
 static void dmn_on_hup(evutil_socket_t sig, short what, void *arg);
 static void dmn_on_look(evutil_socket_t fd, short what, void *arg);
@@ -133,7 +136,7 @@
 	int rc;
 
 	d->base = dmn_base_new();
-	if (!d->ops->start(d, &err)) {
+	if (!dmn_start(d, &err)) {
 		event_base_free(d->base);
 		return dmn_fail(d, err, 1);
 	}
@@ -156,6 +159,28 @@
 	return rc;
 }
 
+/*
+ * Starts the service. A full disk is waited out: the process would otherwise end
+ * and be started again until somebody makes room, and a platform gives up on
+ * what ends too often.
+ */
+static bool dmn_start(struct dmn *d, GError **err)
+{
+	bool said = false;
+
+	while (!d->ops->start(d, err)) {
+		if (!g_error_matches(*err, ERR_DOMAIN, ERR_NO_SPACE))
+			return false;
+		if (!said)
+			msg(MSG_STO_FULL, "node=%s why=\"%s\" does=wait",
+			    d->settings->node, (*err)->message);
+		said = true;
+		g_clear_error(err);
+		g_usleep(DMN_FULL_RETRY_US);
+	}
+	return true;
+}
+
 /* The daemon is told to end: it drains first. */
 static void dmn_on_term(evutil_socket_t sig, short what, void *arg)
 {
--- a/src/err.h
+++ b/src/err.h
@@ -7,6 +7,7 @@
 enum err_code {
 	ERR_INPUT, /* given bytes or values that are not allowed */
 	ERR_IO, /* the machine's files or sockets failed */
+	ERR_NO_SPACE, /* the disk takes no more bytes now */
 	ERR_PEER, /* the other side broke the protocol or went away */
 	ERR_AUTH, /* the other side is not who it must be */
 	ERR_CONFLICT, /* changed meanwhile by somebody else */
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -168,13 +168,15 @@
 /*
  * Whether a replica that does not lead may acknowledge a worker's report: all
  * of the report is in the table, so any leader knows it too. A replica without
- * a leader may be far behind, and redirects the worker instead.
+ * a leader, or whose disk is full, may be far behind, and redirects the worker
+ * instead.
  */
 bool hub_knows_worker(struct hub *h, const struct jtb_worker_info *info)
 {
 	const struct jtb_worker *w = jtb_worker(h->jtb, info->id);
 	char *leader = rep_leader_addr(h->rep);
-	bool knows = leader && w && jtb_worker_info_is_current(&w->info, info);
+	bool knows = rep_is_storing(h->rep) && leader && w &&
+		     jtb_worker_info_is_current(&w->info, info);
 
 	g_free(leader);
 	h->counts[HUB_REPORTS] += knows;
--- a/src/main_endive-controld.c
+++ b/src/main_endive-controld.c
@@ -3,10 +3,15 @@
 #include <stdio.h>
 
 #include "ctl.h"
+#include "err.h"
 #include "msg.h"
 #include "set.h"
 
+/* Interval between attempts to start on a full disk, us. */
+#define FULL_RETRY_US (500 * G_TIME_SPAN_MILLISECOND)
+
 static void controld_on_term(evutil_socket_t sig, short what, void *arg);
+static struct ctl *controld_start(const struct ctl_config *cfg, GError **err);
 static int controld_run(struct ctl_config *cfg);
 static int controld_recover(const struct ctl_config *cfg);
 static void controld_free(struct ctl_config *cfg);
@@ -16,6 +21,24 @@
 	ctl_drain(arg);
 }
 
+/* Starts the voter; a full disk is waited out. */
+static struct ctl *controld_start(const struct ctl_config *cfg, GError **err)
+{
+	struct ctl *c = ctl_new(cfg, err);
+	bool said = false;
+
+	while (!c && g_error_matches(*err, ERR_DOMAIN, ERR_NO_SPACE)) {
+		if (!said)
+			msg(MSG_STO_FULL, "node=%s why=\"%s\" does=wait",
+			    cfg->node, (*err)->message);
+		said = true;
+		g_clear_error(err);
+		g_usleep(FULL_RETRY_US);
+		c = ctl_new(cfg, err);
+	}
+	return c;
+}
+
 static int controld_run(struct ctl_config *cfg)
 {
 	struct event *term;
@@ -25,7 +48,7 @@
 	int rc;
 
 	cfg->base = event_base_new();
-	c = ctl_new(cfg, &err);
+	c = controld_start(cfg, &err);
 	if (!c) {
 		fprintf(stderr, "endive-controld: %s\n", err->message);
 		g_clear_error(&err);
--- a/src/rep.c
+++ b/src/rep.c
@@ -17,6 +17,7 @@
 static void rep_read_done(void *arg, const struct cns_read *c);
 static void rep_report_leadership(struct rep *r);
 static void rep_transfer_if_slow(struct rep *r);
+static void rep_on_full(void *arg, bool full);
 static void rep_on_failed(void *arg, const GError *why);
 static void rep_tick(void *arg, int64_t now);
 static void rep_maintain(void *arg, int64_t now);
@@ -27,6 +28,7 @@
 	.restore = rep_restore,
 	.snapshot = rep_snapshot,
 	.read_done = rep_read_done,
+	.full = rep_on_full,
 	.failed = rep_on_failed,
 };
 
@@ -120,7 +122,7 @@
  */
 bool rep_propose(struct rep *r, struct lstr cmd, uint64_t *index)
 {
-	if (cns_propose(r->cns, cmd, index) != CNS_OK)
+	if (vot_is_full(r->vot) || cns_propose(r->cns, cmd, index) != CNS_OK)
 		return false;
 	rep_schedule_pump(r);
 	return true;
@@ -132,7 +134,7 @@
  */
 bool rep_read(struct rep *r, uint64_t tag)
 {
-	if (cns_read(r->cns, tag) != CNS_OK)
+	if (vot_is_full(r->vot) || cns_read(r->cns, tag) != CNS_OK)
 		return false;
 	rep_schedule_pump(r);
 	return true;
@@ -155,6 +157,8 @@
  */
 void rep_transfer_leadership(struct rep *r)
 {
+	if (vot_is_full(r->vot))
+		return;
 	cns_transfer_leadership(r->cns);
 	rep_schedule_pump(r);
 }
@@ -168,6 +172,15 @@
 	return r->leading;
 }
 
+/*
+ * Whether this replica stores entries, so that its state keeps up with the
+ * leader's; false while its disk is full.
+ */
+bool rep_is_storing(const struct rep *r)
+{
+	return !vot_is_full(r->vot);
+}
+
 /* Whether the data folder failed; if so, the process must end. */
 bool rep_failed(const struct rep *r)
 {
@@ -496,7 +509,7 @@
 		r->role = role;
 		r->role_term = term;
 	}
-	if (!r->leading && role == CNS_LEADER)
+	if ((!r->leading && role == CNS_LEADER) || vot_is_full(r->vot))
 		leader = 0;
 	if (leader == r->announced_leader)
 		return;
@@ -533,6 +546,21 @@
 	rep_transfer_leadership(r);
 }
 
+/*
+ * The disk has no space, or has some again. Without space this replica is no
+ * part of the quorum: it neither leads nor says who does.
+ */
+static void rep_on_full(void *arg, bool full)
+{
+	struct rep *r = arg;
+
+	if (full && r->leading) {
+		r->leading = false;
+		r->ops->leadership_changed(r->arg, false, cns_term(r->cns));
+	}
+	rep_report_leadership(r);
+}
+
 /*
  * The data folder failed: reports the loss of leadership and ends the event
  * loop, so that no request is answered any more.
@@ -553,6 +581,10 @@
 {
 	struct rep *r = arg;
 
+	if (vot_is_full(r->vot)) {
+		rep_pump(r);
+		return;
+	}
 	cns_tick(r->cns, now);
 	/*
 	 * Between the promotion of a new member and the removal of the one it
--- a/src/rep.h
+++ b/src/rep.h
@@ -81,6 +81,7 @@
 void rep_schedule_pump(struct rep *r);
 void rep_transfer_leadership(struct rep *r);
 bool rep_leading(const struct rep *r);
+bool rep_is_storing(const struct rep *r);
 bool rep_failed(const struct rep *r);
 int64_t rep_confirmed_ms(const struct rep *r);
 bool rep_transfer_pending(const struct rep *r);
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -288,7 +288,7 @@
 	kind = pk_get_u(&in);
 	switch (kind) {
 	case PROTO_CNS:
-		m = cns_msg_unpack(payload);
+		m = rep_is_storing(r) ? cns_msg_unpack(payload) : NULL;
 		if (!m)
 			break;
 		cns_set_arrival_ms(r->cns, tmr_now(r->config.tmr));
--- a/src/sto.h
+++ b/src/sto.h
@@ -13,7 +13,9 @@
 /*
  * A voter's data folder, with the state that Raft requires to be persistent.
  * Records are written in batches and are durable after sto_sync; after a failed
- * write or sync every later call fails.
+ * write or sync every later call fails. A disk without space is no failure: the
+ * folder then holds what it held before the call, and takes records again after
+ * sto_resume.
  */
 struct sto;
 
@@ -28,6 +30,7 @@
 	int (*create)(void *arg, const char *name);
 	ssize_t (*write)(void *arg, int fd, const void *p, size_t len);
 	int (*sync)(void *arg, int fd);
+	int (*truncate)(void *arg, int fd, uint64_t len);
 	int (*close)(void *arg, int fd);
 	/* content of the file, or NULL */
 	GBytes *(*read)(void *arg, const char *name);
@@ -60,6 +63,8 @@
 void sto_vote(struct sto *s, uint64_t term, uint64_t vote);
 void sto_entry(struct sto *s, const struct cns_entry *e);
 bool sto_sync(struct sto *s, GError **err);
+bool sto_is_full(const struct sto *s);
+bool sto_resume(struct sto *s);
 bool sto_install(struct sto *s, const struct cns_snap *snap, GError **err);
 bool sto_snapshot(struct sto *s, const struct cns_snap *snap, GError **err);
 
--- a/src/sto_folder.c
+++ b/src/sto_folder.c
@@ -20,6 +20,7 @@
 static int sto_folder_create(void *arg, const char *name);
 static ssize_t sto_folder_write(void *arg, int fd, const void *p, size_t len);
 static int sto_folder_sync(void *arg, int fd);
+static int sto_folder_truncate(void *arg, int fd, uint64_t len);
 static int sto_folder_close(void *arg, int fd);
 static GBytes *sto_folder_read(void *arg, const char *name);
 static char **sto_folder_list(void *arg);
@@ -31,6 +32,7 @@
 	.create = sto_folder_create,
 	.write = sto_folder_write,
 	.sync = sto_folder_sync,
+	.truncate = sto_folder_truncate,
 	.close = sto_folder_close,
 	.read = sto_folder_read,
 	.list = sto_folder_list,
@@ -92,6 +94,11 @@
 	return fdatasync(fd);
 }
 
+static int sto_folder_truncate(void *arg, int fd, uint64_t len)
+{
+	return ftruncate(fd, (off_t)len);
+}
+
 static int sto_folder_close(void *arg, int fd)
 {
 	return close(fd);
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -24,7 +24,11 @@
 	uint64_t id;
 	uint64_t term;
 	uint64_t vote;
-	uint64_t last_index; /* index of the last entry written */
+	uint64_t last_index; /* index of the last entry added */
+	/* term, vote and last index as of the last sync */
+	uint64_t synced_term;
+	uint64_t synced_vote;
+	uint64_t synced_index;
 	/* struct sto_seg, oldest first; the last one is written to */
 	GArray *segs;
 	int fd; /* descriptor of the last segment; -1: none */
@@ -33,6 +37,8 @@
 	uint64_t snap_index; /* 0: none */
 	bool set_aside; /* damaged content was set aside, now or before */
 	bool failed;
+	bool full; /* the disk had no space for the last call */
+	bool torn; /* the last segment may hold a part of that call's records */
 };
 
 /* sto_load */
@@ -45,5 +51,7 @@
 bool sto_write_file(struct sto *s, const char *name, const GByteArray *bytes,
 		    GError **err);
 bool sto_fail(struct sto *s, const char *step, const char *name, GError **err);
+bool sto_refuse(struct sto *s, const char *step, const char *name,
+		GError **err);
 
 #endif
--- a/src/sto_load.c
+++ b/src/sto_load.c
@@ -296,7 +296,9 @@
 	GByteArray *copy = g_byte_array_new();
 
 	g_byte_array_append(copy, (const guint8 *)bytes.p, (guint)bytes.len);
-	sto_write_file(r->s, name, copy, r->err);
+	/* without space for it the start fails, and can be repeated */
+	if (!sto_write_file(r->s, name, copy, r->err))
+		r->s->failed = true;
 	g_byte_array_free(copy, TRUE);
 }
 
--- a/src/vot.c
+++ b/src/vot.c
@@ -8,6 +8,8 @@
 
 /* The newest sync has a weight of 1/VOT_SYNC_MEAN_WEIGHT in the moving mean. */
 #define VOT_SYNC_MEAN_WEIGHT 8
+/* Interval between attempts to write to a full disk, us. */
+#define VOT_FULL_RETRY_US (200 * G_TIME_SPAN_MILLISECOND)
 
 struct vot {
 	struct vot_config config;
@@ -28,8 +30,17 @@
 	struct cnt_times sync_times;
 	bool pumping;
 	bool failed;
+	struct cns_ready rd; /* work in progress */
+	bool full; /* rd waits for space on the disk */
+	int64_t full_since_us;
+	int64_t retry_us; /* next attempt */
 };
 
+static bool vot_work(struct vot *v);
+static bool vot_store(struct vot *v);
+static void vot_wait_for_space(struct vot *v, GError *why);
+static void vot_go_on(struct vot *v);
+static void vot_release(struct cns_ready *rd);
 static bool vot_load(struct vot *v, GError **err);
 static bool vot_write(struct vot *v, const struct cns_ready *rd, GError **err);
 static bool vot_sync(struct vot *v, GError **err);
@@ -38,6 +49,7 @@
 			GError **err);
 static void vot_apply(struct vot *v, const struct cns_entry *e);
 static void vot_snapshot(struct vot *v);
+static void vot_log_full(const struct vot *v, const GError *why);
 static void vot_log_failure(const struct vot *v, const GError *why);
 static void vot_fail(struct vot *v, GError *why);
 
@@ -64,6 +76,8 @@
 {
 	if (!v)
 		return;
+	if (v->full)
+		vot_release(&v->rd);
 	cns_free(v->cns);
 	sto_free(v->sto);
 	sto_folder_free(v->io);
@@ -73,38 +87,98 @@
 /* Does all work that the consensus library returns, in the required order. */
 void vot_pump(struct vot *v)
 {
-	struct cns_ready rd;
-	GError *err = NULL;
-	guint i;
-
 	if (v->pumping)
 		return;
 	v->pumping = true;
-	while (!v->failed && cns_ready(v->cns, &rd)) {
-		vot_send_all(v, rd.send_now);
-		if (!vot_write(v, &rd, &err)) {
-			/*
-			 * No message that acknowledges the writes may be sent.
-			 */
-			g_array_free(rd.entries, TRUE);
-			g_array_free(rd.committed, TRUE);
-			vot_fail(v, err);
+	while (!v->failed && (v->full || cns_ready(v->cns, &v->rd)))
+		if (!vot_work(v))
 			break;
-		}
-		vot_send_all(v, rd.send_after_sync);
-		for (i = 0; i < rd.committed->len; i++)
-			vot_apply(v, &g_array_index(rd.committed,
-						    struct cns_entry, i));
-		for (i = 0; i < rd.reads->len; i++)
-			v->ops->read_done(v->arg,
-					  &g_array_index(rd.reads,
-							 struct cns_read, i));
-		cns_advance(v->cns, &rd);
-	}
 	v->pumping = false;
 	vot_snapshot(v);
 }
 
+/* Does one portion of work; returns false if the disk took none of it. */
+static bool vot_work(struct vot *v)
+{
+	struct cns_ready *rd = &v->rd;
+	guint i;
+
+	if (!v->full)
+		vot_send_all(v, rd->send_now);
+	if (!vot_store(v))
+		return false;
+	vot_send_all(v, rd->send_after_sync);
+	for (i = 0; i < rd->committed->len; i++)
+		vot_apply(v,
+			  &g_array_index(rd->committed, struct cns_entry, i));
+	for (i = 0; i < rd->reads->len; i++)
+		v->ops->read_done(v->arg, &g_array_index(rd->reads,
+							 struct cns_read, i));
+	cns_advance(v->cns, rd);
+	if (v->full)
+		vot_go_on(v);
+	return true;
+}
+
+/*
+ * Writes what the work in progress needs on disk. Returns false if that isn't
+ * there: no message that acknowledges it may be sent.
+ */
+static bool vot_store(struct vot *v)
+{
+	GError *err = NULL;
+
+	if (v->full &&
+	    (g_get_monotonic_time() < v->retry_us || !sto_resume(v->sto))) {
+		return false;
+	}
+	if (vot_write(v, &v->rd, &err))
+		return true;
+	if (sto_is_full(v->sto)) {
+		vot_wait_for_space(v, err);
+		return false;
+	}
+	vot_release(&v->rd);
+	v->full = false;
+	vot_fail(v, err);
+	return false;
+}
+
+/* Keeps the work in progress until the disk has space; frees why. */
+static void vot_wait_for_space(struct vot *v, GError *why)
+{
+	int64_t now = g_get_monotonic_time();
+
+	v->retry_us = now + VOT_FULL_RETRY_US;
+	if (!v->full) {
+		v->full = true;
+		v->full_since_us = now;
+		vot_log_full(v, why);
+		v->ops->full(v->arg, true);
+	}
+	g_error_free(why);
+}
+
+/*
+ * The disk has space again. A voter that led gives up leadership: its owner has
+ * done without it, and only an election tells whether another voter leads.
+ */
+static void vot_go_on(struct vot *v)
+{
+	v->full = false;
+	msg(MSG_STO_SPACE, "node=%s full_ms=%" PRId64, v->config.node,
+	    (g_get_monotonic_time() - v->full_since_us) / 1000);
+	cns_resign(v->cns);
+	v->ops->full(v->arg, false);
+}
+
+/* Frees work that is not done. */
+static void vot_release(struct cns_ready *rd)
+{
+	g_array_free(rd->entries, TRUE);
+	g_array_free(rd->committed, TRUE);
+}
+
 /*
  * Returns the consensus member. Every call that changes it must be followed by
  * vot_pump.
@@ -120,6 +194,12 @@
 	return v->id;
 }
 
+/* Whether the disk has no space: this voter takes part in nothing until then. */
+bool vot_is_full(const struct vot *v)
+{
+	return v->full;
+}
+
 /* Whether the data folder failed; if so, the process must end. */
 bool vot_failed(const struct vot *v)
 {
@@ -285,7 +365,7 @@
 	struct lstr view;
 	GBytes *data;
 
-	if (v->failed || v->applied == v->snap_index ||
+	if (v->failed || v->full || v->applied == v->snap_index ||
 	    (v->applied - v->snap_index < v->config.snap_entries &&
 	     v->log_bytes < MAX(v->config.snap_bytes, 2 * v->snap_bytes)))
 		return;
@@ -298,11 +378,25 @@
 	v->snap_index = v->applied;
 	v->log_bytes = 0;
 	v->snapshots++;
-	if (!sto_snapshot(v->sto, cns_compact(v->cns, v->applied, data), &err))
-		vot_fail(v, err);
+	if (!sto_snapshot(v->sto, cns_compact(v->cns, v->applied, data),
+			  &err)) {
+		/* without space the log stays whole, and the next one may fit */
+		if (sto_is_full(v->sto) && sto_resume(v->sto))
+			vot_log_full(v, err);
+		else
+			vot_fail(v, g_steal_pointer(&err));
+		g_clear_error(&err);
+	}
 	g_bytes_unref(data);
 }
 
+/* Logs that the disk has no space. */
+static void vot_log_full(const struct vot *v, const GError *why)
+{
+	msg(MSG_STO_FULL, "node=%s why=\"%s\" does=wait", v->config.node,
+	    why->message);
+}
+
 /*
  * Logs a failure of the data folder, with the same line at startup and later.
  */
--- a/src/vot.h
+++ b/src/vot.h
@@ -26,6 +26,12 @@
 	bool (*restore)(void *arg, struct lstr snap, GError **err);
 	void (*snapshot)(void *arg, struct pk_out *o);
 	void (*read_done)(void *arg, const struct cns_read *r);
+	/*
+	 * The disk has no space, or has some again. Meanwhile nothing is written
+	 * or acknowledged, and no function that changes the consensus member
+	 * may be called; vot_pump goes on where it stopped once there is space.
+	 */
+	void (*full)(void *arg, bool full);
 	/*
 	 * The data folder failed: no request may be answered from now on. The
 	 * caller frees why.
@@ -58,6 +64,7 @@
 struct cns *vot_cns(const struct vot *v);
 uint64_t vot_id(const struct vot *v);
 bool vot_failed(const struct vot *v);
+bool vot_is_full(const struct vot *v);
 uint64_t vot_applied(const struct vot *v);
 const struct cnt_times *vot_sync_times(const struct vot *v);
 uint64_t vot_syncs(const struct vot *v);
--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -58,6 +58,8 @@
 	int fail_sync_in;
 	/* name of the file that can't be read; NULL: none */
 	const char *unreadable;
+	gsize space; /* bytes that may still be written, if full is set */
+	bool full;
 };
 
 static void file_unref(gpointer p)
@@ -142,6 +144,13 @@
 
 	if (count_operation(d))
 		return -1;
+	if (d->full && d->space < len)
+		len = d->space;
+	if (d->full && len == 0) {
+		errno = ENOSPC;
+		return -1;
+	}
+	d->space -= d->full ? len : 0;
 	g_byte_array_append(f->data, p, (guint)len);
 	return (ssize_t)len;
 }
@@ -162,6 +171,17 @@
 	return 0;
 }
 
+static int disk_truncate(void *arg, int fd, uint64_t len)
+{
+	struct disk *d = arg;
+	struct file *f = g_ptr_array_index(d->open, fd);
+
+	if (count_operation(d))
+		return -1;
+	g_byte_array_set_size(f->data, (guint)len);
+	return 0;
+}
+
 static int disk_close(void *arg, int fd)
 {
 	return 0;
@@ -237,6 +257,7 @@
 		.create = disk_create,
 		.write = disk_write,
 		.sync = disk_sync,
+		.truncate = disk_truncate,
 		.close = disk_close,
 		.read = disk_read,
 		.list = disk_list,
@@ -845,6 +866,106 @@
 	assert_true(at > 8);
 }
 
+/* Makes a disk take only so many more bytes. */
+static void fill(struct disk *d, gsize space)
+{
+	d->full = true;
+	d->space = space;
+}
+
+/*
+ * Guards against a voter that a full disk ends, and against an entry that is
+ * there in part: wherever the space runs out, the entry is refused, and the
+ * folder goes on with space again and holds all that was acknowledged.
+ */
+static void a_full_disk_refuses_and_goes_on(void **state)
+{
+	gsize space;
+
+	for (space = 0; space < 200; space += 7) {
+		struct disk *d = disk_new();
+		struct acknowledged p = {0};
+		struct sto *s = open_checked(d, 7, &p);
+		GError *err = NULL;
+
+		assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+		fill(d, space);
+		while (store_entry(s, &p))
+			;
+		assert_true(sto_is_full(s));
+		assert_false(sto_sync(s, &err));
+		assert_true(g_error_matches(err, ERR_DOMAIN, ERR_NO_SPACE));
+		g_clear_error(&err);
+		d->full = false;
+		assert_true(sto_resume(s));
+		assert_true(store_entry(s, &p) && store_vote(s, &p, 2));
+		sto_free(s);
+		disk_lose_power(d, 0, LOSS_ALL);
+		s = open_checked(d, 8, &p);
+		assert_non_null(s);
+		assert_true(store_entry(s, &p));
+		sto_free(s);
+		disk_free(d);
+	}
+}
+
+/*
+ * Guards against a snapshot without space that ends the voter or costs its log:
+ * the log goes on, and a later snapshot succeeds.
+ */
+static void a_snapshot_without_space_is_left_out(void **state)
+{
+	struct disk *d = disk_new();
+	struct acknowledged p = {0};
+	struct sto *s = open_checked(d, 7, &p);
+
+	assert_true(store_vote(s, &p, 1) && store_entry(s, &p));
+	fill(d, 10);
+	assert_false(store_snapshot(s, &p));
+	assert_true(sto_is_full(s));
+	assert_true(sto_resume(s));
+	d->full = false;
+	assert_true(store_entry(s, &p) && store_snapshot(s, &p) &&
+		    store_entry(s, &p));
+	sto_free(s);
+	disk_lose_power(d, 0, LOSS_ALL);
+	s = open_checked(d, 8, &p);
+	assert_non_null(s);
+	sto_free(s);
+	disk_free(d);
+}
+
+/*
+ * Guards against a start on a full disk that looks like a broken folder: it
+ * fails for want of space, changes nothing, and succeeds later.
+ */
+static void a_start_on_a_full_disk_can_be_repeated(void **state)
+{
+	struct disk *d = disk_new();
+	struct acknowledged p = {0};
+	struct sto_io io;
+	struct sto_loaded l;
+	GError *err = NULL;
+	struct sto *s;
+	gsize space;
+
+	assert_true(run_voter(d, &p));
+	disk_end_process(d);
+	io = disk_io(d);
+	for (space = 0; space < 40; space += 13) {
+		fill(d, space);
+		assert_null(sto_open(&io, "n", 9, &l, &err));
+		assert_true(g_error_matches(err, ERR_DOMAIN, ERR_NO_SPACE));
+		g_clear_error(&err);
+	}
+	d->full = false;
+	s = open_checked(d, 9, &p);
+	assert_non_null(s);
+	assert_true(store_entry(s, &p));
+	sto_free(s);
+	disk_free(d);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -858,6 +979,9 @@
 		cmocka_unit_test(an_unlistable_folder_is_not_empty),
 		cmocka_unit_test(a_list_without_descriptors_is_an_error),
 		cmocka_unit_test(a_damaged_folder_never_keeps_its_id),
+		cmocka_unit_test(a_full_disk_refuses_and_goes_on),
+		cmocka_unit_test(a_snapshot_without_space_is_left_out),
+		cmocka_unit_test(a_start_on_a_full_disk_can_be_repeated),
 	};
 
 	return cmocka_run_group_tests_name("sto", tests, NULL, NULL);
