--- a/tests/run.sh
+++ b/tests/run.sh
@@ -17,6 +17,7 @@
 export ADVICE_PORT="${ADVICE_PORT:-$((ports + 850))}"
 export CUT_PORT="${CUT_PORT:-$((ports + 650))}"
 export KEYS_PORT="${KEYS_PORT:-$((ports + 400))}"
+export DISK_PORT="${DISK_PORT:-$((ports + 600))}"
 export CARRY_PORT="${CARRY_PORT:-$((ports + 500))}"
 export DESCRIPTORS_PORT="${DESCRIPTORS_PORT:-$((ports + 950))}"
 out=build/test-out
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -4,6 +4,8 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <signal.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "net.h"
@@ -264,6 +266,52 @@
 	commit(b, "two ");
 }
 
+/* Has every write of this process to a file fail, or succeed again. */
+static void set_disks_full(bool full)
+{
+	struct rlimit limit;
+
+	signal(SIGXFSZ, SIG_IGN);
+	getrlimit(RLIMIT_FSIZE, &limit);
+	limit.rlim_cur = full ? 0 : limit.rlim_max;
+	setrlimit(RLIMIT_FSIZE, &limit);
+}
+
+/*
+ * Guards against replicas that full disks end, and against a leader that goes
+ * on without storing: nobody leads, nothing is accepted and nothing is lost.
+ */
+static void full_disks_are_waited_out(void **state)
+{
+	struct fixture *b = *state;
+	struct node *old = leader(b);
+	uint64_t term;
+	uint64_t index;
+	int ms;
+	int i;
+
+	commit(b, "one ");
+	term = rep_term(old->rep);
+	set_disks_full(true);
+	rep_propose(old->rep, LSTR("two "), &index);
+	for (ms = 0; ms < WAIT_MS && rep_leading(old->rep); ms++)
+		net_run(b->base, 1);
+	assert_false(rep_leading(old->rep));
+	assert_false(rep_is_storing(old->rep));
+	assert_false(rep_propose(old->rep, LSTR("three "), &index));
+	assert_false(rep_read(old->rep, 1));
+	net_run(b->base, 1500);
+	for (i = 0; i < REPLICAS; i++) {
+		assert_false(rep_failed(b->nodes[i].rep));
+		assert_false(rep_leading(b->nodes[i].rep));
+	}
+	set_disks_full(false);
+	commit(b, "four ");
+	assert_true(rep_is_storing(old->rep));
+	assert_true(rep_term(leader(b)->rep) > term);
+	assert_null(strstr(old->log->str, "three"));
+}
+
 /*
  * Guards against a removed member after all replicas were paused together, as
  * on a host that is suspended. Afterwards the leader has heard nobody for long,
@@ -679,6 +727,7 @@
 	const struct CMUnitTest tests[] = {
 		T(a_command_is_applied_on_all_replicas),
 		T(a_leadership_transfer_keeps_commands),
+		T(full_disks_are_waited_out),
 		T(no_member_is_removed_after_a_pause_of_all),
 		T(a_restored_leader_removes_its_old_member),
 		T(dead_members_leave_a_full_membership),
