--- a/src/cli.h
+++ b/src/cli.h
@@ -127,6 +127,8 @@
 		    int n);
 int cli_do_forget(struct cli *c, const struct cli_cmd *cmd, char **args, int n);
 int cli_do_losses(struct cli *c, const struct cli_cmd *cmd, char **args, int n);
+int cli_do_organisations(struct cli *c, const struct cli_cmd *cmd, char **args,
+			 int n);
 int cli_do_work(struct cli *c, const struct cli_cmd *cmd, char **args, int n);
 int cli_do_trace(struct cli *c, const struct cli_cmd *cmd, char **args, int n);
 int cli_do_completion(struct cli *c, const struct cli_cmd *cmd, char **args,
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -76,6 +76,7 @@
 		if (quo_ever_fits(o, &amount, n))
 			continue;
 		h->counts[HUB_NEVER_FIT]++;
+		quo_use(jtb_usage(h->jtb), o->name)->refused++;
 		g_snprintf(text, sizeof(text),
 			   "step %u needs more at a time than the limit of its "
 			   "organisation in configuration %" PRIu64 "\n",
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -124,7 +124,7 @@
 }
 
 /* Returns what runs for each organisation. */
-const struct quo *jtb_usage(const struct jtb *t)
+struct quo *jtb_usage(const struct jtb *t)
 {
 	return t->usage;
 }
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -334,7 +334,7 @@
 GHashTable *jtb_jobs(const struct jtb *t);
 GPtrArray *jtb_live(const struct jtb *t);
 GPtrArray *jtb_waves(const struct jtb *t);
-const struct quo *jtb_usage(const struct jtb *t);
+struct quo *jtb_usage(const struct jtb *t);
 struct jtb_wave *jtb_wave(const struct jtb *t, uint64_t no);
 bool jtb_worker_was_removed(const struct jtb *t, const char *worker);
 const struct jtb_queue *jtb_queue(const struct jtb_config *c, const char *name);
--- a/src/sim.c
+++ b/src/sim.c
@@ -2,7 +2,6 @@
 
 static void sim_open(struct sim *s);
 static void sim_close(struct sim *s);
-static void sim_config_put(struct sim *s);
 static void sim_plan(struct sim *s);
 static bool sim_usable(void *arg, const struct jtb_worker *w);
 static bool sim_leaving(void *arg, const struct jtb_worker *w);
@@ -52,7 +51,8 @@
 	[SIM_BUDGET] = "budget",   [SIM_MIXED] = "mixed",
 	[SIM_UNASKED] = "unasked", [SIM_AVAIL] = "avail",
 	[SIM_IDLE] = "idle",	   [SIM_LOST] = "lost",
-	[SIM_ONE] = "one",
+	[SIM_ONE] = "one",	   [SIM_QUOTA] = "quota",
+	[SIM_KEY] = "key",
 };
 
 /* A day like those of the users' sites, with some of every trouble. */
@@ -82,6 +82,9 @@
 		.repeats = 0.03,
 		.cancel = 0.05,
 		.wave = true,
+		.orgs = 4,
+		.org_limit = 0.3,
+		.org_changes = 8,
 	};
 }
 
@@ -95,6 +98,7 @@
 	int shrinks = config->shrinks;
 	int failovers = config->failovers;
 	int cuts = config->cuts;
+	int org_changes = config->org_changes;
 
 	sim_open(&s);
 	while (s.now < config->length_ms) {
@@ -132,6 +136,9 @@
 			sim_failover(&s);
 		if (s.now && s.now % trouble == SIM_STEP_MS * 10 && cuts-- > 0)
 			sim_cut(&s);
+		if (s.now && s.now % trouble == SIM_STEP_MS * 25 &&
+		    org_changes-- > 0)
+			sim_orgs_change(&s);
 		if (!config->no_plans_ms || s.now < config->no_plans_ms)
 			sim_plan(&s);
 		if (s.now % SIM_LOOK_MS == 0)
@@ -190,6 +197,7 @@
 	s->log = g_ptr_array_new_with_free_func(sim_cmd_free);
 	s->idle =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sim_orgs_open(s);
 	sim_config_put(s);
 	for (p = 0; p <= s->config.pools; p++) {
 		int n = p == s->config.pools ? s->config.spare : s->config.vms;
@@ -220,6 +228,7 @@
 		g_free(m);
 	}
 	g_ptr_array_free(s->machines, TRUE);
+	orgs_free(s->first_orgs);
 	g_ptr_array_free(s->runs, TRUE);
 	g_ptr_array_free(s->held, TRUE);
 	g_hash_table_destroy(s->done);
@@ -238,13 +247,13 @@
 }
 
 /* Puts the day's configuration in force. */
-static void sim_config_put(struct sim *s)
+void sim_config_put(struct sim *s)
 {
 	struct jtb_config *c = jtb_config_new();
 	struct pk_out o;
 	int i;
 
-	c->version = 1;
+	c->version = ++s->version;
 	c->document = g_bytes_new("x", 1);
 	for (i = 0; i <= s->config.pools; i++) {
 		struct jtb_pool *p = g_new0(struct jtb_pool, 1);
@@ -264,9 +273,16 @@
 		q->timeout_ms = 3000;
 		jtb_config_add_queue(c, q);
 	}
+	sim_orgs_put(s, c);
 	sim_batch(&o);
 	jtb_put_config(&o, c);
 	sim_apply(s, &o);
+	if (s->first_orgs) {
+		jtb_config_free(c);
+		return;
+	}
+	s->first_orgs = g_steal_pointer(&c->orgs);
+	c->orgs = orgs_new();
 	jtb_config_free(c);
 }
 
@@ -363,6 +379,12 @@
 		return;
 	known->ordered_ms = s->now;
 	known->percent = -1;
+	/* wkr_send_order: of a gang only a part may fit into its limit */
+	if (quo_is_over(known->job->use)) {
+		sim_propose(s, SIM_CMD_END, n, attempt, JTB_LOST, worker,
+			    SIM_LOG_MS);
+		return;
+	}
 	/* its worker has crashed, and nobody has noticed yet */
 	if (!sim_vm_of(s, worker))
 		return;
@@ -374,6 +396,7 @@
 		.fails = g_rand_double(s->rand) < s->config.fail,
 		.step = known->job->spec.steps[n->step],
 		.worker = g_strdup(worker),
+		.org = sim_org_of(known->job),
 	};
 	r->ends_ms = r->step.flags & JTB_LONG_RUNNING
 			     ? -1
@@ -386,7 +409,8 @@
 				&(struct sim_run){.name = *n,
 						  .attempt = attempt + 1,
 						  .step = r->step,
-						  .worker = r->worker},
+						  .worker = r->worker,
+						  .org = r->org},
 				known->job, known->worker);
 }
 
--- a/src/sim.h
+++ b/src/sim.h
@@ -28,6 +28,8 @@
 	SIM_IDLE, /* what is owed without a run for too long, with room */
 	SIM_LOST, /* a job that was accepted is gone from the table */
 	SIM_ONE, /* an order of an earlier leader after a later one's */
+	SIM_QUOTA, /* more at work for an organisation than its limit */
+	SIM_KEY, /* a removed key obeyed, or a valid one refused */
 	SIM_RULES
 };
 
@@ -56,8 +58,14 @@
 	double repeats; /* share of jobs that are repeated by the clock */
 	double cancel; /* share of jobs that are cancelled */
 	bool wave; /* half of the VMs have their upkeep */
+	int orgs; /* organisations; 0: jobs have none */
+	double org_limit; /* share of all cores that each may use */
+	int org_changes; /* of a key and of a limit, in all */
 	/* the checker is shown a fault; for its own tests */
 	bool break_rule; /* a task is started twice */
+	bool forget_usage; /* a change of leader forgets what runs for whom */
+	bool stuck_usage; /* or takes each limit for used up */
+	bool keep_keys; /* callers are judged by the first configuration */
 	bool keep_proposed; /* starts lost with a leader stay proposed */
 	int64_t no_plans_ms; /* nothing is planned any more from then on; 0 */
 	/*
--- a/src/sim_check.c
+++ b/src/sim_check.c
@@ -181,6 +181,7 @@
 		sim_broken(s, SIM_BUDGET, text);
 	if (jtb_job_ended(job))
 		sim_broken(s, SIM_UNASKED, text);
+	sim_org_check_start(s, r);
 }
 
 /* Room of a worker; less of it counts only a while after it has shrunk. */
@@ -374,7 +375,8 @@
 	jtb_name_format(n, text, sizeof(text));
 	idle = g_hash_table_lookup(s->idle, text);
 	/* the rest of a gang may run on, and a silent worker its work */
-	if (!room || !hld_is_pending(why) || why == HLD_GANG) {
+	if (!room || !hld_is_pending(why) || why == HLD_GANG ||
+	    (why == HLD_ORG_LIMIT && sim_org_may_wait(s, n))) {
 		if (idle)
 			g_hash_table_remove(s->idle, text);
 		return;
--- a/src/sim_int.h
+++ b/src/sim_int.h
@@ -64,6 +64,9 @@
 /* Worth of a job that is late, as a share of one in time. */
 #define SIM_LATE_WORTH 0.07
 #define SIM_LATE_FACTOR 3
+/* Most organisations of a day, and length of their names and keys. */
+#define SIM_ORGS_MAX 8
+#define SIM_ORG_TEXT 32
 /* The time of day at which all begins, ms since 1970. */
 #define SIM_EPOCH_MS 1000000000LL
 
@@ -78,6 +81,13 @@
 	enum jtb_end stop_how;
 	struct jtb_step step; /* its texts are not kept */
 	char *worker;
+	int org; /* -1: none */
+};
+
+struct sim_org {
+	uint64_t limit_cpu; /* while it is not low */
+	bool low;
+	uint32_t key_no;
 };
 
 struct sim_vm {
@@ -161,10 +171,24 @@
 	bool cut; /* the leader reaches nobody, and will be lost */
 	uint64_t next_id;
 	uint64_t accepted;
+	uint64_t version; /* of the configuration */
+	struct sim_org orgs[SIM_ORGS_MAX];
+	struct orgs *first_orgs; /* of the first configuration */
+	int org_changes;
 	double owed;
 	double earned;
 };
 
+void sim_config_put(struct sim *s);
+void sim_orgs_open(struct sim *s);
+void sim_orgs_put(const struct sim *s, struct jtb_config *c);
+void sim_orgs_change(struct sim *s);
+int sim_org_caller(struct sim *s);
+bool sim_org_takes(const struct sim *s, int org, const struct jtb_spec *spec);
+int sim_org_of(const struct jtb_job *job);
+void sim_org_check_start(struct sim *s, const struct sim_run *r);
+bool sim_org_may_wait(const struct sim *s, const struct jtb_name *n);
+void sim_org_fault(struct sim *s);
 void sim_batch(struct pk_out *o);
 void sim_apply(struct sim *s, struct pk_out *cmd);
 void sim_add_vm(struct sim *s, const char *pool);
--- a/src/sim_trouble.c
+++ b/src/sim_trouble.c
@@ -73,6 +73,7 @@
 	ok = jtb_restore(s->jtb, pk_out_view(&o));
 	g_assert(ok);
 	pk_out_done(&o);
+	sim_org_fault(s);
 	jtb_drop_proposals(s->jtb);
 	sim_inherit(s);
 	upk_reset(s->upk);
--- a/src/sim_world.c
+++ b/src/sim_world.c
@@ -167,6 +167,8 @@
 	struct jtb_spec spec = {.steps = steps, .n_steps = 1};
 	char queue[16];
 	char text[] = "t";
+	char name[SIM_ORG_TEXT];
+	int org = lasts ? -1 : sim_org_caller(s);
 	struct pk_out o;
 	int i;
 
@@ -196,6 +198,12 @@
 		spec.first_ms = SIM_EPOCH_MS + s->now + 500;
 		spec.every_ms = 3000;
 	}
+	if (org == -2 || !sim_org_takes(s, org, &spec))
+		return;
+	if (org >= 0) {
+		g_snprintf(name, sizeof(name), "org%d", org);
+		spec.org = name;
+	}
 	if (g_rand_double(s->rand) < s->config.crashers)
 		sim_add_crasher(s, &spec);
 	sim_batch(&o);
@@ -453,18 +461,19 @@
 	jtb_blame_clear(&b);
 }
 
-/* Notes a task that is done once that is stored; a gang's is all of it. */
+/*
+ * Notes a task that is done once its worker's word of that is stored; a gang's is
+ * all of it. The word counts also if the run had lapsed before it came.
+ */
 static void sim_done(struct sim *s, const struct sim_cmd *c)
 {
-	const struct jtb_run *run =
-		jtb_find_run(s->jtb, &c->name, c->attempt, c->worker);
 	const struct jtb_step *step;
 	struct jtb_name n = c->name;
 	char text[JTB_ID_MAX + 40];
 
-	if (!run || c->how != JTB_DONE)
+	if (c->how != JTB_DONE || !jtb_worker(s->jtb, c->worker))
 		return;
-	step = &run->job->spec.steps[c->name.step];
+	step = &jtb_job(s->jtb, n.id)->spec.steps[n.step];
 	for (n.index = 0; n.index < step->count; n.index++) {
 		if (n.index != c->name.index && !(step->flags & JTB_GANG))
 			continue;
--- a/tests/prop/sim_prop.cc
+++ b/tests/prop/sim_prop.cc
@@ -47,6 +47,18 @@
 	c.crash_ms = roll(0, 2) ? 10 : 10 * roll(1, 10);
 	c.cancel = roll(0, 3) ? share(10) : share(100);
 	c.wave = roll(0, 2);
+	c.orgs = 0;
+	return c;
+}
+
+/* The same with organisations, their keys and limits, in any number and size. */
+struct sim_config anyDayOfOrganisations()
+{
+	struct sim_config c = anyDay();
+
+	c.orgs = roll(1, 6);
+	c.org_limit = 0.05 + share(60);
+	c.org_changes = roll(0, 12);
 	return c;
 }
 
@@ -59,11 +71,12 @@
 		   "\nseed %d length %d pools %d vms %d spare %d load %.2f "
 		   "burst %.2f turn %d fail %.2f guess %.2f crashes %d "
 		   "failovers %d cancel %.2f wave %d power %d shrinks %d "
-		   "crashers %.2f crash %d",
+		   "crashers %.2f crash %d orgs %d limit %.2f changes %d",
 		   (int)c.seed, (int)c.length_ms, c.pools, c.vms, c.spare,
 		   c.load, c.burst, (int)c.turn_ms, c.fail, c.guess_off,
 		   c.crashes, c.failovers, c.cancel, c.wave, c.power, c.shrinks,
-		   c.crashers, (int)c.crash_ms);
+		   c.crashers, (int)c.crash_ms, c.orgs, c.org_limit,
+		   c.org_changes);
 	return text;
 }
 
@@ -78,5 +91,12 @@
 		if (!sim_clean(&r))
 			RC_FAIL(std::string(r.first) + said(c));
 	});
+	ok &= rc::check("no day of organisations breaks a rule", [] {
+		struct sim_config c = anyDayOfOrganisations();
+		struct sim_result r = sim_play(&c);
+
+		if (!sim_clean(&r))
+			RC_FAIL(std::string(r.first) + said(c));
+	});
 	return ok ? 0 : 1;
 }
--- a/tests/unit/sim_test.c
+++ b/tests/unit/sim_test.c
@@ -16,6 +16,16 @@
 	struct sim_config c = sim_defaults(seed);
 
 	c.length_ms = DAY_MS;
+	c.orgs = 0;
+	return c;
+}
+
+/* The same day with organisations whose keys and limits change. */
+static struct sim_config day_of_organisations(uint64_t seed)
+{
+	struct sim_config c = day(seed);
+
+	c.orgs = 4;
 	return c;
 }
 
@@ -34,6 +44,40 @@
 	}
 }
 
+/* The same where organisations wait at their limits most of the time. */
+static void no_rule_is_broken_at_usage_limits(void **state)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		struct sim_config c = day_of_organisations(seed);
+		struct sim_result r;
+
+		c.org_limit = seed % 2 ? 0.08 : 0.3;
+		c.crashers = 0.01;
+		r = sim_play(&c);
+		if (!sim_clean(&r))
+			fail_msg("seed %u: %s", (unsigned)seed, r.first);
+		assert_true(r.jobs > 100);
+	}
+}
+
+/*
+ * Guards against a task done on a worker that was cut off: the word of that comes
+ * after its run lapsed, and still counts, as does the checker's note of it.
+ */
+static void an_end_told_after_a_lapse_counts(void **state)
+{
+	struct sim_config c = day_of_organisations(4);
+	struct sim_result r;
+
+	c.crashers = 0.01;
+	c.power = 2;
+	r = sim_play(&c);
+	if (!sim_clean(&r))
+		fail_msg("%s", r.first);
+}
+
 /* A checker that sees nothing proves nothing. */
 static void the_checker_sees_a_doubled_task(void **state)
 {
@@ -124,6 +168,46 @@
 	}
 }
 
+/*
+ * Guards against work beyond a usage limit after a change of leader: the account
+ * of what runs is taken out of it.
+ */
+static void the_checker_sees_a_forgotten_account(void **state)
+{
+	struct sim_config c = day_of_organisations(1);
+	struct sim_result r;
+
+	c.org_limit = 0.08;
+	r = sim_play(&c);
+	assert_true(sim_clean(&r));
+	c.forget_usage = true;
+	r = sim_play(&c);
+	assert_true(r.broken[SIM_QUOTA] > 0);
+}
+
+/* Guards against work that waits for a limit of which hardly any is used. */
+static void the_checker_sees_work_held_below_its_limit(void **state)
+{
+	struct sim_config c = day_of_organisations(1);
+	struct sim_result r;
+
+	c.stuck_usage = true;
+	r = sim_play(&c);
+	assert_true(r.broken[SIM_IDLE] > 0);
+	assert_non_null(strstr(r.first, "organisation-limit"));
+}
+
+/* Guards against callers judged by keys that were removed since. */
+static void the_checker_sees_a_removed_key_obeyed(void **state)
+{
+	struct sim_config c = day_of_organisations(1);
+	struct sim_result r;
+
+	c.keep_keys = true;
+	r = sim_play(&c);
+	assert_true(r.broken[SIM_KEY] > 0);
+}
+
 static void a_day_is_the_same_each_time(void **state)
 {
 	struct sim_config c = day(7);
@@ -162,6 +246,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(no_rule_is_broken_on_troubled_days),
+		cmocka_unit_test(no_rule_is_broken_at_usage_limits),
+		cmocka_unit_test(an_end_told_after_a_lapse_counts),
 		cmocka_unit_test(the_checker_sees_a_doubled_task),
 		cmocka_unit_test(the_checker_sees_a_start_that_stays_proposed),
 		cmocka_unit_test(the_checker_sees_a_plan_that_isnt_made),
@@ -169,6 +255,9 @@
 			the_checker_sees_an_order_of_an_earlier_leader),
 		cmocka_unit_test(a_stop_is_known_to_the_next_leader),
 		cmocka_unit_test(tasks_that_crash_their_workers_are_given_up),
+		cmocka_unit_test(the_checker_sees_a_forgotten_account),
+		cmocka_unit_test(the_checker_sees_work_held_below_its_limit),
+		cmocka_unit_test(the_checker_sees_a_removed_key_obeyed),
 		cmocka_unit_test(a_day_is_the_same_each_time),
 		cmocka_unit_test(vms_that_follow_the_load_serve_more),
 	};
--- a/tools/endive-sim.c
+++ b/tools/endive-sim.c
@@ -47,6 +47,8 @@
 	long long days = 0;
 	long long load = 45;
 	long long burst = 4;
+	long long orgs = 4;
+	long long org_limit = 30;
 	const struct set_def defs[] = {
 		{"seed", SET_INT, &seed, "1", 0, 1000000000, NULL,
 		 "Of the first day"},
@@ -56,6 +58,10 @@
 		 "Mean demand, percent of a pool's cores"},
 		{"burst", SET_INT, &burst, "4", 1, 100, NULL,
 		 "Demand in a pool's turn, times the mean"},
+		{"organisations", SET_INT, &orgs, "4", 0, 8, NULL,
+		 "Organisations that hand jobs in"},
+		{"limit", SET_INT, &org_limit, "30", 1, 100, NULL,
+		 "Of each of these, percent of all cores"},
 	};
 	int rc = set_parse("endive-sim",
 			   "Plays days of an emulated fleet in virtual time.",
@@ -66,6 +72,8 @@
 	c.seed = (uint64_t)seed;
 	c.load = (double)load / 100;
 	c.burst = (double)burst;
+	c.orgs = (int)orgs;
+	c.org_limit = (double)org_limit / 100;
 	if (days)
 		return sim_seeds(&c, days);
 	product = sim_play(&c);
