cli_orgs, hub_take: formatter and linter clean

What lint said: a table not laid out by the formatter, and an organisation that the analyzer could take for missing in hub_refuse_too_large. Without an organisation the loop was always passed over; now the condition says so. No other change.

--- a/src/cli_orgs.c
+++ b/src/cli_orgs.c
@@ -17,16 +17,11 @@
 	const char *column;
 	const char *metric;
 } orgs_columns[] = {
-	{"cores", "cores"},
-	{"of", "cores_max"},
-	{"most", "cores_peak"},
-	{"memory_mb", "memory_mb"},
-	{"of_mb", "memory_mb_max"},
-	{"gpus", "gpus"},
-	{"of_gpus", "gpus_max"},
-	{"runs", "runs"},
-	{"waiting", "waiting_tasks"},
-	{"at_limit", "limited_tasks"},
+	{"cores", "cores"},	      {"of", "cores_max"},
+	{"most", "cores_peak"},	      {"memory_mb", "memory_mb"},
+	{"of_mb", "memory_mb_max"},   {"gpus", "gpus"},
+	{"of_gpus", "gpus_max"},      {"runs", "runs"},
+	{"waiting", "waiting_tasks"}, {"at_limit", "limited_tasks"},
 	{"refused", "refused_total"},
 };
 
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -67,7 +67,7 @@
 		spec->org ? orgs_by_name(config->orgs, spec->org) : NULL;
 	uint32_t i;
 
-	for (i = 0; i < spec->n_steps; i++) {
+	for (i = 0; o && i < spec->n_steps; i++) {
 		const struct jtb_step *s = &spec->steps[i];
 		struct org_amount amount = jtb_step_amount(s);
 		uint32_t n = s->flags & JTB_GANG ? s->count : 1;
