sto_folder: after a cut, write where the file ends, not behind a hole

Seen: control_test's voter with a full disk, given room again, acknowledged records, and at its next start read them as torn: `msg=folder-open cut=63536`. What a voter had promised after a partly written batch was lost by a restart.

Cause: sto_folder_truncate() cuts the file with ftruncate, which leaves the descriptor's offset where the torn write ended. The next append then began behind a hole of zeros, which a start reads as a torn end and cuts off, with all behind it. Ruled out: a record written twice, and a lost fsync (the bytes were in the file, behind the hole).

Change: seek to the new end after the cut, and fail the call if that fails. sto_test has the case on a real file.

control_test demanded until now that a full disk ends a voter with folder-failed, at a start as well. Its replacement is as strict: the voter logs disk-full once, stays, takes no part while the others go on, catches up once there is room, logs no start while it waits for one, and its last start cuts nothing.

--- a/src/sto_folder.c
+++ b/src/sto_folder.c
@@ -94,9 +94,15 @@
 	return fdatasync(fd);
 }
 
+/*
+ * Cuts a file off, and continues to write at its end: written at the old place,
+ * the next bytes would follow a hole, and be read as torn.
+ */
 static int sto_folder_truncate(void *arg, int fd, uint64_t len)
 {
-	return ftruncate(fd, (off_t)len);
+	if (ftruncate(fd, (off_t)len) != 0)
+		return -1;
+	return lseek(fd, (off_t)len, SEEK_SET) == (off_t)len ? 0 : -1;
 }
 
 static int sto_folder_close(void *arg, int fd)
--- a/tests/system/control_test.sh
+++ b/tests/system/control_test.sh
@@ -31,7 +31,7 @@
 	i=$(($(printf %d "'$node") - 97))
 	mkdir -p "$dir/$node"
 	(
-		ulimit -f "${FILES:-unlimited}"
+		ulimit -S -f "${FILES:-unlimited}"
 		exec "$bin/endive-controld" --node "$node" --zone "z$i" \
 			--listen "127.0.0.1:$((port + i))" \
 			--http "127.0.0.1:$((port + 10 + i))" \
@@ -156,40 +156,57 @@
 	fail "a second fleet was created"
 submit --count 10 --prefix replaced || fail "commands after the replacement"
 
-# Guards against a voter that continues with a full disk: it must log the
-# failure and stop, and the others must continue.
+# Guards against a voter that a full disk ends, or that takes part with one: it
+# must say so once, stay, and acknowledge nothing until there is space, and the
+# others must continue.
 l=$(leader)
 for n in a b c; do
 	[ $n != "$l" ] && full=$n
 done
-restart_once() {
-	start "$full"
-	wait_for "a voter whose disk was full has not caught up" caught_up "$full"
-	kill -TERM "$(pid "$full")"
-	wait "$(pid "$full")" 2>/dev/null
+
+# make_room NODE: lifts the limit on the size of its files.
+make_room() {
+	prlimit --pid "$(pid "$1")" --fsize=unlimited: ||
+		fail "prlimit $1"
+}
+
+# logged NODE MESSAGE COUNT: whether its log has that message so often.
+logged() {
+	[ "$(grep -c "msg=$2 " "$dir/$1.log")" = "$3" ]
 }
+
 kill -TERM "$(pid "$full")"
 wait "$(pid "$full")" 2>/dev/null
 # After this restart the newest log, which a start rewrites, is small.
-restart_once
+start "$full"
+wait_for "a voter whose disk was full has not caught up" caught_up "$full"
+kill -TERM "$(pid "$full")"
+wait "$(pid "$full")" 2>/dev/null
 FILES=32 start "$full"
 submit --count 500 --prefix full --window 16 || fail "commands beside a full disk"
-wait "$(pid "$full")"
-[ $? = 1 ] || fail "a voter with a full disk did not stop"
-grep -q msg=folder-failed "$dir/$full.log" || fail "a full disk is not logged"
+wait_for "a full disk is not logged" logged "$full" disk-full 1
+submit --count 10 --prefix beside || fail "commands after a disk was full"
+caught_up "$full" && fail "a voter with a full disk took part"
+kill -0 "$(pid "$full")" || fail "a full disk ended a voter"
+make_room "$full"
+wait_for "a voter whose disk was full has not caught up" caught_up "$full"
+logged "$full" disk-has-space 1 || fail "space is not logged"
+logged "$full" disk-full 1 || fail "a full disk is logged more than once"
 
 # Guards against the same when the disk has no space for the start.
-restart_once
+kill -TERM "$(pid "$full")"
+wait "$(pid "$full")" 2>/dev/null
 starts=$(grep -c msg=start "$dir/$full.log")
 FILES=32 start "$full"
-wait "$(pid "$full")"
-[ $? = 1 ] || fail "a start without disk space did not fail"
+wait_for "a start without disk space is not logged" logged "$full" disk-full 2
+kill -0 "$(pid "$full")" || fail "a start without disk space ended"
 [ "$(grep -c msg=start "$dir/$full.log")" = "$starts" ] ||
 	fail "a start without disk space was logged as a start"
-[ "$(grep -c msg=folder-failed "$dir/$full.log")" = 2 ] ||
-	fail "a start without disk space is not logged"
-start "$full"
+make_room "$full"
 wait_for "a voter whose disk was full has not caught up" caught_up "$full"
+logged "$full" disk-full 2 || fail "a start without disk space is logged more than once"
+grep msg=folder-open "$dir/$full.log" | tail -1 | grep -q ' cut=0 ' ||
+	fail "records after a full disk were read as torn"
 
 # Guards against a planned stop of the leader that leaves no leader.
 l=$(leader)
--- a/tests/unit/sto_test.c
+++ b/tests/unit/sto_test.c
@@ -966,6 +966,53 @@
 	disk_free(d);
 }
 
+/*
+ * Guards against entries that are acknowledged behind a hole: a real file took a
+ * part of the refused records, and what follows must be where these were.
+ */
+static void a_torn_write_leaves_no_hole_in_a_real_file(void **state)
+{
+	char *path = g_dir_make_tmp("endive-sto-XXXXXX", NULL);
+	struct sto_io *io = sto_folder_new(path, NULL);
+	struct acknowledged p = {0};
+	struct rlimit limit;
+	struct sto_loaded l;
+	struct sto *s = sto_open(io, "n", 7, &l, NULL);
+	char **names;
+	int i;
+
+	assert_non_null(s);
+	sto_loaded_clear(&l);
+	signal(SIGXFSZ, SIG_IGN);
+	getrlimit(RLIMIT_FSIZE, &limit);
+	assert_true(store_vote(s, &p, 1));
+	limit.rlim_cur = 1000;
+	setrlimit(RLIMIT_FSIZE, &limit);
+	while (store_entry(s, &p))
+		;
+	assert_true(sto_is_full(s));
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_FSIZE, &limit);
+	assert_true(sto_resume(s));
+	for (i = 0; i < 5; i++)
+		assert_true(store_entry(s, &p));
+	sto_free(s);
+	s = sto_open(io, "n", 8, &l, NULL);
+	assert_non_null(s);
+	assert_null(l.damage);
+	assert_int_equal(l.torn_bytes, 0);
+	assert_int_equal(l.entries->len, p.last);
+	sto_loaded_clear(&l);
+	sto_free(s);
+	names = io->list(io->arg);
+	for (i = 0; names[i]; i++)
+		io->remove(io->arg, names[i]);
+	g_strfreev(names);
+	sto_folder_free(io);
+	rmdir(path);
+	g_free(path);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -982,6 +1029,7 @@
 		cmocka_unit_test(a_full_disk_refuses_and_goes_on),
 		cmocka_unit_test(a_snapshot_without_space_is_left_out),
 		cmocka_unit_test(a_start_on_a_full_disk_can_be_repeated),
+		cmocka_unit_test(a_torn_write_leaves_no_hole_in_a_real_file),
 	};
 
 	return cmocka_run_group_tests_name("sto", tests, NULL, NULL);
