--- a/src/gat_call.c
+++ b/src/gat_call.c
@@ -66,8 +66,8 @@
 
 /*
  * Returns the header with the caller's key, or "". Several such headers are
- * joined by a newline, which none can hold: which of them counts is not for this
- * daemon to choose, and the leader refuses the call as malformed.
+ * joined by a newline, which no key can hold: a proxy before this daemon may
+ * have checked another of them than the leader would.
  */
 static char *gat_credentials(const struct gat *g, const struct srv_req *r)
 {
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -52,7 +52,7 @@
 	[HUB_KEYS_REFUSED] = {"endive_keys_refused_total", "counter",
 			      "Calls refused for their key"},
 	[HUB_NEVER_FIT] = {"endive_jobs_over_limit_total", "counter",
-			   "Jobs refused, as no limit would let them run"},
+			   "Jobs refused, as a limit would never let them run"},
 	[HUB_DIRECT_STARTS] =
 		{"endive_starts_direct_total", "counter",
 		 "Runs first ordered without a relay, where relays are used"},
--- a/src/quo.c
+++ b/src/quo.c
@@ -40,24 +40,27 @@
 	[QUO_CORES] = {"endive_organisation_cores", "gauge",
 		       "Cores of an organisation's runs"},
 	[QUO_CORES_MAX] = {"endive_organisation_cores_max", "gauge",
-			   "Its limit of these; 0: none"},
+			   "Limit of an organisation's cores; 0: none"},
 	[QUO_CORES_PEAK] = {"endive_organisation_cores_peak", "gauge",
-			    "Most of these at a time since the start"},
+			    "Most cores of an organisation's runs at a time"},
 	[QUO_MEMORY] = {"endive_organisation_memory_mb", "gauge",
-			"Memory of its runs, MB"},
+			"Memory of an organisation's runs, MB"},
 	[QUO_MEMORY_MAX] = {"endive_organisation_memory_mb_max", "gauge",
-			    "Its limit of these; 0: none"},
-	[QUO_GPUS] = {"endive_organisation_gpus", "gauge", "GPUs of its runs"},
+			    "Limit of an organisation's memory, MB; 0: none"},
+	[QUO_GPUS] = {"endive_organisation_gpus", "gauge",
+		      "GPUs of an organisation's runs"},
 	[QUO_GPUS_MAX] = {"endive_organisation_gpus_max", "gauge",
-			  "Its limit of these; 0: none"},
-	[QUO_RUNS] = {"endive_organisation_runs", "gauge", "Its runs"},
-	[QUO_WAITING] = {"endive_organisation_waiting_tasks", "gauge",
-			 "Its tasks that are due and do not run"},
+			  "Limit of an organisation's GPUs; 0: none"},
+	[QUO_RUNS] = {"endive_organisation_runs", "gauge",
+		      "Runs of an organisation"},
+	[QUO_WAITING] =
+		{"endive_organisation_waiting_tasks", "gauge",
+		 "Tasks of an organisation that are due and do not run"},
 	[QUO_AT_LIMIT] = {"endive_organisation_limited_tasks", "gauge",
-			  "Of these, tasks that wait for its limit"},
+			  "Tasks of an organisation that wait for its limit"},
 	[QUO_REFUSED] = {"endive_organisation_refused_total", "counter",
-			 "Its jobs refused, as its limit would never let them "
-			 "run"},
+			 "Jobs of an organisation refused, as its limit would "
+			 "never let them run"},
 };
 
 static void quo_append_label(GString *out, const char *name);
@@ -301,7 +304,7 @@
 	return !u || !u->org || quo_fits(u->org, &u->running, each, 1);
 }
 
-/* Whether more runs than the limit allows, since it was lowered. */
+/* Whether more is running than the limit allows, since it was lowered. */
 bool quo_is_over(const struct quo_use *u)
 {
 	static const struct org_amount nothing;
--- a/src/quo.h
+++ b/src/quo.h
@@ -8,18 +8,18 @@
 /* What runs for one organisation. */
 struct quo_use {
 	char *name;
-	/* in the configuration in force; NULL: not there, nothing is limited */
+	/* its entry in the configuration in force; NULL: it has no limit */
 	const struct org *org;
-	struct org_amount running; /* of runs until their end is committed */
+	struct org_amount running; /* runs whose end is not committed */
 	struct org_amount proposed; /* leader's: starts not yet committed */
 	double planned_cores; /* leader's: of its jobs, in the present measurement */
 	uint32_t runs;
 	uint64_t peak_cpu; /* most that has run at a time since the start */
 	/* leader's: tasks that are due and do not run, as of the last scan */
 	uint64_t waiting;
-	uint64_t at_limit; /* of these, for the limit alone */
-	uint64_t
-		refused; /* leader's: jobs that the limit would never let run */
+	uint64_t at_limit; /* waiting tasks that only the limit keeps */
+	/* leader's: jobs that the limit would never let run */
+	uint64_t refused;
 };
 
 struct quo;
--- a/src/sim.h
+++ b/src/sim.h
@@ -60,11 +60,11 @@
 	bool wave; /* half of the VMs have their upkeep */
 	int orgs; /* organisations; 0: jobs have none */
 	double org_limit; /* share of all cores that each may use */
-	int org_changes; /* of a key and of a limit, in all */
+	int org_changes; /* how often a key and a limit change */
 	/* the checker is shown a fault; for its own tests */
 	bool break_rule; /* a task is started twice */
 	bool forget_usage; /* a change of leader forgets what runs for whom */
-	bool stuck_usage; /* or takes each limit for used up */
+	bool stuck_usage; /* a change of leader takes each limit for used up */
 	bool keep_keys; /* callers are judged by the first configuration */
 	bool keep_proposed; /* starts lost with a leader stay proposed */
 	int64_t no_plans_ms; /* nothing is planned any more from then on; 0 */
--- a/src/sim_org.c
+++ b/src/sim_org.c
@@ -64,8 +64,8 @@
 }
 
 /*
- * Which organisation hands the next job in: -1, none, or -2, nobody does, as its
- * key was refused. Some callers haven't heard of their new key yet.
+ * Returns the organisation that submits the next job; -1: the job has none; -2:
+ * its key was refused. Some callers still present the key that was replaced.
  */
 int sim_org_caller(struct sim *s)
 {
--- a/src/sim_world.c
+++ b/src/sim_world.c
@@ -462,8 +462,8 @@
 }
 
 /*
- * Notes a task that is done once its worker's word of that is stored; a gang's is
- * all of it. The word counts also if the run had lapsed before it came.
+ * Notes a task as done once its worker's report of that is stored; one task of a
+ * gang stands for all. The report counts also if the run had lapsed before it.
  */
 static void sim_done(struct sim *s, const struct sim_cmd *c)
 {
--- a/src/vot.c
+++ b/src/vot.c
@@ -49,7 +49,8 @@
 			GError **err);
 static void vot_apply(struct vot *v, const struct cns_entry *e);
 static void vot_snapshot(struct vot *v);
-static void vot_log_full(const struct vot *v, const GError *why);
+static void vot_log_full(const struct vot *v, const GError *why,
+			 const char *does);
 static void vot_log_failure(const struct vot *v, const GError *why);
 static void vot_fail(struct vot *v, GError *why);
 
@@ -153,15 +154,15 @@
 	if (!v->full) {
 		v->full = true;
 		v->full_since_us = now;
-		vot_log_full(v, why);
+		vot_log_full(v, why, "wait");
 		v->ops->full(v->arg, true);
 	}
 	g_error_free(why);
 }
 
 /*
- * The disk has space again. A voter that led gives up leadership: its owner has
- * done without it, and only an election tells whether another voter leads.
+ * The disk has space again. A voter that led resigns: its owner has acted as a
+ * follower meanwhile, and only an election tells whether another voter leads.
  */
 static void vot_go_on(struct vot *v)
 {
@@ -382,7 +383,7 @@
 			  &err)) {
 		/* without space the log stays whole, and the next one may fit */
 		if (sto_is_full(v->sto) && sto_resume(v->sto))
-			vot_log_full(v, err);
+			vot_log_full(v, err, "keep-log");
 		else
 			vot_fail(v, g_steal_pointer(&err));
 		g_clear_error(&err);
@@ -390,11 +391,12 @@
 	g_bytes_unref(data);
 }
 
-/* Logs that the disk has no space. */
-static void vot_log_full(const struct vot *v, const GError *why)
+/* Logs that the disk has no space, and what the voter does about it. */
+static void vot_log_full(const struct vot *v, const GError *why,
+			 const char *does)
 {
-	msg(MSG_STO_FULL, "node=%s why=\"%s\" does=wait", v->config.node,
-	    why->message);
+	msg(MSG_STO_FULL, "node=%s why=\"%s\" does=%s", v->config.node,
+	    why->message, does);
 }
 
 /*
--- a/tests/unit/gat_test.c
+++ b/tests/unit/gat_test.c
@@ -405,10 +405,7 @@
 	return fd;
 }
 
-/*
- * Guards against a request obeyed for the one key that another parser would
- * not have chosen: two headers reach the leader as one that no key can match.
- */
+/* Guards against a request with two keys being obeyed for either of them. */
 static void doubled_key_header_is_no_key(void **state)
 {
 	struct fixture *f = *state;
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -1229,8 +1229,8 @@
 }
 
 /*
- * Guards against one organisation's burst taking a pool from the others: its
- * jobs come last and would go first, and wait at its limit instead.
+ * Guards against one organisation's burst taking a pool from the others beyond
+ * its limit.
  */
 static void burst_beyond_a_limit_delays_no_other_organisation(void **state)
 {
@@ -1274,8 +1274,8 @@
 }
 
 /*
- * Guards against work that waits for ever beside a free pool: what a lost
- * worker ran no longer counts once it is over.
+ * Guards against work that waits for ever beside a free pool, since a run that
+ * was lost still counts against the limit.
  */
 static void work_starts_as_soon_as_its_limit_has_room(void **state)
 {
--- a/tests/unit/sim_test.c
+++ b/tests/unit/sim_test.c
@@ -63,8 +63,8 @@
 }
 
 /*
- * Guards against a task done on a worker that was cut off: the word of that comes
- * after its run lapsed, and still counts, as does the checker's note of it.
+ * Guards against a checker that takes a task for owed though its worker, cut off
+ * until the run had lapsed, reported it done.
  */
 static void an_end_told_after_a_lapse_counts(void **state)
 {
@@ -169,8 +169,8 @@
 }
 
 /*
- * Guards against work beyond a usage limit after a change of leader: the account
- * of what runs is taken out of it.
+ * Guards against a checker that misses work beyond a usage limit after a change
+ * of leader that forgot what runs.
  */
 static void the_checker_sees_a_forgotten_account(void **state)
 {
@@ -185,7 +185,7 @@
 	assert_true(r.broken[SIM_QUOTA] > 0);
 }
 
-/* Guards against work that waits for a limit of which hardly any is used. */
+/* Guards against a checker that misses work held by a limit hardly used. */
 static void the_checker_sees_work_held_below_its_limit(void **state)
 {
 	struct sim_config c = day_of_organisations(1);
@@ -197,7 +197,7 @@
 	assert_non_null(strstr(r.first, "organisation-limit"));
 }
 
-/* Guards against callers judged by keys that were removed since. */
+/* Guards against a checker that misses a removed key that is obeyed. */
 static void the_checker_sees_a_removed_key_obeyed(void **state)
 {
 	struct sim_config c = day_of_organisations(1);
