jtb: which step a limit never lets run is decided apart from the answer

hub_refuse_too_large() decided, counted, logged and answered in one loop, the emulator repeated the loop, and no test failed when the refusal was taken out. The decision is jtb_oversized_step() now, with a unit test of each part of a limit and of gangs, used by both; keys_test submits a job beyond a limit of 1 and wants its refusal in the metric and in the log, and looks for keys in metrics too. Answers are the same as before.

--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -65,36 +65,27 @@
 	const struct jtb_config *config = jtb_config(h->jtb);
 	const struct org *o =
 		spec->org ? orgs_by_name(config->orgs, spec->org) : NULL;
-	uint32_t i;
-
-	for (i = 0; o && i < spec->n_steps; i++) {
-		const struct jtb_step *s = &spec->steps[i];
-		struct org_amount amount = jtb_step_amount(s);
-		uint32_t n = s->flags & JTB_GANG ? s->count : 1;
-		char text[160];
-
-		if (quo_ever_fits(o, &amount, n))
-			continue;
-		h->counts[HUB_NEVER_FIT]++;
-		quo_use(jtb_usage(h->jtb), o->name)->refused++;
-		g_snprintf(text, sizeof(text),
-			   "step %u needs more at a time than the limit of its "
-			   "organisation in configuration %" PRIu64 "\n",
-			   i, config->version);
-		msg_job_fails(MSG_HUB_NEVER_FITS, spec->id,
-			      "job=%s queue=%s organisation=\"%s\" step=%u "
-			      "config=%" PRIu64,
-			      spec->id, spec->queue, o->name, i,
-			      config->version);
-		hub_answer(h, c,
-			   &(struct hub_answer){
-				   .status = 429,
-				   .retry_after_s = HUB_NEVER_FITS_RETRY_S,
-				   .type = "text/plain; charset=utf-8",
-				   .body = lstr_from(text)});
-		return true;
-	}
-	return false;
+	int step = jtb_oversized_step(spec, o);
+	char text[160];
+
+	if (step < 0)
+		return false;
+	h->counts[HUB_NEVER_FIT]++;
+	quo_use(jtb_usage(h->jtb), o->name)->refused++;
+	g_snprintf(text, sizeof(text),
+		   "step %d needs more at a time than the limit of its "
+		   "organisation in configuration %" PRIu64 "\n",
+		   step, config->version);
+	msg_job_fails(MSG_HUB_NEVER_FITS, spec->id,
+		      "job=%s queue=%s organisation=\"%s\" step=%d "
+		      "config=%" PRIu64,
+		      spec->id, spec->queue, o->name, step, config->version);
+	hub_answer(h, c,
+		   &(struct hub_answer){.status = 429,
+					.retry_after_s = HUB_NEVER_FITS_RETRY_S,
+					.type = "text/plain; charset=utf-8",
+					.body = lstr_from(text)});
+	return true;
 }
 
 /*
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -258,6 +258,25 @@
 	};
 }
 
+/*
+ * Returns the number of the first step of a job that could never run within the
+ * limit of an organisation, or -1; o is NULL for work of no organisation.
+ */
+int jtb_oversized_step(const struct jtb_spec *spec, const struct org *o)
+{
+	uint32_t i;
+
+	for (i = 0; i < spec->n_steps; i++) {
+		const struct jtb_step *s = &spec->steps[i];
+		struct org_amount amount = jtb_step_amount(s);
+
+		if (!quo_ever_fits(o, &amount,
+				   s->flags & JTB_GANG ? s->count : 1))
+			return (int)i;
+	}
+	return -1;
+}
+
 /* Whether a worker's runs exceed its capacity, since that was reduced. */
 bool jtb_is_overcommitted(const struct jtb_worker *w)
 {
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -359,6 +359,7 @@
 bool jtb_run_is_stopping(const struct jtb_run *run);
 bool jtb_fits(const struct jtb_worker *w, const struct jtb_step *s);
 struct org_amount jtb_step_amount(const struct jtb_step *s);
+int jtb_oversized_step(const struct jtb_spec *spec, const struct org *o);
 bool jtb_is_overcommitted(const struct jtb_worker *w);
 bool jtb_may_forget(struct jtb_job *job, int64_t now_ms, int64_t retention_ms);
 int64_t jtb_turn_due(const struct jtb_job *job, uint32_t turn);
--- a/src/sim_org.c
+++ b/src/sim_org.c
@@ -94,21 +94,12 @@
 bool sim_org_takes(const struct sim *s, int org, const struct jtb_spec *spec)
 {
 	char name[SIM_ORG_TEXT];
-	uint32_t i;
 
 	if (org < 0)
 		return true;
 	g_snprintf(name, sizeof(name), "org%d", org);
-	for (i = 0; i < spec->n_steps; i++) {
-		const struct jtb_step *step = &spec->steps[i];
-		struct org_amount amount = jtb_step_amount(step);
-
-		if (!quo_ever_fits(orgs_by_name(jtb_config(s->jtb)->orgs, name),
-				   &amount,
-				   step->flags & JTB_GANG ? step->count : 1))
-			return false;
-	}
-	return true;
+	return jtb_oversized_step(spec, orgs_by_name(jtb_config(s->jtb)->orgs,
+						     name)) < 0;
 }
 
 /* Returns the number of a job's organisation; -1: it has none. */
--- a/tests/system/keys_test.sh
+++ b/tests/system/keys_test.sh
@@ -95,9 +95,21 @@
 expect 401 GET /p/ "Authorization: Token key-of-big"
 expect 200 GET /p/ "Authorization: Token new-key-of-big"
 
-# Keys appear in no log, and a refused one is told by its digest.
-grep -l -e key-of-big -e key-of-small -e key-of-nobody "$tmp"/*.log &&
-	fail "a key is in a log"
+# A job that its organisation's limit would never let run is refused at once.
+apply 5 big:new-key-of-big:2000,small:key-of-small:0,tiny:key-of-tiny:1
+"$BIN/endive-job" --to "$entries" --key key-of-tiny --jobs 1 --first 4000 \
+	--seconds 3 >"$tmp/tiny" 2>&1 && fail "a job beyond its limit was completed"
+leader=$(jobs_leader) || fail "no leader"
+curl -s "http://127.0.0.$leader:$metrics/metrics" >"$tmp/metrics"
+grep -q '^endive_organisation_refused_total{organisation="tiny"} [1-9]' \
+	"$tmp/metrics" || fail "no refused job of tiny in the metrics"
+grep -q 'msg=job-over-limit .*organisation="tiny"' "$tmp/c$leader.log" ||
+	fail "no line on a job beyond its limit"
+
+# Keys appear in no log and no metric, and a refused one is told by its digest.
+grep -l -e key-of-big -e key-of-small -e key-of-nobody -e key-of-tiny \
+	"$tmp"/*.log "$tmp/metrics" &&
+	fail "a key is in a log or a metric"
 grep -q 'msg=key-refused why=unknown-key key=[0-9a-f]\{16\} queue=' \
 	"$tmp"/c*.log || fail "no line on a refused key"
 echo "keys: refused and obeyed as configured, limits kept"
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -863,6 +863,35 @@
 	assert_int_equal(jtb_job(t, "a")->n_runs, 2);
 }
 
+/*
+ * Guards against jobs accepted that could never run within their organisation's
+ * limit, and against jobs refused that could.
+ */
+static void step_larger_than_its_limit_is_found(void **state)
+{
+	struct jtb_step steps[] = {
+		{.count = 9, .cpu = 1000},
+		{.count = 3, .cpu = 1000, .flags = JTB_GANG},
+		{.count = 1, .cpu = 4000, .mem_mb = 70},
+	};
+	struct jtb_spec spec = {.steps = steps, .n_steps = 3};
+	struct org *org = org_new("org");
+
+	assert_int_equal(jtb_oversized_step(&spec, NULL), -1);
+	assert_int_equal(jtb_oversized_step(&spec, org), -1);
+	org->limit.cpu = 4000;
+	assert_int_equal(jtb_oversized_step(&spec, org), -1);
+	org->limit.cpu = 3000;
+	assert_int_equal(jtb_oversized_step(&spec, org), 2);
+	org->limit.cpu = 2999;
+	assert_int_equal(jtb_oversized_step(&spec, org), 1);
+	org->limit.cpu = 999;
+	assert_int_equal(jtb_oversized_step(&spec, org), 0);
+	org->limit = (struct org_amount){.mem_mb = 69};
+	assert_int_equal(jtb_oversized_step(&spec, org), 2);
+	org_free(org);
+}
+
 /*
  * Guards against data folders of earlier versions that can't be read, and
  * against their queues asking for keys that nobody has.
@@ -977,6 +1006,7 @@
 		T(start_beyond_the_limit_is_not_committed),
 		T(usage_survives_a_snapshot),
 		T(lowered_limit_stops_nothing_and_starts_nothing),
+		T(step_larger_than_its_limit_is_found),
 		T(configuration_without_organisations_is_read),
 	};
 
