--- a/tests/unit/plt_test.c
+++ b/tests/unit/plt_test.c
@@ -315,6 +315,62 @@
 	}
 }
 
+/*
+ * Guards against a call obeyed without a valid key, and against a job shown to
+ * another organisation than its own.
+ */
+static void calls_are_judged_by_their_keys(void **state)
+{
+	struct jtb_config *c = read_config(
+		KEYED("{name=a,api-keys=[ka]},{name=b,api-keys=[kb]}"));
+	char closed[] = "r";
+	char open[] = "o";
+	char a[] = "a";
+	struct jtb_job of_a = {.spec = {.queue = closed, .org = a}};
+	struct jtb_job open_of_a = {.spec = {.queue = open, .org = a}};
+	struct jtb_job of_none = {.spec = {.queue = closed}};
+	const struct {
+		const char *queue;
+		const struct jtb_job *job;
+		const char *header;
+		enum hub_key_fault why;
+		const char *org;
+	} cases[] = {
+		{"r", NULL, "Token ka", HUB_KEY_VALID, "a"},
+		{"r", NULL, "Token kc", HUB_KEY_UNKNOWN, NULL},
+		{"r", NULL, "", HUB_KEY_MISSING, NULL},
+		{"r", NULL, "Bearer ka", HUB_KEY_MALFORMED, NULL},
+		{"r", &of_a, "Token ka", HUB_KEY_VALID, "a"},
+		{"r", &of_a, "Token kb", HUB_KEY_OF_OTHER, "b"},
+		{"r", &of_a, "Token kc", HUB_KEY_UNKNOWN, NULL},
+		{"r", &of_none, "Token kb", HUB_KEY_VALID, "b"},
+		{"r", &open_of_a, "Token kb", HUB_KEY_VALID, "b"},
+		{"r", &open_of_a, "", HUB_KEY_MISSING, NULL},
+		{"o", NULL, "", HUB_KEY_VALID, NULL},
+		{"o", NULL, "Token kc", HUB_KEY_VALID, NULL},
+		{"o", &open_of_a, "", HUB_KEY_VALID, NULL},
+		{"o", &of_a, "", HUB_KEY_MISSING, NULL},
+		{"o", &of_a, "Token kb", HUB_KEY_OF_OTHER, "b"},
+		{"o", &of_a, "Token ka", HUB_KEY_VALID, "a"},
+	};
+	size_t i;
+
+	assert_non_null(c);
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct org *org;
+		struct lstr key;
+
+		assert_int_equal(
+			plt_judge(c, jtb_queue(c, cases[i].queue), cases[i].job,
+				  lstr_from(cases[i].header), &key, &org),
+			cases[i].why);
+		assert_true((org != NULL) == (cases[i].org != NULL));
+		if (org)
+			assert_string_equal(org->name, cases[i].org);
+	}
+	jtb_config_free(c);
+}
+
 static bool read_job(const char *text, struct jtb_spec *out)
 {
 	GBytes *b = doc(text);
@@ -625,6 +681,7 @@
 		cmocka_unit_test(queues_stay_closed_without_any_key),
 		cmocka_unit_test(what_is_wrong_with_organisations),
 		cmocka_unit_test(a_callers_key_is_read),
+		cmocka_unit_test(calls_are_judged_by_their_keys),
 	};
 
 	return cmocka_run_group_tests_name("plt", tests, NULL, NULL);
