--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -65,7 +65,7 @@
 	const struct jtb_config *config = jtb_config(h->jtb);
 	const struct org *o =
 		spec->org ? orgs_by_name(config->orgs, spec->org) : NULL;
-	int step = jtb_oversized_step(spec, o);
+	int step = o ? jtb_oversized_step(spec, o) : -1;
 	char text[160];
 
 	if (step < 0)
