Tests of limits and full disks; the emulator knows what really waits for a limit

New cases: waiting work counts for its own organisation, metrics escape names and are bounded, a leader whose disk was full is elected anew, a step at its limit keeps no room from others, a follower's full disk. The emulator's check is stricter: a task may wait for its limit only if it doesn't fit beside the table's runs and proposed starts.

--- a/src/sim_org.c
+++ b/src/sim_org.c
@@ -11,6 +11,7 @@
 
 static void sim_org_key(int org, uint32_t no, char out[SIM_ORG_TEXT]);
 static uint64_t sim_org_runs(const struct sim *s, int org);
+static uint64_t sim_org_listed(const struct sim *s, int org);
 static struct quo_use *sim_org_use(const struct sim *s, int org);
 
 /* Gives each organisation its first key and its limit. */
@@ -144,8 +145,32 @@
 }
 
 /*
- * Whether a job may wait for its organisation's limit: where less than half of it
- * is at work, only what doesn't fit beside that.
+ * What the table's runs of an organisation and its proposed starts need,
+ * thousandths of a core.
+ */
+static uint64_t sim_org_listed(const struct sim *s, int org)
+{
+	GHashTableIter it;
+	struct jtb_worker *w;
+	uint64_t cpu = sim_org_use(s, org)->proposed.cpu;
+	guint i;
+
+	g_hash_table_iter_init(&it, jtb_workers(s->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		for (i = 0; i < w->runs->len; i++) {
+			const struct jtb_run *r = g_ptr_array_index(w->runs, i);
+
+			if (sim_org_of(r->job) == org)
+				cpu += r->job->spec.steps[r->step].cpu;
+		}
+	return cpu;
+}
+
+/*
+ * Whether a job may wait for its organisation's limit: only if it doesn't fit
+ * beside the table's runs and proposed starts, which hold those on silent
+ * workers too; and where less than half of the limit is at work, only if it
+ * doesn't fit beside that.
  */
 bool sim_org_may_wait(const struct sim *s, const struct jtb_name *n)
 {
@@ -159,7 +184,9 @@
 
 	if (!u || !u->org)
 		return false;
-	return 2 * runs >= u->org->limit.cpu || runs + need > u->org->limit.cpu;
+	return sim_org_listed(s, org) + need > u->org->limit.cpu &&
+	       (2 * runs >= u->org->limit.cpu ||
+		runs + need > u->org->limit.cpu);
 }
 
 /* Shows the checker a fault of the account, if the day has one. */
--- a/tests/system/disk_test.sh
+++ b/tests/system/disk_test.sh
@@ -56,6 +56,20 @@
 	first=$((first + 1000))
 done
 
+# A follower's disk is full: the others go on, and it follows again.
+start_load $first
+for n in 1 2 3; do
+	[ "$n" != "$(leading)" ] && full=$n
+done
+file_limit "c$full" 0
+wait_full "$full" 1
+wait $load || { cat "$tmp/out"; fail "jobs beside a full disk of a follower"; }
+done_once
+kill -0 "$(jobs_pid "c$full")" || fail "follower c$full ended"
+file_limit "c$full" unlimited
+wait_full "$full" 0
+first=$((first + 1000))
+
 # Started on a full disk a daemon waits, and joins once there is space.
 full=$(leading)
 kill -9 "$(jobs_pid "c$full")"
--- a/tests/unit/hld_test.c
+++ b/tests/unit/hld_test.c
@@ -393,6 +393,27 @@
 	assert_int_equal(reason_of(f, "a", 0, 1), HLD_NONE);
 }
 
+/* Guards against an organisation whose waiting work is counted as another's. */
+static void pending_tasks_count_for_their_organisation(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_step s = {.count = 3, .cpu = 1000, .estimate_ms = 100};
+	struct quo_use *u;
+
+	jobs_config_limit(f->jtb, 2, "org", 1000);
+	jobs_worker(f->jtb, "w", 1000, false);
+	jobs_job_of(f->jtb, "org", "a", &s, 1, JOBS_WALL_MS);
+	jobs_job(f->jtb, "b", &s, 1, JOBS_WALL_MS);
+	u = quo_use(jtb_usage(f->jtb), "org");
+	scan(f, 0);
+	assert_int_equal(u->waiting, 3);
+	assert_int_equal(u->at_limit, 0);
+	jobs_start(f->jtb, "a", 0, 0, 1, "w");
+	scan(f, 0);
+	assert_int_equal(u->waiting, 2);
+	assert_int_equal(u->at_limit, 2);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -408,6 +429,7 @@
 		T(gang_waiting_for_a_rack_has_that_reason),
 		cmocka_unit_test(every_reason_has_a_distinct_name),
 		T(organisation_at_its_limit_is_the_reason),
+		T(pending_tasks_count_for_their_organisation),
 	};
 
 	return cmocka_run_group_tests_name("hld", tests, NULL, NULL);
--- a/tests/unit/org_test.c
+++ b/tests/unit/org_test.c
@@ -112,6 +112,58 @@
 	orgs_free(all);
 }
 
+/*
+ * Guards against metrics that a name breaks, or that grow without bound, and
+ * against a peak that falls with what runs.
+ */
+static void metrics_show_what_runs(void **state)
+{
+	struct orgs *all = orgs_new();
+	struct quo *q = quo_new();
+	struct org *org = org_with("a \"b\"\\", "the-key");
+	struct org_amount amount = {.cpu = 1500, .mem_mb = 20, .gpus = 2};
+	GString *out = g_string_new(NULL);
+	struct quo_use *u;
+	int i;
+
+	org->limit = (struct org_amount){3000, 0, 4};
+	orgs_add(all, org);
+	quo_set_orgs(q, all);
+	u = quo_use(q, "a \"b\"\\");
+	quo_run_begins(u, &amount);
+	quo_run_begins(u, &amount);
+	quo_run_ends(u, &amount);
+	u->refused = 3;
+	quo_append_metrics(q, out);
+#define SHOWS(metric, value)                              \
+	assert_non_null(strstr(                           \
+		out->str, "\nendive_organisation_" metric \
+			  "{organisation=\"a \\\"b\\\"\\\\\"} " value "\n"))
+	SHOWS("cores", "1.5");
+	SHOWS("cores_max", "3");
+	SHOWS("cores_peak", "3");
+	SHOWS("memory_mb", "20");
+	SHOWS("memory_mb_max", "0");
+	SHOWS("gpus", "2");
+	SHOWS("gpus_max", "4");
+	SHOWS("runs", "1");
+	SHOWS("refused_total", "3");
+	assert_null(strstr(out->str, "the-key"));
+	for (i = 0; i < 300; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "org%d", i);
+		quo_use(q, name);
+	}
+	g_string_truncate(out, 0);
+	quo_append_metrics(q, out);
+	assert_non_null(strstr(out->str, "\"org98\""));
+	assert_null(strstr(out->str, "\"org99\""));
+	g_string_free(out, TRUE);
+	quo_free(q);
+	orgs_free(all);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -119,6 +171,7 @@
 		cmocka_unit_test(digest_shows_no_key),
 		cmocka_unit_test(each_part_of_a_limit_holds),
 		cmocka_unit_test(proposed_starts_count),
+		cmocka_unit_test(metrics_show_what_runs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -312,6 +312,32 @@
 	assert_null(strstr(old->log->str, "three"));
 }
 
+/*
+ * Guards against a leader that leads on in its old term once its disk has space:
+ * its owner was told that the leadership is lost, and forgot what it had ordered.
+ */
+static void leader_whose_disk_was_full_is_elected_anew(void **state)
+{
+	struct fixture *b = *state;
+	struct node *old = leader(b);
+	uint64_t term = rep_term(old->rep);
+	uint64_t index;
+	int ms;
+
+	set_disks_full(true);
+	rep_propose(old->rep, LSTR("one "), &index);
+	for (ms = 0; ms < WAIT_MS && rep_leading(old->rep); ms++)
+		net_run(b->base, 1);
+	set_disks_full(false);
+	assert_false(rep_leading(old->rep));
+	for (ms = 0; ms < WAIT_MS && !rep_is_storing(old->rep); ms++)
+		net_run(b->base, 1);
+	assert_true(rep_is_storing(old->rep));
+	assert_false(rep_leading(old->rep));
+	commit(b, "two ");
+	assert_true(rep_term(leader(b)->rep) > term);
+}
+
 /*
  * Guards against a removed member after all replicas were paused together, as
  * on a host that is suspended. Afterwards the leader has heard nobody for long,
@@ -728,6 +754,7 @@
 		T(a_command_is_applied_on_all_replicas),
 		T(a_leadership_transfer_keeps_commands),
 		T(full_disks_are_waited_out),
+		T(leader_whose_disk_was_full_is_elected_anew),
 		T(no_member_is_removed_after_a_pause_of_all),
 		T(a_restored_leader_removes_its_old_member),
 		T(dead_members_leave_a_full_membership),
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -1256,6 +1256,26 @@
 	assert_string_equal(f->log->str, "");
 }
 
+/*
+ * Guards against a pool that keeps room free, or looks full, for a step that
+ * waits for its organisation's limit alone.
+ */
+static void step_at_its_limit_holds_back_no_other_job(void **state)
+{
+	struct fixture *f = *state;
+
+	jobs_config_limit(f->jtb, 2, "org", 1000);
+	jobs_worker(f->jtb, "w1", 2000, false);
+	submit_of(f, "org", "a", 1, 0);
+	run_plan(f);
+	assert_string_equal(f->log->str, "a.0.0@w1 ");
+	submit_of(f, "org", "l", 3, JTB_LONG_RUNNING);
+	submit_of(f, "other", "b", 1, 0);
+	run_plan(f);
+	assert_string_equal(f->log->str, "b.0.0@w1 ");
+	assert_int_equal(f->unschedulable, 0);
+}
+
 /* Guards against a gang of which only some members fit into a limit. */
 static void gang_starts_within_its_limit_or_not_at_all(void **state)
 {
@@ -1342,6 +1362,7 @@
 		T(worker_is_reserved_for_isolated_retry),
 		T(suspect_gang_is_retried_in_isolation),
 		T(burst_beyond_a_limit_delays_no_other_organisation),
+		T(step_at_its_limit_holds_back_no_other_job),
 		T(gang_starts_within_its_limit_or_not_at_all),
 		T(work_starts_as_soon_as_its_limit_has_room),
 	};
