Emulator: a wait for a limit that cut workers' runs use up is a wait for their leases

A limit that counted only what is heard would be exceeded (QUOTA), so the wait is allowed, as long as a lease may last: it is bounded as such waits are (12 s), not excused. A wait that reachable workers' runs don't explain is reported as before.

--- a/src/sim_check.c
+++ b/src/sim_check.c
@@ -370,8 +370,11 @@
 	char text[JTB_ID_MAX + 40];
 	char what[JTB_ID_MAX + 80];
 	struct sim_idle *idle;
-	int64_t most = hld_limit_ms(why);
+	int64_t most;
 
+	if (why == HLD_ORG_LIMIT && sim_org_waits_for_lease(s, n))
+		why = HLD_LEASE_VALID;
+	most = hld_limit_ms(why);
 	jtb_name_format(n, text, sizeof(text));
 	idle = g_hash_table_lookup(s->idle, text);
 	/* the rest of a gang may run on, and a silent worker its work */
--- a/src/sim_int.h
+++ b/src/sim_int.h
@@ -188,6 +188,7 @@
 int sim_org_of(const struct jtb_job *job);
 void sim_org_check_start(struct sim *s, const struct sim_run *r);
 bool sim_org_may_wait(const struct sim *s, const struct jtb_name *n);
+bool sim_org_waits_for_lease(const struct sim *s, const struct jtb_name *n);
 void sim_org_fault(struct sim *s);
 void sim_batch(struct pk_out *o);
 void sim_apply(struct sim *s, struct pk_out *cmd);
--- a/src/sim_org.c
+++ b/src/sim_org.c
@@ -11,7 +11,9 @@
 
 static void sim_org_key(int org, uint32_t no, char out[SIM_ORG_TEXT]);
 static uint64_t sim_org_runs(const struct sim *s, int org);
-static uint64_t sim_org_listed(const struct sim *s, int org);
+static uint64_t sim_org_listed(const struct sim *s, int org, bool reachable);
+static bool sim_org_fits(const struct sim *s, const struct jtb_name *n,
+			 uint64_t used_cpu);
 static struct quo_use *sim_org_use(const struct sim *s, int org);
 
 /* Gives each organisation its first key and its limit. */
@@ -146,9 +148,9 @@
 
 /*
  * What the table's runs of an organisation and its proposed starts need,
- * thousandths of a core.
+ * thousandths of a core. reachable: without runs on workers that are cut off.
  */
-static uint64_t sim_org_listed(const struct sim *s, int org)
+static uint64_t sim_org_listed(const struct sim *s, int org, bool reachable)
 {
 	GHashTableIter it;
 	struct jtb_worker *w;
@@ -156,37 +158,61 @@
 	guint i;
 
 	g_hash_table_iter_init(&it, jtb_workers(s->jtb));
-	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
+		if (reachable && sim_is_cut(s, w->info.id))
+			continue;
 		for (i = 0; i < w->runs->len; i++) {
 			const struct jtb_run *r = g_ptr_array_index(w->runs, i);
 
 			if (sim_org_of(r->job) == org)
 				cpu += r->job->spec.steps[r->step].cpu;
 		}
+	}
 	return cpu;
 }
 
+/* Whether a task, of a gang all its members, fits beside used cores. */
+static bool sim_org_fits(const struct sim *s, const struct jtb_name *n,
+			 uint64_t used_cpu)
+{
+	const struct jtb_job *job = jtb_job(s->jtb, n->id);
+	const struct jtb_step *step = &job->spec.steps[n->step];
+	uint64_t need = (uint64_t)step->cpu *
+			(step->flags & JTB_GANG ? step->count : 1);
+
+	return used_cpu + need <=
+	       sim_org_use(s, sim_org_of(job))->org->limit.cpu;
+}
+
 /*
  * Whether a job may wait for its organisation's limit: only if it doesn't fit
- * beside the table's runs and proposed starts, which hold those on silent
- * workers too; and where less than half of the limit is at work, only if it
- * doesn't fit beside that.
+ * beside the table's runs and proposed starts; and where less than half of the
+ * limit is at work, only if it doesn't fit beside that.
  */
 bool sim_org_may_wait(const struct sim *s, const struct jtb_name *n)
 {
-	const struct jtb_job *job = jtb_job(s->jtb, n->id);
-	const struct jtb_step *step = &job->spec.steps[n->step];
-	int org = sim_org_of(job);
+	int org = sim_org_of(jtb_job(s->jtb, n->id));
 	const struct quo_use *u = org < 0 ? NULL : sim_org_use(s, org);
-	uint64_t runs = org < 0 ? 0 : sim_org_runs(s, org);
-	uint64_t need = (uint64_t)step->cpu *
-			(step->flags & JTB_GANG ? step->count : 1);
+	uint64_t runs;
 
-	if (!u || !u->org)
+	if (!u || !u->org || sim_org_fits(s, n, sim_org_listed(s, org, false)))
 		return false;
-	return sim_org_listed(s, org) + need > u->org->limit.cpu &&
-	       (2 * runs >= u->org->limit.cpu ||
-		runs + need > u->org->limit.cpu);
+	runs = sim_org_runs(s, org);
+	return 2 * runs >= u->org->limit.cpu || !sim_org_fits(s, n, runs);
+}
+
+/*
+ * Whether a job that waits for its organisation's limit does so only since the
+ * runs of workers that are cut off count: these may go on, and nobody can tell
+ * whether they have ended.
+ */
+bool sim_org_waits_for_lease(const struct sim *s, const struct jtb_name *n)
+{
+	int org = sim_org_of(jtb_job(s->jtb, n->id));
+
+	return org >= 0 && sim_org_use(s, org)->org &&
+	       !sim_org_fits(s, n, sim_org_listed(s, org, false)) &&
+	       sim_org_fits(s, n, sim_org_listed(s, org, true));
 }
 
 /* Shows the checker a fault of the account, if the day has one. */
