jtb: a fourth crash fails a job only if half of its crashes were its own

Callers saw an innocent job given up (sim_lost_test, KNOWN-RED): four losses of workers under it, three of them shared with others, two just after a change of leader. The fourth crash failed a job at any rate, one start before the rule's bound. Ruled out: the rule of three crashes of its own (one was), a missing retry alone (it was alone).

--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -5,12 +5,19 @@
 /*
  * A job fails once one of its tasks has crashed 3 workers that were lost
  * without other workers, if the last of these crashes can only be due to that
- * job. Both limits leave a margin of a start: at most two starts of a task are
- * allowed after its third crash.
+ * job.
  */
 #define JTB_CRASHES_SINGLE 3
-/* Crashes by one task that fail its job in any case. */
+/*
+ * Crashes by one task that fail its job whichever job caused the last one, if
+ * most of them were not shared with other workers.
+ */
 #define JTB_CRASHES_MAX 4
+/*
+ * Crashes by one task that fail its job in any case: at most two starts of a
+ * task are allowed after its third crash.
+ */
+#define JTB_CRASHES_SHARED 5
 
 typedef bool (*jtb_cmd_fn)(struct jtb *t, struct pk_in *in);
 
@@ -524,12 +531,15 @@
 	struct jtb_job *job = jtb_job(t, n->id);
 	const struct jtb_suspect *s =
 		job ? jtb_suspect(job, n->step, n->index) : NULL;
+	uint32_t single;
 
 	if (!s || jtb_job_ended(job))
 		return;
-	if (s->crashes >= JTB_CRASHES_MAX ||
-	    (single_job &&
-	     s->crashes - s->correlated_crashes >= JTB_CRASHES_SINGLE))
+	single = s->crashes - s->correlated_crashes;
+	if (s->crashes >= JTB_CRASHES_SHARED ||
+	    (s->crashes >= JTB_CRASHES_MAX &&
+	     single >= s->correlated_crashes) ||
+	    (single_job && single >= JTB_CRASHES_SINGLE))
 		jtb_end_job(t, job, JTB_FAILED, wall_ms);
 }
 
