sch_trial: a suspect isn't retried on the rack that has just lost a worker

Trace: a rack of 20 workers loses its power at 10.0 s. The first loss, 758 ms after the start, makes the task a suspect (shared). Its retries of 10.40, 11.00, 11.59, 12.14 and 12.80 s each go to an idle worker of the same rack: an idle worker's loss shows only once an order to it goes unanswered, and idle workers are the best for a retry alone. The fifth crash fails the job; before the last commits the fourth did. Ruled out: the account of its organisation (no wait for a limit), a crash of the task's own (no worker confirmed a start after the first), a change of leader.

--- a/src/crs.c
+++ b/src/crs.c
@@ -82,6 +82,28 @@
 	crs_add_cleared(c, w, out->cleared);
 }
 
+/*
+ * Whether another worker of a worker's rack was lost with runs on it within
+ * CRS_WINDOW_MS; false for a worker without a rack.
+ */
+bool crs_rack_lost(const struct crs *c, const struct jtb_worker *w,
+		   int64_t now_ms)
+{
+	const char *rack = sch_rack_of(w);
+	guint i;
+
+	for (i = c->losses->len; rack && i > 0; i--) {
+		const struct crs_loss *loss =
+			g_ptr_array_index(c->losses, i - 1);
+
+		if (now_ms - loss->at_ms > CRS_WINDOW_MS)
+			break;
+		if (g_strcmp0(loss->rack, rack) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Frees the record of a loss. */
 static void crs_free_loss(gpointer p)
 {
--- a/src/crs.h
+++ b/src/crs.h
@@ -39,6 +39,8 @@
 struct crs *crs_new(const struct crs_ops *ops, void *arg);
 void crs_free(struct crs *c);
 void crs_clear(struct crs *c);
+bool crs_rack_lost(const struct crs *c, const struct jtb_worker *w,
+		   int64_t now_ms);
 void crs_record_loss(struct crs *c, const struct jtb_worker *w, bool crashed,
 		     int64_t now_ms, struct jtb_blame *out);
 
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -51,6 +51,7 @@
 static void hub_plan_pools(struct hub *h);
 static bool hub_worker_usable(void *arg, const struct jtb_worker *w);
 static bool hub_worker_upkeep_due(void *arg, const struct jtb_worker *w);
+static bool hub_rack_lost(void *arg, const struct jtb_worker *w);
 static bool hub_has_ticket(void *arg, const struct jtb_job *job, uint32_t turn,
 			   uint32_t step, const struct jtb_worker *w);
 static bool hub_get_ticket(void *arg, const struct jtb_run *run,
@@ -573,6 +574,7 @@
 		.arg = h,
 		.usable = hub_worker_usable,
 		.upkeep_due = hub_worker_upkeep_due,
+		.rack_lost = hub_rack_lost,
 		.has_ticket = hub_has_ticket,
 		.start = hub_start_task,
 		.unschedulable = hub_on_unschedulable,
@@ -595,6 +597,14 @@
 	return upk_due(h->upk, w->info.id);
 }
 
+/* Whether a worker of the same rack was lost a moment ago. */
+static bool hub_rack_lost(void *arg, const struct jtb_worker *w)
+{
+	const struct hub *h = arg;
+
+	return crs_rack_lost(h->crs, w, tmr_now(h->tmr));
+}
+
 /*
  * Whether a ticket allows a step of a queue with advice to start on a worker.
  */
--- a/src/sch.h
+++ b/src/sch.h
@@ -26,6 +26,10 @@
 	 * placed elsewhere if possible.
 	 */
 	bool (*upkeep_due)(void *arg, const struct jtb_worker *w);
+	/*
+	 * Whether a worker of the same rack was lost a moment ago; NULL: never.
+	 */
+	bool (*rack_lost)(void *arg, const struct jtb_worker *w);
 	/*
 	 * Whether a worker has a ticket for a step of a queue that requires
 	 * advice; NULL: every worker has one.
--- a/src/sch_trial.c
+++ b/src/sch_trial.c
@@ -14,6 +14,12 @@
  */
 #define SCH_RETRY_RESERVE_MS 500
 
+/*
+ * Lowers the score of a worker for an isolated retry if its rack has just lost
+ * another one; more than all that raises a score.
+ */
+#define SCH_LOST_RACK_SCORE 8
+
 /*
  * At most one in this many workers of a pool is reserved for isolated retries.
  */
@@ -136,8 +142,11 @@
 
 /*
  * Returns the worker for the isolated retry of a task: of those without recent
- * starts, the one whose loss would cost least. Returns NULL if there is none; a
- * worker is then reserved until its recent starts have been observed running.
+ * starts, the one whose loss would cost least. A rack that has just lost a
+ * worker comes last: when it loses its power, its idle workers look the best
+ * until an order to them goes unanswered, and an innocent task that is retried
+ * there is blamed again each time. Returns NULL if there is no worker; one is
+ * then reserved until its recent starts have been observed running.
  * failed_before: an earlier attempt of the task failed.
  */
 struct jtb_worker *sch_place_isolated(struct sch_pool *p,
@@ -163,6 +172,8 @@
 			score -= 2;
 		if (w->isolated_for == job->seq + 1)
 			score += 4;
+		if (p->v->rack_lost && p->v->rack_lost(p->v->arg, w))
+			score -= SCH_LOST_RACK_SCORE;
 		if (best && score <= best_score)
 			continue;
 		best = w;
--- a/src/sim.c
+++ b/src/sim.c
@@ -5,6 +5,7 @@
 static void sim_plan(struct sim *s);
 static bool sim_usable(void *arg, const struct jtb_worker *w);
 static bool sim_leaving(void *arg, const struct jtb_worker *w);
+static bool sim_rack_lost(void *arg, const struct jtb_worker *w);
 static void sim_starved(void *arg, const char *pool);
 static void sim_start(void *arg, struct jtb_job *job, const struct jtb_name *n,
 		      uint32_t attempt, struct jtb_worker *w);
@@ -329,6 +330,7 @@
 		.arg = s,
 		.usable = sim_usable,
 		.upkeep_due = sim_leaving,
+		.rack_lost = sim_rack_lost,
 		.start = sim_start,
 		.unschedulable = sim_starved,
 	};
@@ -342,6 +344,14 @@
 	return !w->info.draining && !sim_is_cut(arg, w->info.id);
 }
 
+/* Whether a worker of the same rack was lost a moment ago. */
+static bool sim_rack_lost(void *arg, const struct jtb_worker *w)
+{
+	const struct sim *s = arg;
+
+	return crs_rack_lost(s->crs, w, s->now);
+}
+
 /* Whether a worker is being emptied. */
 static bool sim_leaving(void *arg, const struct jtb_worker *w)
 {
--- a/tests/unit/crs_test.c
+++ b/tests/unit/crs_test.c
@@ -312,6 +312,22 @@
 	assert_int_equal(state_of(f, "a"), JTB_FAILED);
 }
 
+/* Guards against retries on a rack that loses its power, and against none there
+ * for good. */
+static void rack_of_a_lost_worker_is_lost_for_a_while(void **state)
+{
+	struct fixture *f = *state;
+	const struct jtb_worker *w;
+
+	add_worker(f, "w4", "r1");
+	start_run(f, "a", 1, "w1", -1);
+	lose_worker(f, "w1", true, 0);
+	w = jtb_worker(f->jtb, "w4");
+	assert_true(crs_rack_lost(f->crs, w, NOW_MS + CRS_WINDOW_MS));
+	assert_false(crs_rack_lost(f->crs, w, NOW_MS + CRS_WINDOW_MS + 1));
+	assert_false(crs_rack_lost(f->crs, jtb_worker(f->jtb, "w2"), NOW_MS));
+}
+
 /* Loses so many workers of a rack without power just as a task starts there. */
 static void crash_on_shared_losses(struct fixture *f, uint32_t first,
 				   uint32_t n)
@@ -543,6 +559,7 @@
 		T(second_loss_on_a_rack_is_shared),
 		T(unexplained_loss_makes_nearby_losses_shared),
 		T(exit_of_idle_worker_is_no_unexplained_loss),
+		T(rack_of_a_lost_worker_is_lost_for_a_while),
 		T(two_starts_follow_a_third_shared_crash),
 		T(fourth_crash_fails_a_task_if_half_were_its_own),
 		T(unreachable_workers_fail_no_job),
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -16,6 +16,7 @@
 	int unschedulable;
 	int64_t wall;
 	const char *upkeep_due;
+	const char *lost_rack;
 	bool keep_proposed; /* proposed starts are not committed */
 	int64_t elapsed_ms; /* time since the first plan */
 	const char *tickets; /* JOB@WORKER of each existing ticket */
@@ -33,6 +34,13 @@
 	return f->upkeep_due && strcmp(f->upkeep_due, w->info.id) == 0;
 }
 
+static bool on_rack_lost(void *arg, const struct jtb_worker *w)
+{
+	const struct fixture *f = arg;
+
+	return f->lost_rack && strcmp(f->lost_rack, w->info.id) == 0;
+}
+
 static bool on_has_ticket(void *arg, const struct jtb_job *job, uint32_t turn,
 			  uint32_t step, const struct jtb_worker *w)
 {
@@ -75,6 +83,7 @@
 		.arg = f,
 		.usable = on_usable,
 		.upkeep_due = on_upkeep_due,
+		.rack_lost = on_rack_lost,
 		.has_ticket = on_has_ticket,
 		.start = on_start,
 		.unschedulable = on_unschedulable,
@@ -1167,6 +1176,27 @@
 	assert_non_null(strstr(f->log->str, "@w2"));
 }
 
+/*
+ * Guards against an innocent task that is retried on one idle worker after
+ * another of a rack without power, and is blamed for the loss of each.
+ */
+static void isolated_retry_avoids_a_rack_that_lost_a_worker(void **state)
+{
+	struct fixture *f = *state;
+
+	jobs_worker(f->jtb, "w1", 16000, false);
+	jobs_worker(f->jtb, "w2", 16000, false);
+	submit(f, "b", 1, 1000, 500, 0, 0);
+	jobs_start(f->jtb, "b", 0, 0, 1, "w1");
+	set_observed(f, "b", SCH_JUST_STARTED_MS);
+	submit(f, "a", 1, 1000, 500, 0, 0);
+	mark_suspect(f, "a");
+	f->elapsed_ms = 1000;
+	f->lost_rack = "w2";
+	run_plan(f);
+	assert_string_equal(f->log->str, "a.0.0@w1 ");
+}
+
 /*
  * Guards against a suspect task that never runs as new tasks start on all
  * workers all the time: a worker is reserved until its starts have been
@@ -1359,6 +1389,7 @@
 		T(gang_starts_on_a_rack_that_gets_free),
 		T(gang_larger_than_a_rack_is_spread_at_once),
 		T(suspect_task_is_retried_in_isolation),
+		T(isolated_retry_avoids_a_rack_that_lost_a_worker),
 		T(worker_is_reserved_for_isolated_retry),
 		T(suspect_gang_is_retried_in_isolation),
 		T(burst_beyond_a_limit_delays_no_other_organisation),
