--- a/tests/unit/crs_test.c
+++ b/tests/unit/crs_test.c
@@ -312,8 +312,10 @@
 	assert_int_equal(state_of(f, "a"), JTB_FAILED);
 }
 
-/* Guards against retries on a rack that loses its power, and against none there
- * for good. */
+/*
+ * Guards against retries on a rack that loses its power, and against a rack that
+ * is avoided for good.
+ */
 static void rack_of_a_lost_worker_is_lost_for_a_while(void **state)
 {
 	struct fixture *f = *state;
