jtb: the comment on the fourth crash says half, as the code does

It said most; two of four suffice (crs_test fourth_crash_fails_a_task_if_half_were_its_own). Found when the diff was read once more; no code changes.

--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -10,7 +10,7 @@
 #define JTB_CRASHES_SINGLE 3
 /*
  * Crashes by one task that fail its job whichever job caused the last one, if
- * most of them were not shared with other workers.
+ * at least half of them were not shared with other workers.
  */
 #define JTB_CRASHES_MAX 4
 /*
