quo_weight, flo_pool.entitled: what the parts of hard load read of each other

Interfaces that the division of VMs among pools, the shares of organisations and intake by room agree on before they are written side by side: the weight of an organisation, 1 where none is configured, and the cores that a pool is given while all pools together need more than there is. Nothing reads them yet; no decision changes.

--- a/src/flo.h
+++ b/src/flo.h
@@ -38,6 +38,11 @@
 	double mem_mb; /* memory of the same VMs, MB */
 	double used; /* cores in use by runs and pending starts */
 	double load; /* cores it can use now and until a fetched VM arrives */
+	/*
+	 * cores that the division gives it while the pools together need more
+	 * than all VMs have; 0: they do not
+	 */
+	double entitled;
 	double long_running; /* part of load due to long-running work */
 	double rate; /* cores requested by new jobs, moving mean */
 	double rate_slow; /* the same over a longer time */
--- a/src/quo.c
+++ b/src/quo.c
@@ -335,6 +335,16 @@
 	return MAX(0, limit - u->planned_cores);
 }
 
+/*
+ * Returns an organisation's share of what is scarce, against the others'
+ * weights; 1 for work of no organisation and where the configuration gives no
+ * weight above 0.
+ */
+double quo_weight(const struct quo_use *u)
+{
+	return u && u->org && u->org->weight > 0 ? u->org->weight : 1;
+}
+
 /* Whether each part of the amounts stays within its own limit. */
 static bool quo_fits(const struct org *o, const struct org_amount *used,
 		     const struct org_amount *each, uint32_t n)
--- a/src/quo.h
+++ b/src/quo.h
@@ -46,5 +46,6 @@
 bool quo_ever_fits(const struct org *o, const struct org_amount *each,
 		   uint32_t n);
 double quo_free_cores(const struct quo_use *u);
+double quo_weight(const struct quo_use *u);
 
 #endif
