ovr: floors of VMs and weights of organisations, ordered by operators until a time

In an overload an operator had no say in a fleet that runs jobs: endivectl spoke to endive-controld alone, and a change of weights or pools took a new configuration of everything, which doesn't end by itself. Weighed: through the configuration, on the leader alone (gone with it), by HTTP at the control address (no keys there), through the log (taken).

The page of the audit trail moved from fst_query to fau, which both use.

Weights act through quo_weight from the next tick on; a floor is read by the division of VMs once that asks for it (hub_operator_floor). Tests: ovr_test (6), orders_test with real processes (leader killed after an order, invalid orders); both pass.

--- a/src/cli.h
+++ b/src/cli.h
@@ -36,10 +36,12 @@
 	gboolean json;
 	gboolean yes;
 	gboolean target;
+	gboolean open_network; /* the fleet's own network needs no key */
 	char *base;
 	char *against;
 	char *reason;
 	char *after;
+	long long for_s; /* how long an override holds */
 };
 
 struct event_base;
@@ -125,6 +127,8 @@
 int cli_do_move(struct cli *c, const struct cli_cmd *cmd, char **args, int n);
 int cli_do_priority(struct cli *c, const struct cli_cmd *cmd, char **args,
 		    int n);
+int cli_do_override(struct cli *c, const struct cli_cmd *cmd, char **args,
+		    int n);
 int cli_do_forget(struct cli *c, const struct cli_cmd *cmd, char **args, int n);
 int cli_do_losses(struct cli *c, const struct cli_cmd *cmd, char **args, int n);
 int cli_do_organisations(struct cli *c, const struct cli_cmd *cmd, char **args,
--- a/src/cli_link.c
+++ b/src/cli_link.c
@@ -63,7 +63,8 @@
 struct cli_link *cli_link_new(const struct cli_settings *set,
 			      struct event_base *base, GError **err)
 {
-	struct keyring *keys = keyring_load(set->keys, err);
+	struct keyring *keys = set->open_network ? keyring_open_network()
+						 : keyring_load(set->keys, err);
 	struct cli_link *l;
 
 	if (!keys)
--- a/src/fau.c
+++ b/src/fau.c
@@ -2,6 +2,11 @@
 
 #include <sodium.h>
 
+#include "qtb.h"
+
+/* Records in one answer to a query of the trail. */
+#define FAU_PAGE_ROWS 1000
+
 /* A record as it is kept: packed, and the chain's hash up to it. */
 struct fau_item {
 	uint8_t hash[FAU_HASH];
@@ -22,6 +27,7 @@
 			   uint8_t *out);
 static void fau_trim(struct fau *a);
 static bool fau_restore_items(struct fau *a, struct pk_in *in);
+static void fau_put_row(const struct fau *a, uint64_t seq, struct qtb *t);
 
 /* An empty trail. */
 struct fau *fau_new(void)
@@ -186,6 +192,60 @@
 	return 0;
 }
 
+/*
+ * Lists one page of records after the sequence number arg; "": the last page.
+ */
+void fau_query(const struct fau *a, struct lstr arg, struct pk_out *result)
+{
+	static const char *const cols[] = {"seq",  "index", "time_ms",
+					   "who",  "role",  "kind",
+					   "what", "from",  "outcome",
+					   "text", "prev",  "hash"};
+	uint64_t last = fau_last(a);
+	unsigned long long after =
+		last > FAU_PAGE_ROWS ? last - FAU_PAGE_ROWS : 0;
+	struct qtb t;
+	uint64_t seq;
+
+	if (arg.len && !lstr_u64(arg, &after)) {
+		qtb_fail(result, PROTO_REFUSED, "not a number");
+		return;
+	}
+	qtb_init(&t, cols, G_N_ELEMENTS(cols));
+	seq = MAX(after, fau_first(a) - 1);
+	while (seq < last && t.n_rows < FAU_PAGE_ROWS)
+		fau_put_row(a, ++seq, &t);
+	qtb_finish(&t, result);
+}
+
+/* Adds a record to a table, with its hash and that of the one before. */
+static void fau_put_row(const struct fau *a, uint64_t seq, struct qtb *t)
+{
+	char hash[2 * FAU_HASH + 1];
+	struct fau_rec r;
+	struct pk_in in;
+	struct pk_out *o;
+
+	if (!fau_get(a, seq, &r, &in))
+		return;
+	o = qtb_row(t);
+	pk_u(o, r.seq);
+	pk_u(o, r.index);
+	pk_i(o, r.time_ms);
+	pk_str(o, r.who);
+	pk_str(o, r.role);
+	pk_str(o, r.kind);
+	pk_str(o, r.what);
+	pk_u(o, r.from);
+	pk_str(o, r.outcome);
+	pk_str(o, r.text);
+	sodium_bin2hex(hash, sizeof(hash), fau_hash(a, seq - 1), FAU_HASH);
+	pk_cstr(o, hash);
+	sodium_bin2hex(hash, sizeof(hash), fau_hash(a, seq), FAU_HASH);
+	pk_cstr(o, hash);
+	pk_in_done(&in);
+}
+
 /* Packs the trail: [last trimmed, anchor, last hash, [record...]]. */
 void fau_snapshot(const struct fau *a, struct pk_out *o)
 {
--- a/src/fau.h
+++ b/src/fau.h
@@ -43,6 +43,7 @@
 const uint8_t *fau_hash(const struct fau *a, uint64_t seq);
 uint64_t fau_verify(const struct fau *a);
 void fau_chain(const uint8_t *prev, const struct fau_rec *r, uint8_t *out);
+void fau_query(const struct fau *a, struct lstr arg, struct pk_out *result);
 void fau_snapshot(const struct fau *a, struct pk_out *o);
 struct fau *fau_restore(struct pk_in *in);
 
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -30,6 +30,8 @@
 	FCM_FORGET, /* removes an entry daemon that never places work again */
 	FCM_NOTE, /* records an automatic action in the audit trail */
 	FCM_KEY_REPLICAS, /* sets the key replicas of a zone */
+	FCM_FLOOR, /* VMs that a pool keeps for a while */
+	FCM_WEIGHT, /* an organisation's weight for a while */
 	FCM_KINDS
 };
 
@@ -39,6 +41,11 @@
 #define FCM_REASON_MAX 200
 #define FCM_FILES_MAX 9
 #define FCM_NO_PRIORITY (-1)
+#define FCM_NO_OVERRIDE (-1)
+/* Weights travel as whole numbers of thousandths. */
+#define FCM_WEIGHT_UNIT 1000
+/* Longest name of a pool or organisation in an override, bytes. */
+#define FCM_OVERRIDE_NAME_MAX 256
 
 struct fcm_apply {
 	uint64_t base; /* number of the configuration it edits; 0: none */
@@ -96,6 +103,15 @@
 	struct lstr names[FVW_KEY_REPLICAS_MAX];
 };
 
+/* What holds for a pool or an organisation until a time; see ovr. */
+struct fcm_override {
+	struct lstr name; /* pool or organisation */
+	/* VMs, or thousandths of weight; FCM_NO_OVERRIDE: clears it */
+	int64_t value;
+	int64_t until_ms; /* since 1970 */
+	struct lstr reason;
+};
+
 struct fcm_note {
 	struct lstr text;
 };
@@ -113,6 +129,7 @@
 		struct fcm_node node; /* join, forget */
 		struct fcm_note note;
 		struct fcm_key_replicas key_replicas;
+		struct fcm_override override; /* floor, weight */
 	};
 };
 
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -16,6 +16,8 @@
 static void fcm_unpack_note(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_pack_key_replicas(const struct fcm_cmd *c, struct pk_out *o);
 static void fcm_unpack_key_replicas(struct fcm_cmd *c, struct pk_in *in);
+static void fcm_pack_override(const struct fcm_cmd *c, struct pk_out *o);
+static void fcm_unpack_override(struct fcm_cmd *c, struct pk_in *in);
 static void fcm_describe_apply(const struct fcm_cmd *c, GString *s);
 static void fcm_describe_drain(const struct fcm_cmd *c, GString *s);
 static void fcm_describe_move(const struct fcm_cmd *c, GString *s);
@@ -24,6 +26,7 @@
 static void fcm_describe_node(const struct fcm_cmd *c, GString *s);
 static void fcm_describe_note(const struct fcm_cmd *c, GString *s);
 static void fcm_describe_key_replicas(const struct fcm_cmd *c, GString *s);
+static void fcm_describe_override(const struct fcm_cmd *c, GString *s);
 static struct lstr fcm_unpack_text(struct pk_in *in, size_t max);
 static struct lstr fcm_unpack_name(struct pk_in *in);
 
@@ -52,6 +55,10 @@
 	[FCM_KEY_REPLICAS] = {"keepers", KEY_PEER, fcm_pack_key_replicas,
 			      fcm_unpack_key_replicas,
 			      fcm_describe_key_replicas},
+	[FCM_FLOOR] = {"floor", KEY_DUTY, fcm_pack_override,
+		       fcm_unpack_override, fcm_describe_override},
+	[FCM_WEIGHT] = {"weight", KEY_DUTY, fcm_pack_override,
+			fcm_unpack_override, fcm_describe_override},
 };
 
 static const char *const fcm_outcome_names[] = {
@@ -264,6 +271,23 @@
 		in->bad = true;
 }
 
+static void fcm_pack_override(const struct fcm_cmd *c, struct pk_out *o)
+{
+	pk_arr(o, 4);
+	pk_str(o, c->override.name);
+	pk_i(o, c->override.value);
+	pk_i(o, c->override.until_ms);
+	pk_str(o, c->override.reason);
+}
+
+static void fcm_unpack_override(struct fcm_cmd *c, struct pk_in *in)
+{
+	c->override.name = fcm_unpack_text(in, FCM_OVERRIDE_NAME_MAX);
+	c->override.value = pk_get_i(in);
+	c->override.until_ms = pk_get_i(in);
+	c->override.reason = fcm_unpack_text(in, FCM_REASON_MAX);
+}
+
 /*
  * Appends a description of a command, for stamps and the audit trail; refused
  * commands are described too.
@@ -353,6 +377,25 @@
 			       LSTR_ARG(k->names[0]));
 }
 
+static void fcm_describe_override(const struct fcm_cmd *c, GString *s)
+{
+	const struct fcm_override *v = &c->override;
+
+	if (v->value == FCM_NO_OVERRIDE)
+		g_string_append_printf(s, "clear %s of " LSTR_FMT,
+				       fcm_defs[c->kind].name,
+				       LSTR_ARG(v->name));
+	else
+		g_string_append_printf(
+			s, "%s %g for " LSTR_FMT " until %lld ms",
+			fcm_defs[c->kind].name,
+			c->kind == FCM_WEIGHT
+				? (double)v->value / FCM_WEIGHT_UNIT
+				: (double)v->value,
+			LSTR_ARG(v->name), (long long)v->until_ms);
+	fcm_append_reason(v->reason, s);
+}
+
 /*
  * Reads a text of at most max bytes for the audit trail. The message is marked
  * bad unless the text is UTF-8 without control characters.
--- a/src/fst.c
+++ b/src/fst.c
@@ -27,6 +27,8 @@
 	[FCM_FORGET] = fst_handle_forget,
 	[FCM_NOTE] = fst_handle_note,
 	[FCM_KEY_REPLICAS] = fst_handle_key_replicas,
+	[FCM_FLOOR] = fst_handle_override,
+	[FCM_WEIGHT] = fst_handle_override,
 };
 
 /* Returns a new, empty state. */
--- a/src/fst_in.h
+++ b/src/fst_in.h
@@ -162,6 +162,7 @@
 void fst_handle_released(struct fst_exec *ex);
 void fst_handle_moved(struct fst_exec *ex);
 void fst_handle_priority(struct fst_exec *ex);
+void fst_handle_override(struct fst_exec *ex);
 void fst_handle_join(struct fst_exec *ex);
 void fst_handle_forget(struct fst_exec *ex);
 void fst_handle_note(struct fst_exec *ex);
--- a/src/fst_prio.c
+++ b/src/fst_prio.c
@@ -37,6 +37,14 @@
 	g_free(pool);
 }
 
+/* Refuses a floor or a weight: this fleet runs no jobs. */
+void fst_handle_override(struct fst_exec *ex)
+{
+	fst_exec_finish(ex, PROTO_REFUSED,
+			"%s is an order to a fleet that runs jobs",
+			fcm_defs[ex->cmd->kind].name);
+}
+
 static struct fst_prio *fst_prio_add(struct fst *f, struct lstr pool)
 {
 	struct fst_prio *p = g_new0(struct fst_prio, 1);
--- a/src/fst_query.c
+++ b/src/fst_query.c
@@ -1,13 +1,9 @@
 #include "fst_in.h"
 
-#include <sodium.h>
-
 #include "qtb.h"
 
 /* Queries of the fleet state. Each returns a table (see qtb) or an error. */
 
-#define FST_AUDIT_PAGE_ROWS 1000
-
 static void fst_query_config(const struct fst *f, struct lstr arg,
 			     struct pk_out *result);
 static void fst_query_history(const struct fst *f, struct lstr arg,
@@ -193,57 +189,11 @@
 	qtb_fail(result, PROTO_REFUSED, "no such site");
 }
 
-static void fst_put_audit(const struct fst *f, uint64_t seq, struct qtb *t)
-{
-	char hash[2 * FAU_HASH + 1];
-	struct fau_rec r;
-	struct pk_in in;
-	struct pk_out *o;
-
-	if (!fau_get(f->audit, seq, &r, &in))
-		return;
-	o = qtb_row(t);
-	pk_u(o, r.seq);
-	pk_u(o, r.index);
-	pk_i(o, r.time_ms);
-	pk_str(o, r.who);
-	pk_str(o, r.role);
-	pk_str(o, r.kind);
-	pk_str(o, r.what);
-	pk_u(o, r.from);
-	pk_str(o, r.outcome);
-	pk_str(o, r.text);
-	sodium_bin2hex(hash, sizeof(hash), fau_hash(f->audit, seq - 1),
-		       FAU_HASH);
-	pk_cstr(o, hash);
-	sodium_bin2hex(hash, sizeof(hash), fau_hash(f->audit, seq), FAU_HASH);
-	pk_cstr(o, hash);
-	pk_in_done(&in);
-}
-
-/* Lists one page of records after sequence number arg; "": the last page. */
+/* Lists one page of the audit trail. */
 static void fst_query_audit(const struct fst *f, struct lstr arg,
 			    struct pk_out *result)
 {
-	static const char *const cols[] = {"seq",  "index", "time_ms",
-					   "who",  "role",  "kind",
-					   "what", "from",  "outcome",
-					   "text", "prev",  "hash"};
-	uint64_t last = fau_last(f->audit);
-	unsigned long long after =
-		last > FST_AUDIT_PAGE_ROWS ? last - FST_AUDIT_PAGE_ROWS : 0;
-	struct qtb t;
-	uint64_t seq;
-
-	if (arg.len && !lstr_u64(arg, &after)) {
-		qtb_fail(result, PROTO_REFUSED, "not a number");
-		return;
-	}
-	qtb_init(&t, cols, G_N_ELEMENTS(cols));
-	seq = MAX(after, fau_first(f->audit) - 1);
-	while (seq < last && t.n_rows < FST_AUDIT_PAGE_ROWS)
-		fst_put_audit(f, ++seq, &t);
-	qtb_finish(&t, result);
+	fau_query(f->audit, arg, result);
 }
 
 /* Lists the results of the commands with ID arg, one row per sender. */
--- a/src/hub.c
+++ b/src/hub.c
@@ -332,8 +332,10 @@
 		rly_relay_on_calls(h->relay_server, conn, rep_term(h->rep), in);
 		return;
 	}
-	if (kind != PROTO_CALL)
+	if (kind != PROTO_CALL) {
+		hub_operator_message(h, conn, kind, in);
 		return;
+	}
 	before = cpu_enter(CPU_CALLERS);
 	c = hub_call_new(h, HUB_FROM_ENTRY);
 	c->conn = conn;
--- a/src/hub.h
+++ b/src/hub.h
@@ -27,6 +27,7 @@
 enum hub_origin {
 	HUB_FROM_ENTRY, /* relayed by an entry daemon */
 	HUB_FROM_CONTROL, /* sent to the control address */
+	HUB_FROM_OPERATOR, /* sent by an operator's client */
 };
 
 /* An answer to a call. */
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -26,8 +26,9 @@
  * in the log), hub_carry (which replica sends the calls to a worker), hub_lost
  * (workers that crash), hub_plan (what the leader runs), hub_held (why a
  * pending task does not run), hub_vm (upkeep of VMs), hub_take (requests that
- * the protocol layer passes on), hub_tell (metrics), hub (start, stop and
- * network input of the daemon).
+ * the protocol layer passes on), hub_operator (orders and queries of
+ * operators), hub_tell (metrics), hub (start, stop and network input of the
+ * daemon).
  */
 
 /* A call of a caller, worker or operator, and its answer. */
@@ -203,6 +204,11 @@
 void hub_vm_lead(struct hub *h, uint64_t term);
 void hub_vm_step_down(struct hub *h);
 void hub_vm_tick(struct hub *h, int64_t now);
+/* hub_operator */
+bool hub_operator_message(struct hub *h, struct wire_conn *conn, uint64_t kind,
+			  struct pk_in *in);
+void hub_operator_tick(struct hub *h);
+guint hub_operator_floor(void *arg, const char *pool);
 /* hub_tell */
 void hub_record_time(struct hub *h, enum hub_duration what, int64_t ms);
 void hub_write_metrics(const struct hub *h, GString *out);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -182,6 +182,7 @@
 			hub_record_leave(h, w);
 	}
 	hub_scale_estimates(h);
+	hub_operator_tick(h);
 	hub_vm_tick(h, now);
 	hub_forget_jobs(h, now);
 	hub_mark_all_pools(h);
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -40,6 +40,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	t->waves = g_ptr_array_new_with_free_func(jtb_wave_free);
 	t->usage = quo_new();
+	t->overrides = ovr_new();
 	t->next_serial = 1;
 	return t;
 }
@@ -57,6 +58,7 @@
 	g_hash_table_destroy(t->removed);
 	g_ptr_array_free(t->waves, TRUE);
 	quo_free(t->usage);
+	ovr_free(t->overrides);
 	g_free(t);
 }
 
@@ -75,6 +77,7 @@
 	}
 	g_ptr_array_set_size(t->live, 0);
 	quo_clear(t->usage);
+	ovr_clear(t->overrides);
 	g_hash_table_remove_all(t->jobs);
 	g_hash_table_remove_all(t->workers);
 	g_hash_table_remove_all(t->removed);
@@ -129,6 +132,12 @@
 	return t->usage;
 }
 
+/* Returns what operators ordered for a while. */
+const struct ovr *jtb_overrides(const struct jtb *t)
+{
+	return t->overrides;
+}
+
 /* Returns the maintenance wave of a number, or NULL. */
 struct jtb_wave *jtb_wave(const struct jtb *t, uint64_t no)
 {
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -9,6 +9,7 @@
 
 #include "evd.h"
 #include "lstr.h"
+#include "ovr.h"
 #include "pk.h"
 #include "quo.h"
 
@@ -335,6 +336,7 @@
 GPtrArray *jtb_live(const struct jtb *t);
 GPtrArray *jtb_waves(const struct jtb *t);
 struct quo *jtb_usage(const struct jtb *t);
+const struct ovr *jtb_overrides(const struct jtb *t);
 struct jtb_wave *jtb_wave(const struct jtb *t, uint64_t no);
 bool jtb_worker_was_removed(const struct jtb *t, const char *worker);
 const struct jtb_queue *jtb_queue(const struct jtb_config *c, const char *name);
@@ -367,6 +369,7 @@
 /* Commands; each call appends one element of a batch. */
 void jtb_put_config(struct pk_out *o, const struct jtb_config *c);
 void jtb_put_job(struct pk_out *o, const struct jtb_spec *s, int64_t wall_ms);
+void jtb_put_override(struct pk_out *o, const struct ovr_order *order);
 void jtb_put_cancel(struct pk_out *o, const char *id, int64_t wall_ms);
 void jtb_put_start(struct pk_out *o, const struct jtb_name *name,
 		   uint32_t attempt, const char *worker);
--- a/src/jtb_cmd.c
+++ b/src/jtb_cmd.c
@@ -27,6 +27,17 @@
 	jtb_pack_spec(o, s);
 }
 
+/* Appends a command with an operator's order; see ovr. */
+void jtb_put_override(struct pk_out *o, const struct ovr_order *order)
+{
+	pk_arr(o, 5);
+	pk_u(o, JTB_CMD_OVERRIDE);
+	pk_i(o, order->time_ms);
+	pk_str(o, order->who);
+	pk_u(o, order->role);
+	pk_str(o, order->cmd);
+}
+
 /* Appends a command that cancels a job; wall_ms is ms since 1970. */
 void jtb_put_cancel(struct pk_out *o, const char *id, int64_t wall_ms)
 {
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -56,6 +56,10 @@
 static bool jtb_apply_wave(struct jtb *t, struct pk_in *in);
 static bool jtb_apply_vm(struct jtb *t, struct pk_in *in);
 static bool jtb_apply_forget(struct jtb *t, struct pk_in *in);
+static bool jtb_apply_override(struct jtb *t, struct pk_in *in);
+static bool jtb_has_pool(const void *arg, const char *name);
+static bool jtb_has_org(const void *arg, const char *name);
+static struct ovr_names jtb_names(const struct jtb *t);
 static void jtb_end_run(struct jtb *t, struct jtb_run *run, enum jtb_end how,
 			int64_t wall_ms);
 static void jtb_count_failures(struct jtb_worker *w, const struct jtb_job *job,
@@ -83,6 +87,7 @@
 	[JTB_CMD_FORGET] = jtb_apply_forget,
 	[JTB_CMD_STOP] = jtb_apply_stop,
 	[JTB_CMD_WORKER_LEAVING] = jtb_apply_worker_leaving,
+	[JTB_CMD_OVERRIDE] = jtb_apply_override,
 };
 
 /*
@@ -122,6 +127,7 @@
 static bool jtb_apply_config(struct jtb *t, struct pk_in *in)
 {
 	struct jtb_config *c = jtb_unpack_config(in);
+	struct ovr_names names;
 
 	if (!c)
 		return false;
@@ -132,10 +138,56 @@
 	jtb_config_free(t->config);
 	t->config = c;
 	quo_set_orgs(t->usage, c->orgs);
+	names = jtb_names(t);
+	ovr_names_changed(t->overrides, &names);
 	t->watch->config_changed(t->arg);
 	return true;
 }
 
+/* Applies an operator's order. */
+static bool jtb_apply_override(struct jtb *t, struct pk_in *in)
+{
+	struct ovr_names names = jtb_names(t);
+	struct ovr_order order = {
+		.time_ms = pk_get_i(in),
+		.who = pk_get_str(in),
+	};
+	uint64_t role = pk_get_u(in);
+
+	order.cmd = pk_get_str(in);
+	if (!pk_in_ok(in) || role >= KEY_ROLES)
+		return false;
+	order.role = (enum key_role)role;
+	ovr_apply(t->overrides, &order, &names);
+	return true;
+}
+
+/* Returns the names that orders may use. */
+static struct ovr_names jtb_names(const struct jtb *t)
+{
+	return (struct ovr_names){
+		.has_pool = jtb_has_pool,
+		.has_org = jtb_has_org,
+		.arg = t->config,
+	};
+}
+
+/* Whether a configuration has a pool whose VMs are not switched off. */
+static bool jtb_has_pool(const void *arg, const char *name)
+{
+	const struct jtb_pool *p = jtb_pool(arg, name);
+
+	return p && !p->standby;
+}
+
+/* Whether a configuration has an organisation. */
+static bool jtb_has_org(const void *arg, const char *name)
+{
+	const struct jtb_config *c = arg;
+
+	return orgs_by_name(c->orgs, name) != NULL;
+}
+
 /* Accepts a job, unless its id is in use. */
 static bool jtb_apply_job(struct jtb *t, struct pk_in *in)
 {
--- a/src/jtb_int.h
+++ b/src/jtb_int.h
@@ -10,7 +10,7 @@
  * jtb_snap (serialization of the whole table).
  */
 
-/* Numbers of the commands in the log; 1 to 12 are in stored data. */
+/* Numbers of the commands in the log; all are in stored data. */
 enum jtb_cmd {
 	JTB_CMD_CONFIG = 1,
 	JTB_CMD_JOB,
@@ -24,6 +24,7 @@
 	JTB_CMD_FORGET,
 	JTB_CMD_STOP,
 	JTB_CMD_WORKER_LEAVING,
+	JTB_CMD_OVERRIDE,
 };
 
 struct jtb {
@@ -36,6 +37,7 @@
 	GHashTable *removed; /* ids of workers that were removed permanently */
 	GPtrArray *waves; /* struct jtb_wave */
 	struct quo *usage; /* by the organisations of jobs */
+	struct ovr *overrides; /* what operators ordered for a while */
 	uint64_t next_seq;
 	uint64_t next_serial;
 };
--- a/src/jtb_snap.c
+++ b/src/jtb_snap.c
@@ -24,7 +24,7 @@
 	const char *id;
 	guint i;
 
-	pk_arr(o, 6);
+	pk_arr(o, 7);
 	pk_u(o, t->next_seq);
 	if (t->config->document)
 		jtb_pack_config(o, t->config);
@@ -45,6 +45,7 @@
 	g_hash_table_iter_init(&it, t->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		jtb_pack_job(o, p);
+	ovr_snapshot(t->overrides, o);
 }
 
 /*
@@ -189,6 +190,9 @@
 	list = pk_get_arr(in);
 	while (ok && pk_in_left(&list))
 		ok = jtb_unpack_job(t, &list);
+	/* data folders of versions without overrides end here */
+	if (ok && pk_in_left(in))
+		ok = ovr_restore(t->overrides, in);
 	return ok && pk_in_ok(in);
 }
 
--- a/src/main_endivectl.c
+++ b/src/main_endivectl.c
@@ -18,6 +18,8 @@
 	 "Voters to ask, in any order"},
 	{"keys", SET_FILE, &cli.set.keys, "", 0, 0, NULL,
 	 "Key file; its first key says who the operator is"},
+	{"open-network", SET_FLAG, &cli.set.open_network, "0", 0, 0, NULL,
+	 "Use no key: the network is the fleet's alone"},
 	{"timeout", SET_INT, &cli.set.timeout_s, "10", 1, 3600, NULL,
 	 "Seconds to wait for an answer, and to be in force"},
 	{"json", SET_FLAG, &cli.set.json, "0", 0, 0, NULL,
@@ -34,6 +36,8 @@
 	 "Why, for the audit trail"},
 	{"after", SET_STR, &cli.set.after, "", 0, 0, NULL,
 	 "audit: records that follow this number"},
+	{"for", SET_INT, &cli.set.for_s, "600", 1, 604800, NULL,
+	 "floor, weight: seconds for which it holds"},
 };
 
 const guint cli_defs_len = G_N_ELEMENTS(cli_defs);
@@ -82,7 +86,8 @@
 
 	if (n < cmd->min_args || (cmd->max_args >= 0 && n > cmd->max_args))
 		return cli_usage(cmd);
-	if (asks && (!c->set.servers || !c->set.keys)) {
+	if (asks &&
+	    (!c->set.servers || (!c->set.keys && !c->set.open_network))) {
 		fprintf(stderr,
 			"endivectl: setting --%s: not given; %s needs it\n",
 			c->set.servers ? "keys" : "servers", cmd->name);
--- a/src/quo.c
+++ b/src/quo.c
@@ -337,11 +337,13 @@
 
 /*
  * Returns an organisation's share of what is scarce, against the others'
- * weights; 1 for work of no organisation and where the configuration gives no
+ * weights: an operator's for now, else the configuration's; 1 for work of no organisation and where the configuration gives no
  * weight above 0.
  */
 double quo_weight(const struct quo_use *u)
 {
+	if (u && u->weight_override > 0)
+		return u->weight_override;
 	return u && u->org && u->org->weight > 0 ? u->org->weight : 1;
 }
 
--- a/src/quo.h
+++ b/src/quo.h
@@ -13,6 +13,8 @@
 	struct org_amount running; /* runs whose end is not committed */
 	struct org_amount proposed; /* leader's: starts not yet committed */
 	double planned_cores; /* leader's: of its jobs, in the present measurement */
+	/* leader's: weight that an operator ordered for a while; 0: none */
+	double weight_override;
 	uint32_t runs;
 	uint64_t peak_cpu; /* most that has run at a time since the start */
 	/* leader's: tasks that are due and do not run, as of the last scan */
