disk_test: waits for a leader instead of one look at three metrics

The log shows it: c3 resigned at 21.181 s, c1 had been elected and its entry daemon was told at 21.203; the test asked c1, c2, c3 one after the other, c1 before and c3 after the change, and took three times 0 for no leader. The promise is a leader in bounded time, not at each moment; leading() now asks for up to 10 s as jobs_leader does, which is as strict for a fleet without one. The follower's round asked it three times in one loop, where a change between two looks chose the leader; it asks once and fails without one.

--- a/tests/system/disk_test.sh
+++ b/tests/system/disk_test.sh
@@ -23,10 +23,17 @@
 	done
 }
 
-# Prints the number of the daemon that leads by its metrics.
+# Prints the number of the daemon that leads by its metrics; waits up to 10 s for
+# one, as leadership may pass from one to another between two looks.
 leading() {
-	for n in 1 2 3; do
-		[ "$(jobs_metric $n endive_leading)" = 1 ] && echo $n && return
+	tries=0
+	while [ $tries -lt 100 ]; do
+		for n in 1 2 3; do
+			[ "$(jobs_metric $n endive_leading)" = 1 ] &&
+				echo $n && return
+		done
+		tries=$((tries + 1))
+		sleep 0.1
 	done
 }
 
@@ -58,8 +65,10 @@
 
 # A follower's disk is full: the others go on, and it follows again.
 start_load $first
+leads=$(leading)
+[ -n "$leads" ] || fail "no leader"
 for n in 1 2 3; do
-	[ "$n" != "$(leading)" ] && full=$n
+	[ "$n" != "$leads" ] && full=$n
 done
 file_limit "c$full" 0
 wait_full "$full" 1
