shr: dominant-resource fairness by weight orders the jobs of a pool that lacks room

What callers saw: one organisation at several times its usual made everybody late. Cause: new jobs went newest first, whoever sent them; weights were decoded and read by no plan.

Within a class of jobs the next one now comes from the organisation with the lowest dominant share for its weight, of what runs and ran in the last seconds, with what the plan has started counted in. Nothing is set aside and nothing is stopped. The node setting shares chooses the method; none is the former order, which also is what a deployment without organisations gets. A negative or infinite weight is refused with the organisation's name, and quo_weight bounds the others. sim plans by shares too.

--- a/src/cli_orgs.c
+++ b/src/cli_orgs.c
@@ -16,13 +16,15 @@
 static const struct {
 	const char *column;
 	const char *metric;
+	double scale; /* of the metric's unit to the column's */
 } orgs_columns[] = {
-	{"cores", "cores"},	      {"of", "cores_max"},
-	{"most", "cores_peak"},	      {"memory_mb", "memory_mb"},
-	{"of_mb", "memory_mb_max"},   {"gpus", "gpus"},
-	{"of_gpus", "gpus_max"},      {"runs", "runs"},
-	{"waiting", "waiting_tasks"}, {"at_limit", "limited_tasks"},
-	{"refused", "refused_total"},
+	{"cores", "cores", 1},		 {"of", "cores_max", 1},
+	{"most", "cores_peak", 1},	 {"memory_mb", "memory_mb", 1},
+	{"of_mb", "memory_mb_max", 1},	 {"gpus", "gpus", 1},
+	{"of_gpus", "gpus_max", 1},	 {"runs", "runs", 1},
+	{"waiting", "waiting_tasks", 1}, {"at_limit", "limited_tasks", 1},
+	{"refused", "refused_total", 1}, {"share_pct", "share", 100},
+	{"owed_pct", "owed", 100},
 };
 
 struct orgs_row {
@@ -103,7 +105,8 @@
 		if (strlen(orgs_columns[i].metric) == len &&
 		    strncmp(orgs_columns[i].metric, line, len) == 0)
 			orgs_row_of(rows, name)->values[i] =
-				g_ascii_strtod(value, NULL);
+				g_ascii_strtod(value, NULL) *
+				orgs_columns[i].scale;
 	g_free(name);
 }
 
--- a/src/hub.h
+++ b/src/hub.h
@@ -82,6 +82,7 @@
 	/* number of workers from which other replicas relay calls to them */
 	long long relay_min_workers;
 	long long job_retention_ms; /* how long an ended job can be queried */
+	enum shr_method shares; /* how organisations' shares order jobs */
 	long long body_max; /* bytes */
 	long long bodies_max; /* bytes of all bodies together; 0: no limit */
 	const struct fdb *descriptors;
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -25,7 +25,7 @@
  * hub_call (calls and their answers), hub_log (commands and reads in progress
  * in the log), hub_carry (which replica sends the calls to a worker), hub_lost
  * (workers that crash), hub_plan (what the leader runs), hub_held (why a
- * pending task does not run), hub_vm (upkeep of VMs), hub_take (requests that
+ * pending task does not run), hub_shr (how organisations' shares decide), hub_vm (upkeep of VMs), hub_take (requests that
  * the protocol layer passes on), hub_tell (metrics), hub (start, stop and
  * network input of the daemon).
  */
@@ -144,6 +144,8 @@
 	int64_t lead_since_ms; /* when this replica last became leader */
 	struct est *est; /* estimates of run times */
 	struct crs *crs; /* tasks that workers crashed under */
+	struct shr *shares; /* of organisations */
+	int64_t shares_logged_ms; /* last line about them */
 	GHashTable *dirty_pools; /* pools to plan */
 	struct hld_sum pending; /* tasks that are due and not running */
 	int64_t pending_checked_ms; /* when pending was last computed */
@@ -197,6 +199,8 @@
 /* hub_held */
 void hub_pending_reset(struct hub *h);
 void hub_pending_tick(struct hub *h, int64_t now);
+/* hub_shr */
+void hub_shr_tick(struct hub *h, int64_t now);
 /* hub_vm */
 void hub_vm_init(struct hub *h);
 void hub_vm_free(struct hub *h);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -126,6 +126,7 @@
 	jtb_drop_proposals(h->jtb);
 	est_clear(h->est);
 	crs_clear(h->crs);
+	shr_lead(h->shares);
 	adv_line_lead(h->advice);
 	hub_relay_lead(h, term);
 	wkr_lead(h->wkr, term);
@@ -186,6 +187,7 @@
 	hub_forget_jobs(h, now);
 	hub_mark_all_pools(h);
 	h->pending_due = true;
+	hub_shr_tick(h, now);
 	hub_log_work(h, now);
 	cpu_leave(before);
 }
@@ -569,6 +571,7 @@
 	*v = (struct sch_view){
 		.jtb = h->jtb,
 		.closed = closed,
+		.shares = h->shares,
 		.now_ms = tmr_now(h->tmr),
 		.wall_ms = hub_wall_ms(),
 		.arg = h,
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -467,6 +467,8 @@
 	w->used_mem += step->mem_mb;
 	w->used_gpus += step->gpus;
 	quo_run_begins(job->use, &amount);
+	if (job->use && step->flags & JTB_BEST_EFFORT)
+		job->use->idle_cpu += step->cpu;
 	return run;
 }
 
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -640,6 +640,8 @@
 	w->used_mem -= step->mem_mb;
 	w->used_gpus -= step->gpus;
 	quo_run_ends(job->use, &amount);
+	if (job->use && step->flags & JTB_BEST_EFFORT)
+		job->use->idle_cpu -= step->cpu;
 	g_free(run);
 	job->start_unconfirmed = job->start_unconfirmed && how == JTB_LOST;
 	jtb_count_failures(w, job, task, how);
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "dmn.h"
+#include "err.h"
 #include "hub.h"
 #include "msg.h"
 #include "plt.h"
@@ -11,6 +12,7 @@
 #define BODIES_PART 4
 
 static bool schedd_start(struct dmn *d, GError **err);
+static bool schedd_open(struct dmn *d, enum shr_method shares, GError **err);
 static void schedd_stop(struct dmn *d);
 static void schedd_drain(struct dmn *d);
 static void schedd_reload(struct dmn *d);
@@ -38,6 +40,22 @@
 
 /* Starts a control daemon by its settings. */
 static bool schedd_start(struct dmn *d, GError **err)
+{
+	const struct nst *s = d->settings;
+	enum shr_method shares;
+
+	if (!shr_method_by_name(s->shares, &shares)) {
+		err_set(err, ERR_INPUT, "read settings", NULL,
+			"%s: [node] shares is \"%s\"; allowed: none, "
+			"running, recent, recent-any or recent-owed",
+			s->path, s->shares);
+		return false;
+	}
+	return schedd_open(d, shares, err);
+}
+
+/* Opens the control daemon's folder and addresses. */
+static bool schedd_open(struct dmn *d, enum shr_method shares, GError **err)
 {
 	const struct nst *s = d->settings;
 	struct hub_config config = {
@@ -59,6 +77,7 @@
 		.vm_lease_ms = s->vm_lease_ms,
 		.relay_min_workers = s->relay_min_workers,
 		.job_retention_ms = s->job_retention_ms,
+		.shares = shares,
 		.body_max = s->body_max,
 		.bodies_max = s->memory / BODIES_PART,
 		.descriptors = &d->descriptors,
--- a/src/nst.c
+++ b/src/nst.c
@@ -49,6 +49,7 @@
 	 "false", 0, 0},
 	{"node", "log-level", NST_TEXT, NST_OFFSET(log_level), false, "notice",
 	 0, 0},
+	{"node", "shares", NST_TEXT, NST_OFFSET(shares), false, "recent", 0, 0},
 	{"bounds", "losses", NST_INT, NST_OFFSET(losses), false, "1", 0, 5},
 	{"bounds", "hold-max-ms", NST_INT, NST_OFFSET(hold_max_ms), false,
 	 "10000", 1000, 600000},
@@ -134,6 +135,7 @@
 	g_free(s->orders);
 	g_free(s->keys);
 	g_free(s->log_level);
+	g_free(s->shares);
 	g_strfreev(s->seeds);
 	g_free(s);
 }
--- a/src/nst.h
+++ b/src/nst.h
@@ -39,6 +39,7 @@
 	long long descriptors; /* files the process may open; 0: not set */
 	long long descriptors_reserved; /* of these, reserved for other uses */
 	char *log_level; /* lowest log level that is written */
+	char *shares; /* how organisations' shares order jobs, a method of shr */
 };
 
 struct nst *nst_load(const char *path, GError **err);
--- a/src/quo.c
+++ b/src/quo.c
@@ -14,6 +14,9 @@
 	GHashTable *by_name;
 };
 
+/* Range of weights. */
+#define QUO_WEIGHT_MIN 1e-6
+#define QUO_WEIGHT_MAX 1e6
 /* Organisations that the metrics show. */
 #define QUO_METRICS_MAX 100
 
@@ -29,6 +32,8 @@
 	QUO_WAITING,
 	QUO_AT_LIMIT,
 	QUO_REFUSED,
+	QUO_SHARE,
+	QUO_OWED,
 	QUO_METRICS
 };
 
@@ -61,6 +66,12 @@
 	[QUO_REFUSED] = {"endive_organisation_refused_total", "counter",
 			 "Jobs of an organisation refused, as its limit would "
 			 "never let them run"},
+	[QUO_SHARE] = {"endive_organisation_share", "gauge",
+		       "Dominant share of all capacity that an organisation "
+		       "uses, 0 to 1"},
+	[QUO_OWED] = {"endive_organisation_owed", "gauge",
+		      "Share that an organisation's weight gives it among "
+		      "those that run or want to, 0 to 1"},
 };
 
 static void quo_append_label(GString *out, const char *name);
@@ -106,6 +117,7 @@
 		return u;
 	u = g_new0(struct quo_use, 1);
 	u->name = g_strdup(name);
+	u->no = q->list->len;
 	g_ptr_array_add(q->list, u);
 	g_hash_table_insert(q->by_name, u->name, u);
 	return u;
@@ -135,6 +147,7 @@
 
 		u->running = (struct org_amount){0};
 		u->proposed = (struct org_amount){0};
+		u->idle_cpu = 0;
 		u->runs = 0;
 	}
 }
@@ -246,6 +259,8 @@
 		[QUO_WAITING] = (double)u->waiting,
 		[QUO_AT_LIMIT] = (double)u->at_limit,
 		[QUO_REFUSED] = (double)u->refused,
+		[QUO_SHARE] = u->share,
+		[QUO_OWED] = u->owed,
 	};
 
 	return values[m];
@@ -338,11 +353,13 @@
 /*
  * Returns an organisation's share of what is scarce, against the others'
  * weights; 1 for work of no organisation and where the configuration gives no
- * weight above 0.
+ * weight above 0. Sums and ratios of what it returns are finite.
  */
 double quo_weight(const struct quo_use *u)
 {
-	return u && u->org && u->org->weight > 0 ? u->org->weight : 1;
+	if (!u || !u->org || !(u->org->weight > 0))
+		return 1;
+	return CLAMP(u->org->weight, QUO_WEIGHT_MIN, QUO_WEIGHT_MAX);
 }
 
 /* Whether each part of the amounts stays within its own limit. */
--- a/src/quo.h
+++ b/src/quo.h
@@ -8,10 +8,13 @@
 /* What runs for one organisation. */
 struct quo_use {
 	char *name;
+	guint no; /* its position among all accounts */
 	/* its entry in the configuration in force; NULL: it has no limit */
 	const struct org *org;
 	struct org_amount running; /* runs whose end is not committed */
 	struct org_amount proposed; /* leader's: starts not yet committed */
+	/* of running, what only idle processors serve, thousandths of a core */
+	uint64_t idle_cpu;
 	double planned_cores; /* leader's: of its jobs, in the present measurement */
 	uint32_t runs;
 	uint64_t peak_cpu; /* most that has run at a time since the start */
@@ -20,6 +23,9 @@
 	uint64_t at_limit; /* waiting tasks that only the limit keeps */
 	/* leader's: jobs that the limit would never let run */
 	uint64_t refused;
+	/* leader's: its dominant share, and what it is owed, 0 to 1 */
+	double share;
+	double owed;
 };
 
 struct quo;
--- a/src/sch.c
+++ b/src/sch.c
@@ -8,20 +8,12 @@
  */
 #define SCH_RANK_STEP 1e12
 
-/* Priority classes of jobs, highest first. */
-enum sch_rank {
-	SCH_RANK_LONG_RUNNING,
-	SCH_RANK_STARTED,
-	SCH_RANK_NEW,
-	SCH_RANK_LATE,
-	SCH_RANK_WORTHLESS,
-};
-
 /* A live job of the pool with its place in the planning order. */
 struct sch_candidate {
 	struct jtb_job *job;
 	const struct jtb_queue *queue;
-	enum sch_rank rank;
+	enum shr_rank rank;
+	unsigned int class_no; /* of its rank and organisation */
 	double value; /* higher goes first within a rank */
 };
 
@@ -30,6 +22,11 @@
 static GArray *sch_collect_candidates(struct sch_pool *p);
 static void sch_rank(int64_t wall_ms, struct sch_candidate *c);
 static int sch_compare(gconstpointer a, gconstpointer b);
+static void sch_begin_shares(const struct sch_view *v, GArray *cands);
+static void sch_plan_by_shares(struct sch_pool *p, GArray *cands);
+static void sch_start(struct sch_pool *p, struct jtb_job *job,
+		      const struct jtb_name *n, uint32_t attempt,
+		      struct jtb_worker *w);
 static void sch_plan_job(struct sch_pool *p, struct sch_candidate *c);
 static void sch_plan_step(struct sch_pool *p, struct jtb_job *job,
 			  uint32_t turn, uint32_t step);
@@ -49,8 +46,12 @@
 	sch_pool_init(&p, v, pool);
 	if (p.workers->len) {
 		cands = sch_collect_candidates(&p);
+		if (v->shares)
+			sch_begin_shares(v, cands);
 		g_array_sort(cands, sch_compare);
-		for (i = 0; i < cands->len; i++)
+		if (v->shares)
+			sch_plan_by_shares(&p, cands);
+		for (i = 0; !v->shares && i < cands->len; i++)
 			sch_plan_job(&p,
 				     &g_array_index(cands, struct sch_candidate,
 						    i));
@@ -145,14 +146,13 @@
 	enum sch_chance chance = sch_chance(c->queue, job, wall_ms);
 
 	if (sch_is_long_running(job))
-		c->rank = SCH_RANK_LONG_RUNNING;
+		c->rank = SHR_LONG_RUNNING;
 	else if (job->spec.repeats || chance == SCH_IN_TIME)
-		c->rank = job->started ? SCH_RANK_STARTED : SCH_RANK_NEW;
+		c->rank = job->started ? SHR_STARTED : SHR_NEW;
 	else
-		c->rank =
-			chance == SCH_LATE ? SCH_RANK_LATE : SCH_RANK_WORTHLESS;
-	c->value =
-		c->rank == SCH_RANK_NEW ? (double)job->seq : -(double)job->seq;
+		c->rank = chance == SCH_LATE ? SHR_LATE : SHR_WORTHLESS;
+	c->class_no = c->rank;
+	c->value = c->rank == SHR_NEW ? (double)job->seq : -(double)job->seq;
 }
 
 /* Returns the position of a job in the planning order; higher goes first. */
@@ -171,6 +171,8 @@
 	const struct sch_candidate *x = a;
 	const struct sch_candidate *y = b;
 
+	if (x->class_no != y->class_no)
+		return x->class_no < y->class_no ? -1 : 1;
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
 	if (x->value != y->value)
@@ -178,6 +180,55 @@
 	return (x->job->seq > y->job->seq) - (x->job->seq < y->job->seq);
 }
 
+/*
+ * Reads what organisations have of all workers, and sets the classes of the
+ * candidates by it.
+ */
+static void sch_begin_shares(const struct sch_view *v, GArray *cands)
+{
+	struct shr_input in = {.usage = jtb_usage(v->jtb), .now_ms = v->now_ms};
+	GHashTableIter it;
+	const struct jtb_worker *w;
+	guint i;
+
+	g_hash_table_iter_init(&it, jtb_workers(v->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
+		in.total.cpu += w->info.cpu;
+		in.total.mem_mb += w->info.mem_mb;
+		in.total.gpus += w->info.gpus;
+		in.used.cpu += w->used_cpu + w->proposed_cpu;
+		in.used.mem_mb += w->used_mem + w->proposed_mem;
+		in.used.gpus += w->used_gpus + w->proposed_gpus;
+	}
+	shr_begin(v->shares, &in);
+	for (i = 0; i < cands->len; i++) {
+		struct sch_candidate *c =
+			&g_array_index(cands, struct sch_candidate, i);
+
+		c->class_no = shr_class(v->shares, c->job->use, c->rank);
+	}
+}
+
+/* Plans sorted candidates in the order of their organisations' shares. */
+static void sch_plan_by_shares(struct sch_pool *p, GArray *cands)
+{
+	struct shr *shares = p->v->shares;
+	struct sch_candidate *c;
+	guint i;
+
+	for (i = 0; i < cands->len; i++) {
+		c = &g_array_index(cands, struct sch_candidate, i);
+		shr_add(shares, c->job->use, c->class_no, c);
+	}
+	while ((c = shr_next(shares))) {
+		p->lacks_room = false;
+		sch_plan_job(p, c);
+		if (p->lacks_room)
+			shr_wait(shares, c->job->use);
+	}
+	shr_end(shares, p->name);
+}
+
 /* Starts the tasks of a job that are due and fit. */
 static void sch_plan_job(struct sch_pool *p, struct sch_candidate *c)
 {
@@ -195,8 +246,10 @@
 				continue;
 			if (!(job->spec.steps[s].flags & JTB_LONG_RUNNING) &&
 			    !jtb_max_crashes(job) &&
-			    sch_is_no_fit(p, &job->spec.steps[s]))
+			    sch_is_no_fit(p, &job->spec.steps[s])) {
+				p->lacks_room = true;
 				continue;
+			}
 			if (job->spec.steps[s].flags & JTB_GANG)
 				sch_plan_gang(p, job, t, s);
 			else
@@ -260,13 +313,12 @@
 			sch_reserve_worker(p, job, step);
 		}
 		if (!w) {
+			p->lacks_room = true;
 			sch_record_no_fit(p, &job->spec.steps[step]);
 			return;
 		}
-		p->started++;
 		w->tasks_of_step++;
-		p->v->start(p->v->arg, job, &n, task ? task->attempt + 1 : 1,
-			    w);
+		sch_start(p, job, &n, task ? task->attempt + 1 : 1, w);
 	}
 }
 
@@ -314,8 +366,7 @@
 		w = g_ptr_array_index(places, n.index);
 		if (suspected)
 			sch_start_isolated(p, w, job);
-		p->started++;
-		p->v->start(p->v->arg, job, &n, attempt + 1, w);
+		sch_start(p, job, &n, attempt + 1, w);
 	}
 	if (placed)
 		job->rack_wait_since_ms = 0;
@@ -324,5 +375,22 @@
 		return;
 	if (job->spec.steps[step].flags & JTB_LONG_RUNNING)
 		p->v->unschedulable(p->v->arg, p->name);
+	p->lacks_room = true;
 	sch_record_no_fit(p, &job->spec.steps[step]);
 }
+
+/* Starts a task, and charges it to its organisation. */
+static void sch_start(struct sch_pool *p, struct jtb_job *job,
+		      const struct jtb_name *n, uint32_t attempt,
+		      struct jtb_worker *w)
+{
+	struct org_amount amount = jtb_step_amount(&job->spec.steps[n->step]);
+
+	/* idle processor time is taken from nobody */
+	if (job->spec.steps[n->step].flags & JTB_BEST_EFFORT)
+		amount.cpu = 0;
+	p->started++;
+	if (p->v->shares)
+		shr_charge(p->v->shares, job->use, &amount);
+	p->v->start(p->v->arg, job, n, attempt, w);
+}
--- a/src/sch.h
+++ b/src/sch.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "jtb.h"
+#include "shr.h"
 
 /*
  * What a plan is made from, and the functions it calls. Decisions depend on the
@@ -16,6 +17,7 @@
 	const struct jtb *jtb;
 	/* ids of workers being drained for a move or upkeep */
 	GHashTable *closed;
+	struct shr *shares; /* of organisations; NULL: they count for nothing */
 	int64_t now_ms; /* monotonic */
 	int64_t wall_ms; /* since 1970 */
 	void *arg;
--- a/src/sch_int.h
+++ b/src/sch_int.h
@@ -43,6 +43,7 @@
 	const char *rack; /* rack that a gang must be placed on; NULL: any */
 	/* few enough workers are suspect that they are avoided */
 	bool avoid_suspects;
+	bool lacks_room; /* a task of the job being planned found no room */
 	uint32_t started;
 };
 
--- a/src/sim.c
+++ b/src/sim.c
@@ -186,6 +186,7 @@
 	s->upk = upk_new(s->jtb, s->vms, &sim_upk_ops, s);
 	s->flo = flo_new(s->jtb, s->vms, &sim_flo_ops, s);
 	s->crs = crs_new(&sim_crs_ops, s);
+	s->shares = shr_new(SHR_RECENT);
 	s->machines = g_ptr_array_new();
 	s->runs = g_ptr_array_new_with_free_func(sim_run_free);
 	s->held = g_ptr_array_new_with_free_func(sim_order_free);
@@ -238,6 +239,7 @@
 	g_ptr_array_free(s->log, TRUE);
 	g_hash_table_destroy(s->idle);
 	crs_free(s->crs);
+	shr_free(s->shares);
 	flo_free(s->flo);
 	upk_free(s->upk);
 	vms_free(s->vms);
@@ -325,6 +327,7 @@
 	*v = (struct sch_view){
 		.jtb = s->jtb,
 		.closed = closed,
+		.shares = s->shares,
 		.now_ms = s->now + SIM_PLAN_MS,
 		.wall_ms = SIM_EPOCH_MS + s->now,
 		.arg = s,
--- a/src/sim_int.h
+++ b/src/sim_int.h
@@ -157,6 +157,7 @@
 	struct flo *flo;
 	struct upk *upk;
 	struct crs *crs;
+	struct shr *shares;
 	GPtrArray *machines; /* struct sim_vm */
 	GPtrArray *runs; /* struct sim_run */
 	GPtrArray *held; /* struct sim_vm_order behind a cut */
--- a/src/sim_trouble.c
+++ b/src/sim_trouble.c
@@ -63,6 +63,7 @@
 	}
 	s->led_ms = s->now;
 	crs_clear(s->crs);
+	shr_lead(s->shares);
 	if (s->config.keep_proposed) {
 		upk_reset(s->upk);
 		flo_reset(s->flo);
--- a/tests/unit/plt_test.c
+++ b/tests/unit/plt_test.c
@@ -251,6 +251,9 @@
 		 "a field of tenant 0 (\"a\") is missing or of another type"},
 		{KEYED("{name=a,weight=much}"),
 		 "a field of tenant 0 (\"a\") is missing or of another type"},
+		{KEYED("{name=a,weight=-2}"),
+		 "\"weight\" of tenant 0 (\"a\") is not a finite number "
+		 "from 0 on"},
 		{KEYED("{name=a,maximum=9}"),
 		 "a field of tenant 0 (\"a\") is missing or of another type"},
 		{KEYED("{name=a,maximum={cpu=many}}"),
