Intake by room: a job that can't be of use in its line is refused at once

The leader now counts, each tick and at each acceptance, the work that waits for each pool and organisation, and refuses with 429 and a Retry-After what would end beyond three times its objective in its organisation's place in line (generalised processor sharing by quo_weight), VMs on their way, idle VMs elsewhere and the division's entitlement counted. Nothing of it goes into the log. A leader that doesn't know accepts; lasting and timed work is never refused for its line; a copy of a job whose entry is on its way follows it. Live jobs are bounded by an eighth of memory-mb. Ways all, pool and organisation by the node setting "intake".

--- a/src/est.c
+++ b/src/est.c
@@ -84,6 +84,15 @@
 	r->xy = r->xy * (1 - EST_DECAY) + x * y;
 }
 
+/* Whether enough tasks of a queue have completed to correct its estimates. */
+bool est_is_learned(const struct est *e, const char *queue)
+{
+	const struct est_regression *r =
+		g_hash_table_lookup(e->regressions, queue);
+
+	return r && r->n >= EST_MIN_TASKS;
+}
+
 /*
  * Returns the factor from an estimate to the time that such a task takes; 1 if
  * there are too few samples.
--- a/src/est.h
+++ b/src/est.h
@@ -4,6 +4,7 @@
 /* Task time estimation: corrects callers' estimates by regression. */
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -21,6 +22,7 @@
 void est_clear(struct est *e);
 void est_learn(struct est *e, const char *queue, uint32_t estimate_ms,
 	       int64_t took_ms);
+bool est_is_learned(const struct est *e, const char *queue);
 double est_scale(const struct est *e, const char *queue, uint32_t estimate_ms);
 
 #endif
--- a/src/hub.c
+++ b/src/hub.c
@@ -64,6 +64,7 @@
 	h->calls = g_hash_table_new(NULL, NULL);
 	h->est = est_new();
 	h->crs = crs_new(&hub_crs_ops, h);
+	h->itk = itk_new(config->intake, itk_bounds((uint64_t)config->memory));
 	h->dirty_pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	h->report_seqs =
@@ -142,6 +143,7 @@
 	g_hash_table_destroy(h->calls);
 	est_free(h->est);
 	crs_free(h->crs);
+	itk_free(h->itk);
 	g_hash_table_destroy(h->dirty_pools);
 	g_hash_table_destroy(h->report_seqs);
 	tmr_free(h->tmr);
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -12,6 +12,7 @@
 #include "gcm.h"
 #include "hld.h"
 #include "hub.h"
+#include "itk.h"
 #include "lod.h"
 #include "rep.h"
 #include "sch.h"
@@ -25,8 +26,9 @@
  * hub_call (calls and their answers), hub_log (commands and reads in progress
  * in the log), hub_carry (which replica sends the calls to a worker), hub_lost
  * (workers that crash), hub_plan (what the leader runs), hub_held (why a
- * pending task does not run), hub_vm (upkeep of VMs), hub_take (requests that
- * the protocol layer passes on), hub_tell (metrics), hub (start, stop and
+ * pending task does not run), hub_vm (upkeep of VMs), hub_intake (which jobs are
+ * refused for want of room), hub_take (requests that the protocol layer passes
+ * on), hub_tell (metrics), hub (start, stop and
  * network input of the daemon).
  */
 
@@ -118,6 +120,7 @@
 	struct adv_line *advice;
 	struct upk *upk;
 	struct flo *flo;
+	struct itk *itk;
 	int64_t pools_logged_ms; /* when the pools were last logged */
 	/* when the time per kind of work was last logged, and those times */
 	int64_t work_logged_ms;
@@ -184,6 +187,7 @@
 void hub_plan_step_down(struct hub *h);
 void hub_plan_tick(struct hub *h, int64_t now);
 void hub_mark_all_pools(struct hub *h);
+double hub_estimate_ratio(const struct hub *h, const struct jtb_spec *spec);
 void hub_init_sch_view(struct hub *h, GHashTable *closed, struct sch_view *v);
 void hub_stop_run(void *arg, struct jtb_run *run, const char *why);
 /* hub_lost */
@@ -203,6 +207,10 @@
 void hub_vm_lead(struct hub *h, uint64_t term);
 void hub_vm_step_down(struct hub *h);
 void hub_vm_tick(struct hub *h, int64_t now);
+/* hub_intake */
+void hub_intake_tick(struct hub *h, int64_t now);
+bool hub_intake_refuse(struct hub *h, struct hub_call *c,
+		       const struct jtb_spec *spec);
 /* hub_tell */
 void hub_record_time(struct hub *h, enum hub_duration what, int64_t ms);
 void hub_write_metrics(const struct hub *h, GString *out);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -126,6 +126,7 @@
 	jtb_drop_proposals(h->jtb);
 	est_clear(h->est);
 	crs_clear(h->crs);
+	itk_reset(h->itk);
 	adv_line_lead(h->advice);
 	hub_relay_lead(h, term);
 	wkr_lead(h->wkr, term);
@@ -154,6 +155,7 @@
 	wkr_stop_leading(h->wkr);
 	rly_drop_unsent(h->rly);
 	adv_line_step_down(h->advice);
+	itk_reset(h->itk);
 	hub_vm_step_down(h);
 	jtb_drop_proposals(h->jtb);
 	g_hash_table_remove_all(h->dirty_pools);
@@ -183,6 +185,7 @@
 	}
 	hub_scale_estimates(h);
 	hub_vm_tick(h, now);
+	hub_intake_tick(h, now);
 	hub_forget_jobs(h, now);
 	hub_mark_all_pools(h);
 	h->pending_due = true;
@@ -802,24 +805,31 @@
 {
 	GPtrArray *live = jtb_live(h->jtb);
 	guint i;
-	uint32_t s;
 
 	for (i = 0; i < live->len; i++) {
 		struct jtb_job *job = g_ptr_array_index(live, i);
-		double guessed = 0;
-		double scaled = 0;
 
-		for (s = 0; s < job->spec.n_steps; s++) {
-			const struct jtb_step *step = &job->spec.steps[s];
-			double work = (double)step->count * step->cpu *
-				      step->estimate_ms;
+		job->estimate_ratio = hub_estimate_ratio(h, &job->spec);
+	}
+}
 
-			guessed += work;
-			scaled += work * est_scale(h->est, job->spec.queue,
-						   step->estimate_ms);
-		}
-		job->estimate_ratio = guessed > 0 ? scaled / guessed : 1;
+/* Returns the expected time of a job's tasks for each ms of its estimates. */
+double hub_estimate_ratio(const struct hub *h, const struct jtb_spec *spec)
+{
+	double guessed = 0;
+	double scaled = 0;
+	uint32_t s;
+
+	for (s = 0; s < spec->n_steps; s++) {
+		const struct jtb_step *step = &spec->steps[s];
+		double work =
+			(double)step->count * step->cpu * step->estimate_ms;
+
+		guessed += work;
+		scaled += work *
+			  est_scale(h->est, spec->queue, step->estimate_ms);
 	}
+	return guessed > 0 ? scaled / guessed : 1;
 }
 
 /* Whether a run has made no progress for far longer than its estimate. */
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -46,6 +46,8 @@
 							HUB_NO_ADVICE_RETRY_S});
 		return;
 	}
+	if (hub_intake_refuse(h, c, spec))
+		return;
 	h->counts[HUB_JOBS]++;
 	msg_job(MSG_HUB_JOB, spec->id,
 		"job=%s queue=%s steps=%u config=%" PRIu64 " live=%u", spec->id,
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -394,6 +394,7 @@
 void jtb_queue_free(gpointer p);
 void jtb_pool_free(gpointer p);
 void jtb_spec_clear(struct jtb_spec *s);
+struct jtb_job *jtb_job_new(const struct jtb_spec *spec);
 void jtb_blame_init(struct jtb_blame *b);
 void jtb_blame_clear(struct jtb_blame *b);
 bool jtb_blame_single_job(const struct jtb_blame *b);
--- a/src/jtb_int.h
+++ b/src/jtb_int.h
@@ -43,7 +43,6 @@
 /* jtb_type */
 void jtb_job_free(gpointer p);
 void jtb_worker_free(gpointer p);
-struct jtb_job *jtb_job_new(const struct jtb_spec *spec);
 /* jtb_cmd */
 void jtb_pack_config(struct pk_out *o, const struct jtb_config *c);
 struct jtb_config *jtb_unpack_config(struct pk_in *in);
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -61,6 +61,8 @@
 		.job_retention_ms = s->job_retention_ms,
 		.body_max = s->body_max,
 		.bodies_max = s->memory / BODIES_PART,
+		.intake = s->intake,
+		.memory = s->memory,
 		.descriptors = &d->descriptors,
 	};
 
--- a/src/msg.c
+++ b/src/msg.c
@@ -77,6 +77,7 @@
 	[MSG_HUB_CONFIG] = {MSG_NOTICE, "config-accepted"},
 	[MSG_HUB_KEY_REFUSED] = {MSG_NOTICE, "key-refused"},
 	[MSG_HUB_NEVER_FITS] = {MSG_NOTICE, "job-over-limit"},
+	[MSG_HUB_NO_ROOM] = {MSG_NOTICE, "job-refused"},
 	[MSG_HUB_WORKER] = {MSG_NOTICE, "worker"},
 	[MSG_HUB_WORKER_GONE] = {MSG_NOTICE, "worker-gone"},
 	[MSG_HUB_WAVE] = {MSG_NOTICE, "wave"},
--- a/src/nst.c
+++ b/src/nst.c
@@ -13,6 +13,7 @@
 	NST_ADDRS, /* char **, comma-separated IP:PORT */
 	NST_BOOL, /* bool */
 	NST_INT, /* long long */
+	NST_INTAKE, /* const struct itk_way * */
 };
 
 /* Definition of a setting. */
@@ -39,6 +40,8 @@
 	{"node", "metrics", NST_ADDR, NST_OFFSET(metrics), false, NULL, 0, 0},
 	{"node", "vms", NST_ADDR, NST_OFFSET(vms), false, NULL, 0, 0},
 	{"node", "advice", NST_ADDR, NST_OFFSET(advice), false, NULL, 0, 0},
+	{"node", "intake", NST_INTAKE, NST_OFFSET(intake), false,
+	 "organisation", 0, 0},
 	{"node", "orders", NST_TEXT, NST_OFFSET(orders), false, NULL, 0, 0},
 	{"node", "data", NST_TEXT, NST_OFFSET(data), false, NULL, 0, 0},
 	{"node", "keys", NST_TEXT, NST_OFFSET(keys), false, NULL, 0, 0},
@@ -176,6 +179,11 @@
 		     nst_reject(err, s, d, text, "true or false");
 		*(bool *)value = strcmp(text, "true") == 0;
 		break;
+	case NST_INTAKE:
+		*(const struct itk_way **)value = itk_way(text);
+		ok = itk_way(text) ||
+		     nst_reject(err, s, d, text, itk_way_names());
+		break;
 	case NST_INT:
 		ok = nst_parse_int(s, d, text, err);
 		break;
--- a/src/nst.h
+++ b/src/nst.h
@@ -6,6 +6,8 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "itk.h"
+
 /*
  * Settings of a node. The platform writes them as a key file with the groups
  * [node] and [bounds], which may change while the daemon runs.
@@ -23,6 +25,7 @@
 	char *vms; /* IP:PORT of the service that moves VMs, or NULL */
 	char *advice; /* IP:PORT of the advice service, or NULL */
 	char *orders; /* how the platform delivers orders to workers, or NULL */
+	const struct itk_way *intake; /* which jobs are refused for room */
 	char **seeds; /* IP:PORT of replicas, with the port of wire */
 	bool bootstrap; /* new fleet: the seeds are its first voters */
 	bool open_network; /* own processes need no key */
--- a/src/quo.c
+++ b/src/quo.c
@@ -63,7 +63,6 @@
 			 "never let them run"},
 };
 
-static void quo_append_label(GString *out, const char *name);
 static double quo_metric_value(const struct quo_use *u, enum quo_metric m);
 static void quo_use_free(gpointer p);
 static bool quo_part_fits(uint64_t limit, uint64_t used, uint64_t more);
@@ -217,7 +216,7 @@
 }
 
 /* Appends a name with what a label's value must escape. */
-static void quo_append_label(GString *out, const char *name)
+void quo_append_label(GString *out, const char *name)
 {
 	for (; *name; name++) {
 		if (*name == '"' || *name == '\\')
--- a/src/quo.h
+++ b/src/quo.h
@@ -47,5 +47,6 @@
 		   uint32_t n);
 double quo_free_cores(const struct quo_use *u);
 double quo_weight(const struct quo_use *u);
+void quo_append_label(GString *out, const char *name);
 
 #endif
