--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -80,6 +80,8 @@
 		.shares = shares,
 		.body_max = s->body_max,
 		.bodies_max = s->memory / BODIES_PART,
+		.intake = s->intake,
+		.memory = s->memory,
 		.descriptors = &d->descriptors,
 	};
 
