--- a/src/adv.c
+++ b/src/adv.c
@@ -353,6 +353,27 @@
 	verdict->refusals++;
 }
 
+/*
+ * Forgets what was answered for a worker: tickets are valid for one lifetime,
+ * and the next one under the same id may be allowed other steps.
+ */
+void adv_forget_worker(struct adv *a, const char *worker)
+{
+	GHashTableIter it;
+	struct adv_step *s;
+
+	g_hash_table_iter_init(&it, a->steps);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&s)) {
+		const struct adv_verdict *verdict = adv_find_verdict(s, worker);
+
+		if (!verdict)
+			continue;
+		s->n_approved -= verdict->kind == ADV_APPROVED;
+		s->skip_until_ms = 0;
+		g_hash_table_remove(s->verdicts, worker);
+	}
+}
+
 /* Returns the ticket of a worker for a step; NULL: none is valid at now_ms. */
 const char *adv_ticket(struct adv *a, const struct jtb_job *job, uint32_t turn,
 		       uint32_t step, const struct jtb_worker *w,
--- a/src/adv.h
+++ b/src/adv.h
@@ -61,6 +61,7 @@
 void adv_reject_query(struct adv *a, const struct adv_query *query,
 		      int64_t now_ms);
 void adv_drop_ticket(struct adv *a, const struct jtb_run *run, int64_t now_ms);
+void adv_forget_worker(struct adv *a, const char *worker);
 const char *adv_ticket(struct adv *a, const struct jtb_job *job, uint32_t turn,
 		       uint32_t step, const struct jtb_worker *w,
 		       int64_t now_ms);
--- a/src/evd.c
+++ b/src/evd.c
@@ -31,6 +31,7 @@
 	[EVD_VM_OTHER] = "vm-of-another",
 	[EVD_VM_NONE] = "vm-not-listed",
 	[EVD_VM_ORDER] = "vm-ordered",
+	[EVD_RESTARTED] = "restarted",
 	[EVD_LEFT] = "left",
 };
 
@@ -128,6 +129,23 @@
 		(run->phase == WKR_NEW && run->may_have_started));
 }
 
+/*
+ * Whether a worker's next lifetime under the same id may be reached by a start
+ * of a run, or may have taken it already: an order was not answered, or was
+ * answered and no list of the earlier lifetime showed the run, so that either
+ * may have answered. Orders of an earlier leader aren't known, and the next
+ * lifetime has seen no fence.
+ */
+bool evd_may_reach_successor(const struct jtb_run *run)
+{
+	if (run->inherited || run->orders_unanswered || run->phase == WKR_SENT)
+		return true;
+	if (!run->orders_sent || run->phase == WKR_DROPPED ||
+	    (run->phase == WKR_NEW && !run->may_have_started))
+		return false;
+	return !run->first_running_ms;
+}
+
 /*
  * Whether all leases of an unreachable worker have certainly expired, including
  * those that a previous leader may have granted.
--- a/src/evd.h
+++ b/src/evd.h
@@ -29,6 +29,7 @@
 	EVD_VM_NONE,
 	/* the leader ordered an operation that takes the worker's VM */
 	EVD_VM_ORDER,
+	EVD_RESTARTED, /* the worker reported a later lifetime */
 	EVD_LEFT, /* the worker reported its exit and had no runs */
 	EVD_KINDS
 };
@@ -80,6 +81,7 @@
 bool evd_unlisted(const struct jtb_run *run, int64_t asked_ms,
 		  const struct evd_moment *m, struct evd *out);
 bool evd_may_arrive(const struct jtb_run *run);
+bool evd_may_reach_successor(const struct jtb_run *run);
 bool evd_lease_over(const struct evd_worker *w, int64_t lease_ms,
 		    const struct evd_moment *m, struct evd *out);
 bool evd_vm_over(const struct evd_vm *vm, int64_t unreachable_since,
--- a/src/hub.h
+++ b/src/hub.h
@@ -38,6 +38,14 @@
 	const char *location; /* URL at another replica; or NULL */
 };
 
+/* Why a worker's report can't be used. */
+enum hub_report_fault {
+	HUB_REPORT_USABLE,
+	HUB_REPORT_UNREADABLE, /* a field is missing or of another type */
+	HUB_REPORT_UNKNOWN, /* it names a state or pool that isn't known */
+	HUB_REPORT_FAULTS
+};
+
 /* Why a caller's key is refused. */
 enum hub_key_fault {
 	HUB_KEY_VALID,
@@ -122,9 +130,12 @@
 		hub_resume_fn resume);
 void hub_cancel(struct hub *h, struct hub_call *c, const char *id,
 		hub_resume_fn resume);
+void hub_refuse_report(struct hub *h, struct hub_call *c, const char *id,
+		       enum hub_report_fault why);
 void hub_accept_report(struct hub *h, struct hub_call *c,
-		       const struct jtb_worker_info *info, uint64_t sequence,
-		       int64_t clock_ms, hub_resume_fn resume);
+		       struct jtb_worker_info *info, int64_t leaves_in_ms,
+		       uint64_t sequence, int64_t clock_ms,
+		       hub_resume_fn resume);
 bool hub_knows_worker(struct hub *h, const struct jtb_worker_info *info);
 void hub_accept_leave(struct hub *h, struct hub_call *c, const char *id,
 		      hub_resume_fn resume);
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -86,6 +86,12 @@
 	HUB_KEYS_REFUSED,
 	HUB_NEVER_FIT,
 	HUB_DIRECT_STARTS,
+	HUB_RESTARTS,
+	HUB_REPORTS_UNREADABLE,
+	HUB_REPORTS_UNKNOWN,
+	HUB_REPORTS_EARLIER,
+	HUB_REPORTS_NO_START,
+	HUB_REPORTS_BAD_START,
 	HUB_COUNTS
 };
 
@@ -194,6 +200,16 @@
 void hub_remove_left_worker(struct hub *h, struct jtb_worker *w,
 			    enum evd_why why, int64_t as_of_ms);
 struct evd_moment hub_evd_moment(const struct hub *h);
+/* hub_life */
+bool hub_judge_lifetime(struct hub *h, struct hub_call *c,
+			const struct jtb_worker *w,
+			const struct jtb_worker_info *info,
+			hub_resume_fn resume);
+bool hub_is_restart(const struct jtb_worker *w,
+		    const struct jtb_worker_info *info);
+void hub_propose_restart(struct hub *h, struct jtb_worker *w,
+			 const struct jtb_worker_info *info);
+bool hub_evidence_is_outdated(const struct jtb_worker *w, int64_t as_of_ms);
 /* hub_held */
 void hub_pending_reset(struct hub *h);
 void hub_pending_tick(struct hub *h, int64_t now);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -178,7 +178,8 @@
 		 * the runs that the worker still had when it announced its end
 		 * are over
 		 */
-		if (w->leaving && w->info.draining && !w->runs->len)
+		if (w->leaving && w->info.draining && !w->runs->len &&
+		    !w->restart_proposed)
 			hub_record_leave(h, w);
 	}
 	hub_scale_estimates(h);
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -127,12 +127,17 @@
  * next leader must give it no work either.
  */
 void hub_accept_report(struct hub *h, struct hub_call *c,
-		       const struct jtb_worker_info *info, uint64_t sequence,
-		       int64_t clock_ms, hub_resume_fn resume)
+		       struct jtb_worker_info *info, int64_t leaves_in_ms,
+		       uint64_t sequence, int64_t clock_ms,
+		       hub_resume_fn resume)
 {
 	struct jtb_worker *w = jtb_worker(h->jtb, info->id);
 
-	if (jtb_worker_was_removed(h->jtb, info->id)) {
+	if (info->draining && leaves_in_ms)
+		info->leaves_at_ms = hub_wall_ms() + leaves_in_ms;
+	if (!hub_judge_lifetime(h, c, w, info, resume))
+		return;
+	if (jtb_lifetime_is_over(h->jtb, info->id, info->started_ms)) {
 		msg(MSG_HUB_ODD,
 		    "what=\"word of a worker that is over\" worker=%s addr=%s "
 		    "sequence=%" PRIu64,
@@ -140,6 +145,12 @@
 		resume(h, c);
 		return;
 	}
+	if (hub_is_restart(w, info)) {
+		g_hash_table_remove(h->report_seqs, info->id);
+		hub_propose_restart(h, w, info);
+		hub_commit(h, c, resume);
+		return;
+	}
 	if (hub_report_outdated(h, info->id, sequence)) {
 		resume(h, c);
 		return;
@@ -184,7 +195,7 @@
 {
 	struct jtb_worker *w = jtb_worker(h->jtb, id);
 
-	if (w) {
+	if (w && !w->restart_proposed) {
 		hub_record_leave(h, w);
 		if (w->runs->len)
 			wkr_poll(h->wkr, w);
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -56,6 +56,23 @@
 	[HUB_DIRECT_STARTS] =
 		{"endive_starts_direct_total", "counter",
 		 "Runs first ordered without a relay, where relays are used"},
+	[HUB_RESTARTS] = {"endive_worker_restarts_total", "counter",
+			  "Workers that started again under their ids"},
+	[HUB_REPORTS_UNREADABLE] =
+		{"endive_worker_reports_unreadable_total", "counter",
+		 "Reports refused: fields missing or of another type"},
+	[HUB_REPORTS_UNKNOWN] =
+		{"endive_worker_reports_unknown_total", "counter",
+		 "Reports refused: a state or pool that isn't known"},
+	[HUB_REPORTS_EARLIER] = {"endive_worker_reports_earlier_total",
+				 "counter",
+				 "Late reports of workers' earlier lifetimes"},
+	[HUB_REPORTS_NO_START] =
+		{"endive_worker_reports_no_start_total", "counter",
+		 "Reports refused: no start, of a worker that had one"},
+	[HUB_REPORTS_BAD_START] =
+		{"endive_worker_reports_bad_start_total", "counter",
+		 "Reports refused: a start that is no time, or far ahead"},
 	[HUB_UNADVISED] =
 		{"endive_jobs_unadvised_total", "counter",
 		 "Jobs refused, as nobody gives the advice they need"},
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -274,8 +274,13 @@
 		return;
 	/* The lifetime of the worker on that VM is over, with all its runs. */
 	w = worker ? jtb_worker(h->jtb, worker) : NULL;
+	/*
+	 * An order is answered as accepted also if it was carried out before:
+	 * it says nothing of a worker that has started again meanwhile.
+	 */
 	if (w)
-		hub_remove_left_worker(h, w, EVD_VM_ORDER, tmr_now(h->tmr));
+		hub_remove_left_worker(h, w, EVD_VM_ORDER,
+				       w->restarted_ms ? 0 : tmr_now(h->tmr));
 	vms_refresh(h->vms);
 }
 
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -37,7 +37,7 @@
 	t->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   jtb_worker_free);
 	t->removed =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->waves = g_ptr_array_new_with_free_func(jtb_wave_free);
 	t->usage = quo_new();
 	t->next_serial = 1;
@@ -143,10 +143,16 @@
 	return NULL;
 }
 
-/* Whether a worker id was removed permanently. */
-bool jtb_worker_was_removed(const struct jtb *t, const char *worker)
+/*
+ * Whether a worker's lifetime that began at started_ms, 0 if not known, is
+ * permanently over: the id was removed, and not started again since.
+ */
+bool jtb_lifetime_is_over(const struct jtb *t, const char *worker,
+			  int64_t started_ms)
 {
-	return g_hash_table_contains(t->removed, worker);
+	const int64_t *last = g_hash_table_lookup(t->removed, worker);
+
+	return last && started_ms <= *last;
 }
 
 /* Returns the queue of a name, or NULL. */
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -197,7 +197,7 @@
 };
 
 struct jtb_worker_info {
-	char *id; /* new after each restart of the worker */
+	char *id; /* of the worker; a restarted one may have it again */
 	char *pool;
 	char *addr;
 	char *zone;
@@ -206,6 +206,10 @@
 	uint32_t mem_mb;
 	uint32_t gpus;
 	bool draining;
+	/* start of the worker's process, ms since 1970; 0: not reported */
+	int64_t started_ms;
+	/* it leaves at the earliest then, ms since 1970; 0: not reported */
+	int64_t leaves_at_ms;
 };
 
 struct jtb_worker {
@@ -214,6 +218,8 @@
 	GPtrArray *runs; /* struct jtb_run */
 	bool removal_proposed; /* leader's: its removal is proposed */
 	struct evd removal_evidence; /* leader's: evidence for that removal */
+	bool restart_proposed; /* leader's: its next lifetime is proposed */
+	int64_t restarted_ms; /* leader's: that was applied; 0: never */
 	bool leaving; /* leader's: it announced its shutdown */
 	uint32_t unlisted_count; /* leader's: VM lists in a row that lack it */
 	uint32_t runs_lost_count; /* times all its runs were ended as lost */
@@ -247,6 +253,8 @@
 	uint32_t index;
 	uint32_t attempt;
 	bool stopping; /* a stop was committed and is sent to its worker */
+	/* of an earlier lifetime of its worker; its start may still arrive */
+	bool earlier_life;
 	/* leader's from here on */
 	uint64_t serial;
 	uint8_t phase; /* enum wkr_phase */
@@ -336,7 +344,8 @@
 GPtrArray *jtb_waves(const struct jtb *t);
 struct quo *jtb_usage(const struct jtb *t);
 struct jtb_wave *jtb_wave(const struct jtb *t, uint64_t no);
-bool jtb_worker_was_removed(const struct jtb *t, const char *worker);
+bool jtb_lifetime_is_over(const struct jtb *t, const char *worker,
+			  int64_t started_ms);
 const struct jtb_queue *jtb_queue(const struct jtb_config *c, const char *name);
 const struct jtb_queue *jtb_route(const struct jtb_config *c, const char *host,
 				  const char *path);
@@ -376,6 +385,9 @@
 		 const struct jtb_name *name, uint32_t attempt,
 		 enum jtb_end how, struct lstr checkpoint, int64_t wall_ms);
 void jtb_put_worker(struct pk_out *o, const struct jtb_worker_info *i);
+void jtb_put_worker_restarted(struct pk_out *o, const struct jtb_worker_info *i,
+			      const GArray *kept, const struct jtb_blame *blame,
+			      int64_t wall_ms);
 void jtb_put_worker_lost(struct pk_out *o, const char *worker, bool permanent);
 void jtb_put_worker_leaving(struct pk_out *o, const char *worker);
 void jtb_put_worker_crashed(struct pk_out *o, const char *worker,
--- a/src/jtb_cmd.c
+++ b/src/jtb_cmd.c
@@ -2,7 +2,6 @@
 
 static void jtb_pack_name(struct pk_out *o, const struct jtb_name *n);
 static void jtb_pack_names(struct pk_out *o, const GArray *names);
-static bool jtb_unpack_names(struct pk_in *in, GArray *out);
 static char *jtb_unpack_optional_text(struct pk_in *in);
 static char *jtb_unpack_text(struct pk_in *in);
 static void jtb_pack_orgs(struct pk_out *o, const struct orgs *all);
@@ -90,6 +89,26 @@
 	jtb_pack_info(o, i);
 }
 
+/*
+ * Appends a command for a worker that started again under its id: ends the runs
+ * of its earlier lifetime as lost, but for those in kept, whose start may still
+ * arrive at the new one, which is to stop them. blame is as for
+ * jtb_put_worker_crashed. wall_ms is ms since 1970.
+ */
+void jtb_put_worker_restarted(struct pk_out *o, const struct jtb_worker_info *i,
+			      const GArray *kept, const struct jtb_blame *blame,
+			      int64_t wall_ms)
+{
+	pk_arr(o, 7);
+	pk_u(o, JTB_CMD_WORKER);
+	jtb_pack_info(o, i);
+	jtb_pack_names(o, kept);
+	jtb_pack_names(o, blame->suspects);
+	jtb_pack_names(o, blame->cleared);
+	pk_bool(o, blame->correlated);
+	pk_i(o, wall_ms);
+}
+
 /*
  * Appends a command for a worker that announced its shutdown: the worker is
  * removed, or drained if it still has runs.
@@ -143,7 +162,7 @@
 }
 
 /* Unpacks an array of task names; returns false if one is malformed. */
-static bool jtb_unpack_names(struct pk_in *in, GArray *out)
+bool jtb_unpack_names(struct pk_in *in, GArray *out)
 {
 	struct pk_in list = pk_get_arr(in);
 	struct jtb_name n;
@@ -402,7 +421,9 @@
 	guint n = i->labels ? g_strv_length(i->labels) : 0;
 	guint l;
 
-	pk_arr(o, 9);
+	bool dated = i->started_ms || i->leaves_at_ms;
+
+	pk_arr(o, dated ? 11 : 9);
 	pk_cstr(o, i->id);
 	pk_cstr(o, i->pool);
 	pk_cstr(o, i->addr);
@@ -414,6 +435,10 @@
 	pk_arr(o, n);
 	for (l = 0; l < n; l++)
 		pk_cstr(o, i->labels[l]);
+	if (!dated)
+		return;
+	pk_i(o, i->started_ms);
+	pk_i(o, i->leaves_at_ms);
 }
 
 /* Unpacks a worker's description; returns false if it is malformed. */
@@ -438,6 +463,11 @@
 	i->labels = g_new0(char *, n + 1);
 	for (l = 0; l < n; l++)
 		i->labels[l] = jtb_unpack_text(&labels);
+	/* data folders of versions without lifetimes end here */
+	if (pk_in_left(&at)) {
+		i->started_ms = pk_get_i(&at);
+		i->leaves_at_ms = pk_get_i(&at);
+	}
 	if (pk_in_ok(&at) && pk_in_ok(&labels))
 		return true;
 	jtb_worker_info_clear(i);
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -38,11 +38,20 @@
 static void jtb_stop_newer_runs(struct jtb *t, struct jtb_job *job,
 				const struct jtb_name *n);
 static bool jtb_apply_worker(struct jtb *t, struct pk_in *in);
+static bool jtb_info_is_outdated(const struct jtb *t,
+				 const struct jtb_worker *w,
+				 const struct jtb_worker_info *info);
+static void jtb_replace_info(struct jtb_worker *w,
+			     struct jtb_worker_info *info);
+static bool jtb_restart_worker(struct jtb *t, struct jtb_worker *w,
+			       struct jtb_worker_info *info, struct pk_in *in);
+static void jtb_keep_runs(struct jtb *t, struct jtb_worker *w,
+			  const GArray *kept);
 static bool jtb_apply_worker_lost(struct jtb *t, struct pk_in *in);
 static bool jtb_apply_worker_leaving(struct jtb *t, struct pk_in *in);
-static void jtb_end_runs_lost(struct jtb *t, struct jtb_worker *w);
+static void jtb_end_runs_lost(struct jtb *t, struct jtb_worker *w, bool all);
 static void jtb_end_runs_crashed(struct jtb *t, struct jtb_worker *w,
-				 const struct jtb_blame *blame,
+				 const struct jtb_blame *blame, bool all,
 				 int64_t wall_ms);
 static bool jtb_task_on_worker(const struct jtb *t, const struct jtb_name *n,
 			       const struct jtb_worker *w);
@@ -374,29 +383,117 @@
 	if (!jtb_unpack_info(in, &info))
 		return false;
 	w = jtb_worker(t, info.id);
-	if (g_hash_table_contains(t->removed, info.id) ||
-	    (w && w->info.draining && !info.draining)) {
+	if (jtb_info_is_outdated(t, w, &info)) {
 		jtb_worker_info_clear(&info);
 		return true;
 	}
+	g_hash_table_remove(t->removed, info.id);
+	if (w && w->info.started_ms && info.started_ms > w->info.started_ms)
+		return jtb_restart_worker(t, w, &info, in);
 	if (!w) {
 		w = g_new0(struct jtb_worker, 1);
 		w->runs = g_ptr_array_new();
 		w->info = info;
 		g_hash_table_insert(t->workers, w->info.id, w);
 	} else {
-		char *id = g_steal_pointer(&w->info.id);
-
-		g_free(info.id);
-		jtb_worker_info_clear(&w->info);
-		w->info = info;
-		/* the hash table's key is this string */
-		w->info.id = id;
+		jtb_replace_info(w, &info);
 	}
 	t->watch->worker_changed(t->arg, w);
 	return true;
 }
 
+/*
+ * Whether a worker's description is of a lifetime that is over, or older than
+ * the one that is known; w may be NULL.
+ */
+static bool jtb_info_is_outdated(const struct jtb *t,
+				 const struct jtb_worker *w,
+				 const struct jtb_worker_info *info)
+{
+	if (jtb_lifetime_is_over(t, info->id, info->started_ms))
+		return true;
+	if (!w)
+		return false;
+	return info->started_ms < w->info.started_ms ||
+	       (info->started_ms == w->info.started_ms && w->info.draining &&
+		!info->draining);
+}
+
+/* Replaces a worker's description; takes over the members of info. */
+static void jtb_replace_info(struct jtb_worker *w, struct jtb_worker_info *info)
+{
+	char *id = g_steal_pointer(&w->info.id);
+
+	g_free(info->id);
+	jtb_worker_info_clear(&w->info);
+	w->info = *info;
+	/* the hash table's key is this string */
+	w->info.id = id;
+}
+
+/*
+ * Begins a later lifetime of a worker. The process before is over, and its runs
+ * with it; but orders name only the worker's id. So runs whose start may still
+ * arrive stay, as stopping, until the new process has listed that it has none
+ * of them: it has seen neither a fence nor a stop, and their tasks would run
+ * twice.
+ */
+static bool jtb_restart_worker(struct jtb *t, struct jtb_worker *w,
+			       struct jtb_worker_info *info, struct pk_in *in)
+{
+	GArray *kept = g_array_new(FALSE, FALSE, sizeof(struct jtb_name));
+	struct jtb_blame blame;
+	bool ok = true;
+
+	jtb_blame_init(&blame);
+	if (pk_in_left(in)) {
+		ok = jtb_unpack_names(in, kept);
+		jtb_blame_clear(&blame);
+		ok = jtb_unpack_blame(in, &blame) && ok;
+	}
+	if (!ok) {
+		g_array_free(kept, TRUE);
+		jtb_blame_clear(&blame);
+		jtb_worker_info_clear(info);
+		return false;
+	}
+	jtb_keep_runs(t, w, kept);
+	g_array_free(kept, TRUE);
+	jtb_end_runs_crashed(t, w, &blame, false,
+			     pk_in_left(in) ? pk_get_i(in) : 0);
+	jtb_blame_clear(&blame);
+	jtb_replace_info(w, info);
+	w->last_end_no = 0;
+	w->failed_jobs = 0;
+	w->last_failed_job = 0;
+	w->unlisted_count = 0;
+	w->leaving = false;
+	w->removal_proposed = false;
+	w->restart_proposed = false;
+	w->runs_lost_count++;
+	t->watch->worker_changed(t->arg, w);
+	return pk_in_ok(in);
+}
+
+/* Marks the runs of a worker that outlast its lifetime, as stopping. */
+static void jtb_keep_runs(struct jtb *t, struct jtb_worker *w,
+			  const GArray *kept)
+{
+	guint i;
+
+	for (i = 0; i < kept->len; i++) {
+		const struct jtb_name *n =
+			&g_array_index(kept, struct jtb_name, i);
+		struct jtb_run *run;
+
+		if (!jtb_task_on_worker(t, n, w))
+			continue;
+		run = jtb_task_at(jtb_job(t, n->id), n, false)->run;
+		run->earlier_life = true;
+		run->stopping = true;
+	}
+}
+
 /* Ends all runs of a worker as lost, and may remove the worker. */
 static bool jtb_apply_worker_lost(struct jtb *t, struct pk_in *in)
 {
@@ -410,10 +507,10 @@
 	if (ok && pk_in_left(in)) {
 		ok = jtb_unpack_blame(in, &blame);
 		if (ok && w)
-			jtb_end_runs_crashed(t, w, &blame, pk_get_i(in));
+			jtb_end_runs_crashed(t, w, &blame, true, pk_get_i(in));
 		jtb_blame_clear(&blame);
 	} else if (ok && w) {
-		jtb_end_runs_lost(t, w);
+		jtb_end_runs_lost(t, w, true);
 	}
 	if (ok)
 		jtb_remove_worker(t, w, id, permanent);
@@ -443,18 +540,26 @@
 	return ok;
 }
 
-/* Ends all runs of a worker as lost. */
-static void jtb_end_runs_lost(struct jtb *t, struct jtb_worker *w)
+/*
+ * Ends all runs of a worker as lost, but for those that outlast its lifetime
+ * if it begins another.
+ */
+static void jtb_end_runs_lost(struct jtb *t, struct jtb_worker *w, bool all)
 {
 	guint i;
 
-	for (i = w->runs->len; i > 0; i--)
-		jtb_end_run(t, g_ptr_array_index(w->runs, i - 1), JTB_LOST, 0);
+	for (i = w->runs->len; i > 0; i--) {
+		struct jtb_run *run = g_ptr_array_index(w->runs, i - 1);
+
+		if (all || !run->earlier_life)
+			jtb_end_run(t, run, JTB_LOST, 0);
+	}
 }
 
 /* Ends all runs of a crashed worker and counts the crash for its tasks. */
 static void jtb_end_runs_crashed(struct jtb *t, struct jtb_worker *w,
-				 const struct jtb_blame *blame, int64_t wall_ms)
+				 const struct jtb_blame *blame, bool all,
+				 int64_t wall_ms)
 {
 	bool single_job = jtb_blame_single_job(blame);
 	guint i;
@@ -473,7 +578,7 @@
 			jtb_remove_suspect(jtb_job(t, n->id), n->step,
 					   n->index);
 	}
-	jtb_end_runs_lost(t, w);
+	jtb_end_runs_lost(t, w, all);
 	for (i = 0; i < blame->suspects->len; i++)
 		jtb_fail_crashing_job(
 			t, &g_array_index(blame->suspects, struct jtb_name, i),
@@ -548,7 +653,7 @@
 			      const char *id, bool permanent)
 {
 	if (permanent)
-		g_hash_table_add(t->removed, g_strdup(id));
+		jtb_add_removed(t, id, w ? w->info.started_ms : 0);
 	if (permanent && w) {
 		t->watch->worker_removed(t->arg, w);
 		jtb_clear_proposals_on(t, w);
@@ -559,6 +664,17 @@
 	}
 }
 
+/* Records that a worker's lifetimes up to one start are over. */
+void jtb_add_removed(struct jtb *t, const char *id, int64_t started_ms)
+{
+	const int64_t *last = g_hash_table_lookup(t->removed, id);
+
+	if (!last || *last < started_ms)
+		g_hash_table_replace(t->removed, g_strdup(id),
+				     g_memdup2(&started_ms,
+					       sizeof(started_ms)));
+}
+
 /* Adds a maintenance wave, unless its number is in use. */
 static bool jtb_apply_wave(struct jtb *t, struct pk_in *in)
 {
--- a/src/jtb_int.h
+++ b/src/jtb_int.h
@@ -50,11 +50,14 @@
 void jtb_pack_spec(struct pk_out *o, const struct jtb_spec *s);
 bool jtb_unpack_spec(struct pk_in *in, struct jtb_spec *s);
 void jtb_pack_info(struct pk_out *o, const struct jtb_worker_info *i);
+bool jtb_unpack_names(struct pk_in *in, GArray *out);
 bool jtb_unpack_info(struct pk_in *in, struct jtb_worker_info *i);
 void jtb_pack_wave(struct pk_out *o, const struct jtb_wave *w);
 struct jtb_wave *jtb_unpack_wave(struct pk_in *in);
 bool jtb_unpack_name(struct pk_in *in, struct jtb_name *n);
 bool jtb_unpack_blame(struct pk_in *in, struct jtb_blame *b);
+/* jtb_do */
+void jtb_add_removed(struct jtb *t, const char *id, int64_t started_ms);
 /* jtb */
 void jtb_clear(struct jtb *t);
 struct jtb_task *jtb_task_at(const struct jtb_job *job,
--- a/src/jtb_plan.c
+++ b/src/jtb_plan.c
@@ -78,6 +78,8 @@
 		w->proposed_mem = 0;
 		w->proposed_gpus = 0;
 		w->removal_proposed = false;
+		w->restart_proposed = false;
+		w->restarted_ms = 0;
 		w->removal_evidence = (struct evd){0};
 		for (i = 0; i < w->runs->len; i++) {
 			struct jtb_run *run = g_ptr_array_index(w->runs, i);
--- a/src/jtb_snap.c
+++ b/src/jtb_snap.c
@@ -5,9 +5,12 @@
 static bool jtb_unpack_suspects(struct jtb_job *job, struct pk_in *in);
 static void jtb_pack_turn(struct pk_out *o, const struct jtb_job *job,
 			  const struct jtb_turn *turn);
+static void jtb_pack_removed_starts(struct pk_out *o, const struct jtb *t);
+static bool jtb_unpack_removed_starts(struct jtb *t, struct pk_in *in);
 static void jtb_pack_worker(struct pk_out *o, const struct jtb_worker *w);
 static gint jtb_compare_seq(gconstpointer a, gconstpointer b);
 static bool jtb_unpack_table(struct jtb *t, struct pk_in *in);
+static bool jtb_unpack_removed(struct jtb *t, struct pk_in *in);
 static bool jtb_unpack_worker(struct jtb *t, struct pk_in *in);
 static bool jtb_unpack_job(struct jtb *t, struct pk_in *in);
 static bool jtb_unpack_turn(struct jtb *t, struct jtb_job *job, uint32_t no,
@@ -24,7 +27,7 @@
 	const char *id;
 	guint i;
 
-	pk_arr(o, 6);
+	pk_arr(o, 7);
 	pk_u(o, t->next_seq);
 	if (t->config->document)
 		jtb_pack_config(o, t->config);
@@ -45,6 +48,30 @@
 	g_hash_table_iter_init(&it, t->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &p))
 		jtb_pack_job(o, p);
+	jtb_pack_removed_starts(o, t);
+}
+
+/* Packs which lifetimes of removed workers were the last, if that is known. */
+static void jtb_pack_removed_starts(struct pk_out *o, const struct jtb *t)
+{
+	GHashTableIter it;
+	const char *id;
+	const int64_t *started_ms;
+	guint n = 0;
+
+	g_hash_table_iter_init(&it, t->removed);
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&started_ms))
+		n += *started_ms != 0;
+	pk_arr(o, n);
+	g_hash_table_iter_init(&it, t->removed);
+	while (g_hash_table_iter_next(&it, (gpointer *)&id,
+				      (gpointer *)&started_ms)) {
+		if (!*started_ms)
+			continue;
+		pk_arr(o, 2);
+		pk_cstr(o, id);
+		pk_i(o, *started_ms);
+	}
 }
 
 /*
@@ -177,7 +204,7 @@
 		ok = jtb_unpack_worker(t, &list);
 	list = pk_get_arr(in);
 	while (ok && pk_in_left(&list))
-		g_hash_table_add(t->removed, lstr_dup(pk_get_str(&list)));
+		ok = jtb_unpack_removed(t, &list);
 	list = pk_get_arr(in);
 	while (ok && pk_in_left(&list)) {
 		struct jtb_wave *w = jtb_unpack_wave(&list);
@@ -189,9 +216,41 @@
 	list = pk_get_arr(in);
 	while (ok && pk_in_left(&list))
 		ok = jtb_unpack_job(t, &list);
+	/* data folders of versions without lifetimes end here */
+	if (ok && pk_in_left(in))
+		ok = jtb_unpack_removed_starts(t, in);
 	return ok && pk_in_ok(in);
 }
 
+/* Unpacks the id of a removed worker. */
+static bool jtb_unpack_removed(struct jtb *t, struct pk_in *in)
+{
+	char *id = lstr_dup(pk_get_str(in));
+
+	jtb_add_removed(t, id, 0);
+	g_free(id);
+	return pk_in_ok(in);
+}
+
+/* Unpacks the last lifetimes of removed workers. */
+static bool jtb_unpack_removed_starts(struct jtb *t, struct pk_in *in)
+{
+	struct pk_in list = pk_get_arr(in);
+	bool ok = pk_in_ok(in);
+
+	while (ok && pk_in_left(&list)) {
+		struct pk_in row = pk_get_arr(&list);
+		char *id = lstr_dup(pk_get_str(&row));
+		int64_t started_ms = pk_get_i(&row);
+
+		ok = pk_in_ok(&row);
+		if (ok)
+			jtb_add_removed(t, id, started_ms);
+		g_free(id);
+	}
+	return ok;
+}
+
 /* Unpacks a worker. */
 static bool jtb_unpack_worker(struct jtb *t, struct pk_in *in)
 {
--- a/src/jtb_type.c
+++ b/src/jtb_type.c
@@ -149,11 +149,16 @@
 bool jtb_worker_info_is_current(const struct jtb_worker_info *known,
 				const struct jtb_worker_info *reported)
 {
+	if (known->started_ms != reported->started_ms)
+		return false;
 	return jtb_worker_info_equal(known, reported) ||
 	       (known->draining && !reported->draining);
 }
 
-/* Whether two descriptions of a worker are equal, apart from id and zone. */
+/*
+ * Whether two descriptions of a worker are equal, apart from id, zone and when
+ * it leaves, of which the first word counts.
+ */
 static bool jtb_worker_info_equal(const struct jtb_worker_info *a,
 				  const struct jtb_worker_info *b)
 {
--- a/src/msg.c
+++ b/src/msg.c
@@ -92,6 +92,8 @@
 	[MSG_HUB_HELD] = {MSG_NOTICE, "held-back"},
 	[MSG_HUB_CRASH] = {MSG_NOTICE, "worker-lost"},
 	[MSG_HUB_LEFT] = {MSG_NOTICE, "worker-left"},
+	[MSG_HUB_RESTART] = {MSG_NOTICE, "worker-restarted"},
+	[MSG_HUB_REPORT_REFUSED] = {MSG_WARN, "report-refused"},
 	[MSG_HUB_SUSPECTED] = {MSG_NOTICE, "crashed-under"},
 	[MSG_HUB_SUSPECT] = {MSG_WARN, "worker-fails-all"},
 	/* wkr: sessions with workers */
@@ -99,6 +101,7 @@
 	[MSG_WKR_BACK] = {MSG_NOTICE, "worker-back"},
 	[MSG_WKR_LAPSED] = {MSG_NOTICE, "worker-lapsed"},
 	[MSG_WKR_STRAY] = {MSG_WARN, "stray-run"},
+	[MSG_WKR_FOREIGN] = {MSG_WARN, "list-of-another-lifetime"},
 	/* adv: advice on which workers may run a step */
 	[MSG_ADV_TOLD] = {MSG_INFO, "advice"},
 	[MSG_ADV_FAILED] = {MSG_WARN, "advice-failed"},
--- a/src/msg.h
+++ b/src/msg.h
@@ -83,12 +83,15 @@
 	MSG_HUB_SUSPECT,
 	MSG_HUB_CRASH,
 	MSG_HUB_LEFT,
+	MSG_HUB_RESTART,
+	MSG_HUB_REPORT_REFUSED,
 	MSG_HUB_SUSPECTED,
 	/* wkr: sessions with workers */
 	MSG_WKR_LOST,
 	MSG_WKR_BACK,
 	MSG_WKR_LAPSED,
 	MSG_WKR_STRAY,
+	MSG_WKR_FOREIGN,
 	/* adv: advice on which workers may run a step */
 	MSG_ADV_TOLD,
 	MSG_ADV_FAILED,
--- a/src/vms.c
+++ b/src/vms.c
@@ -51,6 +51,8 @@
 	GHashTable *last_vm;
 	/* a VM in the list is up, but its worker is not known */
 	bool worker_unknown;
+	uint32_t unreadable; /* rows of the list that can't be read */
+	uint32_t incoming_unreadable; /* those of the list being read */
 	GPtrArray *incoming; /* pages of the list being read */
 	bool listing;
 	int64_t list_requested_ms; /* when the list being read was requested */
@@ -164,6 +166,7 @@
 	v->listing = true;
 	v->list_requested_ms = tmr_now(v->config.tmr);
 	v->incoming = g_ptr_array_new_with_free_func(vms_vm_free);
+	v->incoming_unreadable = 0;
 	vms_request_page(v, NULL);
 }
 
@@ -186,7 +189,8 @@
 
 	g_hash_table_remove_all(v->by_name);
 	g_hash_table_remove_all(v->by_worker);
-	v->worker_unknown = false;
+	/* any VM may be one whose row can't be read */
+	v->worker_unknown = v->unreadable > 0;
 	for (i = 0; i < v->vms->len; i++) {
 		struct vms_vm *vm = g_ptr_array_index(v->vms, i);
 
@@ -296,6 +300,12 @@
 	return v->listed_ms;
 }
 
+/* Returns how many rows of the latest complete list couldn't be read. */
+uint32_t vms_unreadable(const struct vms *v)
+{
+	return v->unreadable;
+}
+
 /* Returns the number of calls since the session was created. */
 uint64_t vms_calls(const struct vms *v)
 {
@@ -489,7 +499,8 @@
 	char *next = NULL;
 
 	if (end != UPS_WHOLE || status != 200 ||
-	    !v->config.codec->list(body, v->incoming, &next)) {
+	    !v->config.codec->list(body, v->incoming, &next,
+				   &v->incoming_unreadable)) {
 		g_ptr_array_free(v->incoming, TRUE);
 		v->incoming = NULL;
 		v->listing = false;
@@ -500,6 +511,7 @@
 		g_free(next);
 		return;
 	}
+	v->unreadable = v->incoming_unreadable;
 	vms_put_list(v, g_steal_pointer(&v->incoming), v->list_requested_ms);
 	v->listing = false;
 	v->ops->listed(v->arg);
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -1,7 +1,6 @@
 #include "wkr_int.h"
 
 static struct wkr_session *wkr_session_of(const struct jtb_worker *w);
-static void wkr_session_close(struct wkr_session *s);
 static void wkr_session_free(gpointer p);
 static void wkr_record_grant(struct wkr_session *s, int64_t until_ms,
 			     int64_t now);
@@ -36,6 +35,8 @@
 	ups_set_conns_max(k->ups, (unsigned int)config->conns_max);
 	k->sessions = g_ptr_array_new_with_free_func(wkr_session_free);
 	k->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	k->departed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)g_ptr_array_unref);
 	k->tick = tmr_every(config->tmr, 100, wkr_tick, k);
 	return k;
 }
@@ -50,6 +51,7 @@
 	ups_free(k->ups);
 	g_ptr_array_free(k->sessions, TRUE);
 	g_hash_table_destroy(k->runs);
+	g_hash_table_destroy(k->departed);
 	g_free(k);
 }
 
@@ -104,6 +106,7 @@
 	k->leading = false;
 	g_ptr_array_set_size(k->sessions, 0);
 	g_hash_table_remove_all(k->runs);
+	g_hash_table_remove_all(k->departed);
 }
 
 /* Opens the session with a worker that appeared, or updates it. */
@@ -119,9 +122,14 @@
 		s->w = w;
 		s->calls = g_ptr_array_new();
 		s->stale = g_ptr_array_new_with_free_func(g_free);
+		s->late = g_ptr_array_new_with_free_func(g_free);
+		s->started_ms = w->info.started_ms;
 		s->retry_ms = WKR_RETRY_MIN_MS;
 		w->owner = s;
 		g_ptr_array_add(k->sessions, s);
+		wkr_take_departed(s);
+	} else if (s->started_ms != w->info.started_ms) {
+		wkr_begin_lifetime(s);
 	}
 	if (w->runs_lost_count != s->cleared)
 		s->abandoned = false;
@@ -134,8 +142,10 @@
 {
 	struct wkr_session *s = wkr_session_of(w);
 
-	if (s)
-		g_ptr_array_remove_fast(k->sessions, s);
+	if (!s)
+		return;
+	wkr_keep_departed(s);
+	g_ptr_array_remove_fast(k->sessions, s);
 }
 
 /* Adds a run that was added to the job table, and sends its start. */
@@ -150,7 +160,11 @@
 /* Removes a run that is removed from the job table. */
 void wkr_remove_run(struct wkr *k, struct jtb_run *run)
 {
+	struct wkr_session *s = wkr_session_of(run->worker);
+
 	g_hash_table_remove(k->runs, &run->serial);
+	if (s)
+		wkr_record_late(s, run);
 }
 
 /* Stops a run as soon as its worker is reachable. */
@@ -227,7 +241,7 @@
 	if (w->info.draining)
 		return WKR_DRAINING;
 	if (!s || !s->polled || s->state.failed_since || s->abandoned ||
-	    s->stale->len)
+	    s->stale->len || s->superseded || w->restart_proposed)
 		return WKR_UNREACHABLE;
 	/*
 	 * Each plan calls this for all workers, and most of them were never
@@ -306,7 +320,7 @@
 }
 
 /* Cancels all calls and timers of a session. */
-static void wkr_session_close(struct wkr_session *s)
+void wkr_session_cancel(struct wkr_session *s)
 {
 	struct tmr *tmr = s->k->config.tmr;
 
@@ -330,10 +344,11 @@
 {
 	struct wkr_session *s = p;
 
-	wkr_session_close(s);
+	wkr_session_cancel(s);
 	s->w->owner = NULL;
 	g_ptr_array_free(s->calls, TRUE);
 	g_ptr_array_free(s->stale, TRUE);
+	g_ptr_array_free(s->late, TRUE);
 	g_free(s);
 }
 
@@ -574,7 +589,9 @@
 		struct wkr_session *s = g_ptr_array_index(k->sessions, i - 1);
 
 		k->busy += s->w->runs->len > 0;
-		if (s->w->runs->len &&
+		if (s->w->restart_proposed)
+			continue;
+		if (s->w->runs->len && !wkr_awaits_late_start(s, now) &&
 		    evd_lease_over(&s->state, k->lease_ms, &m, &e)) {
 			if (s->abandoned)
 				continue;
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -75,6 +75,9 @@
 	int percent; /* pace */
 };
 
+/* In place of a worker's start: it was reported and is not a time. */
+#define WKR_START_DAMAGED (-1)
+
 /* A run in a worker's list. */
 struct wkr_row {
 	struct jtb_name name;
@@ -101,6 +104,8 @@
  */
 struct wkr_report {
 	int64_t clock_ms; /* the worker's clock; 0: not reported */
+	/* as in struct jtb_worker_info; WKR_START_DAMAGED: not a time */
+	int64_t started_ms;
 	GArray *rows; /* struct wkr_row */
 	GArray *ends; /* struct wkr_end */
 	bool partial; /* the report is, or may be, incomplete */
@@ -174,6 +179,9 @@
 	uint64_t starts_relayed; /* runs whose first order went by a relay */
 	uint64_t refused; /* starts refused by workers */
 	uint64_t ticket_refusals; /* of these, for lack of a ticket */
+	uint64_t restarts; /* workers that started again under their ids */
+	/* lists of another lifetime than the worker's, or that name none */
+	uint64_t foreign_lists;
 	uint64_t expired; /* workers abandoned as their leases expired */
 	struct cnt_times answers; /* times from orders to their answers */
 	struct cnt_times margin; /* remaining times of leases when renewed */
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -51,6 +51,11 @@
 #define WKR_ANSWER_MAX (1 << 20)
 /* Pace of best-effort runs until a new leader has figures, percent. */
 #define WKR_INITIAL_PACE 50
+/*
+ * How long after a call without an answer its order may still be carried out,
+ * ms; workers that do so take up to 12 s.
+ */
+#define WKR_LATE_MS 15000
 /* How long an idle connection is reused, ms; orders may safely be repeated. */
 #define WKR_REUSE_MS 20000
 
@@ -58,6 +63,7 @@
 struct wkr_stale_start {
 	struct jtb_name name;
 	uint32_t attempt;
+	int64_t at_ms; /* when it was recorded */
 	bool stopping; /* a stop for the run is in flight */
 };
 
@@ -111,6 +117,14 @@
 	 * has replaced it.
 	 */
 	GPtrArray *stale; /* struct wkr_stale_start */
+	int64_t started_ms; /* lifetime that the session is with; 0: unknown */
+	/*
+	 * Runs that are over and of which an order was not answered: the next
+	 * lifetime under the worker's id would carry it out.
+	 */
+	GPtrArray *late; /* struct wkr_stale_start */
+	int64_t late_until; /* a start of an earlier lifetime may come until */
+	bool superseded; /* it listed a later lifetime than it reported */
 };
 
 struct wkr {
@@ -121,6 +135,8 @@
 	guint busy; /* workers with runs, as of the last tick */
 	GPtrArray *sessions;
 	GHashTable *runs; /* serial: struct jtb_run */
+	/* worker's id: struct wkr_stale_start, of sessions that were closed */
+	GHashTable *departed;
 	uint64_t fence;
 	int64_t lease_ms;
 	int64_t led_since;
@@ -149,6 +165,13 @@
 void wkr_on_no_answer(struct wkr_session *s, const struct wkr_call *c,
 		      bool sent);
 void wkr_on_not_sent(struct wkr_session *s, const struct wkr_call *c);
+void wkr_session_cancel(struct wkr_session *s);
+void wkr_record_late(struct wkr_session *s, const struct jtb_run *run);
+void wkr_keep_departed(struct wkr_session *s);
+void wkr_take_departed(struct wkr_session *s);
+void wkr_begin_lifetime(struct wkr_session *s);
+bool wkr_is_lifetime(struct wkr_session *s, const struct wkr_report *r);
+bool wkr_awaits_late_start(const struct wkr_session *s, int64_t now);
 void wkr_next_route(struct wkr_session *s);
 void wkr_on_call_lost(struct wkr_session *s, const struct wkr_call *c);
 void wkr_mark_unreachable(struct wkr_session *s);
--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -30,12 +30,13 @@
 		.ack = s->w->last_end_no,
 	};
 
-	if (s->hold || s->await_end_no || !s->k->leading)
+	if (s->hold || s->await_end_no || !s->k->leading ||
+	    s->w->restart_proposed)
 		return;
 	tmr_cancel(s->k->config.tmr, s->hold_timer);
 	s->hold_timer = 0;
 	if (s->w->runs->len && !s->state.failed_since && !s->abandoned &&
-	    !s->stale->len) {
+	    !s->stale->len && !s->superseded) {
 		o.until_ms = wkr_lease_end(s);
 		o.wait_ms = s->polled ? wkr_hold_wait_ms(s) : 0;
 	}
@@ -91,8 +92,13 @@
 	enum wkr_answer answer;
 
 	if (status == 200 && codec->report(body, &r)) {
-		wkr_mark_reachable(s, r.clock_ms);
-		wkr_process_report(s, &r, sent_ms);
+		if (wkr_is_lifetime(s, &r)) {
+			wkr_mark_reachable(s, r.clock_ms);
+			wkr_process_report(s, &r, sent_ms);
+		} else {
+			wkr_mark_unreachable(s);
+			wkr_schedule_hold(s, s->retry_ms);
+		}
 		codec->report_done(&r);
 		return;
 	}
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -28,7 +28,7 @@
 	guint i;
 
 	if (!s->polled || s->state.failed_since || s->abandoned ||
-	    s->stale->len)
+	    s->stale->len || s->superseded || s->w->restart_proposed)
 		return;
 	for (i = 0; i < s->w->runs->len && s->calls->len < window; i++) {
 		struct jtb_run *run = g_ptr_array_index(s->w->runs, i);
@@ -211,6 +211,7 @@
 		stale = g_new0(struct wkr_stale_start, 1);
 		jtb_name_of(run, &stale->name);
 		stale->attempt = run->attempt;
+		stale->at_ms = tmr_now(s->k->config.tmr);
 		g_ptr_array_add(s->stale, stale);
 	}
 }
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -251,7 +251,7 @@
 	assert_int_equal(jtb_job(t, "a")->n_runs, 0);
 	jobs_worker_leaving(t, "w1");
 	assert_null(jtb_worker(t, "w1"));
-	assert_true(jtb_worker_was_removed(t, "w1"));
+	assert_true(jtb_lifetime_is_over(t, "w1", 0));
 }
 
 /* A late report of a worker that was removed doesn't add it again. */
@@ -262,7 +262,7 @@
 	jobs_worker_lost(t, "w1", true);
 	jobs_worker(t, "w1", 16000, false);
 	assert_null(jtb_worker(t, "w1"));
-	assert_true(jtb_worker_was_removed(t, "w1"));
+	assert_true(jtb_lifetime_is_over(t, "w1", 0));
 }
 
 static void older_configuration_changes_nothing(void **state)
@@ -573,7 +573,7 @@
 	jobs_start(u, "a", 1, 0, 1, "w1");
 	assert_int_equal(jtb_job(u, "a")->n_runs, 1);
 	assert_int_equal(jtb_worker(u, "w1")->used_cpu, 500);
-	assert_true(jtb_worker_was_removed(u, "w9"));
+	assert_true(jtb_lifetime_is_over(u, "w9", 0));
 	assert_non_null(jtb_wave(u, 3));
 	g_bytes_unref(a);
 	g_bytes_unref(b);
--- a/tests/unit/plt_test.c
+++ b/tests/unit/plt_test.c
@@ -555,9 +555,11 @@
 			"state=upkeep,id=nil}],next-token=t2}");
 	GPtrArray *vms = g_ptr_array_new_with_free_func(vms_vm_free);
 	const struct vms_vm *vm;
+	uint32_t unreadable = 0;
 	char *next = NULL;
 
-	assert_true(plt_vm_codec.list(view(b), vms, &next));
+	assert_true(plt_vm_codec.list(view(b), vms, &next, &unreadable));
+	assert_int_equal(unreadable, 0);
 	assert_string_equal(next, "t2");
 	assert_int_equal(vms->len, 2);
 	vm = g_ptr_array_index(vms, 0);
@@ -571,6 +573,131 @@
 	g_bytes_unref(b);
 }
 
+/*
+ * Guards against a fleet without VMs or workers as another writer's entry
+ * can't be read, and against an entry's VM that counts as gone.
+ */
+static void an_unreadable_vm_hides_no_other(void **state)
+{
+	static const char *const bad[] = {
+		"{machine=7,pool=p,state=up,id=i2}",
+		"{machine=m2,state=up,id=i2}",
+		"{machine=m2,pool=p,state=asleep,id=i2}",
+		"{machine=m2,pool=p,state=up,id=[i2]}",
+		"{machine=m2,pool=p,state=up,id=i2,capacity={cpu=many}}",
+		"m2",
+		"[m2]",
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char *text = g_strdup_printf(
+			"{machines=[%s,{machine=m1,pool=p,state=up,id=i1}]}",
+			bad[i]);
+		GPtrArray *vms = g_ptr_array_new_with_free_func(vms_vm_free);
+		GBytes *b = doc(text);
+		uint32_t unreadable = 0;
+		char *next = NULL;
+
+		assert_true(
+			plt_vm_codec.list(view(b), vms, &next, &unreadable));
+		assert_int_equal(unreadable, 1);
+		assert_int_equal(vms->len, 1);
+		assert_string_equal(
+			((struct vms_vm *)g_ptr_array_index(vms, 0))->name,
+			"m1");
+		g_ptr_array_free(vms, TRUE);
+		g_bytes_unref(b);
+		g_free(text);
+	}
+}
+
+#define REPORT                                                      \
+	"backend=p,address=10.0.0.1:80,zone=z,capacity={cpu=16000," \
+	"mem-mb=100},sequence=4,clock-ms=9"
+
+/* Reads a report that consists of REPORT and more. */
+static enum hub_report_fault read_report(const char *more, int64_t *started_ms,
+					 int64_t *leaves_in_ms)
+{
+	char *text = g_strdup_printf("{" REPORT ",%s}", more);
+	GBytes *b = doc(text);
+	struct plt_report r;
+	enum hub_report_fault fault = plt_report_read("i1", view(b), &r);
+
+	*started_ms = r.info.started_ms;
+	*leaves_in_ms = r.leaves_in_ms;
+	jtb_worker_info_clear(&r.info);
+	g_bytes_unref(b);
+	g_free(text);
+	return fault;
+}
+
+/* Guards against another writer's report that names a worker to use. */
+static void reports_of_workers_are_judged(void **state)
+{
+	static const struct {
+		const char *more;
+		enum hub_report_fault fault;
+		int64_t started_ms;
+		int64_t leaves_in_ms;
+	} cases[] = {
+		{"state=ready", HUB_REPORT_USABLE, 0, 0},
+		{"state=ready,born=nil", HUB_REPORT_USABLE, 0, 0},
+		{"state=ready,born=7", HUB_REPORT_USABLE, 7, 0},
+		{"state=ready,born=0", HUB_REPORT_USABLE, -1, 0},
+		{"state=ready,born=-7", HUB_REPORT_USABLE, -1, 0},
+		{"state=ready,born=.5", HUB_REPORT_USABLE, -1, 0},
+		{"state=ready,born=soon", HUB_REPORT_USABLE, -1, 0},
+		{"state=draining,remaining-ms=1500", HUB_REPORT_USABLE, 0,
+		 1500},
+		{"state=draining,remaining-ms=x", HUB_REPORT_UNREADABLE, 0, 0},
+		{"state=asleep", HUB_REPORT_UNKNOWN, 0, 0},
+		{"state=7", HUB_REPORT_UNREADABLE, 0, 0},
+		{"zone=z", HUB_REPORT_UNREADABLE, 0, 0},
+		{"state=ready,labels=a", HUB_REPORT_UNREADABLE, 0, 0},
+		{"state=ready,labels=[a,7]", HUB_REPORT_UNREADABLE, 0, 0},
+		{"state=ready,labels=[a,r1]", HUB_REPORT_USABLE, 0, 0},
+	};
+	int64_t started_ms;
+	int64_t leaves_in_ms;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		assert_int_equal(read_report(cases[i].more, &started_ms,
+					     &leaves_in_ms),
+				 cases[i].fault);
+		if (cases[i].fault)
+			continue;
+		assert_int_equal(started_ms, cases[i].started_ms);
+		assert_int_equal(leaves_in_ms, cases[i].leaves_in_ms);
+	}
+}
+
+/* A list of runs names the lifetime that it is of. */
+static void a_list_names_its_lifetime(void **state)
+{
+	static const struct {
+		const char *born;
+		int64_t started_ms;
+	} cases[] = {
+		{"", 0}, {",born=7", 7}, {",born=x", -1}, {",born=.5", -1}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf("{running=[],finished=[]%s}",
+					     cases[i].born);
+		GBytes *b = doc(text);
+		struct wkr_report r;
+
+		assert_true(plt_codec.report(view(b), &r));
+		assert_int_equal(r.started_ms, cases[i].started_ms);
+		plt_codec.report_done(&r);
+		g_bytes_unref(b);
+		g_free(text);
+	}
+}
+
 /* How long calls for advice take, and how long their tickets hold. */
 static void advice_of_a_queue_is_read(void **state)
 {
@@ -673,6 +800,9 @@
 		cmocka_unit_test(answers_are_told_apart),
 		cmocka_unit_test(an_order_is_written),
 		cmocka_unit_test(vms_are_read_page_by_page),
+		cmocka_unit_test(an_unreadable_vm_hides_no_other),
+		cmocka_unit_test(reports_of_workers_are_judged),
+		cmocka_unit_test(a_list_names_its_lifetime),
 		cmocka_unit_test(advice_of_a_queue_is_read),
 		cmocka_unit_test(advice_is_asked_for),
 		cmocka_unit_test(advice_is_read_whole_or_not),
--- a/tests/unit/vms_test.c
+++ b/tests/unit/vms_test.c
@@ -63,7 +63,8 @@
 	return status == 200 ? VMS_ACCEPTED : VMS_BUSY;
 }
 
-static bool fixture_list(struct lstr body, GPtrArray *vms, char **next)
+static bool fixture_list(struct lstr body, GPtrArray *vms, char **next,
+			 uint32_t *unreadable)
 {
 	return true;
 }
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -77,6 +77,7 @@
 	int ends;
 	int64_t led_ms;
 	int64_t gone_ms;
+	int64_t started_ms; /* lifetime that its lists name */
 	GPtrArray *unanswered;
 };
 
@@ -124,6 +125,7 @@
 
 	*out = (struct wkr_report){
 		.clock_ms = WORKER_MS,
+		.started_ms = the_fixture->started_ms,
 		.partial = the_fixture->partial,
 		.rows = g_array_new(FALSE, TRUE, sizeof(struct wkr_row)),
 		.ends = g_array_new(FALSE, TRUE, sizeof(struct wkr_end)),
@@ -314,8 +316,8 @@
 	pk_out_done(cmd);
 }
 
-static void put_worker_with_cpu(struct fixture *f, int port, uint32_t cpu,
-				bool draining)
+static struct pk_out pack_worker(int port, uint32_t cpu, bool draining,
+				 int64_t started_ms, const GArray *kept)
 {
 	char addr[32];
 	char *labels[] = {NULL};
@@ -331,15 +333,41 @@
 		.cpu = cpu,
 		.mem_mb = 1000,
 		.draining = draining,
+		.started_ms = started_ms,
 	};
+	struct jtb_blame none;
 	struct pk_out o;
 
 	g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", port);
 	pk_out_init(&o);
-	jtb_put_worker(&o, &info);
+	jtb_blame_init(&none);
+	if (kept)
+		jtb_put_worker_restarted(&o, &info, kept, &none, 1);
+	else
+		jtb_put_worker(&o, &info);
+	jtb_blame_clear(&none);
+	return o;
+}
+
+static void put_worker_with_cpu(struct fixture *f, int port, uint32_t cpu,
+				bool draining)
+{
+	struct pk_out o = pack_worker(port, cpu, draining, 0, NULL);
+
 	apply_command(f, &o);
 }
 
+/* The worker reports its start: at first, or after it has started again. */
+static void put_lifetime(struct fixture *f, int64_t started_ms,
+			 const GArray *kept)
+{
+	struct pk_out o = pack_worker(f->port, 16000, false, started_ms, kept);
+
+	f->started_ms = started_ms;
+	apply_command(f, &o);
+	wkr_update_worker(f->wkr, jtb_worker(f->jtb, "w"));
+}
+
 static void put_worker(struct fixture *f, int port, bool draining)
 {
 	put_worker_with_cpu(f, port, 16000, draining);
@@ -1313,6 +1341,114 @@
 	assert_int_equal(f->stops, 1);
 }
 
+/*
+ * Guards against a task that runs twice: the worker has started again, and a
+ * start that got no answer arrives at the new process, which would carry it out.
+ */
+static void start_without_answer_is_stopped_in_next_lifetime(void **state)
+{
+	struct fixture *f = *state;
+	GArray *kept = g_array_new(FALSE, TRUE, sizeof(struct jtb_name));
+	struct jtb_name n = {.id = "j"};
+
+	put_lifetime(f, 100, NULL);
+	f->unanswered_starts = 1;
+	start_run(f);
+	wait_for(f, &f->starts);
+	assert_true(evd_may_reach_successor(f->run));
+	g_array_append_val(kept, n);
+	f->unreachable = true;
+	put_lifetime(f, 200, kept);
+	g_array_free(kept, TRUE);
+	/* the lease of the earlier process says nothing of the next one's */
+	net_run(f->base, LEASE_MS + LEASE_MS / 33 + 1000);
+	assert_int_equal(f->gone, 0);
+	assert_int_equal(f->lost, 0);
+	f->unreachable = false;
+	f->stops = 0;
+	wait_for(f, &f->lost);
+	assert_int_equal(f->why, EVD_UNLISTED);
+	assert_int_equal(f->stops, 1);
+	assert_int_equal(f->starts, 1);
+}
+
+/*
+ * Guards against a task that runs again although it is done: an order of it got
+ * no answer, and arrives after the worker has started again.
+ */
+static void start_of_ended_run_is_stopped_in_next_lifetime(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_worker *w = jtb_worker(f->jtb, "w");
+	GArray *none = g_array_new(FALSE, TRUE, sizeof(struct jtb_name));
+
+	put_lifetime(f, 100, NULL);
+	f->unanswered_starts = 1;
+	start_run(f);
+	wait_for(f, &f->starts);
+	net_run(f->base, 2 * SETTLE_MS);
+	wkr_remove_run(f->wkr, f->run);
+	f->stops = 0;
+	put_lifetime(f, 200, none);
+	assert_false(wkr_usable(f->wkr, w));
+	wait_for(f, &f->stops);
+	net_run(f->base, SETTLE_MS);
+	assert_int_equal(f->stops, 1);
+	assert_true(wkr_usable(f->wkr, w));
+	g_array_free(none, TRUE);
+}
+
+/* The same where the worker was removed in between. */
+static void start_is_stopped_as_a_removed_worker_returns(void **state)
+{
+	struct fixture *f = *state;
+	struct pk_out o;
+
+	put_lifetime(f, 100, NULL);
+	f->unanswered_starts = 1;
+	start_run(f);
+	wait_for(f, &f->starts);
+	wkr_remove_run(f->wkr, f->run);
+	wkr_remove_worker(f->wkr, jtb_worker(f->jtb, "w"));
+	pk_out_init(&o);
+	jtb_put_worker_lost(&o, "w", true);
+	apply_command(f, &o);
+	f->stops = 0;
+	put_lifetime(f, 200, NULL);
+	assert_false(wkr_usable(f->wkr, jtb_worker(f->jtb, "w")));
+	wait_for(f, &f->stops);
+}
+
+/*
+ * Guards against ends and runs of one lifetime that are read into another: a
+ * list names a lifetime other than the one in the table, or none.
+ */
+static void list_of_another_lifetime_is_not_read(void **state)
+{
+	static const int64_t others[] = {99, 101, 0, WKR_START_DAMAGED};
+	struct fixture *f = *state;
+	struct jtb_worker *w = jtb_worker(f->jtb, "w");
+	size_t i;
+
+	put_lifetime(f, 100, NULL);
+	for (i = 0; i < G_N_ELEMENTS(others); i++) {
+		f->started_ms = others[i];
+		f->lists_end = true;
+		f->holds = 0;
+		wkr_poll(f->wkr, w);
+		wait_for(f, &f->holds);
+		net_run(f->base, 50);
+		assert_int_equal(f->ends, 0);
+		assert_false(wkr_usable(f->wkr, w));
+	}
+	assert_true(wkr_stats(f->wkr)->foreign_lists >= G_N_ELEMENTS(others));
+	f->lists_end = false;
+	f->started_ms = 100;
+	f->seen = 0;
+	wait_for(f, &f->seen);
+	assert_true(wkr_usable(f->wkr, w));
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -1361,6 +1497,10 @@
 		T(start_carries_its_ticket),
 		T(start_without_ticket_is_not_sent),
 		T(stale_start_without_ticket_is_stopped),
+		T(start_without_answer_is_stopped_in_next_lifetime),
+		T(start_of_ended_run_is_stopped_in_next_lifetime),
+		T(start_is_stopped_as_a_removed_worker_returns),
+		T(list_of_another_lifetime_is_not_read),
 	};
 
 	return cmocka_run_group_tests_name("wkr", tests, NULL, NULL);
