prm: work of a queue that goes first gets room before it is late

What callers saw: a queue's priority was decoded and read by no decision, so a job of priority 0 waited behind work that can wait.

Where live jobs of a pool differ in priority, those of the lower number go first among work that lasts, that can be in time, and that is late. Where priorities are alike nothing changes.

--- a/src/hub.c
+++ b/src/hub.c
@@ -65,6 +65,7 @@
 	h->est = est_new();
 	h->crs = crs_new(&hub_crs_ops, h);
 	h->shares = shr_new(config->shares);
+	h->prm = prm_new();
 	h->dirty_pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	h->report_seqs =
@@ -144,6 +145,7 @@
 	est_free(h->est);
 	crs_free(h->crs);
 	shr_free(h->shares);
+	prm_free(h->prm);
 	g_hash_table_destroy(h->dirty_pools);
 	g_hash_table_destroy(h->report_seqs);
 	tmr_free(h->tmr);
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -13,6 +13,7 @@
 #include "hld.h"
 #include "hub.h"
 #include "lod.h"
+#include "prm.h"
 #include "rep.h"
 #include "sch.h"
 #include "srv.h"
@@ -25,7 +26,8 @@
  * hub_call (calls and their answers), hub_log (commands and reads in progress
  * in the log), hub_carry (which replica sends the calls to a worker), hub_lost
  * (workers that crash), hub_plan (what the leader runs), hub_held (why a
- * pending task does not run), hub_shr (how organisations' shares decide), hub_vm (upkeep of VMs), hub_take (requests that
+ * pending task does not run), hub_shr (how organisations' shares decide), hub_prm (whose runs stop for a queue
+ * that goes first), hub_vm (upkeep of VMs), hub_take (requests that
  * the protocol layer passes on), hub_tell (metrics), hub (start, stop and
  * network input of the daemon).
  */
@@ -86,6 +88,7 @@
 	HUB_KEYS_REFUSED,
 	HUB_NEVER_FIT,
 	HUB_DIRECT_STARTS,
+	HUB_PREEMPTED,
 	HUB_COUNTS
 };
 
@@ -146,6 +149,7 @@
 	struct crs *crs; /* tasks that workers crashed under */
 	struct shr *shares; /* of organisations */
 	int64_t shares_logged_ms; /* last line about them */
+	struct prm *prm; /* preemption by queues that go first */
 	GHashTable *dirty_pools; /* pools to plan */
 	struct hld_sum pending; /* tasks that are due and not running */
 	int64_t pending_checked_ms; /* when pending was last computed */
@@ -186,6 +190,7 @@
 void hub_plan_step_down(struct hub *h);
 void hub_plan_tick(struct hub *h, int64_t now);
 void hub_mark_all_pools(struct hub *h);
+bool hub_worker_usable(void *arg, const struct jtb_worker *w);
 void hub_init_sch_view(struct hub *h, GHashTable *closed, struct sch_view *v);
 void hub_stop_run(void *arg, struct jtb_run *run, const char *why);
 /* hub_lost */
@@ -201,6 +206,8 @@
 void hub_pending_tick(struct hub *h, int64_t now);
 /* hub_shr */
 void hub_shr_tick(struct hub *h, int64_t now);
+/* hub_prm */
+void hub_prm_tick(struct hub *h, int64_t now);
 /* hub_vm */
 void hub_vm_init(struct hub *h);
 void hub_vm_free(struct hub *h);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -49,7 +49,6 @@
 static void hub_mark_job_pool(struct hub *h, const struct jtb_job *job);
 static void hub_on_plan_timer(void *arg, int64_t now);
 static void hub_plan_pools(struct hub *h);
-static bool hub_worker_usable(void *arg, const struct jtb_worker *w);
 static bool hub_worker_upkeep_due(void *arg, const struct jtb_worker *w);
 static bool hub_rack_lost(void *arg, const struct jtb_worker *w);
 static bool hub_has_ticket(void *arg, const struct jtb_job *job, uint32_t turn,
@@ -127,6 +126,7 @@
 	est_clear(h->est);
 	crs_clear(h->crs);
 	shr_lead(h->shares);
+	prm_lead(h->prm);
 	adv_line_lead(h->advice);
 	hub_relay_lead(h, term);
 	wkr_lead(h->wkr, term);
@@ -188,6 +188,7 @@
 	hub_mark_all_pools(h);
 	h->pending_due = true;
 	hub_shr_tick(h, now);
+	hub_prm_tick(h, now);
 	hub_log_work(h, now);
 	cpu_leave(before);
 }
@@ -585,7 +586,7 @@
 }
 
 /* Whether a worker may be given work now. */
-static bool hub_worker_usable(void *arg, const struct jtb_worker *w)
+bool hub_worker_usable(void *arg, const struct jtb_worker *w)
 {
 	const struct hub *h = arg;
 
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -53,6 +53,8 @@
 			      "Calls refused for their key"},
 	[HUB_NEVER_FIT] = {"endive_jobs_over_limit_total", "counter",
 			   "Jobs refused, as a limit would never let them run"},
+	[HUB_PREEMPTED] = {"endive_preempted_total", "counter",
+			   "Runs stopped for work of a queue that goes first"},
 	[HUB_DIRECT_STARTS] =
 		{"endive_starts_direct_total", "counter",
 		 "Runs first ordered without a relay, where relays are used"},
--- a/src/msg.c
+++ b/src/msg.c
@@ -86,6 +86,7 @@
 	[MSG_HUB_ODD] = {MSG_WARN, "not-understood"},
 	[MSG_HUB_POOL] = {MSG_INFO, "pool"},
 	[MSG_HUB_SHARES] = {MSG_INFO, "shares"},
+	[MSG_HUB_PREEMPTED] = {MSG_NOTICE, "preempted"},
 	[MSG_HUB_WORK] = {MSG_INFO, "work"},
 	[MSG_HUB_CARRIERS] = {MSG_NOTICE, "carriers"},
 	[MSG_HUB_DIRECT] = {MSG_INFO, "start-direct"},
--- a/src/sch.c
+++ b/src/sch.c
@@ -8,12 +8,15 @@
  */
 #define SCH_RANK_STEP 1e12
 
+/* Priorities of queues that are told apart; those behind count as the last. */
+#define SCH_PRIORITIES 16
+
 /* A live job of the pool with its place in the planning order. */
 struct sch_candidate {
 	struct jtb_job *job;
 	const struct jtb_queue *queue;
 	enum shr_rank rank;
-	unsigned int class_no; /* of its rank and organisation */
+	unsigned int class_no; /* lower goes first */
 	double value; /* higher goes first within a rank */
 };
 
@@ -22,6 +25,7 @@
 static GArray *sch_collect_candidates(struct sch_pool *p);
 static void sch_rank(int64_t wall_ms, struct sch_candidate *c);
 static int sch_compare(gconstpointer a, gconstpointer b);
+static void sch_apply_priorities(GArray *cands);
 static void sch_begin_shares(const struct sch_view *v, GArray *cands);
 static void sch_plan_by_shares(struct sch_pool *p, GArray *cands);
 static void sch_start(struct sch_pool *p, struct jtb_job *job,
@@ -48,6 +52,7 @@
 		cands = sch_collect_candidates(&p);
 		if (v->shares)
 			sch_begin_shares(v, cands);
+		sch_apply_priorities(cands);
 		g_array_sort(cands, sch_compare);
 		if (v->shares)
 			sch_plan_by_shares(&p, cands);
@@ -209,6 +214,36 @@
 	}
 }
 
+/*
+ * Where queues of a pool differ in priority, puts work that lasts and work that
+ * can be in time in the order of their queues before anything else: a queue
+ * that goes first has a new job run before a started one of a queue behind. Of
+ * what is late, too, but never before what isn't.
+ */
+static void sch_apply_priorities(GArray *cands)
+{
+	static const unsigned int stages[SHR_RANKS] = {
+		[SHR_LONG_RUNNING] = 0, [SHR_STARTED] = 1,   [SHR_NEW] = 1,
+		[SHR_LATE] = 2,		[SHR_WORTHLESS] = 3,
+	};
+	struct sch_candidate *c;
+	uint32_t least = UINT32_MAX;
+	uint32_t most = 0;
+	guint i;
+
+	for (i = 0; i < cands->len; i++) {
+		c = &g_array_index(cands, struct sch_candidate, i);
+		least = MIN(least, c->queue->priority);
+		most = MAX(most, c->queue->priority);
+	}
+	for (i = 0; least < most && i < cands->len; i++) {
+		c = &g_array_index(cands, struct sch_candidate, i);
+		c->class_no += SHR_CLASSES *
+			       (MIN(c->queue->priority, SCH_PRIORITIES - 1) +
+				SCH_PRIORITIES * stages[c->rank]);
+	}
+}
+
 /* Plans sorted candidates in the order of their organisations' shares. */
 static void sch_plan_by_shares(struct sch_pool *p, GArray *cands)
 {
--- a/src/shr.h
+++ b/src/shr.h
@@ -15,6 +15,9 @@
 	SHR_RANKS
 };
 
+/* More than any class that shr_class returns. */
+#define SHR_CLASSES 8
+
 /* Ways to order the jobs of a plan. */
 enum shr_method {
 	SHR_BY_AGE, /* organisations count for nothing */
