--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -14,6 +14,7 @@
 #include "hub.h"
 #include "itk.h"
 #include "lod.h"
+#include "prm.h"
 #include "rep.h"
 #include "sch.h"
 #include "srv.h"
@@ -28,9 +29,11 @@
  *	hub_log		commands and reads in progress in the log
  *	hub_carry	which replica sends the calls to a worker
  *	hub_lost	workers that crash
+ *	hub_life	workers that start again under their ids
  *	hub_plan	what the leader runs
  *	hub_held	why a pending task does not run
  *	hub_shr		how organisations' shares decide
+ *	hub_prm		whose runs stop for a queue that goes first
  *	hub_vm		upkeep of VMs
  *	hub_intake	which jobs are refused for want of room
  *	hub_take	requests that the protocol layer passes on
@@ -101,6 +104,7 @@
 	HUB_REPORTS_EARLIER,
 	HUB_REPORTS_NO_START,
 	HUB_REPORTS_BAD_START,
+	HUB_PREEMPTED,
 	HUB_COUNTS
 };
 
@@ -162,6 +166,7 @@
 	struct crs *crs; /* tasks that workers crashed under */
 	struct shr *shares; /* of organisations */
 	int64_t shares_logged_ms; /* last line about them */
+	struct prm *prm; /* preemption by queues that go first */
 	GHashTable *dirty_pools; /* pools to plan */
 	struct hld_sum pending; /* tasks that are due and not running */
 	int64_t pending_checked_ms; /* when pending was last computed */
@@ -203,6 +208,7 @@
 void hub_plan_tick(struct hub *h, int64_t now);
 void hub_mark_all_pools(struct hub *h);
 double hub_estimate_ratio(const struct hub *h, const struct jtb_spec *spec);
+bool hub_worker_usable(void *arg, const struct jtb_worker *w);
 void hub_init_sch_view(struct hub *h, GHashTable *closed, struct sch_view *v);
 void hub_stop_run(void *arg, struct jtb_run *run, const char *why);
 /* hub_lost */
@@ -228,6 +234,8 @@
 void hub_pending_tick(struct hub *h, int64_t now);
 /* hub_shr */
 void hub_shr_tick(struct hub *h, int64_t now);
+/* hub_prm */
+void hub_prm_tick(struct hub *h, int64_t now);
 /* hub_vm */
 void hub_vm_init(struct hub *h);
 void hub_vm_free(struct hub *h);
