cns: a learner forgets a leader that it doesn't hear

A learner stands for no election, and only that made a member forget its leader: cut off, or after the leader's death, it went on naming the old one, sent operators there with a 307, and acknowledged workers' reports, which a replica may do only while it knows a leader. With learners that stay learners this would last as long as the cut. It forgets a leader not heard for two election timeouts; the property "a learner forgets a leader it does not hear" fails without the change.

--- a/src/cns_core.c
+++ b/src/cns_core.c
@@ -198,6 +198,13 @@
 		c->late_ticks_left--;
 		return;
 	}
+	/*
+	 * A learner stands for no election, which would forget the old leader;
+	 * it would go on naming one that is dead or cut off.
+	 */
+	if (c->role == CNS_NON_VOTER &&
+	    now_ms - c->heard_ms > 2 * c->config.election_ms)
+		c->leader = 0;
 	if (now_ms >= c->election_due)
 		cns_event(c, CNS_EV_TIMEOUT);
 }
--- a/tests/prop/cns_prop.cc
+++ b/tests/prop/cns_prop.cc
@@ -492,6 +492,33 @@
 		RC_ASSERT(demoted.applied == l->applied);
 	});
 
+	/*
+	 * Guards against a learner that goes on naming a leader that it no
+	 * longer hears: callers would be sent there for as long.
+	 */
+	ok &= rc::check("a learner forgets a leader it does not hear", [] {
+		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
+		Sim s(seed, 4);
+
+		s.run(3000);
+		Node *l = s.leader();
+		RC_ASSERT((l != nullptr));
+		Node &learner = *s.nodes[(l->machine + 1) % 4];
+		RC_ASSERT(cns_demote(l->c, learner.id) == CNS_OK);
+		s.pump(*l);
+		s.run(1000);
+		RC_ASSERT(cns_leader(learner.c) == l->id);
+		for (int i = 0; i < 4; i++) {
+			s.partitions.insert({i, learner.machine});
+			s.partitions.insert({learner.machine, i});
+		}
+		s.run(3 * Sim::election_ms);
+		RC_ASSERT(cns_leader(learner.c) == 0u);
+		s.partitions.clear();
+		s.run(500);
+		RC_ASSERT(cns_leader(learner.c) == s.leader()->id);
+	});
+
 	/* Guards against a repair that does not finish before the load ends. */
 	ok &= rc::check("a new member catches up under steady load", [] {
 		auto seed = *rc::gen::noShrink(rc::gen::arbitrary<uint32_t>());
