hub: refusals without a leader say when to come back

Looked at and left: entry daemons refuse at once and give Retry-After by how long there has been no leader; they hold a call 400 ms only if it may have reached the lost leader (its outcome is unknown, and the next leader's answer settles it).

--- a/src/hub.h
+++ b/src/hub.h
@@ -13,6 +13,7 @@
 #include "jtb.h"
 #include "key.h"
 #include "vms.h"
+#include "vtp.h"
 #include "wkr.h"
 
 /*
@@ -75,6 +76,7 @@
 	char *data;
 	char **seeds; /* IP:PORT, as wire */
 	bool bootstrap;
+	const struct vtp *voters; /* how the number of voters is chosen */
 	long long voters_min;
 	long long hold_max_ms; /* longest lease that workers accept */
 	/* least time between orders of two leaders to the same VM */
@@ -104,6 +106,7 @@
 void hub_set_user(struct hub_call *c, void *user);
 void *hub_user(const struct hub_call *c);
 void hub_answer(struct hub *h, struct hub_call *c, const struct hub_answer *a);
+void hub_answer_later(struct hub *h, struct hub_call *c);
 void hub_answer_status(struct hub *h, struct hub_call *c, int status);
 void hub_answer_text(struct hub *h, struct hub_call *c, int status,
 		     const char *text);
--- a/src/hub_call.c
+++ b/src/hub_call.c
@@ -2,6 +2,9 @@
 
 #include "proto.h"
 
+/* How long until a leader is elected, s, rounded up. */
+#define HUB_ELECTION_S 1
+
 static void hub_answer_wire(struct hub_call *c, const struct hub_answer *a);
 static void hub_answer_http(struct hub_call *c, const struct hub_answer *a);
 
@@ -138,6 +141,18 @@
 	hub_answer(h, c, &(struct hub_answer){.status = status});
 }
 
+/*
+ * Refuses a call that no leader can carry out now, at once: a client that is
+ * held uses up its time, and one that isn't told when to come back comes back
+ * too often.
+ */
+void hub_answer_later(struct hub *h, struct hub_call *c)
+{
+	hub_answer(h, c,
+		   &(struct hub_answer){.status = 503,
+					.retry_after_s = HUB_ELECTION_S});
+}
+
 /* Answers a call with a status and a line of text that says why. */
 void hub_answer_text(struct hub *h, struct hub_call *c, int status,
 		     const char *text)
--- a/src/hub_log.c
+++ b/src/hub_log.c
@@ -230,7 +230,7 @@
 			w->resume(h, w->c);
 		else if (!ok && !w->c->answered &&
 			 w->c->origin == HUB_FROM_CONTROL)
-			hub_answer_status(h, w->c, 503);
+			hub_answer_later(h, w->c);
 		else if (!ok && !w->c->answered) {
 			h->counts[HUB_UNKNOWN_CALLS]++;
 			hub_call_disconnect(w->c);
