vtp: an odd number of control daemons votes

A core of six cut into halves had no leader for as long as the cut lasted, and every submission was refused: all six voted, and neither half had four. Five of six bear the same two losses. vtp decides from the members, their zones and who is heard the one next change (promote, demote, remove) and its reason; rep_update_members, now in rep_member.c, only carries it out. The others stay learners: they have the log, answer workers, relay calls and take a lost voter's place after 2 s. Ways "odd" (default), "all" (as before) and "fewest" by [bounds] voters. Zones come from the connection's handshake; no message changed. rep_reachable_voters now has learners too and is rep_reachable_members. Metrics endive_learners and endive_voter; msg=voter-member has zone and why.

Ruled out: a smaller share in the deploy file (rounds up in each zone), a voter of weight two (its loss takes two), removing the sixth member (its copy and its work go). vtp_prop found that a member that comes and goes every 2 s had a vote of its zone back each time; moves between zones now wait for 30 s.

rep_test: REP_DEAD_MS is VTP_DEAD_MS now, the same 4 s; the fixture names the way. No other check of an existing test has changed.

--- a/src/hub.c
+++ b/src/hub.c
@@ -105,6 +105,7 @@
 			.data = config->data,
 			.seeds = config->seeds,
 			.bootstrap = config->bootstrap,
+			.voters = config->voters,
 			.voters_min = config->voters_min,
 			.conns_max = config->descriptors->share[FDB_PEERS],
 		},
--- a/src/hub_carry.c
+++ b/src/hub_carry.c
@@ -48,7 +48,7 @@
 
 	g_ptr_array_set_size(h->relays, 0);
 	g_ptr_array_set_size(h->peers, 0);
-	rep_reachable_voters(h->rep, h->peers);
+	rep_reachable_members(h->rep, h->peers);
 	for (i = 0; hub_relay_needed(h) && i < h->peers->len; i++) {
 		char *addr = g_ptr_array_index(h->peers, i);
 
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -54,6 +54,7 @@
 		.data = s->data,
 		.seeds = s->seeds,
 		.bootstrap = s->bootstrap,
+		.voters = s->voters,
 		.voters_min = 2 * s->losses + 1,
 		.hold_max_ms = s->hold_max_ms,
 		.vm_lease_ms = s->vm_lease_ms,
--- a/src/nst.c
+++ b/src/nst.c
@@ -4,6 +4,7 @@
 
 #include "err.h"
 #include "msg.h"
+#include "vtp.h"
 
 /* Type of a setting's value. */
 enum nst_kind {
@@ -13,6 +14,7 @@
 	NST_ADDRS, /* char **, comma-separated IP:PORT */
 	NST_BOOL, /* bool */
 	NST_INT, /* long long */
+	NST_VOTERS, /* const struct vtp * */
 };
 
 /* Definition of a setting. */
@@ -50,6 +52,8 @@
 	{"node", "log-level", NST_TEXT, NST_OFFSET(log_level), false, "notice",
 	 0, 0},
 	{"bounds", "losses", NST_INT, NST_OFFSET(losses), false, "1", 0, 5},
+	{"bounds", "voters", NST_VOTERS, NST_OFFSET(voters), false, "odd", 0,
+	 0},
 	{"bounds", "hold-max-ms", NST_INT, NST_OFFSET(hold_max_ms), false,
 	 "10000", 1000, 600000},
 	{"bounds", "vm-lease-ms", NST_INT, NST_OFFSET(vm_lease_ms), false,
@@ -179,6 +183,11 @@
 	case NST_INT:
 		ok = nst_parse_int(s, d, text, err);
 		break;
+	case NST_VOTERS:
+		*(const struct vtp **)value = vtp_find(text);
+		ok = *(const struct vtp **)value ||
+		     nst_reject(err, s, d, text, "odd, all or fewest");
+		break;
 	}
 	g_free(text);
 	return ok;
--- a/src/nst.h
+++ b/src/nst.h
@@ -6,6 +6,8 @@
 #include <glib.h>
 #include <stdbool.h>
 
+struct vtp;
+
 /*
  * Settings of a node. The platform writes them as a key file with the groups
  * [node] and [bounds], which may change while the daemon runs.
@@ -27,6 +29,7 @@
 	bool bootstrap; /* new fleet: the seeds are its first voters */
 	bool open_network; /* own processes need no key */
 	char *keys; /* key file, or NULL */
+	const struct vtp *voters; /* how the number of voters is chosen */
 	long long losses; /* replicas that may be lost at the same time */
 	long long hold_max_ms; /* longest lease that workers accept */
 	long long vm_lease_ms; /* between orders of two leaders for a VM */
--- a/src/rep.h
+++ b/src/rep.h
@@ -13,6 +13,7 @@
 #include "lstr.h"
 #include "pk.h"
 #include "tmr.h"
+#include "vtp.h"
 #include "wire.h"
 
 /*
@@ -57,7 +58,9 @@
 	char **seeds; /* IP:PORT of the replicas to contact first */
 	/* creates a new fleet whose first voters are the seeds */
 	bool bootstrap;
-	/* members are not removed automatically below this number */
+	/* how the number of voters is chosen */
+	const struct vtp *voters;
+	/* voters are not made fewer than this: 2 x losses + 1 */
 	long long voters_min;
 	/* connections with own processes, both directions; 0: no limit */
 	int conns_max;
@@ -66,6 +69,8 @@
 /* The state of the quorum as seen by one replica. */
 struct rep_quorum {
 	int voters;
+	int learners;
+	bool votes; /* this replica is a voter */
 	int reached; /* voters heard recently, including this replica */
 	int needed;
 	/* time without a known leader; 0: a leader is known */
@@ -87,7 +92,7 @@
 bool rep_transfer_pending(const struct rep *r);
 uint64_t rep_term(const struct rep *r);
 char *rep_leader_addr(const struct rep *r);
-void rep_reachable_voters(const struct rep *r, GPtrArray *out);
+void rep_reachable_members(const struct rep *r, GPtrArray *out);
 bool rep_send_to(struct rep *r, const char *addr, struct lstr payload);
 const struct cns_members *rep_members(const struct rep *r);
 struct rep_quorum rep_quorum(const struct rep *r);
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -14,6 +14,7 @@
 #include "msg.h"
 #include "proto.h"
 #include "vot.h"
+#include "vtp.h"
 
 /*
  * Heartbeat interval and minimum election timeout: a killed leader is replaced
@@ -28,8 +29,6 @@
 #define REP_MAINTAIN_MS 250
 /* A connection without any message for this long counts as dead. */
 #define REP_SILENCE_MS 800
-/* A member not heard for this long may be replaced by a new one. */
-#define REP_DEAD_MS 4000
 /*
  * A leader whose disk takes longer than this for each of REP_SLOW_SYNCS syncs
  * in a row transfers leadership to another replica: every decision waits for
@@ -73,6 +72,7 @@
 	struct wire_conn *conn;
 	uint64_t id; /* folder id from its last hello; 0: none received */
 	int64_t heard_ms;
+	int64_t since_ms; /* heard without a gap since then */
 };
 
 struct rep {
@@ -97,6 +97,7 @@
 	int64_t leaderless_ms; /* time since when no leader is known */
 	int64_t leaderless_log_ms; /* time of the last log line about it */
 	int64_t learner_log_ms; /* time of the last log line about a learner */
+	int64_t even_since_ms; /* the number of voters is even since then */
 	/* histogram of the times without a known leader */
 	struct cnt_times leaderless;
 	uint64_t syncs; /* value of vot_syncs at the last check */
@@ -107,6 +108,7 @@
 
 struct rep_peer *rep_peer_at(struct rep *r, const char *addr);
 void rep_update_members(struct rep *r, int64_t now);
+const char *rep_zone_of(const struct rep *r, const struct cns_member *m);
 void rep_log_leaderless(struct rep *r, int64_t now);
 void rep_send_hello(struct rep *r, struct wire_conn *conn);
 void rep_send_leader(struct rep *r, struct wire_conn *conn);
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -1,118 +1,11 @@
 #include "rep_int.h"
 
-/*
- * Connections and hello messages between replicas, and automatic membership
- * changes.
- */
+/* Connections and hello messages between replicas. */
 
-static bool rep_may_remove(const struct cns_members *s,
-			   const struct cns_member *m, const struct rep_peer *p,
-			   int64_t now);
 static bool rep_reached(const struct rep *r, const struct cns_member *m,
 			int64_t now);
-static bool rep_promote(struct rep *r, const struct cns_member *m, int64_t now);
-static bool rep_remove_member(struct rep *r, uint64_t id, const char *why);
 static void rep_on_hello(struct rep *r, struct pk_in *in);
 
-/*
- * Adds new members and removes dead ones. If a node lost its folder, its old
- * member is removed as soon as the new one, with the same address, is a voter;
- * any other unreachable member is removed only after a new member has taken its
- * place. A leader that lost its own folder is not one of its own peers, and its
- * old member is removed as well. If the membership is full, the old member of a
- * lost folder is removed before the new one is added: the two would otherwise
- * wait for each other.
- */
-void rep_update_members(struct rep *r, int64_t now)
-{
-	struct cns_members s = *cns_members(r->cns);
-	GHashTableIter it;
-	struct rep_peer *p;
-	int voters = 0;
-	int i;
-
-	for (i = 0; i < s.n; i++)
-		voters += s.m[i].voter;
-	g_hash_table_iter_init(&it, r->peers);
-	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&p)) {
-		struct cns_member m = {.id = p->id};
-
-		if (!p->id || now - p->heard_ms > REP_SILENCE_MS ||
-		    cns_find_member(&s, p->id))
-			continue;
-		g_strlcpy(m.addr, p->addr, sizeof(m.addr));
-		g_strlcpy(m.name, p->addr, sizeof(m.name));
-		/*
-		 * A new member that cannot be added yet must not keep dead
-		 * members from being removed.
-		 */
-		if (cns_add_learner(r->cns, &m) != CNS_OK)
-			continue;
-		msg(MSG_CTL_MEMBER, "does=learner addr=%s", m.addr);
-		return;
-	}
-	for (i = 0; i < s.n; i++)
-		if (!s.m[i].voter && rep_promote(r, &s.m[i], now))
-			return;
-	for (i = 0; i < s.n; i++) {
-		if (s.m[i].id == r->id)
-			continue;
-		/*
-		 * This replica is the new member itself; no peer reports it, as
-		 * no peer is this replica.
-		 */
-		if (strcmp(s.m[i].addr, r->config.addr) == 0 &&
-		    rep_remove_member(r, s.m[i].id,
-				      "the folder of this replica was lost"))
-			return;
-		p = g_hash_table_lookup(r->peers, s.m[i].addr);
-		if (!p)
-			continue;
-		if (p->id && p->id != s.m[i].id && cns_find_member(&s, p->id) &&
-		    cns_find_member(&s, p->id)->voter &&
-		    rep_remove_member(r, s.m[i].id, "its folder was lost"))
-			return;
-		if (rep_may_remove(&s, &s.m[i], p, now) &&
-		    (!s.m[i].voter || voters > r->config.voters_min) &&
-		    rep_remove_member(r, s.m[i].id, "replaced"))
-			return;
-	}
-}
-
-/*
- * Promotes a learner to a voter, or logs at intervals why it cannot be promoted
- * yet.
- */
-static bool rep_promote(struct rep *r, const struct cns_member *m, int64_t now)
-{
-	enum cns_refusal refusal = cns_promote(r->cns, m->id);
-
-	if (refusal == CNS_OK) {
-		msg(MSG_CTL_MEMBER, "does=voter addr=%s", m->addr);
-		return true;
-	}
-	if (now - r->learner_log_ms < REP_LEARNER_LOG_MS)
-		return false;
-	r->learner_log_ms = now;
-	msg(MSG_REP_LEARNER,
-	    "addr=%s why=\"%s\" match=%" PRIu64 " commit=%" PRIu64
-	    " last=%" PRIu64,
-	    m->addr, cns_refusal_name(refusal), cns_match(r->cns, m->id),
-	    cns_commit(r->cns), cns_last(r->cns));
-	return false;
-}
-
-/* Whether a member may be removed before another one has replaced it. */
-static bool rep_may_remove(const struct cns_members *s,
-			   const struct cns_member *m, const struct rep_peer *p,
-			   int64_t now)
-{
-	bool full = s->n == CNS_MEMBERS_MAX;
-
-	return now - p->heard_ms > REP_DEAD_MS ||
-	       (full && p->id && p->id != m->id);
-}
-
 /* Whether a member was heard recently and still has the same folder. */
 static bool rep_reached(const struct rep *r, const struct cns_member *m,
 			int64_t now)
@@ -124,11 +17,11 @@
 }
 
 /*
- * Adds to out the addresses of the other voters that are reachable and keep up
- * with what is sent to them, in a fixed order. The addresses are copies to be
- * freed.
+ * Adds to out the addresses of the other members, voters or learners, that are
+ * reachable and keep up with what is sent to them, in a fixed order. The
+ * addresses are copies to be freed.
  */
-void rep_reachable_voters(const struct rep *r, GPtrArray *out)
+void rep_reachable_members(const struct rep *r, GPtrArray *out)
 {
 	const struct cns_members *s = cns_members(r->cns);
 	int64_t now = tmr_now(r->config.tmr);
@@ -139,7 +32,7 @@
 		const struct rep_peer *p =
 			g_hash_table_lookup(r->peers, m->addr);
 
-		if (m->voter && m->id != r->id && rep_reached(r, m, now) &&
+		if (m->id != r->id && rep_reached(r, m, now) &&
 		    wire_is_up(p->conn) &&
 		    wire_backlog(p->conn) < REP_BACKLOG_MAX)
 			g_ptr_array_add(out, g_strdup(m->addr));
@@ -166,8 +59,11 @@
 	int i;
 
 	for (i = 0; i < s->n; i++) {
-		if (!s->m[i].voter)
+		if (!s->m[i].voter) {
+			q.learners++;
 			continue;
+		}
+		q.votes |= s->m[i].id == r->id;
 		q.voters++;
 		q.reached += rep_reached(r, &s->m[i], now);
 	}
@@ -198,17 +94,6 @@
 	    q.voters, q.reached, q.needed);
 }
 
-/* Removes a member; returns false if the change cannot start now. */
-static bool rep_remove_member(struct rep *r, uint64_t id, const char *why)
-{
-	if (cns_remove(r->cns, id) != CNS_OK)
-		return false;
-	msg(MSG_CTL_MEMBER,
-	    "does=removed folder=%016" G_GINT64_MODIFIER "x why=\"%s\"", id,
-	    why);
-	return true;
-}
-
 /* Sends a hello with the id, name and address of this replica. */
 void rep_send_hello(struct rep *r, struct wire_conn *conn)
 {
@@ -231,6 +116,7 @@
 	struct lstr node = pk_get_str(in);
 	struct lstr addr = pk_get_str(in);
 	struct rep_peer *p;
+	int64_t now = tmr_now(r->config.tmr);
 	char *key;
 
 	if (!pk_in_ok(in) || !node.len)
@@ -240,8 +126,10 @@
 	g_free(key);
 	if (!p)
 		return;
+	if (p->id != id || now - p->heard_ms > REP_SILENCE_MS)
+		p->since_ms = now;
 	p->id = id;
-	p->heard_ms = tmr_now(r->config.tmr);
+	p->heard_ms = now;
 	/* Messages to this replica use only the connection opened from here. */
 	wire_hurry(p->conn);
 }
--- a/tests/unit/nst_test.c
+++ b/tests/unit/nst_test.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "nst.h"
+#include "vtp.h"
 
 #define VALID_SETTINGS                                         \
 	"[node]\nname = n1\nzone = z1\nwire = 10.0.0.1:7000\n" \
@@ -41,6 +42,7 @@
 	assert_null(s->advice);
 	assert_int_equal(s->job_retention_ms, 5000);
 	assert_int_equal(s->losses, 1);
+	assert_ptr_equal(s->voters, vtp_find("odd"));
 	/* The ports of seeds are replaced by the port of wire. */
 	assert_string_equal(s->seeds[0], "10.0.0.2:7000");
 	assert_string_equal(s->seeds[1], "10.0.0.3:7000");
@@ -67,6 +69,8 @@
 		 "[node] advice is \"there\"; allowed: IP:PORT"},
 		{VALID_SETTINGS "losses = 9\n",
 		 "[bounds] losses is \"9\"; allowed: a whole number, 0 to 5"},
+		{VALID_SETTINGS "voters = some\n",
+		 "[bounds] voters is \"some\"; allowed: odd, all or fewest"},
 		{VALID_SETTINGS "grace-s = soon\n",
 		 "[bounds] grace-s is \"soon\""},
 		{"[node]\nname = n\nzone = z\nwire = 1.1.1.1:1\n"
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -122,6 +122,7 @@
 			.data = n->data,
 			.seeds = n->fixture->seeds,
 			.bootstrap = !n->restarted,
+			.voters = vtp_find("odd"),
 			.voters_min = 1,
 		},
 		&node_ops, n, &err);
@@ -676,7 +677,7 @@
 
 	fill_membership(b);
 	b->fake_port = CNS_MEMBERS_MAX;
-	add_fake_peer(b, 1, 1, REP_DEAD_MS + 1);
+	add_fake_peer(b, 1, 1, VTP_DEAD_MS + 1);
 	wait_membership(b, 1, false);
 	wait_membership(b, CNS_MEMBERS_MAX, true);
 }
