--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -72,6 +72,7 @@
 		.data = s->data,
 		.seeds = s->seeds,
 		.bootstrap = s->bootstrap,
+		.voters = s->voters,
 		.voters_min = 2 * s->losses + 1,
 		.hold_max_ms = s->hold_max_ms,
 		.vm_lease_ms = s->vm_lease_ms,
--- a/src/nst.c
+++ b/src/nst.c
@@ -4,6 +4,7 @@
 
 #include "err.h"
 #include "msg.h"
+#include "vtp.h"
 
 /* Type of a setting's value. */
 enum nst_kind {
@@ -14,6 +15,7 @@
 	NST_BOOL, /* bool */
 	NST_INT, /* long long */
 	NST_INTAKE, /* const struct itk_way * */
+	NST_VOTERS, /* const struct vtp * */
 };
 
 /* Definition of a setting. */
@@ -54,6 +56,8 @@
 	 0, 0},
 	{"node", "shares", NST_TEXT, NST_OFFSET(shares), false, "recent", 0, 0},
 	{"bounds", "losses", NST_INT, NST_OFFSET(losses), false, "1", 0, 5},
+	{"bounds", "voters", NST_VOTERS, NST_OFFSET(voters), false, "odd", 0,
+	 0},
 	{"bounds", "hold-max-ms", NST_INT, NST_OFFSET(hold_max_ms), false,
 	 "10000", 1000, 600000},
 	{"bounds", "vm-lease-ms", NST_INT, NST_OFFSET(vm_lease_ms), false,
@@ -189,6 +193,11 @@
 	case NST_INT:
 		ok = nst_parse_int(s, d, text, err);
 		break;
+	case NST_VOTERS:
+		*(const struct vtp **)value = vtp_find(text);
+		ok = *(const struct vtp **)value ||
+		     nst_reject(err, s, d, text, "odd, all or fewest");
+		break;
 	}
 	g_free(text);
 	return ok;
