--- a/src/cli_losses.c
+++ b/src/cli_losses.c
@@ -55,6 +55,7 @@
 static void losses_job(struct losses *t, const struct lgl *l);
 static enum losses_reason losses_why(const struct lgl *l);
 static void losses_refused(struct losses *t, const struct lgl *l);
+static void losses_no_room(struct losses *t, const struct lgl *l);
 static void losses_add(struct losses *t, const struct lgl *l, const char *queue,
 		       const char *reason, int64_t late_ms);
 static struct losses_row *losses_row_at(struct losses *t, const char *queue,
@@ -90,6 +91,8 @@
 		losses_job(t, l);
 	else if (strcmp(l->msg, "entry-refused") == 0)
 		losses_refused(t, l);
+	else if (strcmp(l->msg, "job-refused") == 0)
+		losses_no_room(t, l);
 	else if (strcmp(l->msg, "suppressed") == 0)
 		t->left_out += (guint)lgl_number(l, "lines");
 	lgl_free(l);
@@ -155,6 +158,19 @@
 	g_free(method);
 }
 
+/* A job that the leader refused for want of room. */
+static void losses_no_room(struct losses *t, const struct lgl *l)
+{
+	char *queue = lgl_fact(l, "queue");
+	char *why = lgl_fact(l, "why");
+	char *reason = g_strdup_printf("refused: no room, %s", why ? why : "?");
+
+	losses_add(t, l, queue, reason, 0);
+	g_free(reason);
+	g_free(why);
+	g_free(queue);
+}
+
 /* One more. */
 static void losses_add(struct losses *t, const struct lgl *l, const char *queue,
 		       const char *reason, int64_t late_ms)
--- a/src/cli_trace.c
+++ b/src/cli_trace.c
@@ -30,6 +30,7 @@
 static void trace_print(const struct cli *c, struct trace *t);
 static void trace_sum(const struct trace *t);
 static void trace_sum_end(const struct lgl *end);
+static void trace_sum_refused(const struct lgl *l);
 static void trace_drop_echoes(struct trace *t);
 static bool trace_no_leader(const struct lgl *l);
 static int64_t trace_leaderless_ms(const struct trace *t);
@@ -223,6 +224,8 @@
 	for (i = 0; i < t->lines->len; i++) {
 		const struct lgl *l = g_ptr_array_index(t->lines, i);
 
+		if (strcmp(l->msg, "job-refused") == 0)
+			trace_sum_refused(l);
 		if (strcmp(l->msg, "job-ended") != 0)
 			continue;
 		trace_sum_end(l);
@@ -239,6 +242,19 @@
 		       t->left_out);
 }
 
+/* Why a job was refused, and when its caller was to come back. */
+static void trace_sum_refused(const struct lgl *l)
+{
+	char *why = lgl_fact(l, "why");
+
+	printf("refused for want of room (%s): a line of %" PRId64
+	       " ms before it, due in %" PRId64
+	       " ms; to come back after %" PRId64 " s\n",
+	       why ? why : "?", lgl_number(l, "line_ms"),
+	       lgl_number(l, "objective_ms"), lgl_number(l, "retry_after_s"));
+	g_free(why);
+}
+
 /* How a job ended, and where its time went. */
 static void trace_sum_end(const struct lgl *end)
 {
--- a/tests/unit/est_test.c
+++ b/tests/unit/est_test.c
@@ -33,6 +33,16 @@
 		    value < want * (1 + TOLERANCE));
 }
 
+/* Failure: jobs are refused by estimates that nothing has corrected yet. */
+static void queue_is_learned_after_enough_tasks(void **state)
+{
+	learn(*state, "q", 100, 200, 10);
+	assert_false(est_is_learned(*state, "q"));
+	learn(*state, "q", 100, 200, 20);
+	assert_true(est_is_learned(*state, "q"));
+	assert_false(est_is_learned(*state, "other"));
+}
+
 /* The estimates of a queue with too few samples are not corrected. */
 static void unknown_queue_is_not_scaled(void **state)
 {
@@ -137,6 +147,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		T(queue_is_learned_after_enough_tasks),
 		T(unknown_queue_is_not_scaled),
 		T(low_estimates_are_scaled),
 		T(uncorrelated_estimates_give_the_mean),
--- a/tests/unit/nst_test.c
+++ b/tests/unit/nst_test.c
@@ -53,6 +53,9 @@
 	static const char *const cases[][2] = {
 		{"[node]\nzone = z\nwire = 1.1.1.1:1\nseeds = 1.1.1.1:1\n",
 		 "[node] name is \"\""},
+		{"[node]\nname = n\nzone = z\nwire = 1.1.1.1:1\n"
+		 "seeds = 1.1.1.1:1\nintake = some\n",
+		 "[node] intake is \"some\"; allowed: all, pool or "},
 		{"[node]\nname = n\nzone = z\nwire = here\n"
 		 "seeds = 1.1.1.1:1\n",
 		 "[node] wire is \"here\"; allowed: IP:PORT"},
