prm: looks into workers and reruns only where a task waits

A pool's workers were gone through each tick while work behind ran, and a job's reruns counted for each of its runs: at 350 workers and jobs of thousands of tasks more than a step of the loop may take. Only pools with a task that would be late are looked into now, and each job's reruns once.

--- a/src/prm.c
+++ b/src/prm.c
@@ -36,7 +36,7 @@
 	uint64_t oldest; /* seq of the job behind that is left alone */
 	bool any_behind; /* work of a queue behind runs */
 	double budget; /* that may be thrown away, core-ms */
-	int64_t budget_ms; /* when it was updated; 0: never */
+	int64_t budget_ms; /* when it was updated */
 };
 
 /* A worker with the room it has, or will have once its stops are done. */
@@ -59,12 +59,14 @@
 	struct prm_pool *pool;
 	const char *name;
 	GArray *places; /* struct prm_place */
+	GHashTable *worn; /* struct jtb_job: whether it has enough reruns */
 	struct prm_result result;
 };
 
 static void prm_pool_free(gpointer p);
 static void prm_reset_pools(struct prm *m, const struct jtb_config *config);
-static struct prm_pool *prm_pool(struct prm *m, const char *name);
+static struct prm_pool *prm_pool(struct prm *m, const char *name,
+				 int64_t now_ms);
 static void prm_sort_job(struct prm *m, const struct prm_view *v,
 			 struct jtb_job *job);
 static void prm_plan_pool(const struct prm_view *v, const char *name,
@@ -73,13 +75,15 @@
 static void prm_find_places(struct prm_case *c);
 static void prm_add_place(struct prm_case *c, struct jtb_worker *w);
 static bool prm_may_stop(const struct prm_case *c, const struct jtb_run *run);
+static bool prm_is_worn(const struct prm_case *c, struct jtb_job *job);
 static double prm_loss(const struct prm_case *c, const struct jtb_run *run);
 static gint prm_compare_runs(gconstpointer a, gconstpointer b, gpointer arg);
 static bool prm_would_be_late(const struct prm_view *v,
 			      const struct jtb_queue *q,
 			      const struct jtb_job *job);
 static void prm_serve_job(struct prm_case *c, struct jtb_job *job);
-static uint32_t prm_missing(const struct prm_case *c, const struct jtb_job *job,
+static bool prm_waits(const struct prm_view *v, const struct jtb_job *job);
+static uint32_t prm_missing(const struct prm_view *v, const struct jtb_job *job,
 			    uint32_t turn, uint32_t step);
 static bool prm_serve_task(struct prm_case *c, const struct jtb_job *job,
 			   const struct jtb_step *s);
@@ -142,7 +146,7 @@
 	g_hash_table_iter_init(&it, m->pools);
 	while (g_hash_table_iter_next(&it, (gpointer *)&name,
 				      (gpointer *)&pool))
-		if (pool->any_behind)
+		if (pool->any_behind && pool->waiters->len)
 			prm_plan_pool(v, name, pool);
 }
 
@@ -166,8 +170,9 @@
 	}
 }
 
-/* Returns a pool, which is added if it is new. */
-static struct prm_pool *prm_pool(struct prm *m, const char *name)
+/* Returns a pool, which is added without budget if it is new. */
+static struct prm_pool *prm_pool(struct prm *m, const char *name,
+				 int64_t now_ms)
 {
 	struct prm_pool *pool = g_hash_table_lookup(m->pools, name);
 
@@ -176,6 +181,7 @@
 	pool = g_new0(struct prm_pool, 1);
 	pool->waiters = g_ptr_array_new();
 	pool->oldest = UINT64_MAX;
+	pool->budget_ms = now_ms;
 	g_hash_table_insert(m->pools, g_strdup(name), pool);
 	return pool;
 }
@@ -195,12 +201,12 @@
 	if (!q || jtb_job_ended(job))
 		return;
 	if (q->priority && job->n_runs) {
-		pool = prm_pool(m, q->pool);
+		pool = prm_pool(m, q->pool, v->now_ms);
 		pool->any_behind = true;
 		pool->oldest = MIN(pool->oldest, job->seq);
 	} else if (!q->priority && !q->advised && !jtb_max_crashes(job) &&
-		   prm_would_be_late(v, q, job)) {
-		g_ptr_array_add(prm_pool(m, q->pool)->waiters, job);
+		   prm_waits(v, job) && prm_would_be_late(v, q, job)) {
+		g_ptr_array_add(prm_pool(m, q->pool, v->now_ms)->waiters, job);
 	}
 }
 
@@ -211,6 +217,7 @@
 	struct prm_case c = {.v = v, .pool = pool, .name = name};
 	guint i;
 
+	c.worn = g_hash_table_new(NULL, NULL);
 	prm_find_places(&c);
 	prm_update_budget(&c);
 	for (i = 0; i < pool->waiters->len; i++)
@@ -220,6 +227,7 @@
 			g_array_index(c.places, struct prm_place, i).victims,
 			TRUE);
 	g_array_free(c.places, TRUE);
+	g_hash_table_destroy(c.worn);
 	c.result.budget = pool->budget / 1000;
 	if (c.result.waiting)
 		v->decided(v->arg, name, &c.result);
@@ -296,14 +304,26 @@
 		jtb_queue(jtb_config(c->v->jtb), run->job->spec.queue);
 	int64_t ran_ms = c->v->now_ms - run->ordered_ms;
 
-	if (!q || !q->priority ||
-	    s->flags & (JTB_LONG_RUNNING | JTB_GANG | JTB_BEST_EFFORT) ||
-	    run->attempt > 1 || run->inherited ||
+	if (!q || !q->priority || run->attempt > 1 || run->inherited ||
 	    run->job->seq == c->pool->oldest ||
-	    jtb_count_reruns(run->job) >= PRM_RERUNS_MAX)
+	    s->flags & (JTB_LONG_RUNNING | JTB_GANG | JTB_BEST_EFFORT))
 		return false;
-	return s->flags & JTB_CHECKPOINTS ||
-	       ran_ms * PRM_BEGUN_PART <= s->estimate_ms;
+	if (!(s->flags & JTB_CHECKPOINTS) &&
+	    ran_ms * PRM_BEGUN_PART > s->estimate_ms)
+		return false;
+	return !prm_is_worn(c, run->job);
+}
+
+/* Whether so many tasks of a job have run again that it is left alone. */
+static bool prm_is_worn(const struct prm_case *c, struct jtb_job *job)
+{
+	gpointer worn;
+
+	if (!g_hash_table_lookup_extended(c->worn, job, NULL, &worn)) {
+		worn = GINT_TO_POINTER(jtb_count_reruns(job) >= PRM_RERUNS_MAX);
+		g_hash_table_insert(c->worn, job, worn);
+	}
+	return GPOINTER_TO_INT(worn) != 0;
 }
 
 /* Returns the work that is lost if a run stops, core-ms. */
@@ -359,7 +379,7 @@
 	for (t = 0; t < job->n_turns && c->v->wall_ms >= jtb_turn_due(job, t);
 	     t++)
 		for (s = 0; s < job->spec.n_steps; s++)
-			for (n = prm_missing(c, job, t, s); n; n--) {
+			for (n = prm_missing(c->v, job, t, s); n; n--) {
 				if (c->result.waiting++ >= PRM_TASKS_MAX ||
 				    !prm_serve_task(c, job,
 						    &job->spec.steps[s]))
@@ -368,12 +388,25 @@
 			}
 }
 
+/* Whether a job has a task that is due and does not run. */
+static bool prm_waits(const struct prm_view *v, const struct jtb_job *job)
+{
+	uint32_t t;
+	uint32_t s;
+
+	for (t = 0; t < job->n_turns && v->wall_ms >= jtb_turn_due(job, t); t++)
+		for (s = 0; s < job->spec.n_steps; s++)
+			if (prm_missing(v, job, t, s))
+				return true;
+	return false;
+}
+
 /*
  * Returns how many tasks of a step are due and do not run. None of a gang,
  * which needs all its room at once, and of a step whose tasks must be kept
  * apart: who stops for one of them may stop in vain.
  */
-static uint32_t prm_missing(const struct prm_case *c, const struct jtb_job *job,
+static uint32_t prm_missing(const struct prm_view *v, const struct jtb_job *job,
 			    uint32_t turn, uint32_t step)
 {
 	const struct jtb_step *s = &job->spec.steps[step];
@@ -381,7 +414,7 @@
 	struct org_amount each = jtb_step_amount(s);
 
 	if (s->flags & (JTB_GANG | JTB_BEST_EFFORT) || s->max_per_worker ||
-	    !jtb_step_due(job, turn, step, c->v->wall_ms) ||
+	    !jtb_step_due(job, turn, step, v->wall_ms) ||
 	    !quo_may_start(job->use, &each, 1))
 		return 0;
 	return state ? s->count - state->n_done - state->n_runs -
