--- a/tests/unit/prm_test.c
+++ b/tests/unit/prm_test.c
@@ -266,6 +266,33 @@
 	}
 }
 
+/* Guards against a job all of whose tasks are stopped one after the other. */
+static void a_job_that_ran_again_often_is_left_alone(void **state)
+{
+	uint32_t again;
+
+	for (again = 7; again <= 8; again++) {
+		struct fixture *f;
+		uint32_t i;
+
+		teardown(state);
+		setup(state);
+		f = *state;
+		fill_budget(f);
+		submit(f, "behind", "eldest", 1, 0, 0);
+		start(f, "eldest", 0, 1, 900);
+		submit(f, "behind", "worn", 9, JTB_CHECKPOINTS, 0);
+		for (i = 0; i < again; i++) {
+			start(f, "worn", i, 2, 0);
+			jobs_end(f->jtb, "worn", 0, i, 2, "w", JTB_DONE);
+		}
+		start(f, "worn", again, 1, 300);
+		submit(f, "first", "urgent", 1, 0, AGE_MS);
+		decide(f);
+		assert_string_equal(f->stops->str, again < 8 ? "worn.7 " : "");
+	}
+}
+
 /* Guards against work without end that is thrown away for a stream of others. */
 static void work_thrown_away_is_bounded(void **state)
 {
@@ -344,6 +371,9 @@
 			what_saves_its_progress_stops_first, setup, teardown),
 		cmocka_unit_test_setup_teardown(what_must_go_on_is_not_stopped,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			a_job_that_ran_again_often_is_left_alone, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(work_thrown_away_is_bounded,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
