Intake: a refused job returns when it can be in time; accepting all is the default

A caller told to return at the bound of no use met the next arrivals and was refused again; Retry-After now names the time when the line is short enough for the objective.

--- a/src/hub_intake.c
+++ b/src/hub_intake.c
@@ -208,6 +208,7 @@
 		.known = hub_intake_knows(h, q->name),
 		.chain_ms = (int64_t)(tried->critical_path_ms *
 				      tried->estimate_ratio),
+		.objective_ms = objective,
 		.limit_ms = HUB_INTAKE_NO_USE * objective,
 	};
 	if (!need->exempt && est_is_learned(h->est, q->name))
--- a/src/itk.c
+++ b/src/itk.c
@@ -213,7 +213,7 @@
 	g_assert(p);
 	v.retry_after_s =
 		itk_line_return(a ? a : itk_account(p, job->org), job, line_s,
-				v.line_ms + need->chain_ms - need->limit_ms,
+				v.line_ms + need->chain_ms - need->objective_ms,
 				now_ms);
 	return v;
 }
@@ -268,9 +268,10 @@
 
 /*
  * Returns the Retry-After, s, of a job refused for its line, which is too long
- * by excess_ms. The work of the job refused before it comes first, unless all
- * of the present line will have been served by then: what was promised longer
- * ago than that may no longer be wanted, and room would stay empty.
+ * by excess_ms for its full use. The work of the job refused before it comes
+ * first, unless all of the present line will have been served by then: what was
+ * promised longer ago than that may no longer be wanted, and room would stay
+ * empty.
  */
 static int itk_line_return(struct itk_account *a, const struct itk_job *job,
 			   double line_s, int64_t excess_ms, int64_t now_ms)
--- a/src/itk.h
+++ b/src/itk.h
@@ -55,6 +55,7 @@
 	bool exempt; /* never refused for its line */
 	bool known; /* its times are learned, and the pools are known */
 	int64_t chain_ms; /* time of its longest chain of steps */
+	int64_t objective_ms; /* time within which it is of full use */
 	int64_t limit_ms; /* time after which it is of no use */
 };
 
--- a/tests/unit/itk_test.c
+++ b/tests/unit/itk_test.c
@@ -12,6 +12,7 @@
 #define NOW_MS 1000000
 #define CORES 100
 #define CHAIN_MS 1000
+#define OBJECTIVE_MS 2000
 #define LIMIT_MS 6000
 
 static bool none_stored(void *arg, const char *id)
@@ -54,8 +55,10 @@
 				    .weight = 1,
 				    .core_s = 10,
 				    .bytes = 1};
-	const struct itk_need need = {
-		.known = true, .chain_ms = CHAIN_MS, .limit_ms = LIMIT_MS};
+	const struct itk_need need = {.known = true,
+				      .chain_ms = CHAIN_MS,
+				      .objective_ms = OBJECTIVE_MS,
+				      .limit_ms = LIMIT_MS};
 	struct itk_verdict v = itk_decide(k, &job, &need, now);
 
 	if (!itk_refuses(v.why))
@@ -279,8 +282,8 @@
 		int64_t back = now + v.retry_after_s * 1000;
 
 		assert_int_equal(v.why, ITK_LINE);
-		/* the line is too long by 20 s + 1 s - 6 s */
-		assert_true(back >= NOW_MS + 15000 && back >= last);
+		/* the line is too long by 20 s + 1 s - 2 s */
+		assert_true(back >= NOW_MS + 19000 && back >= last);
 		assert_in_range(v.retry_after_s, 1, 60);
 		last = back;
 	}
--- a/tests/unit/nst_test.c
+++ b/tests/unit/nst_test.c
@@ -39,6 +39,7 @@
 	assert_false(s->open_network);
 	assert_null(s->callers);
 	assert_null(s->advice);
+	assert_ptr_equal(s->intake, itk_way("all"));
 	assert_int_equal(s->job_retention_ms, 5000);
 	assert_int_equal(s->losses, 1);
 	/* The ports of seeds are replaced by the port of wire. */
