div: VMs are divided among pools that together need more than there is

Callers of the second of two bursts were late: the pool that came first kept 269 VMs for work that was late whatever was done, as a pool gives up a VM only if 1.5 times its load is left.

Where pools are left short after standby and spare VMs are used up, and all together want more than all VMs have, a rule of a table (first-come, ratio, marginal, max-min; setting "division") says how many VMs each should have, and the plan pairs givers with takers. VMs without work in time go first, a VM that has just come stays. Operators see msg=division and metrics of VMs wanted, held and entitled; flo_ops has a floor for an operator's order.

--- a/src/flo.c
+++ b/src/flo.c
@@ -12,9 +12,13 @@
 static bool flo_is_short(const struct flo *f, const struct flo_pool *p);
 static struct flo_pool *flo_find_neediest(const struct flo *f);
 static bool flo_supply_pool(struct flo *f, struct flo_pool *to, int64_t now);
+static void flo_divide_vms(struct flo *f, int64_t now);
+static void flo_move_pair(struct flo *f, const struct div_pair *pair,
+			  int64_t now);
 static struct flo_move *flo_start_move(struct flo *f, const struct vms_vm *vm,
 				       struct flo_pool *from,
-				       struct flo_pool *to, int64_t now);
+				       struct flo_pool *to,
+				       enum flo_cause cause, int64_t now);
 static bool flo_is_preemptible(const struct flo *f, const struct flo_move *m,
 			       const struct jtb_run *run, int64_t now);
 static struct flo_pool *flo_find_donor(const struct flo *f,
@@ -36,15 +40,24 @@
 	f->moves = g_ptr_array_new_with_free_func(flo_move_free);
 	f->by_vm = g_hash_table_new(g_str_hash, g_str_equal);
 	f->pools = g_ptr_array_new_with_free_func(flo_pool_free);
+	flo_came_init(f);
+	flo_set_way(f, div_find_way(DIV_DEFAULT_WAY));
 	return f;
 }
 
+/* Sets the rule by which VMs are divided while there are too few. */
+void flo_set_way(struct flo *f, const struct div_way *way)
+{
+	f->division = (struct flo_division){.way = way};
+}
+
 /* Frees the autoscaler; NULL is allowed. */
 void flo_free(struct flo *f)
 {
 	if (!f)
 		return;
 	g_hash_table_destroy(f->by_vm);
+	g_hash_table_destroy(f->came);
 	g_ptr_array_free(f->moves, TRUE);
 	g_ptr_array_free(f->pools, TRUE);
 	g_free(f);
@@ -53,14 +66,16 @@
 /*
  * Resets the autoscaler when this replica becomes leader. Moves are dropped,
  * since the VM list shows those that were accepted; rates from an earlier
- * leadership are outdated.
+ * leadership are outdated. VMs are divided anew by the table and the VM list.
  */
 void flo_reset(struct flo *f)
 {
 	guint i;
 
 	g_hash_table_remove_all(f->by_vm);
+	g_hash_table_remove_all(f->came);
 	g_ptr_array_set_size(f->moves, 0);
+	flo_set_way(f, f->division.way);
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 
@@ -68,6 +83,8 @@
 		p->rate_slow = 0;
 		p->rate_jobs = 0;
 		p->spare_ms = 0;
+		p->entitled = 0;
+		p->entitled_vms = 0;
 	}
 }
 
@@ -79,11 +96,14 @@
 {
 	if (!vms_listed_ms(f->vms))
 		return;
+	f->wall_ms = wall_ms;
 	flo_advance_moves(f, now_ms);
+	flo_came_update(f, now_ms);
 	flo_measure_pools(f, now_ms, wall_ms);
 	flo_rank_candidates(f);
 	flo_supply_pools(f, now_ms);
 	flo_switch_off_idle(f, now_ms);
+	flo_divide_vms(f, now_ms);
 	/* VMs that are already empty are ordered in this tick. */
 	flo_advance_moves(f, now_ms);
 	f->ticked_ms = now_ms;
@@ -256,7 +276,7 @@
 			       MAX(p->load * FLO_SPARE_FACTOR,
 				   flo_min_cores(p)) &&
 		       (vm = flo_best_candidate(p)))
-			flo_start_move(f, vm, p, standby, now);
+			flo_start_move(f, vm, p, standby, FLO_IDLE, now);
 	}
 }
 
@@ -341,6 +361,7 @@
 		return !w || (w->proposed_cpu == 0 && w->proposed_mem == 0);
 	if (now - m->from_ms > FLO_DRAIN_TIMEOUT_MS) {
 		m->finished = true;
+		flo_came_hold(f, m->vm, now);
 		return false;
 	}
 	for (i = 0; i < w->runs->len; i++) {
@@ -365,7 +386,8 @@
 
 	if (flags & JTB_LONG_RUNNING)
 		return f->ops->may_stop(f->arg, run);
-	return m->urgent && flags & JTB_CHECKPOINTS && !(flags & JTB_GANG) &&
+	return m->cause != FLO_IDLE && flags & JTB_CHECKPOINTS &&
+	       !(flags & JTB_GANG) &&
 	       flo_estimate_remaining_ms(run, now) > FLO_STOP_COST_MS;
 }
 
@@ -392,6 +414,8 @@
 	/* Work of weight 0 must run as well, and needs one VM for that. */
 	if (p->due && !p->vms)
 		return true;
+	if (p->vms < p->floor)
+		return true;
 	return !p->coming && p->unschedulable_ms &&
 	       f->ticked_ms - p->unschedulable_ms < FLO_UNSCHEDULABLE_MS;
 }
@@ -424,14 +448,46 @@
 
 	if (!vm)
 		return false;
-	flo_start_move(f, vm, from, to, now)->urgent = true;
+	flo_start_move(f, vm, from, to, FLO_SHORT, now);
 	return true;
 }
 
+/*
+ * Divides the VMs if pools are left short of them and together need more than
+ * there is.
+ */
+static void flo_divide_vms(struct flo *f, int64_t now)
+{
+	GArray *pairs = flo_divide(f, flo_find_neediest(f) != NULL, now);
+	guint i;
+
+	for (i = 0; pairs && i < pairs->len; i++)
+		flo_move_pair(f, &g_array_index(pairs, struct div_pair, i),
+			      now);
+	if (pairs)
+		g_array_free(pairs, TRUE);
+}
+
+/* Starts the moves of one pair of a division, the giver's cheapest VMs. */
+static void flo_move_pair(struct flo *f, const struct div_pair *pair,
+			  int64_t now)
+{
+	struct flo_pool *from = flo_divided_pool(f, pair->from);
+	struct flo_pool *to = flo_divided_pool(f, pair->to);
+	const struct vms_vm *vm;
+	guint i;
+
+	for (i = 0; i < pair->count && (vm = flo_best_candidate(from)); i++) {
+		flo_start_move(f, vm, from, to, FLO_DIVIDED, now);
+		f->division.begun++;
+	}
+}
+
 /* Starts to drain a VM for a move from one pool to another. */
 static struct flo_move *flo_start_move(struct flo *f, const struct vms_vm *vm,
 				       struct flo_pool *from,
-				       struct flo_pool *to, int64_t now)
+				       struct flo_pool *to,
+				       enum flo_cause cause, int64_t now)
 {
 	struct flo_move *m = g_new0(struct flo_move, 1);
 
@@ -440,6 +496,8 @@
 	m->from = g_strdup(from->name);
 	m->to = g_strdup(to->name);
 	m->from_ms = now;
+	m->cause = cause;
+	f->moves_begun[cause]++;
 	g_ptr_array_add(f->moves, m);
 	g_hash_table_insert(f->by_vm, m->vm, m);
 	g_array_set_size(from->candidates, from->candidates->len - 1);
--- a/src/flo.h
+++ b/src/flo.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "div.h"
 #include "jtb.h"
 #include "vms.h"
 
@@ -28,6 +29,29 @@
 	bool (*may_stop)(void *arg, const struct jtb_run *run);
 	/* Whether a VM must not be moved. */
 	bool (*is_pinned)(void *arg, const char *vm);
+	/*
+	 * VMs that an operator keeps for a pool whatever others need; NULL:
+	 * none
+	 */
+	guint (*floor)(void *arg, const char *pool);
+};
+
+/* Why a VM is moved. */
+enum flo_cause {
+	FLO_SHORT, /* its new pool is short of VMs, its old one has to spare */
+	FLO_IDLE, /* its pool does not need it */
+	FLO_DIVIDED, /* the pools together need more than all VMs have */
+	FLO_CAUSES
+};
+
+/* The last division of VMs among pools that need more than there is. */
+struct flo_division {
+	const struct div_way *way;
+	bool scarce; /* the pools together need more than all VMs have */
+	int64_t changed_ms; /* last change of who should have how much */
+	guint vms; /* VMs that were divided */
+	guint planned; /* VMs that it had moved */
+	guint begun; /* of these, moves that began */
 };
 
 /* Measurements of a pool from the last tick, for decisions, logs and tests. */
@@ -38,6 +62,12 @@
 	double mem_mb; /* memory of the same VMs, MB */
 	double used; /* cores in use by runs and pending starts */
 	double load; /* cores it can use now and until a fetched VM arrives */
+	double in_time; /* cores whose work can still be in time */
+	double begun; /* of these, cores of jobs that have begun */
+	double late; /* cores whose work can only be late */
+	guint wanted; /* VMs that its load asks for */
+	guint entitled_vms; /* `entitled` in VMs */
+	guint floor; /* VMs that an operator keeps for it */
 	/*
 	 * cores that the division gives it while the pools together need more
 	 * than all VMs have; 0: they do not
@@ -68,6 +98,10 @@
 
 struct flo *flo_new(struct jtb *jtb, const struct vms *vms,
 		    const struct flo_ops *ops, void *arg);
+void flo_set_way(struct flo *f, const struct div_way *way);
+const struct flo_division *flo_division(const struct flo *f);
+void flo_append_division(const struct flo *f, GString *out);
+void flo_append_metrics(const struct flo *f, GString *out);
 void flo_free(struct flo *f);
 void flo_reset(struct flo *f);
 void flo_tick(struct flo *f, int64_t now_ms, int64_t wall_ms);
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -8,7 +8,9 @@
 /*
  * Internals of the autoscaler, shared by its files. Each file uses only those
  * before it: flo_rate (rate of new jobs), flo_load (capacity and load of
- * pools), flo_pick (ranking of VMs by the cost of moving them), flo (moves).
+ * pools), flo_pick (ranking of VMs by the cost of moving them), flo_came (VMs
+ * that have just come to their pool), flo_divide (division of VMs among pools
+ * that need more than there is), flo_tell (log and metrics), flo (moves).
  */
 
 /*
@@ -95,6 +97,13 @@
 /* An accepted move that no list shows as done by then is dropped, ms. */
 #define FLO_LIST_TIMEOUT_MS 8000
 
+/*
+ * A VM that came to its pool is not divided again for this long, ms: the move
+ * made it unavailable for about this time, and work has to have had as much of
+ * it. The same holds for a VM that could not be emptied in time.
+ */
+#define FLO_STAY_MS 3000
+
 /* A move of a VM from one pool to another. */
 struct flo_move {
 	char *vm;
@@ -104,7 +113,7 @@
 	int64_t from_ms; /* when draining began */
 	int64_t ordered_ms; /* when the order was last sent; 0: not yet */
 	int64_t accepted_ms; /* when the order was accepted; 0: not yet */
-	bool urgent; /* the target pool is short of VMs */
+	enum flo_cause cause;
 	bool finished; /* done or abandoned; removed by the next advance */
 };
 
@@ -112,6 +121,7 @@
 struct flo_candidate {
 	const struct vms_vm *vm;
 	double cost; /* cost of moving it */
+	double empty_ms; /* estimated time until it is empty */
 	guint index; /* index in the VM list */
 };
 
@@ -123,7 +133,11 @@
 	GPtrArray *moves; /* struct flo_move */
 	GHashTable *by_vm; /* the same moves, by VM name */
 	GPtrArray *pools; /* struct flo_pool */
+	GHashTable *came; /* VM name: struct flo_came */
+	struct flo_division division;
+	uint64_t moves_begun[FLO_CAUSES];
 	int64_t ticked_ms; /* time of the last flo_tick() */
+	int64_t wall_ms; /* of the tick in progress, since 1970 */
 	/* all jobs with lower sequence numbers are in the rates */
 	uint64_t next_seq;
 };
@@ -135,7 +149,16 @@
 guint flo_min_vms(const struct flo_pool *p);
 double flo_min_cores(const struct flo_pool *p);
 void flo_rank_candidates(struct flo *f);
+void flo_rank_for_division(struct flo *f, int64_t now);
 const struct vms_vm *flo_best_candidate(const struct flo_pool *from);
 int64_t flo_estimate_remaining_ms(const struct jtb_run *run, int64_t now);
+enum sch_chance flo_chance(const struct jtb_queue *q, const struct jtb_job *job,
+			   int64_t wall);
+void flo_came_init(struct flo *f);
+void flo_came_update(struct flo *f, int64_t now);
+void flo_came_hold(struct flo *f, const char *vm, int64_t now);
+bool flo_came_lately(const struct flo *f, const char *vm, int64_t now);
+GArray *flo_divide(struct flo *f, bool short_of_vms, int64_t now);
+struct flo_pool *flo_divided_pool(const struct flo *f, guint index);
 
 #endif
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -13,13 +13,13 @@
 				const struct jtb_job *job, int64_t wall);
 static double flo_tasks_per_vm(const struct flo_pool *p,
 			       const struct jtb_step *step);
-static double flo_job_cores(const struct flo_pool *p, const struct jtb_queue *q,
-			    const struct jtb_job *job, int64_t wall);
+static double flo_add_job(struct flo_pool *p, const struct jtb_queue *q,
+			  const struct jtb_job *job, int64_t wall);
 static double flo_limited_cores(const struct jtb_job *job, double cores);
 static double flo_running_cores(const struct jtb_job *job);
 static bool flo_has_due_task(const struct jtb_job *job, int64_t wall);
-static double flo_job_weight(const struct jtb_queue *q,
-			     const struct jtb_job *job, int64_t wall);
+static void flo_add_demand(struct flo_pool *p, enum sch_chance chance,
+			   double cores);
 
 /* Measures all pools. */
 void flo_measure_pools(struct flo *f, int64_t now, int64_t wall)
@@ -34,6 +34,10 @@
 		p->mem_mb = 0;
 		p->used = 0;
 		p->load = 0;
+		p->in_time = 0;
+		p->begun = 0;
+		p->late = 0;
+		p->floor = 0;
 		p->long_running = 0;
 		p->jobs = 0;
 		p->due = 0;
@@ -46,6 +50,10 @@
 		const struct jtb_pool *p = g_ptr_array_index(c->pools, i);
 
 		flo_get_pool(f, p->name)->standby = p->standby;
+		if (f->ops->floor && !p->standby)
+			flo_get_pool(f, p->name)->floor =
+				MIN(f->ops->floor(f->arg, p->name),
+				    vms_all(f->vms)->len);
 	}
 	flo_measure_vms(f);
 	flo_measure_jobs(f, wall);
@@ -118,7 +126,7 @@
 			MAX(p->vms_at_once, sch_min_workers(job, wall));
 		p->vms_at_once = MAX(p->vms_at_once,
 				     flo_count_gang_vms(f, p, job, wall));
-		cores = flo_job_cores(p, q, job, wall);
+		cores = flo_add_job(p, q, job, wall);
 		if (sch_is_long_running(job))
 			p->long_running += cores;
 		p->load += cores;
@@ -126,16 +134,23 @@
 }
 
 /*
- * Returns the cores that a job will need when a VM fetched now has arrived.
+ * Adds a job to its pool's demand by what it can still achieve, and returns the
+ * cores that it will need when a VM fetched now has arrived.
  * What waits will still wait then, and counts by its weight. Of what runs,
  * tasks with little time left will have ended. With these counted in full, a
  * pool kept VMs beyond the end of its burst while the next burst waited for
  * them; with these left out, VMs were moved away in the middle of a burst and
  * fetched again.
  */
-static double flo_job_cores(const struct flo_pool *p, const struct jtb_queue *q,
-			    const struct jtb_job *job, int64_t wall)
+static double flo_add_job(struct flo_pool *p, const struct jtb_queue *q,
+			  const struct jtb_job *job, int64_t wall)
 {
+	static const double weights[] = {
+		[SCH_IN_TIME] = 1,
+		[SCH_LATE] = FLO_LATE_WEIGHT,
+		[SCH_WORTHLESS] = 0,
+	};
+	enum sch_chance chance = flo_chance(q, job, wall);
 	double core_mb = p->cores && p->mem_mb ? p->mem_mb / p->cores
 					       : FLO_DEFAULT_CORE_MB;
 	double usable =
@@ -143,12 +158,28 @@
 	double runs;
 	double left_ms;
 
-	if (sch_is_long_running(job) || usable <= 0)
+	if (sch_is_long_running(job) || usable <= 0) {
+		p->in_time += MAX(usable, 0);
 		return usable;
+	}
 	runs = MIN(usable, flo_running_cores(job));
 	left_ms = sch_remaining_work(job, wall) / usable * 1000;
-	return (usable - runs) * flo_job_weight(q, job, wall) +
-	       runs * MIN(1, left_ms / FLO_FETCH_MS);
+	usable -= runs;
+	runs *= MIN(1, left_ms / FLO_FETCH_MS);
+	flo_add_demand(p, chance, usable + runs);
+	if (chance == SCH_IN_TIME && job->started)
+		p->begun += usable + runs;
+	return usable * weights[chance] + runs;
+}
+
+/* Adds cores to a pool's demand; work of no use is no demand. */
+static void flo_add_demand(struct flo_pool *p, enum sch_chance chance,
+			   double cores)
+{
+	if (chance == SCH_IN_TIME)
+		p->in_time += cores;
+	else if (chance == SCH_LATE)
+		p->late += cores;
 }
 
 /*
@@ -247,32 +278,28 @@
 }
 
 /*
- * Returns the weight of a job's load; a job that can be in time has weight 1. A
- * repeated job is never late by the time since it was accepted and has weight
- * 1, as in plans.
+ * Returns what a job can still achieve. A repeated job is never late by the
+ * time since it was accepted, as in plans.
  */
-static double flo_job_weight(const struct jtb_queue *q,
-			     const struct jtb_job *job, int64_t wall)
+enum sch_chance flo_chance(const struct jtb_queue *q, const struct jtb_job *job,
+			   int64_t wall)
 {
-	static const double weights[] = {
-		[SCH_IN_TIME] = 1,
-		[SCH_LATE] = FLO_LATE_WEIGHT,
-		[SCH_WORTHLESS] = 0,
-	};
-
 	if (sch_is_long_running(job) || job->spec.repeats)
-		return 1;
-	return weights[sch_chance(q, job, wall)];
+		return SCH_IN_TIME;
+	return sch_chance(q, job, wall);
 }
 
 /*
  * Returns the number of VMs that a pool keeps without load: as many as one of
  * its steps needs at once, for tasks on separate workers or for a gang, and one
- * more so that one of them can have its upkeep.
+ * more so that one of them can have its upkeep; and no fewer than its operator
+ * wants.
  */
 guint flo_min_vms(const struct flo_pool *p)
 {
-	return MAX(FLO_MIN_VMS, p->vms_at_once ? p->vms_at_once + 1 : 0);
+	guint at_once = p->vms_at_once ? p->vms_at_once + 1 : 0;
+
+	return MAX(MAX(FLO_MIN_VMS, at_once), p->floor);
 }
 
 /* Returns the cores that a pool keeps without load. */
--- a/src/flo_pick.c
+++ b/src/flo_pick.c
@@ -3,7 +3,11 @@
 /* Ranks the VMs of each pool by the cost of moving them away. */
 
 static int flo_compare_candidates(gconstpointer a, gconstpointer b);
+static void flo_clear_candidates(struct flo *f);
+static void flo_sort_candidates(struct flo *f);
+static bool flo_may_move(const struct flo *f, const struct vms_vm *vm);
 static double flo_move_cost(const struct flo *f, const struct vms_vm *vm);
+static bool flo_has_work_in_time(const struct flo *f, const struct vms_vm *vm);
 
 /* Returns the cheapest candidate of a pool, or NULL. */
 const struct vms_vm *flo_best_candidate(const struct flo_pool *from)
@@ -24,17 +28,12 @@
 	GPtrArray *all = vms_all(f->vms);
 	guint i;
 
-	for (i = 0; i < f->pools->len; i++) {
-		struct flo_pool *p = g_ptr_array_index(f->pools, i);
-
-		g_array_set_size(p->candidates, 0);
-	}
+	flo_clear_candidates(f);
 	for (i = 0; i < all->len; i++) {
 		const struct vms_vm *vm = g_ptr_array_index(all, i);
 		struct flo_candidate candidate = {.vm = vm, .index = i};
 
-		if (vm->state != VMS_UP || flo_find_move(f, vm->name) ||
-		    f->ops->is_pinned(f->arg, vm->name))
+		if (!flo_may_move(f, vm))
 			continue;
 		candidate.cost = flo_move_cost(f, vm);
 		if (candidate.cost >= 0)
@@ -42,6 +41,55 @@
 				flo_get_pool(f, vm->pool)->candidates,
 				candidate);
 	}
+	flo_sort_candidates(f);
+}
+
+/*
+ * Sorts the candidates for a division among pools that all need their VMs. VMs
+ * without work that can be in time go first. VMs that have just come stay, and
+ * so does one that would not be empty in time: no new work goes there while it
+ * is waited for.
+ */
+void flo_rank_for_division(struct flo *f, int64_t now)
+{
+	GPtrArray *all = vms_all(f->vms);
+	guint i;
+
+	flo_clear_candidates(f);
+	for (i = 0; i < all->len; i++) {
+		const struct vms_vm *vm = g_ptr_array_index(all, i);
+		struct flo_candidate candidate = {.vm = vm, .index = i};
+
+		if (!flo_may_move(f, vm) || flo_came_lately(f, vm->name, now))
+			continue;
+		candidate.empty_ms = flo_move_cost(f, vm);
+		if (candidate.empty_ms < 0 ||
+		    candidate.empty_ms > FLO_DRAIN_TIMEOUT_MS)
+			continue;
+		candidate.cost = candidate.empty_ms;
+		if (flo_has_work_in_time(f, vm))
+			candidate.cost += FLO_DRAIN_TIMEOUT_MS;
+		g_array_append_val(flo_get_pool(f, vm->pool)->candidates,
+				   candidate);
+	}
+	flo_sort_candidates(f);
+}
+
+static void flo_clear_candidates(struct flo *f)
+{
+	guint i;
+
+	for (i = 0; i < f->pools->len; i++) {
+		struct flo_pool *p = g_ptr_array_index(f->pools, i);
+
+		g_array_set_size(p->candidates, 0);
+	}
+}
+
+static void flo_sort_candidates(struct flo *f)
+{
+	guint i;
+
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 
@@ -49,6 +97,30 @@
 	}
 }
 
+/* Whether a VM is up, not in upkeep and not being moved. */
+static bool flo_may_move(const struct flo *f, const struct vms_vm *vm)
+{
+	return vm->state == VMS_UP && !flo_find_move(f, vm->name) &&
+	       !f->ops->is_pinned(f->arg, vm->name);
+}
+
+/* Whether a run on a VM belongs to a job that can still be in time. */
+static bool flo_has_work_in_time(const struct flo *f, const struct vms_vm *vm)
+{
+	const struct jtb_config *c = jtb_config(f->jtb);
+	const struct jtb_worker *w = jtb_worker(f->jtb, vm->worker);
+	guint i;
+
+	for (i = 0; w && i < w->runs->len; i++) {
+		const struct jtb_run *run = g_ptr_array_index(w->runs, i);
+		const struct jtb_queue *q = jtb_queue(c, run->job->spec.queue);
+
+		if (q && flo_chance(q, run->job, f->wall_ms) == SCH_IN_TIME)
+			return true;
+	}
+	return false;
+}
+
 /* Orders by descending cost: the cheapest is taken from the end. */
 static int flo_compare_candidates(gconstpointer a, gconstpointer b)
 {
--- a/src/flo_rate.c
+++ b/src/flo_rate.c
@@ -45,6 +45,7 @@
 		p->growing = p->rate > p->rate_slow * FLO_GROWTH_FACTOR &&
 			     p->rate_jobs > FLO_RATE_MIN_JOBS;
 		p->load += flo_expected_cores(p);
+		p->in_time += flo_expected_cores(p);
 	}
 }
 
--- a/src/hub.h
+++ b/src/hub.h
@@ -72,6 +72,7 @@
 	char *metrics; /* IP:PORT; or NULL */
 	char *vms; /* IP:PORT of the service that manages VMs; or NULL */
 	char *advice; /* IP:PORT of the advice service; or NULL */
+	char *division; /* name of a struct div_way; NULL: the default */
 	char *data;
 	char **seeds; /* IP:PORT, as wire */
 	bool bootstrap;
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -119,6 +119,7 @@
 	struct upk *upk;
 	struct flo *flo;
 	int64_t pools_logged_ms; /* when the pools were last logged */
+	int64_t division_logged_ms; /* when a division was last logged */
 	/* when the time per kind of work was last logged, and those times */
 	int64_t work_logged_ms;
 	uint64_t work_logged_us[CPU_KINDS];
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -97,6 +97,7 @@
 	hub_write_state(h, out);
 	hld_append_metrics(&h->pending, out);
 	quo_append_metrics(jtb_usage(h->jtb), out);
+	flo_append_metrics(h->flo, out);
 	for (i = 0; i < HUB_TIMES; i++)
 		cnt_times_text(out, hub_time_defs[i].name,
 			       hub_time_defs[i].help, &h->times[i]);
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -38,6 +38,7 @@
 static void hub_vm_worker_evidence(const struct hub *h, struct jtb_worker *w,
 				   int64_t since, struct evd_vm *out);
 static void hub_vm_log_pools(struct hub *h, int64_t now);
+static void hub_vm_log_division(struct hub *h, int64_t now);
 
 static const struct vms_ops hub_vms_ops = {
 	.listed = hub_vm_listed,
@@ -88,6 +89,8 @@
 		&hub_vms_ops, h);
 	h->upk = upk_new(h->jtb, h->vms, &hub_upk_ops, h);
 	h->flo = flo_new(h->jtb, h->vms, &hub_flo_ops, h);
+	if (h->config.division)
+		flo_set_way(h->flo, div_find_way(h->config.division));
 }
 
 /* Frees the client, upkeep and pool moves. */
@@ -155,6 +158,7 @@
 		vms_refresh(h->vms);
 	hub_vm_plan(h, now);
 	hub_vm_log_pools(h, now);
+	hub_vm_log_division(h, now);
 }
 
 /* Logs once a second the figures that pool decisions rest on. */
@@ -172,12 +176,36 @@
 		msg(MSG_HUB_POOL,
 		    "pool=%s jobs=%u load=%.0f used=%.0f cores=%.0f vms=%u "
 		    "coming=%u "
-		    "going=%u list_age_ms=%" PRId64,
+		    "going=%u list_age_ms=%" PRId64 " entitled=%u",
 		    p->name, p->jobs, p->load, p->used, p->cores, p->vms,
-		    p->coming, p->going, now - vms_listed_ms(h->vms));
+		    p->coming, p->going, now - vms_listed_ms(h->vms),
+		    p->entitled_vms);
 	}
 }
 
+/*
+ * Logs a division that has changed, at most once a second: for each pool the
+ * VMs that it wants, holds and should have, and its cores in time and late.
+ */
+static void hub_vm_log_division(struct hub *h, int64_t now)
+{
+	const struct flo_division *d = flo_division(h->flo);
+	GString *pools;
+
+	if (d->changed_ms <= h->division_logged_ms ||
+	    now - h->division_logged_ms < HUB_POOL_LOG_INTERVAL_MS)
+		return;
+	h->division_logged_ms = now;
+	pools = g_string_new(NULL);
+	flo_append_division(h->flo, pools);
+	msg(MSG_HUB_DIVISION,
+	    "way=%s scarce=%s vms=%u planned=%u begun=%u list_age_ms=%" PRId64
+	    "%s",
+	    d->way->name, d->scarce ? "yes" : "no", d->vms, d->planned,
+	    d->begun, now - vms_listed_ms(h->vms), pools->str);
+	g_string_free(pools, TRUE);
+}
+
 /* Lets upkeep and pool moves decide by the newest list of VMs. */
 static void hub_vm_plan(struct hub *h, int64_t now)
 {
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -51,6 +51,7 @@
 		.metrics = s->metrics,
 		.vms = s->vms,
 		.advice = s->advice,
+		.division = s->division,
 		.data = s->data,
 		.seeds = s->seeds,
 		.bootstrap = s->bootstrap,
--- a/src/msg.c
+++ b/src/msg.c
@@ -85,6 +85,7 @@
 	[MSG_VMS_DROPPED] = {MSG_NOTICE, "vm-order-dropped"},
 	[MSG_HUB_ODD] = {MSG_WARN, "not-understood"},
 	[MSG_HUB_POOL] = {MSG_INFO, "pool"},
+	[MSG_HUB_DIVISION] = {MSG_NOTICE, "division"},
 	[MSG_HUB_WORK] = {MSG_INFO, "work"},
 	[MSG_HUB_CARRIERS] = {MSG_NOTICE, "carriers"},
 	[MSG_HUB_DIRECT] = {MSG_INFO, "start-direct"},
--- a/src/nst.c
+++ b/src/nst.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "div.h"
 #include "err.h"
 #include "msg.h"
 
@@ -13,6 +14,7 @@
 	NST_ADDRS, /* char **, comma-separated IP:PORT */
 	NST_BOOL, /* bool */
 	NST_INT, /* long long */
+	NST_DIVISION, /* char *, name of a struct div_way */
 };
 
 /* Definition of a setting. */
@@ -49,6 +51,8 @@
 	 "false", 0, 0},
 	{"node", "log-level", NST_TEXT, NST_OFFSET(log_level), false, "notice",
 	 0, 0},
+	{"node", "division", NST_DIVISION, NST_OFFSET(division), false,
+	 DIV_DEFAULT_WAY, 0, 0},
 	{"bounds", "losses", NST_INT, NST_OFFSET(losses), false, "1", 0, 5},
 	{"bounds", "hold-max-ms", NST_INT, NST_OFFSET(hold_max_ms), false,
 	 "10000", 1000, 600000},
@@ -76,6 +80,8 @@
 			  const char *text, GError **err);
 static bool nst_parse_addrs(struct nst *s, const struct nst_def *d,
 			    const char *text, GError **err);
+static bool nst_parse_division(struct nst *s, const struct nst_def *d,
+			       const char *text, GError **err);
 static bool nst_is_addr(const char *text);
 static bool nst_reject(GError **err, const struct nst *s,
 		       const struct nst_def *d, const char *text,
@@ -133,6 +139,7 @@
 	g_free(s->advice);
 	g_free(s->orders);
 	g_free(s->keys);
+	g_free(s->division);
 	g_free(s->log_level);
 	g_strfreev(s->seeds);
 	g_free(s);
@@ -179,6 +186,9 @@
 	case NST_INT:
 		ok = nst_parse_int(s, d, text, err);
 		break;
+	case NST_DIVISION:
+		ok = nst_parse_division(s, d, text, err);
+		break;
 	}
 	g_free(text);
 	return ok;
@@ -216,6 +226,16 @@
 	return true;
 }
 
+/* Takes the name of a rule that divides VMs. */
+static bool nst_parse_division(struct nst *s, const struct nst_def *d,
+			       const char *text, GError **err)
+{
+	g_autofree char *names = div_way_names();
+
+	*(char **)((char *)s + d->offset) = g_strdup(text);
+	return div_find_way(text) || nst_reject(err, s, d, text, names);
+}
+
 /* Returns whether text has the form HOST:PORT with a port in 1..65535. */
 static bool nst_is_addr(const char *text)
 {
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -23,6 +23,7 @@
 	int orders;
 	int stops;
 	const char *pinned_vm;
+	guint floor; /* of pool "other" */
 };
 
 static void fixture_order(void *arg, const char *vm, const char *pool)
@@ -51,7 +52,15 @@
 	return f->pinned_vm && strcmp(f->pinned_vm, vm) == 0;
 }
 
+static guint fixture_floor(void *arg, const char *pool)
+{
+	const struct fixture *f = arg;
+
+	return strcmp(pool, "other") == 0 ? f->floor : 0;
+}
+
 static const struct flo_ops fixture_ops = {
+	.floor = fixture_floor,
 	.order = fixture_order,
 	.stop = fixture_stop,
 	.may_stop = fixture_may_stop,
@@ -146,6 +155,7 @@
 	f->vms = vms_new(&(struct vms_config){.base = f->base, .tmr = f->tmr},
 			 NULL, NULL);
 	f->flo = flo_new(f->jtb, f->vms, &fixture_ops, f);
+	flo_set_way(f->flo, div_find_way("marginal"));
 	f->list = g_ptr_array_new_with_free_func(vms_vm_free);
 	put_pools(f);
 	*state = f;
@@ -1156,6 +1166,238 @@
 	assert_true(flo_pool(f->flo, "p")->load > 41.9);
 }
 
+#define RIVAL_VMS 18
+
+/* Submits work to "other" for more VMs than there are, all still in time. */
+static void submit_rival(struct fixture *f, const char *id)
+{
+	struct jtb_step s = {.count = 640, .cpu = 1000, .estimate_ms = 4000};
+	struct jtb_spec spec = {.queue = (char *)"other",
+				.text = (char *)"t",
+				.steps = &s,
+				.n_steps = 1};
+	struct pk_out o;
+
+	g_strlcpy(spec.id, id, sizeof(spec.id));
+	pk_out_init(&o);
+	jtb_put_job(&o, &spec, JOBS_WALL_MS + f->now - NOW_MS);
+	jobs_apply(f->jtb, &o);
+}
+
+/*
+ * Gives "p" 18 VMs, the first with a run in time and all others with runs of a
+ * late job, most of which waits, and "other" two VMs.
+ */
+static void add_late_holder(struct fixture *f)
+{
+	struct jtb_step late = {.count = 60, .cpu = 15000, .estimate_ms = 1200};
+	struct jtb_step in_time = {
+		.count = 1, .cpu = 1000, .estimate_ms = 1000};
+	char name[2][8];
+	uint32_t i;
+
+	jobs_job(f->jtb, "late", &late, 1, JOBS_WALL_MS - 2000);
+	jobs_job(f->jtb, "in-time", &in_time, 1, JOBS_WALL_MS);
+	for (i = 0; i < RIVAL_VMS; i++) {
+		g_snprintf(name[0], sizeof(name[0]), "vm%u", i);
+		g_snprintf(name[1], sizeof(name[1]), "w%u", i);
+		vm_add(f, name[0], "p", name[1]);
+		if (i)
+			jobs_start(f->jtb, "late", 0, i, 1, name[1]);
+	}
+	jobs_start(f->jtb, "in-time", 0, 0, 1, "w0");
+	vm_add(f, "o1", "other", "ow1");
+	vm_add(f, "o2", "other", "ow2");
+}
+
+/*
+ * Replays two rivals. Guards against a pool that keeps all VMs for late work
+ * while another's work could be in time; the VM with work in time stays.
+ */
+static void late_holder_gives_vms_to_its_rival(void **state)
+{
+	struct fixture *f = *state;
+
+	flo_set_way(f->flo, div_find_way("first-come"));
+	add_late_holder(f);
+	submit_rival(f, "rival");
+	tick(f);
+	assert_int_equal(flo_count_moves(f->flo), 0);
+	flo_set_way(f->flo, div_find_way("marginal"));
+	tick(f);
+	assert_true(flo_count_moves(f->flo) > RIVAL_VMS / 3);
+	assert_false(flo_is_moving(f->flo, "vm0"));
+	assert_int_equal(flo_division(f->flo)->begun,
+			 flo_division(f->flo)->planned);
+	assert_float_equal(flo_pool(f->flo, "p")->entitled +
+				   flo_pool(f->flo, "other")->entitled,
+			   (RIVAL_VMS + 2) * 16, 0.1);
+}
+
+/* Guards against a division that changes moves where there are enough VMs. */
+static void enough_vms_move_as_before(void **state)
+{
+	static const char *const ways[] = {"first-come", "marginal"};
+	guint moved[2][30];
+	guint w;
+	guint i;
+
+	for (w = 0; w < 2; w++) {
+		struct fixture *f = *state;
+
+		flo_set_way(f->flo, div_find_way(ways[w]));
+		add_other_vms(f, 12, NULL);
+		submit_job(f, "burst", 40, 1000);
+		for (i = 0; i < 30; i++) {
+			tick(f);
+			moved[w][i] = flo_count_moves(f->flo) * 100 +
+				      (guint)f->orders;
+			assert_false(flo_division(f->flo)->scarce);
+		}
+		teardown(state);
+		setup(state);
+	}
+	assert_true(moved[0][0] > 0);
+	assert_memory_equal(moved[0], moved[1], sizeof(moved[0]));
+}
+
+/* Guards against VMs that go back and forth between rivals. */
+static void vm_that_has_just_come_stays(void **state)
+{
+	struct fixture *f = *state;
+	guint i;
+
+	add_late_holder(f);
+	for (i = 0; i < f->list->len; i++)
+		((struct vms_vm *)g_ptr_array_index(f->list, i))->state =
+			VMS_MOVING;
+	tick(f);
+	for (i = 0; i < f->list->len; i++)
+		((struct vms_vm *)g_ptr_array_index(f->list, i))->state =
+			VMS_UP;
+	submit_rival(f, "rival");
+	ticks(f, 10);
+	assert_true(flo_division(f->flo)->scarce);
+	assert_int_equal(flo_count_moves(f->flo), 0);
+	ticks(f, FLO_STAY_MS / STEP_MS);
+	assert_true(flo_count_moves(f->flo) > 0);
+}
+
+/*
+ * Guards against a leader that dies between plan and moves: the next one
+ * divides anew, as one that never led does, from the table and the VM list.
+ */
+static void new_leader_divides_anew(void **state)
+{
+	struct fixture *f = *state;
+	struct flo *other = flo_new(f->jtb, f->vms, &fixture_ops, f);
+	guint i;
+
+	flo_set_way(other, flo_division(f->flo)->way);
+	add_late_holder(f);
+	submit_rival(f, "rival");
+	/* until no leader counts the jobs as new any more */
+	f->now += FLO_RATE_MS;
+	tick(f);
+	assert_true(flo_count_moves(f->flo) > 0);
+	flo_reset(f->flo);
+	assert_int_equal(flo_count_moves(f->flo), 0);
+	assert_true(flo_pool(f->flo, "other")->entitled == 0);
+	tick(f);
+	flo_tick(other, f->now, JOBS_WALL_MS + f->now - NOW_MS);
+	assert_true(flo_count_moves(f->flo) > 0);
+	for (i = 0; i < f->list->len; i++) {
+		const struct vms_vm *vm = g_ptr_array_index(f->list, i);
+
+		assert_int_equal(flo_is_moving(f->flo, vm->name),
+				 flo_is_moving(other, vm->name));
+	}
+	flo_free(other);
+}
+
+/* Returns the last VM of "p" that is being emptied. */
+static struct vms_vm *emptied_vm(struct fixture *f)
+{
+	guint i = f->list->len;
+
+	while (i-- > 0) {
+		struct vms_vm *vm = g_ptr_array_index(f->list, i);
+
+		if (flo_is_moving(f->flo, vm->name))
+			return vm;
+	}
+	fail_msg("no VM is emptied");
+	return NULL;
+}
+
+/*
+ * Guards against a giver's VM that crashes while it is emptied: its move ends,
+ * and no new work is kept from the worker that comes up on it.
+ */
+static void crashed_vm_of_a_giver_is_planned_anew(void **state)
+{
+	struct fixture *f = *state;
+	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
+	struct vms_vm *vm;
+	char *before;
+
+	add_late_holder(f);
+	submit_rival(f, "rival");
+	tick(f);
+	vm = emptied_vm(f);
+	before = vm->worker;
+	vm->worker = g_strdup("");
+	vm->state = VMS_DOWN;
+	jobs_worker_lost(f->jtb, before, true);
+	tick(f);
+	flo_add_closed(f->flo, closed);
+	assert_false(g_hash_table_contains(closed, before));
+	assert_false(flo_is_moving(f->flo, vm->name));
+	assert_true(flo_division(f->flo)->scarce);
+	g_hash_table_destroy(closed);
+	g_free(before);
+}
+
+/*
+ * Guards against a lost answer to a divided VM's move, after which its taker
+ * would get another VM for it.
+ */
+static void lost_answer_of_a_divided_vm_counts_it_once(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm;
+	guint held;
+
+	add_late_holder(f);
+	submit_rival(f, "rival");
+	tick(f);
+	vm = emptied_vm(f);
+	held = flo_pool(f->flo, "other")->vms;
+	jobs_worker_lost(f->jtb, vm->worker, true);
+	tick(f);
+	flo_answered(f->flo, vm->name, VMS_UNANSWERED, f->now);
+	g_free(vm->pool);
+	vm->pool = g_strdup("other");
+	vm->state = VMS_MOVING;
+	tick(f);
+	assert_true(flo_is_moving(f->flo, vm->name));
+	assert_int_equal(flo_pool(f->flo, "other")->vms, held);
+}
+
+/* Guards against an operator's floor that other pools' load overrides. */
+static void operators_floor_is_met_and_kept(void **state)
+{
+	struct fixture *f = *state;
+
+	add_late_holder(f);
+	f->floor = 7;
+	tick(f);
+	assert_int_equal(flo_pool(f->flo, "other")->vms, 7);
+	f->floor = 1000;
+	tick(f);
+	assert_true(flo_pool(f->flo, "p")->vms >= FLO_MIN_VMS);
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -1199,6 +1441,13 @@
 		T(lost_rack_costs_one_move_for_each_vm),
 		T(accepted_move_is_done_with_a_later_list),
 		T(load_ends_at_an_organisations_limit),
+		T(late_holder_gives_vms_to_its_rival),
+		T(enough_vms_move_as_before),
+		T(vm_that_has_just_come_stays),
+		T(new_leader_divides_anew),
+		T(crashed_vm_of_a_giver_is_planned_anew),
+		T(lost_answer_of_a_divided_vm_counts_it_once),
+		T(operators_floor_is_met_and_kept),
 	};
 
 	return cmocka_run_group_tests_name("flo", tests, NULL, NULL);
--- a/tests/unit/nst_test.c
+++ b/tests/unit/nst_test.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "div.h"
 #include "nst.h"
 
 #define VALID_SETTINGS                                         \
@@ -41,6 +42,7 @@
 	assert_null(s->advice);
 	assert_int_equal(s->job_retention_ms, 5000);
 	assert_int_equal(s->losses, 1);
+	assert_string_equal(s->division, DIV_DEFAULT_WAY);
 	/* The ports of seeds are replaced by the port of wire. */
 	assert_string_equal(s->seeds[0], "10.0.0.2:7000");
 	assert_string_equal(s->seeds[1], "10.0.0.3:7000");
@@ -53,6 +55,9 @@
 	static const char *const cases[][2] = {
 		{"[node]\nzone = z\nwire = 1.1.1.1:1\nseeds = 1.1.1.1:1\n",
 		 "[node] name is \"\""},
+		{"[node]\nname = n\nzone = z\nwire = 1.1.1.1:1\n"
+		 "seeds = 1.1.1.1:1\ndivision = fair\n",
+		 "[node] division is \"fair\"; allowed: first-come, ratio"},
 		{"[node]\nname = n\nzone = z\nwire = here\n"
 		 "seeds = 1.1.1.1:1\n",
 		 "[node] wire is \"here\"; allowed: IP:PORT"},
