--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -139,6 +139,7 @@
 	struct flo *flo;
 	struct itk *itk;
 	int64_t pools_logged_ms; /* when the pools were last logged */
+	int64_t division_logged_ms; /* when a division was last logged */
 	/* when the time per kind of work was last logged, and those times */
 	int64_t work_logged_ms;
 	uint64_t work_logged_us[CPU_KINDS];
@@ -246,7 +247,6 @@
 bool hub_operator_message(struct hub *h, struct wire_conn *conn, uint64_t kind,
 			  struct pk_in *in);
 void hub_operator_tick(struct hub *h);
-guint hub_operator_floor(void *arg, const char *pool);
 /* hub_intake */
 void hub_intake_tick(struct hub *h, int64_t now);
 bool hub_intake_refuse(struct hub *h, struct hub_call *c,
--- a/src/hub_operator.c
+++ b/src/hub_operator.c
@@ -276,14 +276,6 @@
 	}
 }
 
-/* Returns the VMs that an operator's floor keeps in a pool now. */
-guint hub_operator_floor(void *arg, const char *pool)
-{
-	const struct hub *h = arg;
-
-	return ovr_floor(jtb_overrides(h->jtb), pool, hub_wall_ms());
-}
-
 /*
  * Returns a call of an operator's client. If leadership is lost, the client
  * gets no answer and sends the same order again, which takes effect once.
--- a/src/main_endive-schedd.c
+++ b/src/main_endive-schedd.c
@@ -69,6 +69,7 @@
 		.metrics = s->metrics,
 		.vms = s->vms,
 		.advice = s->advice,
+		.division = s->division,
 		.data = s->data,
 		.seeds = s->seeds,
 		.bootstrap = s->bootstrap,
