--- a/src/cli_override.c
+++ b/src/cli_override.c
@@ -34,7 +34,7 @@
 	act.override = (struct fcm_override){
 		.name = lstr_from(args[0]),
 		.value = FCM_NO_OVERRIDE,
-		.until_ms = g_get_real_time() / 1000 + c->set.for_s * 1000,
+		.for_ms = c->set.for_s * 1000,
 		.reason = lstr_from(c->set.reason ? c->set.reason : ""),
 	};
 	if (strcmp(args[1], "clear") != 0 &&
--- a/src/fcm.h
+++ b/src/fcm.h
@@ -108,7 +108,7 @@
 	struct lstr name; /* pool or organisation */
 	/* VMs, or thousandths of weight; FCM_NO_OVERRIDE: clears it */
 	int64_t value;
-	int64_t until_ms; /* since 1970 */
+	int64_t for_ms; /* how long it holds, from when the log has it */
 	struct lstr reason;
 };
 
--- a/src/fcm_codec.c
+++ b/src/fcm_codec.c
@@ -276,7 +276,7 @@
 	pk_arr(o, 4);
 	pk_str(o, c->override.name);
 	pk_i(o, c->override.value);
-	pk_i(o, c->override.until_ms);
+	pk_i(o, c->override.for_ms);
 	pk_str(o, c->override.reason);
 }
 
@@ -284,7 +284,7 @@
 {
 	c->override.name = fcm_unpack_text(in, FCM_OVERRIDE_NAME_MAX);
 	c->override.value = pk_get_i(in);
-	c->override.until_ms = pk_get_i(in);
+	c->override.for_ms = pk_get_i(in);
 	c->override.reason = fcm_unpack_text(in, FCM_REASON_MAX);
 }
 
@@ -387,12 +387,12 @@
 				       LSTR_ARG(v->name));
 	else
 		g_string_append_printf(
-			s, "%s %g for " LSTR_FMT " until %lld ms",
+			s, "%s %.10g for " LSTR_FMT " for %lld s",
 			fcm_defs[c->kind].name,
 			c->kind == FCM_WEIGHT
 				? (double)v->value / FCM_WEIGHT_UNIT
 				: (double)v->value,
-			LSTR_ARG(v->name), (long long)v->until_ms);
+			LSTR_ARG(v->name), (long long)v->for_ms / 1000);
 	fcm_append_reason(v->reason, s);
 }
 
--- a/src/hub_operator.c
+++ b/src/hub_operator.c
@@ -1,5 +1,7 @@
 #include "hub_int.h"
 
+#include <math.h>
+
 #include "msg.h"
 #include "ovr.h"
 #include "proto.h"
@@ -54,7 +56,7 @@
 {
 	uint64_t request = pk_get_u(in);
 	struct lstr bytes = pk_get_str(in);
-	struct fcm_result refusal = {.code = PROTO_REFUSED};
+	struct fcm_result result = {.code = PROTO_REFUSED};
 	struct ovr_order order = {
 		.time_ms = hub_wall_ms(),
 		.who = lstr_from(wire_key_name(conn)),
@@ -72,15 +74,20 @@
 		return;
 	}
 	if (!fcm_decode(&cmd, &body, bytes)) {
-		refusal.text = g_strdup("the order is malformed");
-		hub_send_fcm_result(h, conn, request, &refusal);
-		fcm_result_clear(&refusal);
+		result.text = g_strdup("the order is malformed");
+		hub_send_fcm_result(h, conn, request, &result);
+		fcm_result_clear(&result);
 		pk_in_done(&body);
 		return;
 	}
-	if (hub_order_refused(h, conn, &cmd, &refusal)) {
-		hub_send_fcm_result(h, conn, request, &refusal);
-		fcm_result_clear(&refusal);
+	if (cmd.kind == FCM_FLOOR && h->config.vms && !vms_listed_ms(h->vms)) {
+		/* a new leader knows no VM yet; the client asks again */
+		hub_send_result(h, conn, request, PROTO_NO_QUORUM, LSTR(""));
+	} else if (ovr_result(jtb_overrides(h->jtb), order.who, cmd.id,
+			      &result) ||
+		   hub_order_refused(h, conn, &cmd, &result)) {
+		hub_send_fcm_result(h, conn, request, &result);
+		fcm_result_clear(&result);
 	} else {
 		c = hub_operator_call(h, conn, request);
 		c->path = lstr_dup(cmd.id);
@@ -91,20 +98,32 @@
 }
 
 /*
- * Whether an order is invalid by what only the leader knows: a floor may not
- * exceed the VMs that there are, of which the list of VMs tells.
+ * Whether an order is refused before the log: of another kind or by a role that
+ * may not give it, which would fill log and trail; or a floor above the VMs that
+ * there are, of which only the leader's list tells.
  */
 static bool hub_order_refused(struct hub *h, const struct wire_conn *conn,
 			      const struct fcm_cmd *cmd, struct fcm_result *out)
 {
 	guint vms = vms_all(h->vms)->len;
 
-	if (cmd->kind != FCM_FLOOR || cmd->override.value <= (int64_t)vms)
+	if (!ovr_takes(cmd->kind))
+		out->text = g_strdup_printf(
+			"%s is no order to a fleet that runs jobs",
+			fcm_defs[cmd->kind].name);
+	else if (wire_role(conn) < fcm_defs[cmd->kind].role) {
+		out->code = PROTO_FORBIDDEN;
+		out->text = g_strdup_printf("role %s may not order a %s",
+					    key_role_name(wire_role(conn)),
+					    fcm_defs[cmd->kind].name);
+	} else if (cmd->kind == FCM_FLOOR && cmd->override.value > (int64_t)vms)
+		out->text =
+			g_strdup_printf("floor of pool \"" LSTR_FMT
+					"\": %lld VMs, and there are %u",
+					LSTR_ARG(cmd->override.name),
+					(long long)cmd->override.value, vms);
+	else
 		return false;
-	out->text = g_strdup_printf("floor of pool \"" LSTR_FMT
-				    "\": %lld VMs, and there are %u",
-				    LSTR_ARG(cmd->override.name),
-				    (long long)cmd->override.value, vms);
 	msg(MSG_HUB_OVERRIDE, "who=%s outcome=refused text=\"%s\"",
 	    wire_key_name(conn), out->text);
 	return true;
@@ -124,6 +143,7 @@
 	hub_send_fcm_result(h, c->conn, c->no, &r);
 	fcm_result_clear(&r);
 	hub_call_disconnect(c);
+	hub_operator_tick(h);
 	hub_mark_all_pools(h);
 }
 
@@ -228,7 +248,7 @@
 		struct pk_out *row = qtb_row(&t);
 
 		pk_cstr(row, u->name);
-		pk_i(row, (int64_t)(quo_weight(u) * FCM_WEIGHT_UNIT));
+		pk_i(row, llround(quo_weight(u) * FCM_WEIGHT_UNIT));
 		pk_bool(row, u->weight_override > 0);
 		pk_i(row, (int64_t)u->running.cpu / 1000);
 		pk_u(row, u->runs);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -128,6 +128,7 @@
 	shr_lead(h->shares);
 	itk_reset(h->itk);
 	prm_lead(h->prm);
+	hub_operator_tick(h);
 	adv_line_lead(h->advice);
 	hub_relay_lead(h, term);
 	wkr_lead(h->wkr, term);
--- a/src/ovr.c
+++ b/src/ovr.c
@@ -40,6 +40,7 @@
 	GPtrArray *items; /* struct ovr_item */
 	GQueue done; /* struct ovr_done, oldest first */
 	struct fau *trail;
+	int64_t time_ms; /* of the newest order */
 };
 
 /* An order while it is applied. */
@@ -137,6 +138,7 @@
 	g_queue_clear_full(&o->done, ovr_done_free);
 	fau_free(o->trail);
 	o->trail = fau_new();
+	o->time_ms = 0;
 }
 
 /* Whether a kind of command is an override. */
@@ -188,6 +190,7 @@
 	if (!ovr_find_done(o, key)) {
 		ex.cmd = &cmd;
 		ex.text = g_string_new(NULL);
+		o->time_ms = MAX(o->time_ms, order->time_ms);
 		ovr_drop_expired(o, order->time_ms);
 		ovr_exec(&ex);
 		ovr_record(&ex);
@@ -240,18 +243,17 @@
 {
 	const struct fcm_override *c = &ex->cmd->override;
 	const struct ovr_def *def = ovr_def(ex->cmd->kind);
-	int64_t now = ex->order->time_ms;
 
 	if (c->value < def->min || c->value > def->max)
 		ovr_refuse(ex, "%s of %s \"%s\" is not from %g to %g",
 			   fcm_defs[ex->cmd->kind].name, def->name, name,
 			   (double)def->min / (double)def->unit,
 			   (double)def->max / (double)def->unit);
-	else if (c->until_ms <= now)
-		ovr_refuse(ex, "the end of the order is %" PRId64 " ms ago",
-			   now - c->until_ms);
-	else if (c->until_ms - now > OVR_SPAN_MAX_MS)
-		ovr_refuse(ex, "the order is to last more than 7 days");
+	else if (c->for_ms <= 0 || c->for_ms > OVR_SPAN_MAX_MS)
+		ovr_refuse(ex,
+			   "the order is to hold for %" PRId64
+			   " ms; allowed: 1 ms to 7 days",
+			   c->for_ms);
 	else if (!ovr_find(ex->o, ex->cmd->kind, name) &&
 		 ex->o->items->len >= OVR_MAX)
 		ovr_refuse(ex, "%d overrides are in force already", OVR_MAX);
@@ -282,7 +284,7 @@
 		item->kind = ex->cmd->kind;
 		item->name = g_strdup(name);
 		item->value = c->value;
-		item->until_ms = c->until_ms;
+		item->until_ms = ex->order->time_ms + c->for_ms;
 		item->who = lstr_dup(ex->order->who);
 		item->reason = lstr_dup(c->reason);
 		g_ptr_array_add(ex->o->items, item);
@@ -372,7 +374,8 @@
 
 		if (ovr_def(item->kind)->known(names, item->name))
 			continue;
-		ovr_note(o, item, "the configuration no longer has it", 0);
+		ovr_note(o, item, "the configuration no longer has it",
+			 o->time_ms);
 		g_ptr_array_remove_index(o->items, i - 1);
 	}
 }
@@ -497,9 +500,9 @@
 
 		if (item->until_ms <= now_ms)
 			continue;
-		g_ascii_dtostr(value, sizeof(value),
-			       (double)item->value /
-				       (double)ovr_def(item->kind)->unit);
+		g_ascii_formatd(value, sizeof(value), "%.10g",
+				(double)item->value /
+					(double)ovr_def(item->kind)->unit);
 		row = qtb_row(&t);
 		pk_cstr(row, fcm_defs[item->kind].name);
 		pk_cstr(row, item->name);
@@ -548,13 +551,14 @@
 		 "still arrive, or be older: see the audit trail");
 }
 
-/* Packs the state: [[override...], [result...], audit trail]. */
+/* Packs the state: [time, [override...], [result...], audit trail]. */
 void ovr_snapshot(const struct ovr *o, struct pk_out *out)
 {
 	GList *l;
 	guint i;
 
-	pk_arr(out, 3);
+	pk_arr(out, 4);
+	pk_i(out, o->time_ms);
 	pk_arr(out, o->items->len);
 	for (i = 0; i < o->items->len; i++) {
 		const struct ovr_item *item = g_ptr_array_index(o->items, i);
@@ -584,9 +588,13 @@
 bool ovr_restore(struct ovr *o, struct pk_in *in)
 {
 	struct pk_in top = pk_get_arr(in);
-	struct pk_in list = pk_get_arr(&top);
+	struct pk_in list;
 	struct fau *trail;
-	bool ok = pk_in_ok(&top);
+	bool ok;
+
+	o->time_ms = pk_get_i(&top);
+	list = pk_get_arr(&top);
+	ok = pk_in_ok(&top);
 
 	while (ok && pk_in_left(&list))
 		ok = ovr_restore_item(o, &list);
@@ -606,16 +614,23 @@
 static bool ovr_restore_item(struct ovr *o, struct pk_in *list)
 {
 	struct pk_in row = pk_get_arr(list);
-	struct ovr_item *item = g_new0(struct ovr_item, 1);
+	uint64_t kind = pk_get_u(&row);
+	const struct ovr_def *def =
+		kind < FCM_KINDS ? ovr_def((enum fcm_kind)kind) : NULL;
+	struct ovr_item *item;
 
-	item->kind = (enum fcm_kind)pk_get_u(&row);
+	if (!pk_in_ok(&row) || !def)
+		return false;
+	item = g_new0(struct ovr_item, 1);
+	item->kind = (enum fcm_kind)kind;
 	item->name = lstr_dup(pk_get_str(&row));
 	item->value = pk_get_i(&row);
 	item->until_ms = pk_get_i(&row);
 	item->who = lstr_dup(pk_get_str(&row));
 	item->reason = lstr_dup(pk_get_str(&row));
 	g_ptr_array_add(o->items, item);
-	return pk_in_ok(&row) && ovr_def(item->kind);
+	return pk_in_ok(&row) && item->value >= def->min &&
+	       item->value <= def->max;
 }
 
 /* Reads one packed result. */
--- a/tests/system/orders_test.sh
+++ b/tests/system/orders_test.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Guards against operators' orders to a fleet that runs jobs which are lost with
-# the leader, obeyed without the duty role's checks, or in force after a refusal.
+# the leader or in force after a refusal.
 set -u
 BIN=${BIN:-build/san/bin}
 JOBS_PORT=${ORDERS_PORT:-22100}
--- a/tests/unit/ovr_test.c
+++ b/tests/unit/ovr_test.c
@@ -4,17 +4,19 @@
 #include <stdint.h>
 #include <cmocka.h>
 
-#include "jtb.h"
+#include "jtb_int.h"
 #include "ovr.h"
 #include "qtb.h"
 
 #define NOW 1000000
 
+static bool any_pool;
 static bool gym_gone;
+static int64_t span_ms = 1000;
 
 static bool has_pool(const void *arg, const char *name)
 {
-	return strcmp(name, "gym") == 0 && !gym_gone;
+	return any_pool || (strcmp(name, "gym") == 0 && !gym_gone);
 }
 
 static bool has_org(const void *arg, const char *name)
@@ -25,7 +27,7 @@
 static const struct ovr_names names = {.has_pool = has_pool,
 				       .has_org = has_org};
 
-/* Orders an override for a second under an id; returns its outcome. */
+/* Orders an override for span_ms under an id; returns its outcome. */
 static enum proto_result order(struct ovr *o, enum fcm_kind kind,
 			       const char *name, int64_t value, const char *id,
 			       enum key_role role)
@@ -36,7 +38,7 @@
 		.made_ms = NOW,
 		.override = {.name = lstr_from(name),
 			     .value = value,
-			     .until_ms = NOW + 1000,
+			     .for_ms = span_ms,
 			     .reason = LSTR("rush")},
 	};
 	struct fcm_result r;
@@ -120,6 +122,8 @@
 		{FCM_WEIGHT, "Casa Ñu", -5, KEY_DUTY, PROTO_REFUSED},
 		{FCM_WEIGHT, "Casa Ñu", INT64_MAX, KEY_DUTY, PROTO_REFUSED},
 	};
+	static const int64_t spans[] = {0, -1, INT64_MIN, INT64_MAX,
+					8LL * 24 * 3600 * 1000};
 	struct ovr *o = ovr_new();
 	char id[] = "x0";
 	size_t i;
@@ -133,6 +137,36 @@
 		assert_int_equal(ovr_floor(o, "gym", NOW), 12);
 		assert_int_equal(ovr_count(o, NOW), 1);
 	}
+	for (i = 0; i < G_N_ELEMENTS(spans); i++) {
+		id[1] = (char)('a' + i);
+		span_ms = spans[i];
+		assert_int_equal(order(o, FCM_FLOOR, "gym", 13, id, KEY_DUTY),
+				 PROTO_REFUSED);
+		assert_int_equal(ovr_floor(o, "gym", NOW), 12);
+	}
+	span_ms = 1000;
+	ovr_free(o);
+}
+
+/* Guards against a flood of orders that fills every leader's look-ups. */
+static void overrides_in_force_are_bounded(void **state)
+{
+	struct ovr *o = ovr_new();
+	char name[24];
+	int i;
+
+	any_pool = true;
+	for (i = 0; i < 64; i++) {
+		g_snprintf(name, sizeof(name), "p%d", i);
+		assert_int_equal(order(o, FCM_FLOOR, name, 1, name, KEY_DUTY),
+				 PROTO_OK);
+	}
+	assert_int_equal(order(o, FCM_FLOOR, "p64", 1, "p64", KEY_DUTY),
+			 PROTO_REFUSED);
+	assert_int_equal(order(o, FCM_FLOOR, "p0", 2, "again", KEY_DUTY),
+			 PROTO_OK);
+	any_pool = false;
+	assert_int_equal(ovr_count(o, NOW), 64);
 	ovr_free(o);
 }
 
@@ -168,6 +202,7 @@
 	pk_in_done(&in);
 	pk_out_done(&p);
 	assert_int_equal(ovr_floor(copy, "gym", NOW), 12);
+	assert_true(ovr_weight(copy, "Casa Ñu", NOW) == 0.001);
 	assert_int_equal(records(copy), 2);
 	order(copy, FCM_FLOOR, "gym", 99, "a", KEY_DUTY);
 	assert_int_equal(ovr_floor(copy, "gym", NOW), 12);
@@ -175,6 +210,27 @@
 	ovr_free(o);
 }
 
+/* Guards against parts of a snapshot that are read in another order. */
+static void table_snapshot_keeps_overrides(void **state)
+{
+	static const struct jtb_watch watch;
+	struct jtb *t = jtb_new(&watch, NULL);
+	struct jtb *copy = jtb_new(&watch, NULL);
+	struct pk_out p;
+
+	jtb_add_removed(t, "w1", 77);
+	order((struct ovr *)jtb_overrides(t), FCM_FLOOR, "gym", 12, "a",
+	      KEY_DUTY);
+	pk_out_init(&p);
+	jtb_snapshot(t, &p);
+	assert_true(jtb_restore(copy, pk_out_view(&p)));
+	pk_out_done(&p);
+	assert_int_equal(ovr_floor(jtb_overrides(copy), "gym", NOW), 12);
+	assert_true(jtb_lifetime_is_over(copy, "w1", 77));
+	jtb_free(copy);
+	jtb_free(t);
+}
+
 /* Guards against a data folder of an earlier version that can't be read. */
 static void snapshot_without_overrides_is_read(void **state)
 {
@@ -199,8 +255,10 @@
 		cmocka_unit_test(override_holds_until_its_end),
 		cmocka_unit_test(repeated_order_takes_effect_once),
 		cmocka_unit_test(invalid_order_changes_nothing),
+		cmocka_unit_test(overrides_in_force_are_bounded),
 		cmocka_unit_test(override_goes_with_its_pool),
 		cmocka_unit_test(snapshot_keeps_overrides_results_and_trail),
+		cmocka_unit_test(table_snapshot_keeps_overrides),
 		cmocka_unit_test(snapshot_without_overrides_is_read),
 	};
 
