itk_prop: gives a job's objective, which intake asks for since callers return in time

The property did not compile after itk_need got objective_ms; the program that was run after that change was the one built before it. No check changed: the limit and the chain are as they were.

--- a/tests/prop/itk_prop.cc
+++ b/tests/prop/itk_prop.cc
@@ -19,6 +19,7 @@
 const int ORGS = 4;
 const double CORES = 50;
 const int64_t CHAIN_MS = 500;
+const int64_t OBJECTIVE_MS = 1500;
 const int64_t LIMIT_MS = 4000;
 
 /* A number in [from, to), over the whole range in every case. */
@@ -128,7 +129,8 @@
 			      now + randomInt(0, 600)};
 		std::string name = std::to_string(org);
 		struct itk_job j = job(a, name);
-		struct itk_need need = {false, true, CHAIN_MS, LIMIT_MS};
+		struct itk_need need = {false, true, CHAIN_MS, OBJECTIVE_MS,
+					LIMIT_MS};
 
 		if (isStored(this, id.c_str()) ||
 		    itk_is_joining(itk, id.c_str()))
