--- a/src/div.c
+++ b/src/div.c
@@ -243,6 +243,8 @@
 
 static double div_ratio_value(const struct div_pool *p)
 {
+	if (p->entitled < p->claim)
+		return DIV_CLAIM_VALUE;
 	return div_cores(p) < p->load ? div_ratio(p) : 0;
 }
 
--- a/src/div.h
+++ b/src/div.h
@@ -45,7 +45,7 @@
 	void (*divide)(struct div_pool *pools, guint n);
 };
 
-#define DIV_DEFAULT_WAY "first-come"
+#define DIV_DEFAULT_WAY "ratio"
 
 const struct div_way *div_find_way(const char *name);
 char *div_way_names(void);
--- a/tests/unit/div_test.c
+++ b/tests/unit/div_test.c
@@ -120,15 +120,14 @@
 /* Guards against an operator's floor that the load of others overrides. */
 static void claim_is_met_before_all_needs(void **state)
 {
-	static const char *const ways[] = {"marginal", "max-min"};
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(ways); i++) {
+	for (i = 0; i < G_N_ELEMENTS(dividing_ways); i++) {
 		struct div_pool pools[] = {pool("desk", 100, 20000, 0),
 					   pool("ordered", 2, 0, 0)};
 
 		pools[1].claim = 12;
-		assert_int_equal(given(ways[i], pools), 10);
+		assert_int_equal(given(dividing_ways[i], pools), 10);
 	}
 }
 
