wkr: a hold to a worker that may have started again acknowledges no end

What callers would see: a task run twice. Without a start in its reports a worker is held as before; an acknowledgement of 0 only has ends listed once more, which are known by their numbers.

--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -33,6 +33,13 @@
 	if (s->hold || s->await_end_no || !s->k->leading ||
 	    s->w->restart_proposed)
 		return;
+	/*
+	 * A worker that may have started again would forget its own first ends
+	 * by the earlier lifetime's acknowledgement, and their tasks would run
+	 * twice.
+	 */
+	if (s->started_ms && (s->state.failed_since || !s->polled))
+		o.ack = 0;
 	tmr_cancel(s->k->config.tmr, s->hold_timer);
 	s->hold_timer = 0;
 	if (s->w->runs->len && !s->state.failed_since && !s->abandoned &&
