div: without organisations a pool keeps the VMs that it fetched first

Cause: an exchange between two full pools costs both a drain and a move. Ruled out as the switch: size of the fleet and load, which don't tell the two apart from inside. Change: the setting's default is auto: ratio where the configuration has organisations, whose weights promise them a part of what is scarce; else first-come, as before the division. organisations_call_for_a_division fails with either rule fixed.

--- a/src/div.h
+++ b/src/div.h
@@ -45,7 +45,11 @@
 	void (*divide)(struct div_pool *pools, guint n);
 };
 
-#define DIV_DEFAULT_WAY "ratio"
+/* The rule follows from the configuration; see flo_divide. */
+#define DIV_AUTO "auto"
+/* The rules that it then follows, with organisations and without. */
+#define DIV_SHARED_WAY "ratio"
+#define DIV_PLAIN_WAY "first-come"
 
 const struct div_way *div_find_way(const char *name);
 char *div_way_names(void);
--- a/src/flo.c
+++ b/src/flo.c
@@ -41,13 +41,17 @@
 	f->by_vm = g_hash_table_new(g_str_hash, g_str_equal);
 	f->pools = g_ptr_array_new_with_free_func(flo_pool_free);
 	flo_came_init(f);
-	flo_set_way(f, div_find_way(DIV_DEFAULT_WAY));
+	flo_set_way(f, NULL);
 	return f;
 }
 
-/* Sets the rule by which VMs are divided while there are too few. */
+/*
+ * Sets the rule by which VMs are divided while there are too few; NULL: it
+ * follows from the configuration.
+ */
 void flo_set_way(struct flo *f, const struct div_way *way)
 {
+	f->way = way;
 	f->division = (struct flo_division){.way = way};
 }
 
@@ -75,7 +79,7 @@
 	g_hash_table_remove_all(f->by_vm);
 	g_hash_table_remove_all(f->came);
 	g_ptr_array_set_size(f->moves, 0);
-	flo_set_way(f, f->division.way);
+	flo_set_way(f, f->way);
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
 
--- a/src/flo_divide.c
+++ b/src/flo_divide.c
@@ -14,6 +14,7 @@
 	uint32_t priority; /* highest of queues with work; 0 is first */
 };
 
+static const struct div_way *flo_way(const struct flo *f);
 static double flo_mean_vm_cores(const struct flo *f);
 static bool flo_is_scarce(const struct flo *f);
 static void flo_set_wanted(struct flo *f, double vm_cores);
@@ -43,6 +44,7 @@
 		flo_end_scarcity(f, now);
 		return NULL;
 	}
+	f->division.way = flo_way(f);
 	flo_rank_for_division(f, now);
 	pools = flo_collect(f, vm_cores);
 	flo_weigh_callers(f, pools);
@@ -58,6 +60,21 @@
 	return pairs;
 }
 
+/*
+ * Returns the rule: that of the settings, else by the configuration.
+ * Organisations are promised a part of all that is scarce, so also of VMs, by
+ * whichever pool they ask. Where there are none, the pool that fetched VMs keeps
+ * them, as an exchange between full pools costs more than it gains.
+ */
+static const struct div_way *flo_way(const struct flo *f)
+{
+	bool shared = orgs_count(jtb_config(f->jtb)->orgs) > 0;
+
+	if (f->way)
+		return f->way;
+	return div_find_way(shared ? DIV_SHARED_WAY : DIV_PLAIN_WAY);
+}
+
 /* Returns the pool at an index of the last division: standby ones aside. */
 struct flo_pool *flo_divided_pool(const struct flo *f, guint index)
 {
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -134,6 +134,7 @@
 	GHashTable *by_vm; /* the same moves, by VM name */
 	GPtrArray *pools; /* struct flo_pool */
 	GHashTable *came; /* VM name: struct flo_came */
+	const struct div_way *way; /* NULL: by the configuration */
 	struct flo_division division;
 	uint64_t moves_begun[FLO_CAUSES];
 	int64_t ticked_ms; /* time of the last flo_tick() */
--- a/src/nst.c
+++ b/src/nst.c
@@ -57,7 +57,7 @@
 	 0, 0},
 	{"node", "shares", NST_TEXT, NST_OFFSET(shares), false, "recent", 0, 0},
 	{"node", "division", NST_DIVISION, NST_OFFSET(division), false,
-	 DIV_DEFAULT_WAY, 0, 0},
+	 DIV_AUTO, 0, 0},
 	{"bounds", "losses", NST_INT, NST_OFFSET(losses), false, "1", 0, 5},
 	{"bounds", "voters", NST_VOTERS, NST_OFFSET(voters), false, "odd", 0,
 	 0},
@@ -251,7 +251,8 @@
 	g_autofree char *names = div_way_names();
 
 	*(char **)((char *)s + d->offset) = g_strdup(text);
-	return div_find_way(text) || nst_reject(err, s, d, text, names);
+	return strcmp(text, DIV_AUTO) == 0 || div_find_way(text) ||
+	       nst_reject(err, s, d, text, names);
 }
 
 /* Returns whether text has the form HOST:PORT with a port in 1..65535. */
--- a/tests/unit/div_test.c
+++ b/tests/unit/div_test.c
@@ -179,7 +179,8 @@
 
 	assert_string_equal(names, "first-come, ratio, marginal, max-min");
 	assert_null(div_find_way("none"));
-	assert_non_null(div_find_way(DIV_DEFAULT_WAY));
+	assert_non_null(div_find_way(DIV_SHARED_WAY));
+	assert_non_null(div_find_way(DIV_PLAIN_WAY));
 }
 
 int main(void)
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -113,14 +113,17 @@
 		tick(f);
 }
 
-static void put_pools(struct fixture *f)
+/* Puts a version of the configuration in force; org: an organisation, or NULL. */
+static void put_pools(struct fixture *f, uint64_t version, const char *org)
 {
 	static const char *const names[] = {"p", "other", "off"};
 	struct jtb_config *c = jtb_config_new();
 	struct pk_out o;
 	size_t i;
 
-	c->version = 1;
+	c->version = version;
+	if (org)
+		jtb_config_add_org(c, org_new(org));
 	c->document = g_bytes_new("doc", 3);
 	for (i = 0; i < G_N_ELEMENTS(names); i++) {
 		struct jtb_pool *p = g_new0(struct jtb_pool, 1);
@@ -157,7 +160,7 @@
 	f->flo = flo_new(f->jtb, f->vms, &fixture_ops, f);
 	flo_set_way(f->flo, div_find_way("marginal"));
 	f->list = g_ptr_array_new_with_free_func(vms_vm_free);
-	put_pools(f);
+	put_pools(f, 1, NULL);
 	*state = f;
 	return 0;
 }
@@ -1210,6 +1213,25 @@
 	vm_add(f, "o2", "other", "ow2");
 }
 
+/*
+ * Guards against a fleet without organisations whose full pools exchange VMs,
+ * and one with organisations whose first pool keeps all of them.
+ */
+static void organisations_call_for_a_division(void **state)
+{
+	struct fixture *f = *state;
+
+	flo_set_way(f->flo, NULL);
+	add_late_holder(f);
+	submit_rival(f, "rival");
+	tick(f);
+	assert_int_equal(flo_count_moves(f->flo), 0);
+	put_pools(f, 2, "org");
+	tick(f);
+	assert_string_equal(flo_division(f->flo)->way->name, DIV_SHARED_WAY);
+	assert_true(flo_count_moves(f->flo) > 0);
+}
+
 /*
  * Replays two rivals. Guards against a pool that keeps all VMs for late work
  * while another's work could be in time; the VM with work in time stays.
@@ -1441,6 +1463,7 @@
 		T(lost_rack_costs_one_move_for_each_vm),
 		T(accepted_move_is_done_with_a_later_list),
 		T(load_ends_at_an_organisations_limit),
+		T(organisations_call_for_a_division),
 		T(late_holder_gives_vms_to_its_rival),
 		T(enough_vms_move_as_before),
 		T(vm_that_has_just_come_stays),
--- a/tests/unit/nst_test.c
+++ b/tests/unit/nst_test.c
@@ -45,7 +45,7 @@
 	assert_int_equal(s->job_retention_ms, 5000);
 	assert_int_equal(s->losses, 1);
 	assert_ptr_equal(s->voters, vtp_find("odd"));
-	assert_string_equal(s->division, DIV_DEFAULT_WAY);
+	assert_string_equal(s->division, DIV_AUTO);
 	/* The ports of seeds are replaced by the port of wire. */
 	assert_string_equal(s->seeds[0], "10.0.0.2:7000");
 	assert_string_equal(s->seeds[1], "10.0.0.3:7000");
