sch: the newer run of a done task holds back no other task of its step

What callers would see: a job waits beside free cores, for up to a lease, after a zone was cut off.

Cause: a step counts as planned once done + running + proposed tasks make up its number. A task whose end came late, after its lease had lapsed and it had been started again, is done and has a run, and counts twice; the task that still waits is not looked at until that run is stopped.

--- a/src/sch.c
+++ b/src/sch.c
@@ -305,14 +305,11 @@
 static void sch_plan_step(struct sch_pool *p, struct jtb_job *job,
 			  uint32_t turn, uint32_t step)
 {
-	const struct jtb_step_state *part = jtb_step_state(job, turn, step);
-	uint32_t count = job->spec.steps[step].count;
-	uint32_t waiting = sch_count_waiting(part, count);
+	uint32_t waiting = sch_count_waiting(jtb_step_state(job, turn, step),
+					     job->spec.steps[step].count);
 	struct org_amount amount = jtb_step_amount(&job->spec.steps[step]);
 
-	if (part && part->n_done + part->n_runs + part->n_proposed >= count)
-		return;
-	if (!quo_may_start(job->use, &amount, 1))
+	if (!waiting || !quo_may_start(job->use, &amount, 1))
 		return;
 	if (!sch_apply_tickets(p, job, turn, step))
 		return;
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -1344,6 +1344,27 @@
 	assert_string_equal(f->log->str, "a.0.0@w1 ");
 }
 
+/*
+ * Guards against a task that waits beside free cores: another task of its step
+ * is done by an end that came late, and has a newer run until that is stopped.
+ */
+static void newer_run_of_a_done_task_holds_back_no_other(void **state)
+{
+	struct fixture *f = *state;
+
+	jobs_worker(f->jtb, "w1", 4000, false);
+	jobs_worker(f->jtb, "w2", 4000, false);
+	submit(f, "a", 2, 1000, 500, 0, 0);
+	jobs_start(f->jtb, "a", 0, 0, 1, "w1");
+	jobs_start(f->jtb, "a", 0, 1, 1, "w1");
+	jobs_worker_lost(f->jtb, "w1", false);
+	jobs_start(f->jtb, "a", 0, 0, 2, "w2");
+	jobs_end(f->jtb, "a", 0, 0, 1, "w1", JTB_DONE);
+	f->elapsed_ms = 1000;
+	run_plan(f);
+	assert_non_null(strstr(f->log->str, "a.0.1@"));
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -1396,6 +1417,7 @@
 		T(step_at_its_limit_holds_back_no_other_job),
 		T(gang_starts_within_its_limit_or_not_at_all),
 		T(work_starts_as_soon_as_its_limit_has_room),
+		T(newer_run_of_a_done_task_holds_back_no_other),
 	};
 
 	return cmocka_run_group_tests_name("sch", tests, NULL, NULL);
