wkr: zones fall silent together, and runs never sent are given back

What callers saw: in a cut of a zone work is placed on its idle workers one after the other, which look sound until an order to each goes unanswered, and waits for the lease of each. And a run that was in the log as its worker fell silent, but never sent, waits for that lease as well, though nothing of it can have begun.

Cause: a worker's silence is a matter of its own session. With eight workers that is the same thing as the zone's; with 1,200 a zone most are idle and nobody asks them.

Change: three workers of a zone that fall silent in a row, without an answer of any other in between, make the zone silent (zon): no work goes there until a worker of it answers. Some idle ones are asked at once, so that crashes in an idle zone close it for one call; where all zones are silent none is. Runs never sent are given back as soon as the worker of a term that had answered falls silent, but for gangs.

--- a/src/msg.c
+++ b/src/msg.c
@@ -104,6 +104,8 @@
 	/* wkr: sessions with workers */
 	[MSG_WKR_LOST] = {MSG_NOTICE, "worker-silent"},
 	[MSG_WKR_BACK] = {MSG_NOTICE, "worker-back"},
+	[MSG_WKR_ZONE_SILENT] = {MSG_WARN, "zone-silent"},
+	[MSG_WKR_ZONE_BACK] = {MSG_NOTICE, "zone-back"},
 	[MSG_WKR_LAPSED] = {MSG_NOTICE, "worker-lapsed"},
 	[MSG_WKR_STRAY] = {MSG_WARN, "stray-run"},
 	[MSG_WKR_FOREIGN] = {MSG_WARN, "list-of-another-lifetime"},
--- a/src/msg.h
+++ b/src/msg.h
@@ -94,6 +94,8 @@
 	/* wkr: sessions with workers */
 	MSG_WKR_LOST,
 	MSG_WKR_BACK,
+	MSG_WKR_ZONE_SILENT,
+	MSG_WKR_ZONE_BACK,
 	MSG_WKR_LAPSED,
 	MSG_WKR_STRAY,
 	MSG_WKR_FOREIGN,
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -10,6 +10,7 @@
 static void wkr_call_free(struct wkr_call *c);
 static void wkr_on_call_end(void *arg, enum ups_end end,
 			    const struct ups_answer *a);
+static void wkr_ask_zone(struct wkr *k, const struct zon_zone *zone);
 static void wkr_tick(void *arg, int64_t now);
 static void wkr_log_expiry(const struct wkr_session *s, const struct evd *e);
 
@@ -35,6 +36,7 @@
 	ups_set_conns_max(k->ups, (unsigned int)config->conns_max);
 	k->sessions = g_ptr_array_new_with_free_func(wkr_session_free);
 	k->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	k->zones = zon_new();
 	k->departed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_ptr_array_unref);
 	k->tick = tmr_every(config->tmr, 100, wkr_tick, k);
@@ -52,6 +54,7 @@
 	g_ptr_array_free(k->sessions, TRUE);
 	g_hash_table_destroy(k->runs);
 	g_hash_table_destroy(k->departed);
+	zon_free(k->zones);
 	g_free(k);
 }
 
@@ -107,6 +110,7 @@
 	g_ptr_array_set_size(k->sessions, 0);
 	g_hash_table_remove_all(k->runs);
 	g_hash_table_remove_all(k->departed);
+	zon_clear(k->zones);
 }
 
 /* Opens the session with a worker that appeared, or updates it. */
@@ -131,6 +135,7 @@
 	} else if (s->started_ms != w->info.started_ms) {
 		wkr_begin_lifetime(s);
 	}
+	s->zone = zon_zone(k->zones, w->info.zone);
 	if (w->runs_lost_count != s->cleared)
 		s->abandoned = false;
 	if (!s->polled)
@@ -241,7 +246,8 @@
 	if (w->info.draining)
 		return WKR_DRAINING;
 	if (!s || !s->polled || s->state.failed_since || s->abandoned ||
-	    s->stale->len || s->superseded || w->restart_proposed)
+	    s->stale->len || s->superseded || w->restart_proposed ||
+	    zon_is_silent(k->zones, s->zone))
 		return WKR_UNREACHABLE;
 	/*
 	 * Each plan calls this for all workers, and most of them were never
@@ -516,6 +522,43 @@
 	}
 }
 
+/*
+ * Records that a worker stopped answering: its runs that were never sent are
+ * given back, and its zone may count as silent from now on.
+ */
+void wkr_record_silent(struct wkr_session *s)
+{
+	if (s->polled)
+		wkr_drop_unsent_runs(s);
+	if (!zon_record_silent(s->k->zones, s->zone))
+		return;
+	s->k->stats.zones_silent++;
+	wkr_ask_zone(s->k, s->zone);
+}
+
+/*
+ * Asks some idle workers of a zone that seems to be cut off. One that answers
+ * shows at once that the zone is there, and that its silent workers are lost by
+ * themselves.
+ */
+static void wkr_ask_zone(struct wkr *k, const struct zon_zone *zone)
+{
+	guint asked = 0;
+	guint i;
+
+	for (i = 0; i < k->sessions->len && asked < WKR_ZONE_PROBES; i++) {
+		struct wkr_session *s = g_ptr_array_index(k->sessions, i);
+
+		if (s->zone != zone || s->hold || s->state.failed_since ||
+		    s->w->runs->len)
+			continue;
+		wkr_send_hold(s);
+		asked++;
+	}
+	msg(MSG_WKR_ZONE_SILENT, "zone=%s in_row=%u asked=%u", zone->name,
+	    zone->in_row, asked);
+}
+
 /*
  * Marks a worker as reachable after an answer; clock_ms is its clock, or 0 if
  * it was not reported.
@@ -524,6 +567,9 @@
 {
 	int64_t now = tmr_now(s->k->config.tmr);
 
+	if (zon_record_answer(s->k->zones, s->zone))
+		msg(MSG_WKR_ZONE_BACK, "zone=%s worker=%s", s->zone->name,
+		    s->w->info.id);
 	if (s->state.failed_since) {
 		wkr_schedule_orders(s, 0);
 		msg(MSG_WKR_BACK, "worker=%s away_ms=%" PRId64, s->w->info.id,
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -11,6 +11,7 @@
 #include "lod.h"
 #include "msg.h"
 #include "sch.h"
+#include "zon.h"
 
 /*
  * Length of a lease, ms: longer than a leader's failure, an election and the
@@ -56,6 +57,8 @@
  * ms; workers that do so take up to 12 s.
  */
 #define WKR_LATE_MS 15000
+/* Idle workers of a zone that seems silent that are asked at once. */
+#define WKR_ZONE_PROBES 8
 /* How long an idle connection is reused, ms; orders may safely be repeated. */
 #define WKR_REUSE_MS 20000
 
@@ -87,6 +90,7 @@
 struct wkr_session {
 	struct wkr *k;
 	struct jtb_worker *w;
+	struct zon_zone *zone;
 	bool polled; /* the worker has sent a list in this term */
 	struct wkr_call *hold;
 	uint64_t hold_timer;
@@ -138,6 +142,7 @@
 	GHashTable *runs; /* serial: struct jtb_run */
 	/* worker's id: struct wkr_stale_start, of sessions that were closed */
 	GHashTable *departed;
+	struct zon *zones;
 	uint64_t fence;
 	int64_t lease_ms;
 	int64_t led_since;
@@ -166,6 +171,8 @@
 void wkr_on_no_answer(struct wkr_session *s, const struct wkr_call *c,
 		      bool sent);
 void wkr_on_not_sent(struct wkr_session *s, const struct wkr_call *c);
+void wkr_record_silent(struct wkr_session *s);
+void wkr_drop_unsent_runs(struct wkr_session *s);
 void wkr_session_cancel(struct wkr_session *s);
 void wkr_record_late(struct wkr_session *s, const struct jtb_run *run);
 void wkr_confirm_stale(struct wkr_session *s, struct wkr_stale_start *stale);
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -340,6 +340,25 @@
 	return true;
 }
 
+/*
+ * Gives back the runs whose start was never sent to a worker that fell silent.
+ * Nothing of them can begin there, so that their tasks need not wait until its
+ * lease is over. A gang's run stays: without it the others would be stopped,
+ * also where the worker is back at once.
+ */
+void wkr_drop_unsent_runs(struct wkr_session *s)
+{
+	guint i;
+
+	for (i = 0; i < s->w->runs->len; i++) {
+		struct jtb_run *run = g_ptr_array_index(s->w->runs, i);
+		uint32_t flags = run->job->spec.steps[run->step].flags;
+
+		if (run->phase == WKR_NEW && !(flags & JTB_GANG))
+			s->k->stats.dropped += wkr_drop_unsent(s, run);
+	}
+}
+
 /*
  * Processes a call without an answer: it may have been carried out if it was
  * sent.
@@ -347,14 +366,19 @@
 void wkr_on_no_answer(struct wkr_session *s, const struct wkr_call *c,
 		      bool sent)
 {
+	bool was_silent = s->state.failed_since != 0;
+
 	s->k->stats.unanswered++;
 	wkr_undo_order(s, c, sent);
 	/*
 	 * A single lost call among answered ones is no sign of an unreachable
 	 * worker: it keeps getting work, and only this call is repeated.
 	 */
-	if (s->state.answered_ms < c->sent_ms)
+	if (s->state.answered_ms < c->sent_ms) {
 		wkr_mark_unreachable(s);
+		if (!was_silent)
+			wkr_record_silent(s);
+	}
 	if (c->kind == WKR_HOLD || !s->hold)
 		wkr_schedule_hold(s, s->retry_ms);
 	wkr_schedule_orders(s, s->retry_ms);
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -1449,6 +1449,97 @@
 	assert_true(wkr_usable(f->wkr, w));
 }
 
+/*
+ * Guards against a task that waits for a lease though nothing of it can have
+ * begun: its worker's port is closed before the start is sent.
+ */
+static void start_never_sent_to_a_silent_worker_is_given_back(void **state)
+{
+	struct fixture *f = *state;
+
+	close_port(f);
+	start_run(f);
+	net_run(f->base, SETTLE_MS / 2);
+	assert_int_equal(f->lost, 1);
+	assert_int_equal(f->why, EVD_UNSENT);
+	assert_int_equal(f->gone, 0);
+}
+
+/* Adds a worker of a zone and opens its session. */
+static struct jtb_worker *add_worker(struct fixture *f, const char *id,
+				     const char *zone, int port)
+{
+	char addr[32];
+	char *labels[] = {NULL};
+	struct jtb_worker_info info = {
+		.id = (char *)id,
+		.pool = (char *)"p",
+		.addr = addr,
+		.zone = (char *)zone,
+		.labels = labels,
+		.cpu = 16000,
+		.mem_mb = 1000,
+	};
+	struct pk_out o;
+
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", port);
+	pk_out_init(&o);
+	jtb_put_worker(&o, &info);
+	apply_command(f, &o);
+	wkr_update_worker(f->wkr, jtb_worker(f->jtb, id));
+	return jtb_worker(f->jtb, id);
+}
+
+/* Adds workers of a zone that refuse connections. */
+static void add_silent_workers(struct fixture *f, const char *zone)
+{
+	static const char *const ids[ZON_SILENT_WORKERS] = {"s1", "s2", "s3"};
+	int port;
+	int i;
+
+	close(net_listen(&port));
+	for (i = 0; i < ZON_SILENT_WORKERS; i++)
+		add_worker(f, ids[i], zone, port);
+	net_run(f->base, 50);
+}
+
+/*
+ * Guards against work that is placed on the idle workers of a zone that is cut
+ * off, one after the other, and waits for the lease of each.
+ */
+static void idle_worker_of_a_silent_zone_gets_no_work(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_worker *idle = add_worker(f, "idle", "far", f->port);
+
+	net_run(f->base, 50);
+	assert_true(wkr_usable(f->wkr, idle));
+	f->unreachable = true;
+	add_silent_workers(f, "far");
+	assert_false(wkr_usable(f->wkr, idle));
+	assert_true(wkr_usable(f->wkr, jtb_worker(f->jtb, "w")));
+	assert_int_equal(wkr_stats(f->wkr)->zones_silent, 1);
+	f->unreachable = false;
+	f->seen = 0;
+	wait_for(f, &f->seen);
+	assert_true(wkr_usable(f->wkr, idle));
+}
+
+/*
+ * Guards against a zone that gets no work as some of its workers crash at once
+ * while the others are idle: one of these is asked and answers.
+ */
+static void crashes_beside_idle_workers_close_no_zone(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_worker *idle = add_worker(f, "idle", "far", f->port);
+
+	net_run(f->base, 50);
+	add_silent_workers(f, "far");
+	net_run(f->base, 50);
+	assert_true(wkr_usable(f->wkr, idle));
+}
+
 #define T(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
 
 int main(void)
@@ -1501,6 +1592,9 @@
 		T(start_of_ended_run_is_stopped_in_next_lifetime),
 		T(start_is_stopped_as_a_removed_worker_returns),
 		T(list_of_another_lifetime_is_not_read),
+		T(start_never_sent_to_a_silent_worker_is_given_back),
+		T(idle_worker_of_a_silent_zone_gets_no_work),
+		T(crashes_beside_idle_workers_close_no_zone),
 	};
 
 	return cmocka_run_group_tests_name("wkr", tests, NULL, NULL);
