slw: slow workers get what no other worker can take, one task at a time

What callers see: jobs are late by their last task, on a worker that takes several times as long as others and answers as before.

Cause: placement knows how full a worker is and not how fast; packing fills a slow one like any other, and its tasks stay longest.

Change: the leader learns from the ends of tasks how long they take on a worker against what the queue's tasks take on all workers (slw, pure). Who takes twice as long over three jobs is slow: it gets a task only where no other worker of its pool has room, one at a time, is tried again after 5 s, counts with fewer cores when pools are sized, and is named (msg=worker-slow). None is avoided where half of a pool seems slow; one job counts once; paced work, gangs and work that lasts are no samples.

--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -8,6 +8,7 @@
  */
 
 static void flo_measure_vms(struct flo *f);
+static double flo_slowness(const struct jtb_worker *w);
 static void flo_measure_jobs(struct flo *f, int64_t wall);
 static guint flo_count_gang_vms(const struct flo *f, const struct flo_pool *p,
 				const struct jtb_job *job, int64_t wall);
@@ -97,12 +98,19 @@
 		    f->ops->is_pinned(f->arg, vm->name))
 			continue;
 		p->vms++;
-		p->cores += vm->cpu / 1000.0;
+		/* a slow VM does as much as fewer cores would */
+		p->cores += vm->cpu / 1000.0 / (w ? flo_slowness(w) : 1);
 		p->mem_mb += vm->mem_mb;
 		p->coming += vm->state == VMS_MOVING || (m && !m->finished);
 	}
 }
 
+/* Returns how many times as long as elsewhere tasks take on a worker. */
+static double flo_slowness(const struct jtb_worker *w)
+{
+	return slw_is_slow(&w->speed) ? slw_ratio(&w->speed) : 1;
+}
+
 /* Adds up the load of each pool's jobs. */
 static void flo_measure_jobs(struct flo *f, int64_t wall)
 {
--- a/src/hld.c
+++ b/src/hld.c
@@ -295,7 +295,8 @@
 		return HLD_TOO_LARGE;
 	if (!sch_usable(v->sch, w))
 		return hld_closed_reason(v, w);
-	if (sch_is_backed_off(&p->sch, w, s, false))
+	if (sch_is_backed_off(&p->sch, w, s, false) ||
+	    sch_is_too_slow(&p->sch, w, s))
 		return HLD_BACKED_OFF;
 	if (w->excluded)
 		return HLD_NO_TICKET;
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -65,6 +65,8 @@
 			   struct jtb_worker *w);
 static void hub_stop_job_runs(struct hub *h, struct jtb_job *job);
 static void hub_check_runs(struct hub *h, struct jtb_worker *w, int64_t now);
+static void hub_forget_speeds(struct hub *h);
+static void hub_log_speed(struct jtb_worker *w);
 static void hub_record_run_time(struct hub *h, const struct jtb_run *run,
 				enum jtb_end how);
 static void hub_scale_estimates(struct hub *h);
@@ -124,6 +126,7 @@
 	h->counts[HUB_LEADS]++;
 	jtb_drop_proposals(h->jtb);
 	est_clear(h->est);
+	hub_forget_speeds(h);
 	crs_clear(h->crs);
 	shr_lead(h->shares);
 	itk_reset(h->itk);
@@ -800,9 +803,43 @@
 {
 	const struct jtb_step *s = &run->job->spec.steps[run->step];
 
-	if (sch_is_time_sample(run, how, h->lead_since_ms))
-		est_learn(h->est, run->job->spec.queue, s->estimate_ms,
-			  tmr_now(h->tmr) - run->ordered_ms);
+	int64_t now = tmr_now(h->tmr);
+	int64_t took_ms = now - run->ordered_ms;
+
+	if (!sch_is_time_sample(run, how, h->lead_since_ms))
+		return;
+	if (est_is_learned(h->est, run->job->spec.queue))
+		slw_record(&run->worker->speed,
+			   s->estimate_ms * est_scale(h->est,
+						      run->job->spec.queue,
+						      s->estimate_ms),
+			   took_ms, run->job->seq, now);
+	est_learn(h->est, run->job->spec.queue, s->estimate_ms, took_ms);
+	hub_log_speed(run->worker);
+}
+
+/*
+ * Forgets how fast workers are, for a new leader: what this replica learned
+ * when it last led may be long out of date.
+ */
+static void hub_forget_speeds(struct hub *h)
+{
+	GHashTableIter it;
+	struct jtb_worker *w;
+
+	g_hash_table_iter_init(&it, jtb_workers(h->jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
+		w->speed = (struct slw){0};
+}
+
+/* Logs that a worker has become slow, or is slow no more. */
+static void hub_log_speed(struct jtb_worker *w)
+{
+	if (slw_is_slow(&w->speed) == w->slow_logged)
+		return;
+	w->slow_logged = !w->slow_logged;
+	msg(MSG_HUB_SLOW, "worker=%s pool=%s slow=%d times=%.1f", w->info.id,
+	    w->info.pool, w->slow_logged, slw_ratio(&w->speed));
 }
 
 /*
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -12,6 +12,7 @@
 #include "ovr.h"
 #include "pk.h"
 #include "quo.h"
+#include "slw.h"
 
 /*
  * The table holds the configuration, the workers, the jobs and their runs, as
@@ -237,6 +238,8 @@
 	uint64_t last_failed_job; /* seq + 1 of the last of these jobs */
 	uint32_t failed_jobs_seen; /* value of that count in the last plan */
 	int64_t failed_jobs_changed_ms; /* last change of that count */
+	struct slw speed; /* leader's: how long tasks take on it */
+	bool slow_logged; /* leader's: logged as slow */
 	bool suspect_logged; /* leader's: logged as failing every job */
 	bool excluded; /* leader's: has no ticket for the step being placed */
 	uint64_t isolated_for; /* leader's: seq + 1 of the job retried alone */
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -518,6 +518,7 @@
 	w->last_end_no = 0;
 	w->failed_jobs = 0;
 	w->last_failed_job = 0;
+	w->speed = (struct slw){0};
 	w->unlisted_count = 0;
 	w->leaving = false;
 	w->removal_proposed = false;
--- a/src/msg.c
+++ b/src/msg.c
@@ -101,6 +101,7 @@
 	[MSG_HUB_REPORT_REFUSED] = {MSG_WARN, "report-refused"},
 	[MSG_HUB_SUSPECTED] = {MSG_NOTICE, "crashed-under"},
 	[MSG_HUB_SUSPECT] = {MSG_WARN, "worker-fails-all"},
+	[MSG_HUB_SLOW] = {MSG_NOTICE, "worker-slow"},
 	/* wkr: sessions with workers */
 	[MSG_WKR_LOST] = {MSG_NOTICE, "worker-silent"},
 	[MSG_WKR_BACK] = {MSG_NOTICE, "worker-back"},
--- a/src/sch_int.h
+++ b/src/sch_int.h
@@ -60,6 +60,8 @@
 	const char *rack; /* rack that a gang must be placed on; NULL: any */
 	/* few enough workers are suspect that they are avoided */
 	bool avoid_suspects;
+	bool avoid_slow; /* the same for workers on which tasks take longer */
+	bool skip_slow; /* of these, even one that is idle gets no task now */
 	bool lacks_room; /* a task of the job being planned found no room */
 	uint32_t started;
 };
@@ -81,6 +83,8 @@
 bool sch_usable(const struct sch_view *v, const struct jtb_worker *w);
 struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
 			     uint32_t step, bool failed_before);
+bool sch_is_too_slow(const struct sch_pool *p, const struct jtb_worker *w,
+		     const struct jtb_step *s);
 bool sch_is_backed_off(const struct sch_pool *p, const struct jtb_worker *w,
 		       const struct jtb_step *s, bool failed_before);
 bool sch_place_gang(struct sch_pool *p, const struct jtb_job *job,
--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -13,6 +13,10 @@
 
 static void sch_collect_workers(struct sch_pool *p);
 static void sch_update_suspects(struct sch_pool *p);
+static void sch_update_slow(struct sch_pool *p);
+static struct jtb_worker *sch_place_by_zones(struct sch_pool *p,
+					     const struct jtb_job *job,
+					     uint32_t step, bool failed_before);
 static struct jtb_worker *sch_best_of(struct sch_pool *p, GPtrArray *workers,
 				      const struct jtb_job *job, uint32_t step,
 				      bool failed_before);
@@ -55,6 +59,7 @@
 			sch_zones_add(p, w);
 		}
 	sch_update_suspects(p);
+	sch_update_slow(p);
 }
 
 /*
@@ -80,6 +85,39 @@
 	p->avoid_suspects = n && 2 * n < p->workers->len;
 }
 
+/*
+ * Determines whether slow workers are avoided: not where half of a pool seems
+ * slow, as it is the work that takes longer then.
+ */
+static void sch_update_slow(struct sch_pool *p)
+{
+	guint n = 0;
+	guint i;
+
+	for (i = 0; i < p->workers->len; i++) {
+		const struct jtb_worker *w = g_ptr_array_index(p->workers, i);
+
+		n += slw_is_slow(&w->speed);
+	}
+	p->avoid_slow = n && 2 * n < p->workers->len;
+}
+
+/*
+ * Whether a worker is too slow for a task now. It gets one at a time, and only
+ * where no other worker has room; after a while without a task it is tried as if
+ * it were not slow. Tasks that run until they are cancelled don't take longer.
+ */
+bool sch_is_too_slow(const struct sch_pool *p, const struct jtb_worker *w,
+		     const struct jtb_step *s)
+{
+	if (!p->avoid_slow || s->flags & JTB_LONG_RUNNING ||
+	    !slw_is_slow(&w->speed))
+		return false;
+	if (w->runs->len || w->proposed_cpu || w->proposed_mem)
+		return true;
+	return p->skip_slow && !slw_is_due(&w->speed, p->v->now_ms);
+}
+
 /*
  * Whether several different jobs failed on a worker recently and none has
  * completed there since.
@@ -123,6 +161,21 @@
  */
 struct jtb_worker *sch_place(struct sch_pool *p, const struct jtb_job *job,
 			     uint32_t step, bool failed_before)
+{
+	struct jtb_worker *best;
+
+	p->skip_slow = p->avoid_slow;
+	best = sch_place_by_zones(p, job, step, failed_before);
+	p->skip_slow = false;
+	return best || !p->avoid_slow
+		       ? best
+		       : sch_place_by_zones(p, job, step, failed_before);
+}
+
+/* Returns the best worker of the first zone that has one, or NULL. */
+static struct jtb_worker *sch_place_by_zones(struct sch_pool *p,
+					     const struct jtb_job *job,
+					     uint32_t step, bool failed_before)
 {
 	struct jtb_worker *best = NULL;
 	guint i;
@@ -153,7 +206,7 @@
 
 		if (!sch_fits(w, s) || !sch_allowed(w, s) ||
 		    sch_is_backed_off(p, w, s, failed_before) ||
-		    sch_is_reserved(p, w) ||
+		    sch_is_too_slow(p, w, s) || sch_is_reserved(p, w) ||
 		    sch_is_reserved_for_retry(p, w, job) ||
 		    (p->rack && g_strcmp0(sch_rack_of(w), p->rack) != 0))
 			continue;
@@ -431,8 +484,8 @@
 	for (i = 0; i < p->workers->len; i++) {
 		struct jtb_worker *w = g_ptr_array_index(p->workers, i);
 
-		if (sch_fits(w, s) && !sch_is_reserved(p, w) &&
-		    !w->isolated_for)
+		if (sch_fits(w, s) && !sch_is_too_slow(p, w, s) &&
+		    !sch_is_reserved(p, w) && !w->isolated_for)
 			return;
 	}
 	p->no_fits[p->n_no_fits++] = (struct sch_no_fit){
--- a/src/sch_zone.c
+++ b/src/sch_zone.c
@@ -138,6 +138,7 @@
 
 		if (sch_allowed(w, s) && !sch_is_reserved(p, w) &&
 		    !sch_is_backed_off(p, w, s, false) &&
+		    !sch_is_too_slow(p, w, s) &&
 		    !sch_is_reserved_for_retry(p, w, job))
 			room += sch_count_fits(w, s, true);
 	}
--- a/src/sim.c
+++ b/src/sim.c
@@ -393,6 +393,7 @@
 {
 	struct jtb_run *known = jtb_find_run(s->jtb, n, attempt, worker);
 	double off = 1 + s->config.guess_off * (2 * g_rand_double(s->rand) - 1);
+	const struct sim_vm *vm;
 	struct sim_run *r;
 
 	if (!known)
@@ -406,7 +407,8 @@
 		return;
 	}
 	/* its worker has crashed, and nobody has noticed yet */
-	if (!sim_vm_of(s, worker))
+	vm = sim_vm_of(s, worker);
+	if (!vm)
 		return;
 	r = g_new0(struct sim_run, 1);
 	*r = (struct sim_run){
@@ -420,7 +422,8 @@
 	};
 	r->ends_ms = r->step.flags & JTB_LONG_RUNNING
 			     ? -1
-			     : s->now + (int64_t)(r->step.estimate_ms * off);
+			     : s->now + (int64_t)(r->step.estimate_ms * off *
+						  vm->slowness);
 	g_ptr_array_add(s->runs, r);
 	s->result.starts++;
 	sim_check_start(s, r, known->job, known->worker);
--- a/src/sim.h
+++ b/src/sim.h
@@ -43,6 +43,9 @@
 	double load; /* mean demand as a share of a pool's cores */
 	double burst; /* how many times the mean in a pool's turn */
 	int64_t turn_ms;
+	int slow_each; /* one VM in so many is slow; 0: none */
+	double slowness; /* times as long as elsewhere tasks take there */
+	bool ignore_speed; /* the leader doesn't learn that */
 	double fail; /* share of runs that fail */
 	double guess_off; /* guesses are off by up to this share */
 	int crashes; /* workers that crash, in all */
--- a/src/sim_int.h
+++ b/src/sim_int.h
@@ -101,6 +101,7 @@
 	int64_t cut_until;
 	bool given_up; /* its runs are taken for over, or about to be */
 	char *next_pool; /* when it comes back */
+	double slowness; /* times as long as elsewhere tasks take on it */
 	uint32_t cpu; /* room that its worker has, */
 	int64_t shrunk_ms; /* less of it since; 0: no, */
 	int64_t told_ms; /* and tells of that by then; 0: nothing to tell */
--- a/src/sim_world.c
+++ b/src/sim_world.c
@@ -7,6 +7,7 @@
 static void sim_worker_up(struct sim *s, struct sim_vm *m);
 static void sim_add_crasher(struct sim *s, const struct jtb_spec *spec);
 static void sim_crashers_act(struct sim *s);
+static void sim_learn_speed(struct sim *s, const struct sim_run *r);
 static void sim_run_end(struct sim *s, guint i, enum jtb_end how);
 static void sim_gang_ends(struct sim *s, const struct sim_run *one,
 			  enum jtb_end how);
@@ -27,6 +28,11 @@
 	m->vm.worker = g_strdup("");
 	m->vm.cpu = SIM_CPU;
 	m->vm.mem_mb = SIM_MEM_MB;
+	m->slowness =
+		s->config.slow_each &&
+				s->machines->len % s->config.slow_each == 0
+			? s->config.slowness
+			: 1;
 	g_ptr_array_add(s->machines, m);
 	sim_worker_up(s, m);
 }
@@ -328,12 +334,25 @@
 	}
 }
 
+/* The leader learns how long a task took on its worker. */
+static void sim_learn_speed(struct sim *s, const struct sim_run *r)
+{
+	struct jtb_worker *w = jtb_worker(s->jtb, r->worker);
+	const struct jtb_job *job = jtb_job(s->jtb, r->name.id);
+
+	if (w && job)
+		slw_record(&w->speed, r->step.estimate_ms, s->now - r->from_ms,
+			   job->seq, s->now + SIM_PLAN_MS);
+}
+
 /* The run at that place ends; the table learns so through the log. */
 static void sim_run_end(struct sim *s, guint i, enum jtb_end how)
 {
 	struct sim_run *r = g_ptr_array_index(s->runs, i);
 	bool late = g_rand_double(s->rand) < s->config.late_ends;
 
+	if (how == JTB_DONE && !s->config.ignore_speed)
+		sim_learn_speed(s, r);
 	if (how != JTB_DONE && r->ends_ms >= 0)
 		s->result.wasted +=
 			(double)(s->now - r->from_ms) * r->step.cpu / 1e6;
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -1344,6 +1344,69 @@
 	assert_string_equal(f->log->str, "a.0.0@w1 ");
 }
 
+/* Makes a worker slow, or sound again, by what tasks of other jobs took there. */
+static void set_speed(struct fixture *f, const char *worker, int64_t took_ms)
+{
+	struct slw *s = &jtb_worker(f->jtb, worker)->speed;
+	uint64_t job;
+
+	*s = (struct slw){0};
+	for (job = 100; job < 104; job++)
+		slw_record(s, 500, took_ms, job, PLAN_MS + f->elapsed_ms);
+}
+
+static void add_empty_workers(struct fixture *f)
+{
+	jobs_worker(f->jtb, "w1", 4000, false);
+	jobs_worker(f->jtb, "w2", 4000, false);
+	jobs_worker(f->jtb, "w3", 4000, false);
+}
+
+/*
+ * Guards against a job that is late by its last task, on a worker that takes
+ * six times as long: it gets a task only where no other has room, one at a time.
+ */
+static void slow_worker_gets_what_no_other_can_take(void **state)
+{
+	struct fixture *f = *state;
+
+	add_empty_workers(f);
+	set_speed(f, "w2", 3000);
+	submit(f, "a", 8, 1000, 500, 0, 0);
+	run_plan(f);
+	assert_null(strstr(f->log->str, "@w2"));
+	submit(f, "b", 4, 1000, 500, 0, 0);
+	run_plan(f);
+	assert_string_equal(f->log->str, "b.0.0@w2 ");
+}
+
+/* A slow worker without a task for a while is tried with one. */
+static void slow_worker_is_tried_again(void **state)
+{
+	struct fixture *f = *state;
+
+	add_empty_workers(f);
+	set_speed(f, "w2", 3000);
+	f->elapsed_ms = 6000;
+	submit(f, "a", 9, 1000, 500, 0, 0);
+	run_plan(f);
+	assert_non_null(strstr(f->log->str, "@w2"));
+}
+
+/* Where most workers of a pool seem slow, the work takes longer. */
+static void no_worker_is_avoided_where_most_seem_slow(void **state)
+{
+	struct fixture *f = *state;
+
+	add_empty_workers(f);
+	set_speed(f, "w1", 3000);
+	set_speed(f, "w2", 3000);
+	submit(f, "a", 12, 1000, 500, 0, 0);
+	run_plan(f);
+	assert_non_null(strstr(f->log->str, "@w1"));
+	assert_non_null(strstr(f->log->str, "@w2"));
+}
+
 /*
  * Guards against a task that waits beside free cores: another task of its step
  * is done by an end that came late, and has a newer run until that is stopped.
@@ -1418,6 +1481,9 @@
 		T(gang_starts_within_its_limit_or_not_at_all),
 		T(work_starts_as_soon_as_its_limit_has_room),
 		T(newer_run_of_a_done_task_holds_back_no_other),
+		T(slow_worker_gets_what_no_other_can_take),
+		T(slow_worker_is_tried_again),
+		T(no_worker_is_avoided_where_most_seem_slow),
 	};
 
 	return cmocka_run_group_tests_name("sch", tests, NULL, NULL);
--- a/tests/unit/sim_test.c
+++ b/tests/unit/sim_test.c
@@ -242,6 +242,41 @@
 	assert_true(moving.worth > fixed.worth + 0.02);
 }
 
+/*
+ * Guards against jobs that are late by their last task: one worker in ten takes
+ * six times as long as the others and is packed like them.
+ */
+static void slow_workers_make_fewer_jobs_late(void **state)
+{
+	struct sim_config c = sim_defaults(2);
+	struct sim_result ignored;
+	struct sim_result learned;
+
+	c.length_ms = DAY_MS;
+	c.pools = 2;
+	c.vms = 20;
+	c.load = 0.25;
+	c.burst = 2.5;
+	c.cuts = 0;
+	c.crashes = 0;
+	c.power = 0;
+	c.shrinks = 0;
+	c.crashers = 0;
+	c.failovers = 0;
+	c.handover_ms = 0;
+	c.orgs = 0;
+	c.wave = false;
+	c.slow_each = 10;
+	c.slowness = 6;
+	learned = sim_play(&c);
+	c.ignore_speed = true;
+	ignored = sim_play(&c);
+	if (!sim_clean(&learned))
+		fail_msg("%s", learned.first);
+	assert_true(learned.late < ignored.late);
+	assert_true(learned.worth > ignored.worth);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -260,6 +295,7 @@
 		cmocka_unit_test(the_checker_sees_a_removed_key_obeyed),
 		cmocka_unit_test(a_day_is_the_same_each_time),
 		cmocka_unit_test(vms_that_follow_the_load_serve_more),
+		cmocka_unit_test(slow_workers_make_fewer_jobs_late),
 	};
 
 	return cmocka_run_group_tests_name("sim", tests, NULL, NULL);
