jtb, sch: a plan of a pool looks at that pool's workers

Plans may take an eighth of the leader's time, and take all of it.

Cause: each plan of a pool walks all workers of the fleet twice, for its own workers and for the sums of the shares: pools x workers for a plan of all pools.

Change: the job table keeps the workers of each pool (jtb_index), what they have and use is summed up once for the plans of all pools, and a plan without VMs that are being emptied looks none up. A test compares the index with a recount after 2,000 commands.

Not built: plans of what changed alone; pools that nothing came due in are planned too.

--- a/bench/sch_bench.c
+++ b/bench/sch_bench.c
@@ -37,7 +37,7 @@
 	jtb_propose_start(job, n, w);
 }
 
-static void put_config(struct jtb *t)
+static void put_config_of(struct jtb *t, int pools, int queues)
 {
 	struct jtb_config *c = jtb_config_new();
 	struct pk_out o;
@@ -45,20 +45,20 @@
 
 	c->version = 1;
 	c->document = g_bytes_new("doc", 3);
-	for (i = 0; i < POOLS; i++) {
+	for (i = 0; i < pools; i++) {
 		struct jtb_pool *p = g_new0(struct jtb_pool, 1);
 
 		p->name = g_strdup_printf("pool%d", i);
 		jtb_config_add_pool(c, p);
 	}
-	for (i = 0; i < QUEUES; i++) {
+	for (i = 0; i < queues; i++) {
 		struct jtb_queue *q = g_new0(struct jtb_queue, 1);
 
 		/* those that jobs come to stand at the end */
-		q->name = g_strdup_printf("queue%d", QUEUES - 1 - i);
+		q->name = g_strdup_printf("queue%d", queues - 1 - i);
 		q->host = g_strdup("h");
 		q->prefix = g_strdup_printf("/%d/", i);
-		q->pool = g_strdup_printf("pool%d", (QUEUES - 1 - i) % POOLS);
+		q->pool = g_strdup_printf("pool%d", (queues - 1 - i) % pools);
 		q->attempts = 3;
 		q->stretch = 1.5;
 		q->slack_ms = 500;
@@ -70,19 +70,20 @@
 	jtb_config_free(c);
 }
 
-static void put_workers(struct jtb *t)
+static void put_workers_of(struct jtb *t, int pools, int workers)
 {
+	static const char *const zones[] = {"a", "b", "c", "d", "e"};
 	char *labels[] = {(char *)"kind-a", NULL};
 	struct pk_out o;
 	int i;
 
 	pk_out_init(&o);
-	for (i = 0; i < WORKERS; i++) {
+	for (i = 0; i < workers; i++) {
 		struct jtb_worker_info info = {
 			.id = g_strdup_printf("i-%d", i),
-			.pool = g_strdup_printf("pool%d", i % POOLS),
+			.pool = g_strdup_printf("pool%d", i % pools),
 			.addr = (char *)"127.0.0.1:1",
-			.zone = (char *)"z",
+			.zone = (char *)zones[i / pools % 5],
 			.labels = labels,
 			.cpu = WORKER_CPU,
 			.mem_mb = 64000,
@@ -92,7 +93,7 @@
 		g_free(info.id);
 		g_free(info.pool);
 	}
-	bench_apply(t, &o, WORKERS);
+	bench_apply(t, &o, workers);
 }
 
 static void put_jobs(struct jtb *t, uint32_t per_worker, const char *label)
@@ -121,6 +122,23 @@
 	bench_apply(t, &o, JOBS);
 }
 
+/* Hands one job of eight tasks in. */
+static void put_one_job(struct jtb *t)
+{
+	struct jtb_step step = {
+		.count = 8, .cpu = 500, .mem_mb = 100, .estimate_ms = 800};
+	struct jtb_spec s = {.id = "one",
+			     .queue = (char *)"queue0",
+			     .text = (char *)"",
+			     .steps = &step,
+			     .n_steps = 1};
+	struct pk_out o;
+
+	pk_out_init(&o);
+	jtb_put_job(&o, &s, WALL_MS);
+	bench_apply(t, &o, 1);
+}
+
 static void measure(const char *what, uint32_t per_worker, const char *label)
 {
 	struct jtb *t = jtb_new(NULL, NULL);
@@ -139,8 +157,8 @@
 	double first;
 	int i;
 
-	put_config(t);
-	put_workers(t);
+	put_config_of(t, POOLS, QUEUES);
+	put_workers_of(t, POOLS, WORKERS);
 	put_jobs(t, per_worker, label);
 	from = bench_now_ms();
 	sch_plan(&v, "pool0");
@@ -156,8 +174,60 @@
 	jtb_free(t);
 }
 
+/*
+ * A plan of all pools in which one job came, as a leader makes it for each
+ * arrival: what it costs beyond the job must not grow with pools times workers.
+ */
+static void measure_fleet(int pools, int workers)
+{
+	struct jtb *t = jtb_new(NULL, NULL);
+	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
+	struct sch_totals totals;
+	struct sch_view v = {
+		.jtb = t,
+		.closed = closed,
+		.totals = &totals,
+		.shares = shr_new(SHR_RECENT),
+		.domains = dom_find_way(DOM_DEFAULT),
+		.wall_ms = WALL_MS,
+		.now_ms = WALL_MS,
+		.usable = usable,
+		.upkeep_due = leaving,
+		.start = start,
+		.unschedulable = starved,
+	};
+	char pool[16];
+	double from;
+	int i;
+	int k;
+
+	put_config_of(t, pools, pools);
+	put_workers_of(t, pools, workers);
+	put_one_job(t);
+	from = bench_now_ms();
+	for (k = 0; k < PLANS; k++) {
+		sch_sum_workers(t, &totals);
+		for (i = 0; i < pools; i++) {
+			g_snprintf(pool, sizeof(pool), "pool%d", i);
+			sch_plan(&v, pool);
+		}
+	}
+	printf("sch/%d-pools/%d/plan-all\t%.3f\tms\t%.1f\n", pools, workers,
+	       (bench_now_ms() - from) / PLANS, STEP_MS);
+	shr_free(v.shares);
+	g_hash_table_destroy(closed);
+	jtb_free(t);
+}
+
 int main(void)
 {
+	static const int sizes[] = {1000, 6000, 9200};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		measure_fleet(5, sizes[i]);
+		measure_fleet(160, sizes[i]);
+	}
 	measure("plan-any", 0, NULL);
 	measure("plan-apart", 2, NULL);
 	measure("plan-nobody", 0, "kind-none");
--- a/src/hld.c
+++ b/src/hld.c
@@ -335,15 +335,10 @@
 static struct hld_pool *hld_pool_new(const struct hld_view *v, const char *name)
 {
 	struct hld_pool *p = g_new0(struct hld_pool, 1);
-	GHashTableIter it;
-	struct jtb_worker *w;
+	GPtrArray *all = jtb_pool_workers(v->sch->jtb, name);
 
 	sch_pool_init(&p->sch, v->sch, name);
-	p->all = g_ptr_array_new();
-	g_hash_table_iter_init(&it, jtb_workers(v->sch->jtb));
-	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
-		if (strcmp(w->info.pool, name) == 0)
-			g_ptr_array_add(p->all, w);
+	p->all = all ? g_ptr_array_ref(all) : g_ptr_array_new();
 	return p;
 }
 
@@ -353,7 +348,7 @@
 	struct hld_pool *p = arg;
 
 	sch_pool_clear(&p->sch);
-	g_ptr_array_free(p->all, TRUE);
+	g_ptr_array_unref(p->all);
 	g_free(p);
 }
 
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -550,6 +550,7 @@
 static void hub_plan_pools(struct hub *h)
 {
 	GHashTable *closed = g_hash_table_new(g_str_hash, g_str_equal);
+	struct sch_totals totals;
 	struct sch_view v;
 	GHashTableIter it;
 	char *pool;
@@ -557,6 +558,8 @@
 	upk_add_closed(h->upk, closed);
 	flo_add_closed(h->flo, closed);
 	hub_init_sch_view(h, closed, &v);
+	sch_sum_workers(h->jtb, &totals);
+	v.totals = &totals;
 	g_hash_table_iter_init(&it, h->dirty_pools);
 	while (g_hash_table_iter_next(&it, (gpointer *)&pool, NULL))
 		sch_plan(&v, pool);
--- a/src/jtb.c
+++ b/src/jtb.c
@@ -36,6 +36,7 @@
 	t->live = g_ptr_array_new();
 	t->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   jtb_worker_free);
+	t->by_pool = jtb_index_new();
 	t->removed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	t->waves = g_ptr_array_new_with_free_func(jtb_wave_free);
@@ -55,6 +56,7 @@
 	g_hash_table_destroy(t->jobs);
 	g_ptr_array_free(t->live, TRUE);
 	g_hash_table_destroy(t->workers);
+	g_hash_table_destroy(t->by_pool);
 	g_hash_table_destroy(t->removed);
 	g_ptr_array_free(t->waves, TRUE);
 	quo_free(t->usage);
@@ -80,6 +82,7 @@
 	ovr_clear(t->overrides);
 	g_hash_table_remove_all(t->jobs);
 	g_hash_table_remove_all(t->workers);
+	g_hash_table_remove_all(t->by_pool);
 	g_hash_table_remove_all(t->removed);
 	g_ptr_array_set_size(t->waves, 0);
 }
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -225,6 +225,7 @@
 	bool restart_proposed; /* leader's: its next lifetime is proposed */
 	int64_t restarted_ms; /* leader's: that was applied; 0: never */
 	bool leaving; /* leader's: it announced its shutdown */
+	guint index_in_pool; /* position in the index of its pool */
 	uint32_t unlisted_count; /* leader's: VM lists in a row that lack it */
 	uint32_t runs_lost_count; /* times all its runs were ended as lost */
 	uint32_t used_cpu;
@@ -345,6 +346,7 @@
 struct jtb_job *jtb_job(const struct jtb *t, const char *id);
 struct jtb_worker *jtb_worker(const struct jtb *t, const char *id);
 GHashTable *jtb_workers(const struct jtb *t);
+GPtrArray *jtb_pool_workers(const struct jtb *t, const char *pool);
 GHashTable *jtb_jobs(const struct jtb *t);
 GPtrArray *jtb_live(const struct jtb *t);
 GPtrArray *jtb_waves(const struct jtb *t);
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -41,7 +41,7 @@
 static bool jtb_info_is_outdated(const struct jtb *t,
 				 const struct jtb_worker *w,
 				 const struct jtb_worker_info *info);
-static void jtb_replace_info(struct jtb_worker *w,
+static void jtb_replace_info(struct jtb *t, struct jtb_worker *w,
 			     struct jtb_worker_info *info);
 static bool jtb_restart_worker(struct jtb *t, struct jtb_worker *w,
 			       struct jtb_worker_info *info, struct pk_in *in);
@@ -447,8 +447,9 @@
 		w->runs = g_ptr_array_new();
 		w->info = info;
 		g_hash_table_insert(t->workers, w->info.id, w);
+		jtb_index_add(t, w);
 	} else {
-		jtb_replace_info(w, &info);
+		jtb_replace_info(t, w, &info);
 	}
 	t->watch->worker_changed(t->arg, w);
 	return true;
@@ -472,15 +473,19 @@
 }
 
 /* Replaces a worker's description; takes over the members of info. */
-static void jtb_replace_info(struct jtb_worker *w, struct jtb_worker_info *info)
+static void jtb_replace_info(struct jtb *t, struct jtb_worker *w,
+			     struct jtb_worker_info *info)
 {
-	char *id = g_steal_pointer(&w->info.id);
+	char *id;
 
+	jtb_index_remove(t, w);
+	id = g_steal_pointer(&w->info.id);
 	g_free(info->id);
 	jtb_worker_info_clear(&w->info);
 	w->info = *info;
 	/* the hash table's key is this string */
 	w->info.id = id;
+	jtb_index_add(t, w);
 }
 
 /*
@@ -514,7 +519,7 @@
 	jtb_end_runs_crashed(t, w, &blame, false,
 			     pk_in_left(in) ? pk_get_i(in) : 0);
 	jtb_blame_clear(&blame);
-	jtb_replace_info(w, info);
+	jtb_replace_info(t, w, info);
 	w->last_end_no = 0;
 	w->failed_jobs = 0;
 	w->last_failed_job = 0;
@@ -710,6 +715,7 @@
 	if (permanent && w) {
 		t->watch->worker_removed(t->arg, w);
 		jtb_clear_proposals_on(t, w);
+		jtb_index_remove(t, w);
 		g_hash_table_remove(t->workers, id);
 	} else if (w) {
 		w->runs_lost_count++;
--- a/src/jtb_int.h
+++ b/src/jtb_int.h
@@ -6,7 +6,7 @@
 /*
  * Shared by the files of the job table. Each file uses only those before it:
  * jtb_type (record types), jtb_cmd (serialization of commands), jtb (the table
- * and lookups), jtb_plan (proposed starts), jtb_do (applying commands),
+ * and lookups), jtb_index (workers by pool), jtb_plan (proposed starts), jtb_do (applying commands),
  * jtb_snap (serialization of the whole table).
  */
 
@@ -34,6 +34,7 @@
 	GHashTable *jobs; /* id: struct jtb_job */
 	GPtrArray *live; /* struct jtb_job that has not ended, or has runs */
 	GHashTable *workers; /* id: struct jtb_worker */
+	GHashTable *by_pool; /* pool: GPtrArray of struct jtb_worker */
 	GHashTable *removed; /* ids of workers that were removed permanently */
 	GPtrArray *waves; /* struct jtb_wave */
 	struct quo *usage; /* by the organisations of jobs */
@@ -57,6 +58,10 @@
 struct jtb_wave *jtb_unpack_wave(struct pk_in *in);
 bool jtb_unpack_name(struct pk_in *in, struct jtb_name *n);
 bool jtb_unpack_blame(struct pk_in *in, struct jtb_blame *b);
+/* jtb_index */
+GHashTable *jtb_index_new(void);
+void jtb_index_add(struct jtb *t, struct jtb_worker *w);
+void jtb_index_remove(struct jtb *t, struct jtb_worker *w);
 /* jtb_do */
 void jtb_add_removed(struct jtb *t, const char *id, int64_t started_ms);
 /* jtb */
--- a/src/jtb_snap.c
+++ b/src/jtb_snap.c
@@ -268,6 +268,7 @@
 		return false;
 	}
 	g_hash_table_insert(t->workers, w->info.id, w);
+	jtb_index_add(t, w);
 	return true;
 }
 
--- a/src/sch.c
+++ b/src/sch.c
@@ -195,20 +195,14 @@
  */
 static void sch_begin_shares(const struct sch_view *v, GArray *cands)
 {
+	struct sch_totals sums;
 	struct shr_input in = {.usage = jtb_usage(v->jtb), .now_ms = v->now_ms};
-	GHashTableIter it;
-	const struct jtb_worker *w;
 	guint i;
 
-	g_hash_table_iter_init(&it, jtb_workers(v->jtb));
-	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
-		in.total.cpu += w->info.cpu;
-		in.total.mem_mb += w->info.mem_mb;
-		in.total.gpus += w->info.gpus;
-		in.used.cpu += w->used_cpu + w->proposed_cpu;
-		in.used.mem_mb += w->used_mem + w->proposed_mem;
-		in.used.gpus += w->used_gpus + w->proposed_gpus;
-	}
+	if (!v->totals)
+		sch_sum_workers(v->jtb, &sums);
+	in.total = v->totals ? v->totals->total : sums.total;
+	in.used = v->totals ? v->totals->used : sums.used;
 	shr_begin(v->shares, &in);
 	for (i = 0; i < cands->len; i++) {
 		struct sch_candidate *c =
@@ -218,6 +212,24 @@
 	}
 }
 
+/* Adds up what all workers have and use. */
+void sch_sum_workers(const struct jtb *jtb, struct sch_totals *out)
+{
+	GHashTableIter it;
+	const struct jtb_worker *w;
+
+	*out = (struct sch_totals){0};
+	g_hash_table_iter_init(&it, jtb_workers(jtb));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
+		out->total.cpu += w->info.cpu;
+		out->total.mem_mb += w->info.mem_mb;
+		out->total.gpus += w->info.gpus;
+		out->used.cpu += w->used_cpu + w->proposed_cpu;
+		out->used.mem_mb += w->used_mem + w->proposed_mem;
+		out->used.gpus += w->used_gpus + w->proposed_gpus;
+	}
+}
+
 /*
  * Where queues of a pool differ in priority, puts work that lasts and work that
  * can be in time in the order of their queues before anything else: a queue
@@ -465,5 +477,10 @@
 	p->started++;
 	if (p->v->shares)
 		shr_charge(p->v->shares, job->use, &amount);
+	if (p->v->totals) {
+		p->v->totals->used.cpu += amount.cpu;
+		p->v->totals->used.mem_mb += amount.mem_mb;
+		p->v->totals->used.gpus += amount.gpus;
+	}
 	p->v->start(p->v->arg, job, n, attempt, w);
 }
--- a/src/sch.h
+++ b/src/sch.h
@@ -10,6 +10,12 @@
 #include "jtb.h"
 #include "shr.h"
 
+/* What all workers of all pools have and use, for shares of organisations. */
+struct sch_totals {
+	struct org_amount total;
+	struct org_amount used; /* with what is proposed */
+};
+
 /*
  * What a plan is made from, and the functions it calls. Decisions depend on the
  * job table alone and do no input or output. Each pool is planned separately.
@@ -18,6 +24,11 @@
 	const struct jtb *jtb;
 	/* ids of workers being drained for a move or upkeep */
 	GHashTable *closed;
+	/*
+	 * kept over the plans of several pools at one time; NULL: summed up in
+	 * each plan
+	 */
+	struct sch_totals *totals;
 	struct shr *shares; /* of organisations; NULL: they count for nothing */
 	/* how a job's tasks are kept in few zones; NULL: zones don't count */
 	const struct dom_way *domains;
@@ -69,6 +80,7 @@
 	SCH_WORTHLESS, /* so late that its result has no value */
 };
 
+void sch_sum_workers(const struct jtb *jtb, struct sch_totals *out);
 uint32_t sch_plan(const struct sch_view *v, const char *pool);
 int64_t sch_objective_ms(const struct jtb_queue *q, const struct jtb_job *job);
 enum sch_chance sch_chance(const struct jtb_queue *q, const struct jtb_job *job,
--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -46,18 +46,20 @@
 /* Collects the workers of a pool that may be assigned work. */
 static void sch_collect_workers(struct sch_pool *p)
 {
-	GHashTableIter it;
-	struct jtb_worker *w;
+	GPtrArray *all = jtb_pool_workers(p->v->jtb, p->name);
+	guint i;
 
 	p->workers = g_ptr_array_new();
-	g_hash_table_iter_init(&it, jtb_workers(p->v->jtb));
-	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w))
-		if (strcmp(w->info.pool, p->name) == 0 && sch_usable(p->v, w)) {
-			w->excluded = false;
-			sch_update_isolation(p, w);
-			g_ptr_array_add(p->workers, w);
-			sch_zones_add(p, w);
-		}
+	for (i = 0; all && i < all->len; i++) {
+		struct jtb_worker *w = g_ptr_array_index(all, i);
+
+		if (!sch_usable(p->v, w))
+			continue;
+		w->excluded = false;
+		sch_update_isolation(p, w);
+		g_ptr_array_add(p->workers, w);
+		sch_zones_add(p, w);
+	}
 	sch_update_suspects(p);
 	sch_update_slow(p);
 }
@@ -151,8 +153,10 @@
 /* Whether new work may be assigned to a worker. */
 bool sch_usable(const struct sch_view *v, const struct jtb_worker *w)
 {
-	return !g_hash_table_contains(v->closed, w->info.id) &&
-	       v->usable(v->arg, w);
+	bool closed = g_hash_table_size(v->closed) &&
+		      g_hash_table_contains(v->closed, w->info.id);
+
+	return !closed && v->usable(v->arg, w);
 }
 
 /*
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -966,9 +966,99 @@
 	assert_false(jtb_worker_info_is_current(&known, &reported));
 }
 
+/* Compares the index of workers by pool with a recount of all workers. */
+static void check_index(const struct jtb *t, const char *const *pools, int n)
+{
+	GHashTableIter it;
+	const struct jtb_worker *w;
+	guint indexed = 0;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		const GPtrArray *in_pool = jtb_pool_workers(t, pools[i]);
+
+		indexed += in_pool ? in_pool->len : 0;
+	}
+	assert_int_equal(indexed, g_hash_table_size(jtb_workers(t)));
+	g_hash_table_iter_init(&it, jtb_workers(t));
+	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&w)) {
+		GPtrArray *in_pool = jtb_pool_workers(t, w->info.pool);
+
+		assert_ptr_equal(g_ptr_array_index(in_pool, w->index_in_pool),
+				 w);
+	}
+}
+
+/* Puts a worker into a pool, from a start of its process. */
+static void put_into_pool(struct jtb *t, const char *id, const char *pool,
+			  int64_t started_ms)
+{
+	char *labels[] = {NULL};
+	struct jtb_worker_info info = {
+		.id = (char *)id,
+		.pool = (char *)pool,
+		.addr = (char *)"127.0.0.1:1",
+		.zone = (char *)"z",
+		.labels = labels,
+		.cpu = 1000,
+		.started_ms = started_ms,
+	};
+	struct pk_out o;
+
+	pk_out_init(&o);
+	jtb_put_worker(&o, &info);
+	jobs_apply(t, &o);
+}
+
+/*
+ * Guards against plans that miss a worker or see a freed one: the workers by
+ * pool are what a recount gives, after any workers came, changed their pool,
+ * began another lifetime, were lost or left, and after a snapshot.
+ */
+static void workers_by_pool_are_what_a_recount_gives(void **state)
+{
+	static const char *const pools[] = {"p", "q1", "q2", "q3"};
+	struct jtb *t = *state;
+	GRand *rand = g_rand_new_with_seed(5);
+	struct pk_out o;
+	char id[8];
+	int i;
+
+	for (i = 0; i < 2000; i++) {
+		int no = g_rand_int_range(rand, 0, 40);
+
+		g_snprintf(id, sizeof(id), "i%d", no);
+		switch (g_rand_int_range(rand, 0, 8)) {
+		case 0:
+			jobs_worker_lost(t, id, true);
+			break;
+		case 1:
+			jobs_worker_lost(t, id, false);
+			break;
+		case 2:
+			jobs_worker_leaving(t, id);
+			break;
+		case 3:
+			pk_out_init(&o);
+			jtb_snapshot(t, &o);
+			assert_true(jtb_restore(t, pk_out_view(&o)));
+			pk_out_done(&o);
+			break;
+		default:
+			put_into_pool(t, id,
+				      pools[g_rand_int_range(rand, 0, 4)],
+				      g_rand_int_range(rand, 0, 3) * i);
+		}
+		check_index(t, pools, G_N_ELEMENTS(pools));
+	}
+	assert_true(g_hash_table_size(jtb_workers(t)) > 2);
+	g_rand_free(rand);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		T(workers_by_pool_are_what_a_recount_gives),
 		T(job_runs_its_steps_in_order),
 		T(second_start_of_a_running_task_is_ignored),
 		T(attempt_numbers_are_not_reused),
