rep: a replica outside the membership sends callers to the leader

Cause: who leads is heard of through the log alone. A replica outside the membership, or removed from it while it was cut off, hears nothing there, though each peer that it dials tells it the leader's address on the wire.

Change: that address, of the latest term, is kept and named to callers (307, and to operators' clients) while this replica hears of no leader and the named one is connected. Nothing is answered from what the replica holds; a report is acknowledged as before only by a replica with a leader of its own. Log: voter-outside at level info in place of the warning voter-leaderless.

Ruled out: loops of two replicas that name each other, as a name counts only with a term that is at least one's own. rep_test: a fourth replica beside a full membership names the leader.

--- a/src/hub.c
+++ b/src/hub.c
@@ -194,12 +194,12 @@
 }
 
 /*
- * Returns the leader's control address, to be freed by the caller; NULL: not
- * known, or this replica.
+ * Returns the control address of the leader, as far as is known, to be freed by
+ * the caller; NULL: not known, or this replica.
  */
 char *hub_leader_control(const struct hub *h)
 {
-	char *addr = rep_leader_addr(h->rep);
+	char *addr = rep_leader_hint(h->rep);
 	char *out = NULL;
 
 	if (addr && strcmp(addr, h->config.wire) != 0)
--- a/src/hub_operator.c
+++ b/src/hub_operator.c
@@ -327,7 +327,7 @@
 			    uint64_t request, enum proto_result code,
 			    struct lstr bytes)
 {
-	char *leader = rep_leader_addr(h->rep);
+	char *leader = rep_leader_hint(h->rep);
 	struct pk_out o;
 
 	if (code == PROTO_NOT_LEADER && !leader)
--- a/src/msg.c
+++ b/src/msg.c
@@ -52,6 +52,7 @@
 	[MSG_CTL_ROLE] = {MSG_NOTICE, "voter-role"},
 	[MSG_CTL_MEMBER] = {MSG_NOTICE, "voter-member"},
 	[MSG_REP_LEADERLESS] = {MSG_WARN, "voter-leaderless"},
+	[MSG_REP_OUTSIDE] = {MSG_INFO, "voter-outside"},
 	[MSG_REP_LEARNER] = {MSG_NOTICE, "voter-waits"},
 	[MSG_CTL_FOREIGN] = {MSG_ERROR, "voter-foreign"},
 	[MSG_CTL_RECOVERED] = {MSG_WARN, "voter-recovered"},
--- a/src/rep.c
+++ b/src/rep.c
@@ -102,6 +102,7 @@
 	g_hash_table_destroy(r->peers);
 	g_ptr_array_free(r->conns, TRUE);
 	g_strfreev(r->seeds);
+	g_free(r->told_leader);
 	g_free(r);
 }
 
@@ -221,6 +222,19 @@
 	return m ? g_strdup(m->addr) : NULL;
 }
 
+/*
+ * Returns the address of a replica that may lead, to be freed, or NULL: the
+ * leader, or, while this replica hears of none, the one that its peers told of.
+ * It serves to send callers on. What this replica knows may be long out of date
+ * then, so that it must answer nothing from it.
+ */
+char *rep_leader_hint(const struct rep *r)
+{
+	char *addr = rep_leader_addr(r);
+
+	return addr ? addr : g_strdup(rep_told_leader(r));
+}
+
 /* Returns the membership as this replica knows it. */
 const struct cns_members *rep_members(const struct rep *r)
 {
--- a/src/rep.h
+++ b/src/rep.h
@@ -92,6 +92,7 @@
 bool rep_transfer_pending(const struct rep *r);
 uint64_t rep_term(const struct rep *r);
 char *rep_leader_addr(const struct rep *r);
+char *rep_leader_hint(const struct rep *r);
 void rep_reachable_members(const struct rep *r, GPtrArray *out);
 bool rep_send_to(struct rep *r, const char *addr, struct lstr payload);
 const struct cns_members *rep_members(const struct rep *r);
--- a/src/rep_int.h
+++ b/src/rep_int.h
@@ -94,6 +94,12 @@
 	enum cns_role role;
 	uint64_t role_term;
 	uint64_t announced_leader; /* leader last announced; 0: none is known */
+	/*
+	 * the leader of the latest term that a peer told of, for replicas that
+	 * are no members and hear nothing of it themselves; or NULL
+	 */
+	char *told_leader;
+	uint64_t told_term;
 	int64_t leaderless_ms; /* time since when no leader is known */
 	int64_t leaderless_log_ms; /* time of the last log line about it */
 	int64_t learner_log_ms; /* time of the last log line about a learner */
@@ -109,6 +115,7 @@
 struct rep_peer *rep_peer_at(struct rep *r, const char *addr);
 void rep_update_members(struct rep *r, int64_t now);
 const char *rep_zone_of(const struct rep *r, const struct cns_member *m);
+const char *rep_told_leader(const struct rep *r);
 void rep_log_leaderless(struct rep *r, int64_t now);
 void rep_send_hello(struct rep *r, struct wire_conn *conn);
 void rep_send_leader(struct rep *r, struct wire_conn *conn);
--- a/src/rep_peer.c
+++ b/src/rep_peer.c
@@ -5,6 +5,7 @@
 static bool rep_reached(const struct rep *r, const struct cns_member *m,
 			int64_t now);
 static void rep_on_hello(struct rep *r, struct pk_in *in);
+static void rep_on_leader_told(struct rep *r, struct pk_in *in);
 
 /* Whether a member was heard recently and still has the same folder. */
 static bool rep_reached(const struct rep *r, const struct cns_member *m,
@@ -86,6 +87,13 @@
 		    REP_LEADERLESS_LOG_MS)
 		return;
 	r->leaderless_log_ms = now;
+	if (rep_told_leader(r)) {
+		msg(MSG_REP_OUTSIDE,
+		    "role=%s term=%" G_GUINT64_FORMAT " leader=%s",
+		    cns_role_name(cns_role(r->cns)), r->told_term,
+		    r->told_leader);
+		return;
+	}
 	q = rep_quorum(r);
 	msg(MSG_REP_LEADERLESS,
 	    "role=%s term=%" G_GUINT64_FORMAT " for_ms=%" G_GINT64_FORMAT
@@ -229,6 +237,35 @@
 	rep_send_hello(p->r, conn);
 }
 
+/* Reads which replica leads, as a peer knows it. */
+static void rep_on_leader_told(struct rep *r, struct pk_in *in)
+{
+	uint64_t term = pk_get_u(in);
+	struct lstr addr = pk_get_str(in);
+
+	if (!pk_in_ok(in) || !addr.len || term < r->told_term)
+		return;
+	g_free(r->told_leader);
+	r->told_leader = lstr_dup(addr);
+	r->told_term = term;
+}
+
+/*
+ * Returns the address of the leader that peers told of, or NULL. It is told
+ * again only when it changes, so that it holds as long as the leader is
+ * connected; no term older than this replica's own counts.
+ */
+const char *rep_told_leader(const struct rep *r)
+{
+	const struct rep_peer *p =
+		r->told_leader ? g_hash_table_lookup(r->peers, r->told_leader)
+			       : NULL;
+
+	return p && wire_is_up(p->conn) && r->told_term >= cns_term(r->cns)
+		       ? p->addr
+		       : NULL;
+}
+
 /* Handles a message on a connection opened to a peer. */
 void rep_out_recv(void *arg, struct wire_conn *conn, struct lstr payload)
 {
@@ -243,8 +280,7 @@
 	if (kind != PROTO_LEADER) {
 		p->r->ops->message(p->r->arg, conn, kind, &in);
 	} else {
-		pk_get_u(&in);
-		pk_get_str(&in);
+		rep_on_leader_told(p->r, &in);
 		addrs = pk_get_arr(&in);
 		while (pk_in_left(&addrs)) {
 			char *addr = lstr_dup(pk_get_str(&addrs));
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -129,6 +129,20 @@
 	assert_null(err);
 }
 
+/* Gives a replica a name, a free address and an empty folder. */
+static void node_init(struct node *n, struct fixture *b, int no)
+{
+	int port;
+	int fd = net_listen(&port);
+
+	g_snprintf(n->addr, sizeof(n->addr), "127.0.0.1:%d", port);
+	close(fd);
+	g_snprintf(n->name, sizeof(n->name), "n%d", no);
+	n->fixture = b;
+	n->data = g_dir_make_tmp("endive-rep-XXXXXX", NULL);
+	n->log = g_string_new(NULL);
+}
+
 static int setup(void **state)
 {
 	struct fixture *b = g_new0(struct fixture, 1);
@@ -138,17 +152,8 @@
 	b->tmr = tmr_new(b->base);
 	b->keys = keyring_open_network();
 	for (i = 0; i < REPLICAS; i++) {
-		struct node *n = &b->nodes[i];
-		int port;
-		int fd = net_listen(&port);
-
-		g_snprintf(n->addr, sizeof(n->addr), "127.0.0.1:%d", port);
-		close(fd);
-		g_snprintf(n->name, sizeof(n->name), "n%d", i);
-		n->fixture = b;
-		n->data = g_dir_make_tmp("endive-rep-XXXXXX", NULL);
-		n->log = g_string_new(NULL);
-		b->seeds[i] = n->addr;
+		node_init(&b->nodes[i], b, i);
+		b->seeds[i] = b->nodes[i].addr;
 	}
 	for (i = 0; i < REPLICAS; i++)
 		node_start(&b->nodes[i]);
@@ -170,18 +175,22 @@
 	g_dir_close(dir);
 }
 
+static void node_done(struct node *n)
+{
+	rep_free(n->rep);
+	empty_folder(n->data);
+	rmdir(n->data);
+	g_free(n->data);
+	g_string_free(n->log, TRUE);
+}
+
 static int teardown(void **state)
 {
 	struct fixture *b = *state;
 	int i;
 
-	for (i = 0; i < REPLICAS; i++) {
-		rep_free(b->nodes[i].rep);
-		empty_folder(b->nodes[i].data);
-		rmdir(b->nodes[i].data);
-		g_free(b->nodes[i].data);
-		g_string_free(b->nodes[i].log, TRUE);
-	}
+	for (i = 0; i < REPLICAS; i++)
+		node_done(&b->nodes[i]);
 	keyring_free(b->keys);
 	tmr_free(b->tmr);
 	event_base_free(b->base);
@@ -682,6 +691,33 @@
 	wait_membership(b, CNS_MEMBERS_MAX, true);
 }
 
+/*
+ * Guards against control VMs beyond the membership that turn all away: workers'
+ * reports and readers of the configuration. They hear nothing of the leader
+ * themselves, and send callers to the one that members tell of.
+ */
+static void a_replica_outside_names_the_leader(void **state)
+{
+	struct fixture *b = *state;
+	struct node outside = {.restarted = true};
+	char *leads = NULL;
+	char *own;
+	int ms;
+
+	fill_membership(b);
+	node_init(&outside, b, REPLICAS);
+	node_start(&outside);
+	for (ms = 0; ms < WAIT_MS && !leads; ms++) {
+		net_run(b->base, 1);
+		leads = rep_leader_hint(outside.rep);
+	}
+	own = rep_leader_addr(outside.rep);
+	assert_null(own);
+	assert_string_equal(leads, leader(b)->addr);
+	g_free(leads);
+	node_done(&outside);
+}
+
 /*
  * Guards against a lost folder that is never replaced because the membership is
  * full: the new member could not be added before the old one was removed, and
@@ -764,6 +800,7 @@
 		T(a_power_loss_during_a_repair_is_survived),
 		T(a_lost_folder_is_replaced_under_load),
 		T(a_refused_learner_does_not_block_changes),
+		T(a_replica_outside_names_the_leader),
 		T(a_lost_folder_is_replaced_in_a_full_membership),
 		T(a_leader_removes_its_own_old_member),
 		T(a_damaged_folder_gets_a_new_id),
