sch: a gang that fits nowhere else takes a slow worker's room

What callers would see: a gang that never starts beside free cores: a slow worker takes one task at a time, and a gang that needs two of its cores doesn't fit then. The limit of one doesn't hold for gangs; the first choice is still without slow workers. sch_test's new case fails without it.

--- a/src/sch_place.c
+++ b/src/sch_place.c
@@ -107,7 +107,9 @@
 /*
  * Whether a worker is too slow for a task now. It gets one at a time, and only
  * where no other worker has room; after a while without a task it is tried as if
- * it were not slow. Tasks that run until they are cancelled don't take longer.
+ * it were not slow. A gang that fits nowhere else takes all its room, as it
+ * starts as a whole or not at all. Tasks that run until they are cancelled don't
+ * take longer.
  */
 bool sch_is_too_slow(const struct sch_pool *p, const struct jtb_worker *w,
 		     const struct jtb_step *s)
@@ -115,7 +117,8 @@
 	if (!p->avoid_slow || s->flags & JTB_LONG_RUNNING ||
 	    !slw_is_slow(&w->speed))
 		return false;
-	if (w->runs->len || w->proposed_cpu || w->proposed_mem)
+	if (!(s->flags & JTB_GANG) &&
+	    (w->runs->len || w->proposed_cpu || w->proposed_mem))
 		return true;
 	return p->skip_slow && !slw_is_due(&w->speed, p->v->now_ms);
 }
--- a/tests/unit/sch_test.c
+++ b/tests/unit/sch_test.c
@@ -1380,6 +1380,18 @@
 	assert_string_equal(f->log->str, "b.0.0@w2 ");
 }
 
+/* Guards against a gang that never starts beside the cores of a slow worker. */
+static void gang_starts_on_a_slow_worker_if_it_must(void **state)
+{
+	struct fixture *f = *state;
+
+	add_empty_workers(f);
+	set_speed(f, "w2", 3000);
+	submit(f, "a", 12, 1000, 500, JTB_GANG, 0);
+	run_plan(f);
+	assert_non_null(strstr(f->log->str, "a.0.11@"));
+}
+
 /* A slow worker without a task for a while is tried with one. */
 static void slow_worker_is_tried_again(void **state)
 {
@@ -1482,6 +1494,7 @@
 		T(work_starts_as_soon_as_its_limit_has_room),
 		T(newer_run_of_a_done_task_holds_back_no_other),
 		T(slow_worker_gets_what_no_other_can_take),
+		T(gang_starts_on_a_slow_worker_if_it_must),
 		T(slow_worker_is_tried_again),
 		T(no_worker_is_avoided_where_most_seem_slow),
 	};
