--- a/src/sch.c
+++ b/src/sch.c
@@ -358,7 +358,7 @@
 static void sch_plan_tasks(struct sch_pool *p, struct jtb_job *job,
 			   uint32_t turn, uint32_t step)
 {
-	const struct jtb_step_state *part = jtb_step_state(job, turn, step);
+	const struct jtb_step_state *part;
 	uint32_t count = job->spec.steps[step].count;
 	struct org_amount amount = jtb_step_amount(&job->spec.steps[step]);
 	struct jtb_name n = {.turn = turn, .step = step};
--- a/tests/unit/dom_test.c
+++ b/tests/unit/dom_test.c
@@ -4,8 +4,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
-#include <stdio.h>
-#include <string.h>
+#include <glib.h>
 
 #include "dom.h"
 
@@ -23,7 +22,7 @@
 	dom_order(dom_find_way(way), zones, n, &step);
 	text[0] = '\0';
 	for (i = 0; i < n; i++)
-		strcat(text, zones[i].name);
+		g_strlcat(text, zones[i].name, sizeof(text));
 	return text;
 }
 
