--- a/src/sch.c
+++ b/src/sch.c
@@ -195,14 +195,16 @@
  */
 static void sch_begin_shares(const struct sch_view *v, GArray *cands)
 {
-	struct sch_totals sums;
 	struct shr_input in = {.usage = jtb_usage(v->jtb), .now_ms = v->now_ms};
+	struct sch_totals sums;
 	guint i;
 
-	if (!v->totals)
+	if (v->totals)
+		sums = *v->totals;
+	else
 		sch_sum_workers(v->jtb, &sums);
-	in.total = v->totals ? v->totals->total : sums.total;
-	in.used = v->totals ? v->totals->used : sums.used;
+	in.total = sums.total;
+	in.used = sums.used;
 	shr_begin(v->shares, &in);
 	for (i = 0; i < cands->len; i++) {
 		struct sch_candidate *c =
