wkr: a silent zone's idle workers are asked until one answers

What callers would see: work waits though a zone has free cores: a zone that fell silent gets no work, and without work nobody calls its workers. Asked were eight idle ones once; if these and the silent ones are removed, as VMs are that move or have their upkeep, the zone stays silent for good.

Another sign was weighed, a silence that ends by itself after a time: in a long cut work would be placed there again and again.

--- a/src/wkr.c
+++ b/src/wkr.c
@@ -11,6 +11,7 @@
 static void wkr_on_call_end(void *arg, enum ups_end end,
 			    const struct ups_answer *a);
 static void wkr_ask_zone(struct wkr *k, const struct zon_zone *zone);
+static bool wkr_may_ask(const struct wkr_session *s, int64_t now);
 static void wkr_tick(void *arg, int64_t now);
 static void wkr_log_expiry(const struct wkr_session *s, const struct evd *e);
 
@@ -543,22 +544,30 @@
  */
 static void wkr_ask_zone(struct wkr *k, const struct zon_zone *zone)
 {
+	int64_t now = tmr_now(k->config.tmr);
 	guint asked = 0;
 	guint i;
 
-	for (i = 0; i < k->sessions->len && asked < WKR_ZONE_PROBES; i++) {
+	for (i = 0; i < k->sessions->len; i++) {
 		struct wkr_session *s = g_ptr_array_index(k->sessions, i);
 
-		if (s->zone != zone || s->hold || s->state.failed_since ||
-		    s->w->runs->len)
-			continue;
-		wkr_send_hold(s);
-		asked++;
+		if (s->zone == zone && wkr_may_ask(s, now)) {
+			wkr_send_hold(s);
+			asked++;
+		}
 	}
 	msg(MSG_WKR_ZONE_SILENT, "zone=%s in_row=%u asked=%u", zone->name,
 	    zone->in_row, asked);
 }
 
+/* Whether a worker is idle and to be asked whether its zone is there. */
+static bool wkr_may_ask(const struct wkr_session *s, int64_t now)
+{
+	return !s->hold && !s->hold_timer && !s->await_end_no &&
+	       !s->state.failed_since && !s->w->runs->len &&
+	       !s->w->restart_proposed && zon_take_ask(s->zone, now);
+}
+
 /*
  * Marks a worker as reachable after an answer; clock_ms is its clock, or 0 if
  * it was not reported.
@@ -651,6 +660,8 @@
 			   (s->w->runs->len || s->stale->len ||
 			    s->state.failed_since || !s->polled)) {
 			wkr_send_hold(s);
+		} else if (wkr_may_ask(s, now)) {
+			wkr_send_hold(s);
 		}
 	}
 	cpu_leave(before);
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -57,8 +57,6 @@
  * ms; workers that do so take up to 12 s.
  */
 #define WKR_LATE_MS 15000
-/* Idle workers of a zone that seems silent that are asked at once. */
-#define WKR_ZONE_PROBES 8
 /* How long an idle connection is reused, ms; orders may safely be repeated. */
 #define WKR_REUSE_MS 20000
 
--- a/src/zon.c
+++ b/src/zon.c
@@ -100,6 +100,25 @@
 	return was_silent;
 }
 
+/*
+ * Whether an idle worker of a zone is to be asked now, and counts it as asked.
+ * Work is what makes workers answer, and a silent zone gets none: without these
+ * calls it would stay silent for ever once those that fell silent are removed.
+ */
+bool zon_take_ask(struct zon_zone *zone, int64_t now_ms)
+{
+	if (!zon_is_over_line(zone))
+		return false;
+	if (now_ms - zone->asks_since_ms >= ZON_ASK_INTERVAL_MS) {
+		zone->asks_since_ms = now_ms;
+		zone->asks = 0;
+	}
+	if (zone->asks == ZON_ASKS)
+		return false;
+	zone->asks++;
+	return true;
+}
+
 static bool zon_is_over_line(const struct zon_zone *zone)
 {
 	return zone->in_row >= ZON_SILENT_WORKERS;
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -1525,6 +1525,55 @@
 	assert_true(wkr_usable(f->wkr, idle));
 }
 
+/* Removes a worker from the table and closes its session. */
+static void remove_worker(struct fixture *f, const char *id)
+{
+	struct pk_out o;
+
+	wkr_remove_worker(f->wkr, jtb_worker(f->jtb, id));
+	pk_out_init(&o);
+	jtb_put_worker_lost(&o, id, true);
+	apply_command(f, &o);
+}
+
+/*
+ * Guards against a zone that gets no work for ever: all of its workers that were
+ * silent or asked are removed, as their VMs were moved, and nobody calls the
+ * idle ones.
+ */
+static void zone_gets_work_again_though_those_asked_are_gone(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_worker *left = NULL;
+	char id[ZON_ASKS + 1][8];
+	int i;
+
+	for (i = 0; i <= ZON_ASKS; i++) {
+		g_snprintf(id[i], sizeof(id[i]), "i%d", i);
+		add_worker(f, id[i], "far", f->port);
+	}
+	net_run(f->base, 50);
+	f->unreachable = true;
+	add_silent_workers(f, "far");
+	for (i = 0; i <= ZON_ASKS; i++) {
+		const struct wkr_session *s = jtb_worker(f->jtb, id[i])->owner;
+
+		if (s->hold)
+			remove_worker(f, id[i]);
+		else
+			left = jtb_worker(f->jtb, id[i]);
+	}
+	remove_worker(f, "s1");
+	remove_worker(f, "s2");
+	remove_worker(f, "s3");
+	f->unreachable = false;
+	assert_non_null(left);
+	assert_false(wkr_usable(f->wkr, left));
+	f->seen = 0;
+	wait_for(f, &f->seen);
+	assert_true(wkr_usable(f->wkr, left));
+}
+
 /*
  * Guards against a zone that gets no work as some of its workers crash at once
  * while the others are idle: one of these is asked and answers.
@@ -1594,6 +1643,7 @@
 		T(list_of_another_lifetime_is_not_read),
 		T(start_never_sent_to_a_silent_worker_is_given_back),
 		T(idle_worker_of_a_silent_zone_gets_no_work),
+		T(zone_gets_work_again_though_those_asked_are_gone),
 		T(crashes_beside_idle_workers_close_no_zone),
 	};
 
