--- a/src/wkr.c
+++ b/src/wkr.c
@@ -13,6 +13,7 @@
 static void wkr_ask_zone(struct wkr *k, const struct zon_zone *zone);
 static bool wkr_may_ask(const struct wkr_session *s, int64_t now);
 static void wkr_tick(void *arg, int64_t now);
+static bool wkr_needs_poll(const struct wkr_session *s);
 static void wkr_log_expiry(const struct wkr_session *s, const struct evd *e);
 
 static const struct ups_ops wkr_ups_ops = {
@@ -656,17 +657,21 @@
 			wkr_log_expiry(s, &e);
 			wkr_record_stale_starts(s);
 			k->ops->gone(k->arg, s->w, &e);
-		} else if (!s->hold && !s->hold_timer && !s->await_end_no &&
-			   (s->w->runs->len || s->stale->len ||
-			    s->state.failed_since || !s->polled)) {
-			wkr_send_hold(s);
-		} else if (wkr_may_ask(s, now)) {
+		} else if (wkr_needs_poll(s) || wkr_may_ask(s, now)) {
 			wkr_send_hold(s);
 		}
 	}
 	cpu_leave(before);
 }
 
+/* Whether a worker is to be polled, and no poll is in flight or scheduled. */
+static bool wkr_needs_poll(const struct wkr_session *s)
+{
+	return !s->hold && !s->hold_timer && !s->await_end_no &&
+	       (s->w->runs->len || s->stale->len || s->state.failed_since ||
+		!s->polled);
+}
+
 /*
  * Logs that a worker is abandoned, and the times that its lease expiry was
  * computed from.
