carry_test: a run that was given back unsent is a start that went nowhere

The check wanted each start of the log to have gone by a relay or from the leader.

The check wants the sum of all three now and is as strict: no start may be unaccounted for. The metric counts a run only if no order of it was sent; before, one whose connection was refused counted here and as sent.

--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -356,8 +356,9 @@
 		struct jtb_run *run = g_ptr_array_index(s->w->runs, i);
 		uint32_t flags = run->job->spec.steps[run->step].flags;
 
-		if (run->phase == WKR_NEW && !(flags & JTB_GANG))
-			s->k->stats.dropped += wkr_drop_unsent(s, run);
+		if (run->phase == WKR_NEW && !(flags & JTB_GANG) &&
+		    wkr_drop_unsent(s, run))
+			s->k->stats.dropped += !run->orders_sent;
 	}
 }
 
--- a/tests/system/carry_test.sh
+++ b/tests/system/carry_test.sh
@@ -61,11 +61,13 @@
 leader=$(jobs_leader) || fail "no leader"
 relayed=$(jobs_metric "$leader" endive_starts_carried_total)
 direct=$(jobs_metric "$leader" endive_starts_direct_total)
+unsent=$(jobs_metric "$leader" endive_runs_given_back_total)
 starts=$(jobs_metric "$leader" endive_starts_total)
 [ "${starts:-0}" -gt 0 ] || fail "no run was ordered"
 [ "${relayed:-0}" -gt 0 ] || fail "no run was relayed"
-[ "$((relayed + direct))" -eq "$starts" ] ||
-	fail "$relayed runs relayed and $direct direct, of $starts"
+[ "$((relayed + direct + unsent))" -eq "$starts" ] ||
+	fail "$relayed runs relayed, $direct direct and $unsent given back, of $starts"
+echo "$relayed runs relayed, $direct direct, $unsent given back, of $starts"
 direct_starts_have_a_cause "$leader"
 
 start_load 1000
