--- a/review/standin/minions.c
+++ b/review/standin/minions.c
@@ -21,6 +21,7 @@
  *	fail	1: it fails at the end of its work
  *	save	it saves its progress each so many ms of work; 0: never
  *	gang	number of members of its gang; 0: it is in none
+ *	lasts	1: it works until it is stopped, and is at work after 300 ms
  *
  * Each line on standard output starts with the time, ms since the start.
  */
@@ -29,6 +30,8 @@
 #define MINIONS_STEP_MS 10
 #define MINIONS_CALL_MS 400
 #define MINIONS_ID_MAX 32
+/* Startup of a work unit that lasts, ms. */
+#define MINIONS_STARTUP_MS 300
 
 struct run {
 	struct jtb_name name;
@@ -42,6 +45,7 @@
 	unsigned int gang;
 	bool at_work;
 	bool fails;
+	bool lasts;
 };
 
 struct wait {
@@ -248,6 +252,7 @@
 		saved = lstr_n("", 0);
 	r.work_ms = spec_number(spec, "ms");
 	r.fails = spec_number(spec, "fail") > 0;
+	r.lasts = spec_number(spec, "lasts") > 0;
 	r.save_each_ms = spec_number(spec, "save");
 	r.gang = (unsigned int)spec_number(spec, "gang");
 	if (saved.len > 2)
@@ -333,6 +338,9 @@
 		const struct run *r = &g_array_index(m->runs, struct run, i);
 		int64_t part = r->work_ms ? 99 * r->done_ms / r->work_ms : 0;
 
+		if (r->lasts)
+			part = r->done_ms > MINIONS_STARTUP_MS ? 100 : 0;
+
 		jtb_name_format(&r->name, task, sizeof(task));
 		saved[0] = '\0';
 		if (r->saved_ms)
@@ -456,7 +464,7 @@
 		gang_end(s, &copy, JTB_GANG_BROKEN);
 		return true;
 	}
-	if (r->done_ms < r->work_ms)
+	if (r->lasts || r->done_ms < r->work_ms)
 		return false;
 	copy = *r;
 	minion_end(m, i, copy.fails ? JTB_FAILED_RUN : JTB_DONE);
