--- a/review/common.sh
+++ b/review/common.sh
@@ -216,14 +216,14 @@
 
 # Does what the platform does: starts each machine of the core whose process
 # has ended again after a short delay, with its disk. Counts the ends in
-# `crashes`.
-crashes=0
+# `ended`.
+ended=0
 mind() {
 	for n in 1 2 3; do
 		kill -0 "$(pid core$n)" 2>/dev/null && continue
 		wait "$(pid core$n)" 2>/dev/null
 		note "the process of core$n ended by itself, status $?"
-		crashes=$((crashes + 1))
+		ended=$((ended + 1))
 		sleep 0.3
 		core $n false
 	done
