--- a/review/standin-2/drive.c
+++ b/review/standin-2/drive.c
@@ -574,7 +574,7 @@
 		on_start(w, task, attempt, &plan);
 	*after = plan.answer_after_ms;
 	g_strlcpy(r.task, task, sizeof(r.task));
-	r.ends_ms = r.began_ms + plan.ms * (w->slow ? w->slow : 1);
+	r.ends_ms = r.began_ms + plan.ms * (w->slow ? w->slow : 10) / 10;
 	r.fails = plan.fails;
 	g_array_append_val(w->runs, r);
 	record("worker %d (%s) starts %s attempt %u", w->no, w->id, task,
@@ -1136,6 +1136,20 @@
 	return status;
 }
 
+int cancel(const char *queue, const char *id)
+{
+	char path[80];
+	char addr[32];
+	int status;
+
+	snprintf(path, sizeof(path), "/%s/%s", queue, id);
+	snprintf(addr, sizeof(addr), "127.0.0.4:%d", port + 2);
+	status = call(addr, EVHTTP_REQ_DELETE, path, NULL, 0, 3000, NULL, 0,
+		      NULL);
+	record("DELETE %s: %d", path, status);
+	return status;
+}
+
 bool submit_until(const char *queue, const char *id, int steps, int tasks,
 		  int cpu, int estimate_ms, int64_t within_ms)
 {
--- a/review/standin-2/drive.h
+++ b/review/standin-2/drive.h
@@ -75,7 +75,7 @@
 	GHashTable *never; /* task: highest attempt that was stopped or ended */
 	int64_t next_beat_ms;
 	char *beat_to; /* heartbeat-addr, or NULL */
-	int slow; /* runs take so many times as long; 0: as usual */
+	int slow; /* runs take so many tenths as long; 0: as usual */
 	uint32_t cpu;
 	int64_t ready_ms; /* a new lifetime begins then; 0: not planned */
 };
@@ -138,6 +138,7 @@
 	   int estimate_ms);
 bool submit_until(const char *queue, const char *id, int steps, int tasks,
 		  int cpu, int estimate_ms, int64_t within_ms);
+int cancel(const char *queue, const char *id);
 /* "": no answer */
 const char *job_state(const char *queue, const char *id);
 const char *await_end(const char *queue, const char *id, int64_t within_ms);
