--- a/review/standin-2/drive.c
+++ b/review/standin-2/drive.c
@@ -98,6 +98,8 @@
 
 /* ---- daemons ---- */
 
+static int redirects(const char *addr);
+
 static pid_t spawn(const char *program, const char *conf, const char *log)
 {
 	pid_t pid = fork();
@@ -192,6 +194,24 @@
 	return cores[no].pid != 0;
 }
 
+/* The control daemon that says that it leads, 0: none. */
+int core_leader(void)
+{
+	char addr[32];
+	int leader = 0;
+	int i;
+
+	for (i = 1; i <= CORES && !leader; i++) {
+		if (!core_runs(i))
+			continue;
+		snprintf(addr, sizeof(addr), "127.0.0.%d:%d", i, port + 1);
+		/* who leads answers itself; the others redirect */
+		if (redirects(addr) == 0)
+			leader = i;
+	}
+	return leader;
+}
+
 int core_own_ends(int no)
 {
 	reap();
@@ -408,6 +428,15 @@
 	return p->status;
 }
 
+/* Whether a control daemon sends on who reads the configuration: 307. */
+static int redirects(const char *addr)
+{
+	struct pending p = {0};
+
+	return call_once(addr, EVHTTP_REQ_GET, "/v1/config", NULL, 0, 500,
+			 &p) != 200;
+}
+
 int call(const char *addr, enum evhttp_cmd_type method, const char *path,
 	 const void *body, size_t len, int64_t timeout_ms, char *out,
 	 size_t out_size, size_t *out_len)
@@ -600,6 +629,10 @@
 	uint32_t attempt;
 	guint i;
 
+	if (w->cut) {
+		/* its bytes never come; libevent frees it with its connection */
+		return;
+	}
 	if (expect && strcmp(expect, w->id) != 0) {
 		send_answer(req, 421, NULL, clock_of(w));
 		return;
@@ -926,9 +959,11 @@
 		if (!w->ends->len && now < h.until_ms)
 			continue;
 		g_array_remove_index(w->holds, i - 1);
+		if (w->cut)
+			continue;
 		answer_hold(w, h.req);
 	}
-	if (now >= w->next_beat_ms)
+	if (now >= w->next_beat_ms && !w->cut)
 		worker_beat(w);
 }
 
@@ -1163,6 +1198,27 @@
 	return true;
 }
 
+int64_t pending(const char *queue)
+{
+	msgpack_unpacked u;
+	char path[80];
+	char addr[32];
+	char out[256];
+	size_t len = 0;
+	int64_t n = -1;
+
+	snprintf(path, sizeof(path), "/%s/", queue);
+	snprintf(addr, sizeof(addr), "127.0.0.4:%d", port + 2);
+	if (call(addr, EVHTTP_REQ_GET, path, NULL, 0, 3000, out, sizeof(out),
+		 &len) != 200)
+		return -1;
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, out, len, NULL) == MSGPACK_UNPACK_SUCCESS)
+		n = get_i(&u.data, "pending");
+	msgpack_unpacked_destroy(&u);
+	return n;
+}
+
 const char *job_state(const char *queue, const char *id)
 {
 	static char state[32];
--- a/review/standin-2/drive.h
+++ b/review/standin-2/drive.h
@@ -77,6 +77,7 @@
 	char *beat_to; /* heartbeat-addr, or NULL */
 	int slow; /* runs take so many tenths as long; 0: as usual */
 	uint32_t cpu;
+	bool cut; /* nothing gets through, either way; its runs go on */
 	int64_t ready_ms; /* a new lifetime begins then; 0: not planned */
 };
 
@@ -120,6 +121,7 @@
 void core_signal(int no, int sig);
 int core_own_ends(int no); /* times its process ended by itself */
 bool core_runs(int no);
+int core_leader(void); /* 0: none */
 void cores_restart_ended(void); /* as the platform does, after a short delay */
 
 /* Workers and their machines. */
@@ -140,6 +142,8 @@
 		  int cpu, int estimate_ms, int64_t within_ms);
 int cancel(const char *queue, const char *id);
 /* "": no answer */
+/* A queue's pending jobs; -1: no answer. */
+int64_t pending(const char *queue);
 const char *job_state(const char *queue, const char *id);
 const char *await_end(const char *queue, const char *id, int64_t within_ms);
 
