--- a/review/standin-2/case-division.c
+++ b/review/standin-2/case-division.c
@@ -14,8 +14,11 @@
 #define SLOW_FACTOR 65 /* tenths */
 #define TAUGHT 2
 #define LARGE 4
+#define JOB_TASKS 24
 
 static int64_t task_ms = 200;
+static int job; /* number of the last job handed in */
+static int first_job; /* and of the first of these handed in together */
 
 static void begins(struct worker *w, const char *task, uint32_t attempt,
 		   struct plan *out)
@@ -59,6 +62,19 @@
 	return strcmp(state, "completed") == 0;
 }
 
+/* Hands in jobs of 24 tasks at most, which make n tasks together. */
+static void hand_in(const char *queue, int n, int cpu, int estimate_ms)
+{
+	char id[24];
+
+	for (first_job = job + 1; n > 0; n -= JOB_TASKS) {
+		snprintf(id, sizeof(id), "%016x", ++job);
+		if (!submit_until(queue, id, 1, MIN(n, JOB_TASKS), cpu,
+				  estimate_ms, 8000))
+			could_not("a job isn't accepted");
+	}
+}
+
 static int often(void)
 {
 	int n = 0;
@@ -75,7 +91,6 @@
 	const char *other = "b";
 	int64_t from;
 	char id[24];
-	int job = 0;
 	int i;
 
 	drive_init(argc, argv);
@@ -96,10 +111,13 @@
 		       count(big), count(other), other);
 		task_ms = 200;
 		for (k = 0; k < TAUGHT + LARGE; k++) {
-			snprintf(id, sizeof(id), "%016x", ++job);
-			if (!submit_until(big, id, 1, 2 * count(big), 2000, 200, 8000))
-				could_not("a job isn't accepted");
-			finish_job(big, id, 8000);
+			int j;
+
+			hand_in(big, 2 * count(big), 2000, 200);
+			for (j = first_job; j <= job; j++) {
+				snprintf(id, sizeof(id), "%016x", j);
+				finish_job(big, id, 8000);
+			}
 			if (k != TAUGHT - 1)
 				continue;
 			for (i = n_workers - 1; trouble && i >= 0 && slow < SLOW;
@@ -116,13 +134,14 @@
 		record("they are as fast as before; the turn of %s comes",
 		       other);
 		task_ms = 1000;
-		snprintf(id, sizeof(id), "%016x", ++job);
-		if (!submit_until(other, id, 1, 80, 4000, 1000, 8000))
-			could_not("a job isn't accepted");
+		hand_in(other, 96, 4000, 1000);
 		wait_ms(1500);
 		/* the callers don't wait for all of it */
-		while (cancel(other, id) != 200)
-			wait_ms(200);
+		for (i = first_job; i <= job; i++) {
+			snprintf(id, sizeof(id), "%016x", i);
+			while (cancel(other, id) != 200)
+				wait_ms(200);
+		}
 		wait_ms(2500);
 		if (count(other) > count(big)) {
 			const char *t = big;
