--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Runs the case in case-attempts.c; see claim.txt. Needs the build of the deploy file and
-# review/build-2.sh. TROUBLE=0 leaves the disruption out.
+# Runs the case in case-pending.c; see claim.txt. Needs the build of the deploy
+# file and review/build-2.sh. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/review-2/case-attempts ] || exit 2
-exec target/review-2/case-attempts "$here/record.txt"
+[ -x target/review-2/case-pending ] || exit 2
+exec target/review-2/case-pending "$here/record.txt"
