--- a/review/standin-2/drive.c
+++ b/review/standin-2/drive.c
@@ -20,6 +20,7 @@
 const char *pools[MAX_QUEUES + 1];
 bool trouble = true;
 int ends_failed;
+int saved_bytes;
 void (*on_start)(struct worker *, const char *, uint32_t, struct plan *);
 void (*on_ack)(struct worker *, const struct end *, uint64_t);
 
@@ -499,12 +500,19 @@
 			     GUINT_TO_POINTER(MAX(old, attempt)));
 }
 
+/* Whether a run has saved its progress: it does so each 2 s of work. */
+static bool has_saved(const struct run *r)
+{
+	return saved_bytes && now_ms() - r->began_ms >= CHECKPOINT_MS;
+}
+
 static void end_run(struct worker *w, guint i, const char *how)
 {
 	const struct run *r = &g_array_index(w->runs, struct run, i);
 	struct end e = {.no = ++w->end_no, .attempt = r->attempt, .how = how};
 
 	g_strlcpy(e.task, r->task, sizeof(e.task));
+	e.saved = has_saved(r) && strcmp(how, "done") != 0;
 	ends_failed += strcmp(how, "failed") == 0;
 	record("worker %d (%s) ends %s attempt %u: %s (number %" PRIu64 ")",
 	       w->no, w->id, e.task, e.attempt, how, e.no);
@@ -513,6 +521,20 @@
 	g_array_remove_index(w->runs, i);
 }
 
+/* A checkpoint; its first characters name the task. */
+static void put_saved(msgpack_packer *p, const char *task, bool saved)
+{
+	if (!saved) {
+		put_str(p, "");
+		return;
+	}
+	char *text = g_strnfill((gsize)saved_bytes, '0');
+
+	memcpy(text, task, MIN(strlen(task), (size_t)saved_bytes));
+	put_str(p, text);
+	g_free(text);
+}
+
 static void answer_hold(struct worker *w, struct evhttp_request *req)
 {
 	struct evbuffer *b = evbuffer_new();
@@ -536,7 +558,7 @@
 		msgpack_pack_array(&p, 5);
 		put_str(&p, r->task);
 		msgpack_pack_uint32(&p, r->attempt);
-		put_str(&p, "");
+		put_saved(&p, r->task, has_saved(r));
 		msgpack_pack_int64(&p, MIN(99, 100 * (now_ms() - r->began_ms) /
 						       span));
 		msgpack_pack_int(&p, 0);
@@ -551,7 +573,7 @@
 		put_str(&p, e->task);
 		msgpack_pack_uint32(&p, e->attempt);
 		put_str(&p, e->how);
-		put_str(&p, "");
+		put_saved(&p, e->task, e->saved);
 	}
 	evbuffer_add(b, buf.data, buf.size);
 	msgpack_sbuffer_destroy(&buf);
@@ -1151,7 +1173,9 @@
 	put_str(&p, "phases");
 	msgpack_pack_array(&p, (size_t)steps);
 	for (i = 0; i < steps; i++) {
-		msgpack_pack_map(&p, i ? 5 : 4);
+		msgpack_pack_map(&p, (i ? 5 : 4) + (saved_bytes ? 1 : 0));
+		if (saved_bytes)
+			put_kb(&p, "checkpointing", true);
 		put_ki(&p, "count", tasks);
 		put_ki(&p, "cpu", cpu);
 		put_ki(&p, "mem-mb", 256);
--- a/review/standin-2/drive.h
+++ b/review/standin-2/drive.h
@@ -28,6 +28,7 @@
 #define GRACE_S 6
 #define MIGRATE_MS 1500
 #define BEAT_MS 1500
+#define CHECKPOINT_MS 2000
 
 struct run {
 	char task[80];
@@ -42,6 +43,7 @@
 	char task[80];
 	uint32_t attempt;
 	const char *how;
+	bool saved;
 };
 
 struct hold {
@@ -102,6 +104,8 @@
 extern int n_queues;
 extern const char *pools[MAX_QUEUES + 1];
 extern bool trouble;
+/* Length of each checkpoint; jobs are submitted as checkpointing. 0: none. */
+extern int saved_bytes;
 extern int ends_failed; /* runs that workers have ended as failed */
 extern void (*on_start)(struct worker *w, const char *task, uint32_t attempt,
 			struct plan *out);
