wkr: a hold acknowledges ends only while the known lifetime has all starts

Cause: a hold names the number of an end and no lifetime. The leader sent the number of the lifetime that it knew unless it had a doubt, and the late answer to a start ended the doubt that a list of the next lifetime had left. The late answer only triggered it: without any, the first hold after a start carries the number as well.

Change: a number is sent only while lists show that the known lifetime has carried out every start, or the start was answered before the last of its lists was requested; it has then nothing to forget that nobody has read, whoever receives it. While ends wait so, first starts wait too, so that a busy worker is told in the end. What a list named is undone only by a later list of the known lifetime; before, by one of an older lifetime, too. Workers that report no start are treated as before. Two counters for whoever is on call: foreign_lists, acks_withheld.

Related paths: a new leader (its first list is asked for with no number; runs it took over count as shown by its own term's lists only), leases, starts and placement behind such a list (held back as before), a restart in the table (session begins anew): safe as they are.

--- a/src/evd.c
+++ b/src/evd.c
@@ -146,6 +146,31 @@
 	return !run->first_running_ms;
 }
 
+/*
+ * Whether a start of a run may have been carried out in a later lifetime of its
+ * worker than the one that lists show, so that its end would have a number of
+ * that one. The lifetime has carried it out if one of its lists showed the run,
+ * or if the start was answered before the last of them was requested, at
+ * shown_ms. Only lists of this leader count, which leads since led_since_ms.
+ */
+bool evd_may_be_of_successor(const struct jtb_run *run, int64_t led_since_ms,
+			     int64_t shown_ms)
+{
+	if (run->last_running_ms && run->last_running_ms >= led_since_ms)
+		return false;
+	switch (run->phase) {
+	case WKR_DROPPED:
+		return false;
+	case WKR_NEW:
+		return run->may_have_started;
+	case WKR_ACCEPTED:
+	case WKR_OVER:
+		return run->ordered_ms >= shown_ms;
+	default:
+		return true;
+	}
+}
+
 /*
  * Whether all leases of an unreachable worker have certainly expired, including
  * those that a previous leader may have granted.
--- a/src/evd.h
+++ b/src/evd.h
@@ -82,6 +82,8 @@
 		  const struct evd_moment *m, struct evd *out);
 bool evd_may_arrive(const struct jtb_run *run);
 bool evd_may_reach_successor(const struct jtb_run *run);
+bool evd_may_be_of_successor(const struct jtb_run *run, int64_t led_since_ms,
+			     int64_t shown_ms);
 bool evd_lease_over(const struct evd_worker *w, int64_t lease_ms,
 		    const struct evd_moment *m, struct evd *out);
 bool evd_vm_over(const struct evd_vm *vm, int64_t unreachable_since,
--- a/src/wkr.h
+++ b/src/wkr.h
@@ -182,6 +182,8 @@
 	uint64_t restarts; /* workers that started again under their ids */
 	/* lists of another lifetime than the worker's, or that name none */
 	uint64_t foreign_lists;
+	/* holds that left ends unacknowledged, as a restart was possible */
+	uint64_t acks_withheld;
 	uint64_t zones_silent; /* zones whose workers fell silent together */
 	uint64_t dropped; /* runs never sent that a silent worker gave back */
 	uint64_t expired; /* workers abandoned as their leases expired */
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -133,6 +133,9 @@
 	/* an order to an earlier lifetime may give the worker a lease until */
 	int64_t late_until;
 	bool superseded; /* it listed a later lifetime than it reported */
+	int64_t shown_ms; /* when the last list of its lifetime was requested */
+	bool lists_ends; /* that list had ends, which it keeps until told */
+	bool ack_withheld; /* the last hold didn't acknowledge them */
 };
 
 struct wkr {
@@ -184,6 +187,7 @@
 void wkr_begin_lifetime(struct wkr_session *s);
 void wkr_doubt_lifetime(struct wkr_session *s);
 bool wkr_may_have_restarted(const struct wkr_session *s);
+uint64_t wkr_ack_no(const struct wkr_session *s);
 bool wkr_is_lifetime(struct wkr_session *s, const struct wkr_report *r);
 bool wkr_awaits_late_order(const struct wkr_session *s, int64_t now);
 void wkr_next_route(struct wkr_session *s);
--- a/src/wkr_life.c
+++ b/src/wkr_life.c
@@ -140,6 +140,8 @@
 	wkr_session_cancel(s);
 	wkr_expect_late(s, s->late);
 	s->polled = false;
+	s->lists_ends = false;
+	s->ack_withheld = false;
 	/* its lease is counted from here, as no other may have been granted */
 	s->state = (struct evd_worker){.granted_at = now};
 	s->retry_ms = WKR_RETRY_MIN_MS;
@@ -187,11 +189,37 @@
 		s->doubted_ms = tmr_now(s->k->config.tmr);
 }
 
-/* Whether a worker may be in a later lifetime than it last showed. */
+/*
+ * Whether a worker may be in a later lifetime than it last showed. An answer to
+ * an order doesn't name the lifetime, so it disproves nothing that a list has
+ * shown.
+ */
 bool wkr_may_have_restarted(const struct wkr_session *s)
 {
-	return s->started_ms &&
-	       (s->state.failed_since || !s->polled || s->doubted_ms);
+	return s->started_ms && (s->state.failed_since || !s->polled ||
+				 s->doubted_ms || s->superseded);
+}
+
+/*
+ * Returns the end up to which the worker may forget its ends; 0: none. Ends are
+ * numbered anew in each lifetime and a hold names none, so that the number of
+ * one lifetime would make the next forget ends that nobody has read. A process
+ * has ends only of starts that it carried out: while the lifetime that lists
+ * show has carried out all starts, the next one has nothing to forget.
+ */
+uint64_t wkr_ack_no(const struct wkr_session *s)
+{
+	guint i;
+
+	if (!s->started_ms)
+		return s->w->last_end_no;
+	if (!s->lists_ends || wkr_may_have_restarted(s))
+		return 0;
+	for (i = 0; i < s->w->runs->len; i++)
+		if (evd_may_be_of_successor(g_ptr_array_index(s->w->runs, i),
+					    s->k->led_since, s->shown_ms))
+			return 0;
+	return s->w->last_end_no;
 }
 
 /*
@@ -201,10 +229,12 @@
  */
 bool wkr_is_lifetime(struct wkr_session *s, const struct wkr_report *r)
 {
-	if (!s->started_ms || r->started_ms == s->started_ms)
+	if (!s->started_ms || r->started_ms == s->started_ms) {
+		s->superseded = false;
 		return true;
+	}
 	s->k->stats.foreign_lists++;
-	s->superseded = r->started_ms > s->started_ms;
+	s->superseded |= r->started_ms > s->started_ms;
 	msg(MSG_WKR_FOREIGN,
 	    "worker=%s addr=%s started_ms=%" PRId64 " listed_ms=%" PRId64,
 	    s->w->info.id, s->w->info.addr, s->started_ms, r->started_ms);
--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -27,23 +27,28 @@
 	struct wkr_order o = {
 		.kind = WKR_HOLD,
 		.fence = s->k->fence,
-		.ack = s->w->last_end_no,
+		.ack = wkr_ack_no(s),
 	};
+	bool withheld = s->ack_withheld;
 
 	if (s->hold || s->await_end_no || !s->k->leading ||
 	    s->w->restart_proposed)
 		return;
-	if (wkr_may_have_restarted(s))
-		o.ack = 0;
+	s->ack_withheld = s->lists_ends && !o.ack;
+	if (s->ack_withheld)
+		s->k->stats.acks_withheld++;
 	tmr_cancel(s->k->config.tmr, s->hold_timer);
 	s->hold_timer = 0;
 	if (s->w->runs->len && !s->state.failed_since && !s->abandoned &&
 	    !s->doubted_ms && !s->stale->len && !s->superseded) {
 		o.until_ms = wkr_lease_end(s);
-		o.wait_ms = s->polled ? wkr_hold_wait_ms(s) : 0;
+		o.wait_ms =
+			s->polled && !s->ack_withheld ? wkr_hold_wait_ms(s) : 0;
 	}
 	s->hold = g_new0(struct wkr_call, 1);
 	wkr_send_call(s, s->hold, &o, o.wait_ms + WKR_HOLD_TIMEOUT_MS);
+	if (withheld && !s->ack_withheld)
+		wkr_schedule_orders(s, 0);
 }
 
 /* Returns how long the next hold may wait on the worker, ms. */
@@ -137,6 +142,8 @@
 	if (!r->partial)
 		wkr_process_missing(s, r, sent_ms);
 	s->polled = true;
+	s->shown_ms = sent_ms;
+	s->lists_ends = s->started_ms && r->ends->len;
 	if (sent_ms > s->doubted_ms)
 		s->doubted_ms = 0;
 	for (i = 0; i < r->ends->len; i++)
@@ -172,6 +179,9 @@
  */
 static int64_t wkr_hold_delay_ms(const struct wkr_session *s, int64_t took_ms)
 {
+	/* starts wait for this acknowledgement */
+	if (s->ack_withheld && wkr_ack_no(s))
+		return 0;
 	if (wkr_conns_scarce(s->k))
 		return WKR_POLL_INTERVAL_MS;
 	/*
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -5,6 +5,8 @@
  */
 
 static void wkr_on_orders_timer(void *arg, int64_t now);
+static bool wkr_may_start(const struct wkr_session *s,
+			  const struct jtb_run *run);
 static bool wkr_next_order(const struct jtb_run *run,
 			   enum wkr_order_kind *kind);
 static enum wkr_phase wkr_phase_before_order(const struct jtb_run *run,
@@ -33,13 +35,25 @@
 	for (i = 0; i < s->w->runs->len && s->calls->len < window; i++) {
 		struct jtb_run *run = g_ptr_array_index(s->w->runs, i);
 
-		/* a start brings a lease */
 		if (wkr_next_order(run, &kind) &&
-		    (kind != WKR_START || !s->doubted_ms))
+		    (kind != WKR_START || wkr_may_start(s, run)))
 			wkr_send_order(s, run, kind);
 	}
 }
 
+/*
+ * Whether a start may be sent now. A start brings a lease, which a worker in
+ * doubt must not get. A first start waits while ends couldn't be acknowledged:
+ * each would postpone the acknowledgement, and the ends would soon exceed what a
+ * list holds. A repeated one doesn't, as the acknowledgement waits for its
+ * answer.
+ */
+static bool wkr_may_start(const struct wkr_session *s,
+			  const struct jtb_run *run)
+{
+	return !s->doubted_ms && (!s->ack_withheld || run->may_have_started);
+}
+
 /*
  * Returns how many orders may be in flight to one worker. Each uses a
  * connection, and the hold uses one more: where connections are scarce, an idle
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -69,6 +69,9 @@
 	int64_t until_ms; /* lease of the last start */
 	int64_t hold_until_ms; /* lease of the last hold */
 	uint64_t ack; /* acknowledged end of the last hold */
+	uint64_t
+		ack_after_start; /* greatest of the holds since the last start */
+	uint64_t ack_before_start; /* that of the last hold before it */
 	int64_t wait_ms; /* time that the last hold may wait */
 	int lost;
 	enum evd_why why; /* evidence for the last run or worker that is over */
@@ -94,12 +97,16 @@
 
 	if (o->kind == WKR_START) {
 		the_fixture->until_ms = o->until_ms;
+		the_fixture->ack_before_start = the_fixture->ack;
+		the_fixture->ack_after_start = 0;
 		g_strlcpy(the_fixture->sent_ticket, o->ticket ? o->ticket : "",
 			  sizeof(the_fixture->sent_ticket));
 	}
 	if (o->kind == WKR_HOLD) {
 		the_fixture->hold_until_ms = o->until_ms;
 		the_fixture->ack = o->ack;
+		the_fixture->ack_after_start =
+			MAX(the_fixture->ack_after_start, o->ack);
 		the_fixture->wait_ms = o->wait_ms;
 	}
 	evbuffer_add_printf(body, "%d", (int)o->kind);
@@ -397,27 +404,33 @@
 	jtb_config_free(c);
 }
 
-static void fill_job_table(struct fixture *f, int port)
+/* Adds a job of one task. */
+static void put_job(struct fixture *f, const char *id)
 {
 	char queue[] = "q";
 	char text[] = "t";
 	char org[] = "org";
 	struct jtb_step step = {.count = 1, .cpu = 1000, .estimate_ms = 100};
-	struct jtb_spec spec = {.id = "j",
-				.queue = queue,
+	struct jtb_spec spec = {.queue = queue,
 				.text = text,
 				.org = org,
 				.steps = &step,
 				.n_steps = 1};
 	struct pk_out o;
 
-	put_config(f, 1, 0);
-	put_worker(f, port, false);
+	g_strlcpy(spec.id, id, sizeof(spec.id));
 	pk_out_init(&o);
 	jtb_put_job(&o, &spec, 1);
 	apply_command(f, &o);
 }
 
+static void fill_job_table(struct fixture *f, int port)
+{
+	put_config(f, 1, 0);
+	put_worker(f, port, false);
+	put_job(f, "j");
+}
+
 static int setup(void **state)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
@@ -467,11 +480,12 @@
 	return 0;
 }
 
-static void start_run(struct fixture *f)
+static void start_run_of(struct fixture *f, const char *id)
 {
-	struct jtb_name n = {.id = "j"};
+	struct jtb_name n = {0};
 	struct pk_out o;
 
+	g_strlcpy(n.id, id, sizeof(n.id));
 	pk_out_init(&o);
 	jtb_put_start(&o, &n, 1, "w");
 	apply_command(f, &o);
@@ -480,6 +494,11 @@
 	wkr_add_run(f->wkr, f->run);
 }
 
+static void start_run(struct fixture *f)
+{
+	start_run_of(f, "j");
+}
+
 /* Runs the event loop until a counter is above zero. */
 static void wait_for(struct fixture *f, const int *count)
 {
@@ -1214,6 +1233,94 @@
 	assert_int_equal(f->ack, 1);
 }
 
+/*
+ * Begins a lifetime of which four ends are applied and one is still listed, so
+ * that the next hold acknowledges the four.
+ */
+static void begin_lifetime_with_ends(struct fixture *f)
+{
+	struct jtb_name n = {.id = "before"};
+	struct pk_out o;
+
+	put_lifetime(f, 100, NULL);
+	pk_out_init(&o);
+	jtb_put_end(&o, "w", 4, &n, 1, JTB_DONE, lstr_n("", 0), 1);
+	apply_command(f, &o);
+	f->lists_end = true;
+	f->seen = 0;
+	wkr_poll(f->wkr, jtb_worker(f->jtb, "w"));
+	wait_for(f, &f->seen);
+}
+
+/*
+ * Guards against a done task that runs again: its worker started again under
+ * its id unnoticed, and the earlier lifetime's acknowledgement makes it forget
+ * the end.
+ */
+static void start_in_an_unknown_lifetime_stops_acknowledgements(void **state)
+{
+	struct fixture *f = *state;
+
+	begin_lifetime_with_ends(f);
+	f->started_ms = 200;
+	start_run(f);
+	wait_for(f, &f->starts);
+	net_run(f->base, SETTLE_MS);
+	assert_true(wkr_stats(f->wkr)->foreign_lists > 0);
+	assert_int_equal(f->ack_after_start, 0);
+}
+
+/*
+ * The same where a list has named the next lifetime, and then the late answer
+ * to a start shows the worker as reachable.
+ */
+static void late_answer_hides_no_next_lifetime(void **state)
+{
+	struct fixture *f = *state;
+	struct evhttp_request *req;
+
+	begin_lifetime_with_ends(f);
+	f->unanswered_starts = 1;
+	start_run(f);
+	wait_for(f, &f->starts);
+	f->started_ms = 200;
+	f->holds = 0;
+	wkr_poll(f->wkr, jtb_worker(f->jtb, "w"));
+	wait_for(f, &f->holds);
+	net_run(f->base, 50);
+	assert_true(wkr_stats(f->wkr)->foreign_lists > 0);
+	req = g_ptr_array_index(f->unanswered, 0);
+	evhttp_send_reply(req, 200, "OK", NULL);
+	f->holds = 0;
+	wait_for(f, &f->holds);
+	net_run(f->base, SETTLE_MS);
+	assert_int_equal(f->ack_after_start, 0);
+	assert_false(wkr_usable(f->wkr, jtb_worker(f->jtb, "w")));
+}
+
+/*
+ * Guards against a worker whose ends pile up beyond what a list holds, as there
+ * is always a start that no list has shown yet.
+ */
+static void starts_wait_for_an_acknowledgement(void **state)
+{
+	struct fixture *f = *state;
+
+	begin_lifetime_with_ends(f);
+	put_job(f, "k");
+	f->unreadable_starts = 1;
+	start_run(f);
+	wait_for(f, &f->starts);
+	f->holds = 0;
+	wkr_poll(f->wkr, jtb_worker(f->jtb, "w"));
+	wait_for(f, &f->holds);
+	assert_int_equal(f->ack_after_start, 0);
+	start_run_of(f, "k");
+	while (f->starts < 3)
+		net_run(f->base, 1);
+	assert_int_equal(f->ack_before_start, 4);
+}
+
 /*
  * Guards against a task that runs twice: a draining worker counted as over
  * though it could not be polled.
@@ -1641,6 +1748,9 @@
 		T(start_of_ended_run_is_stopped_in_next_lifetime),
 		T(start_is_stopped_as_a_removed_worker_returns),
 		T(list_of_another_lifetime_is_not_read),
+		T(start_in_an_unknown_lifetime_stops_acknowledgements),
+		T(late_answer_hides_no_next_lifetime),
+		T(starts_wait_for_an_acknowledgement),
 		T(start_never_sent_to_a_silent_worker_is_given_back),
 		T(idle_worker_of_a_silent_zone_gets_no_work),
 		T(zone_gets_work_again_though_those_asked_are_gone),
