flo: a move takes off the cores that a slow VM counts with

Cause: measured, a slow VM counts with its cores divided by its slowness; taken off for a move it counted with all. As many VMs left a pool in one tick, slow ones among them, the pool kept VMs and no cores.

Ruled out: weights (clamped above 0), VMs that are down, pinned or on the move (never chosen), rounding.

Change: flo_vm_cores says what a VM counts with; measurement, moves (giver and taker) and flo_is_spare ask it. flo_is_spare is the same cause on a related path: an upkeep was withheld though enough cores were left. Choice of the giver and switching off go by the mean of the pool as measured, and are safe.

Tests: flo_test slow_vms_take_off_the_cores_they_count_with, before: aborts with the assertion; slow_vm_spares_the_cores_it_counts_with, before: "flo_is_spare(f->flo, "vm0")" fails. Both pass after.

--- a/src/flo.c
+++ b/src/flo.c
@@ -166,7 +166,7 @@
 		return true;
 	w = jtb_worker(f->jtb, vm->worker);
 	return w && !w->runs->len && p->vms > flo_min_vms(p) &&
-	       p->cores - vm->cpu / 1000.0 >= p->load * FLO_SPARE_FACTOR;
+	       p->cores - flo_vm_cores(f, vm) >= p->load * FLO_SPARE_FACTOR;
 }
 
 /*
@@ -494,6 +494,7 @@
 				       enum flo_cause cause, int64_t now)
 {
 	struct flo_move *m = g_new0(struct flo_move, 1);
+	double cores = flo_vm_cores(f, vm);
 
 	m->vm = g_strdup(vm->name);
 	m->worker = g_strdup(vm->worker);
@@ -505,10 +506,10 @@
 	g_ptr_array_add(f->moves, m);
 	g_hash_table_insert(f->by_vm, m->vm, m);
 	g_array_set_size(from->candidates, from->candidates->len - 1);
-	from->cores -= vm->cpu / 1000.0;
+	from->cores -= cores;
 	from->vms--;
 	from->going++;
-	to->cores += vm->cpu / 1000.0;
+	to->cores += cores;
 	to->vms++;
 	to->coming++;
 	return m;
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -147,6 +147,7 @@
 struct flo_pool *flo_get_pool(struct flo *f, const char *name);
 void flo_update_rates(struct flo *f, int64_t now, int64_t wall);
 void flo_measure_pools(struct flo *f, int64_t now, int64_t wall);
+double flo_vm_cores(const struct flo *f, const struct vms_vm *vm);
 guint flo_min_vms(const struct flo_pool *p);
 double flo_min_cores(const struct flo_pool *p);
 void flo_rank_candidates(struct flo *f);
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -98,13 +98,25 @@
 		    f->ops->is_pinned(f->arg, vm->name))
 			continue;
 		p->vms++;
-		/* a slow VM does as much as fewer cores would */
-		p->cores += vm->cpu / 1000.0 / (w ? flo_slowness(w) : 1);
+		p->cores += flo_vm_cores(f, vm);
 		p->mem_mb += vm->mem_mb;
 		p->coming += vm->state == VMS_MOVING || (m && !m->finished);
 	}
 }
 
+/*
+ * Returns the cores that a VM counts with in its pool: a slow one does as much
+ * as fewer cores would. What a pool gains or loses with a VM is this as well.
+ * With all cores taken off for slow VMs, a pool that kept fast ones was left
+ * with none.
+ */
+double flo_vm_cores(const struct flo *f, const struct vms_vm *vm)
+{
+	const struct jtb_worker *w = jtb_worker(f->jtb, vm->worker);
+
+	return vm->cpu / 1000.0 / (w ? flo_slowness(w) : 1);
+}
+
 /* Returns how many times as long as elsewhere tasks take on a worker. */
 static double flo_slowness(const struct jtb_worker *w)
 {
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -1170,6 +1170,8 @@
 }
 
 #define RIVAL_VMS 18
+/* How many times as long as elsewhere tasks take on a slow VM. */
+#define SLOW_TIMES 8
 
 /* Submits work to "other" for more VMs than there are, all still in time. */
 static void submit_rival(struct fixture *f, const char *id)
@@ -1256,6 +1258,61 @@
 			   (RIVAL_VMS + 2) * 16, 0.1);
 }
 
+/* Gives "p" twelve idle VMs, of which the first are slow, and "other" two. */
+static void add_slow_holder(struct fixture *f, guint slow)
+{
+	char name[2][8];
+	uint64_t job;
+	guint i;
+
+	for (i = 0; i < 12; i++) {
+		g_snprintf(name[0], sizeof(name[0]), "vm%u", i);
+		g_snprintf(name[1], sizeof(name[1]), "w%u", i);
+		vm_add(f, name[0], "p", name[1]);
+		for (job = 0; i < slow && job < 3; job++)
+			slw_record(&jtb_worker(f->jtb, name[1])->speed, 1000,
+				   SLOW_TIMES * 1000, job, f->now);
+	}
+	vm_add(f, "o1", "other", "ow1");
+	vm_add(f, "o2", "other", "ow2");
+}
+
+/*
+ * Guards against a leader that aborts as slow VMs leave their pool: each counted
+ * with fewer cores than were taken off for it, until the pool had none.
+ */
+static void slow_vms_take_off_the_cores_they_count_with(void **state)
+{
+	struct fixture *f = *state;
+	const struct flo_pool *p;
+	const struct flo_pool *other;
+	double all = 7 * 16 + 5 * 16.0 / SLOW_TIMES + 2 * 16;
+
+	add_slow_holder(f, 5);
+	submit_rival(f, "rival");
+	tick(f);
+	p = flo_pool(f->flo, "p");
+	other = flo_pool(f->flo, "other");
+	assert_int_equal(p->vms + other->vms, 14);
+	assert_true(other->vms > 2);
+	assert_float_equal(p->cores, p->vms * 16, 0.001);
+	assert_float_equal(p->cores + other->cores, all, 0.001);
+}
+
+/* Guards against an upkeep for which a slow VM seems to leave too few cores. */
+static void slow_vm_spares_the_cores_it_counts_with(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_step steady = {
+		.count = 48, .cpu = 1000, .estimate_ms = 20000};
+
+	add_slow_holder(f, 8);
+	jobs_job(f->jtb, "steady", &steady, 1, JOBS_WALL_MS - 3000);
+	tick(f);
+	assert_int_equal(flo_count_moves(f->flo), 0);
+	assert_true(flo_is_spare(f->flo, "vm0"));
+}
+
 /* Guards against a division that changes moves where there are enough VMs. */
 static void enough_vms_move_as_before(void **state)
 {
@@ -1465,6 +1522,8 @@
 		T(load_ends_at_an_organisations_limit),
 		T(organisations_call_for_a_division),
 		T(late_holder_gives_vms_to_its_rival),
+		T(slow_vms_take_off_the_cores_they_count_with),
+		T(slow_vm_spares_the_cores_it_counts_with),
 		T(enough_vms_move_as_before),
 		T(vm_that_has_just_come_stays),
 		T(new_leader_divides_anew),
