flo: a pool whose VMs report no capacity is divided by the mean VM

What callers would see: the leader ends by the assertion in div_plan (vm_cores > 0) as soon as pools are divided, where the list of VMs gives all of one pool without a capacity.

Cause: the mean of such a pool is 0 cores, which the division can't count with; for a pool without VMs the mean of all is taken, for this one it wasn't.

Test: flo_test vms_without_capacity_are_divided, before: aborts with the assertion.

--- a/src/flo_divide.c
+++ b/src/flo_divide.c
@@ -16,6 +16,7 @@
 
 static const struct div_way *flo_way(const struct flo *f);
 static double flo_mean_vm_cores(const struct flo *f);
+static double flo_cores_each(const struct flo_pool *p, double vm_cores);
 static bool flo_is_scarce(const struct flo *f);
 static void flo_set_wanted(struct flo *f, double vm_cores);
 static GArray *flo_collect(struct flo *f, double vm_cores);
@@ -110,6 +111,15 @@
 	return all->len ? cores / all->len : 0;
 }
 
+/*
+ * Returns the cores of a pool's mean VM: that of all pools, vm_cores, where the
+ * pool has no VM or none that reports its capacity.
+ */
+static double flo_cores_each(const struct flo_pool *p, double vm_cores)
+{
+	return p->vms && p->cores > 0 ? p->cores / p->vms : vm_cores;
+}
+
 /* Whether the pools together need more cores than all usable VMs have. */
 static bool flo_is_scarce(const struct flo *f)
 {
@@ -135,7 +145,7 @@
 
 	for (i = 0; i < f->pools->len; i++) {
 		struct flo_pool *p = g_ptr_array_index(f->pools, i);
-		double each = p->vms ? p->cores / p->vms : vm_cores;
+		double each = flo_cores_each(p, vm_cores);
 
 		p->wanted = 0;
 		if (p->standby || each <= 0)
@@ -159,7 +169,7 @@
 			.movable = MIN(p->candidates->len, p->vms),
 			.keep = flo_min_vms(p),
 			.claim = MAX(p->floor, p->due ? 1 : 0),
-			.vm_cores = p->vms ? p->cores / p->vms : vm_cores,
+			.vm_cores = flo_cores_each(p, vm_cores),
 			.load = p->load,
 			.in_time = p->in_time,
 			.begun = p->begun,
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -100,6 +100,7 @@
 		struct vms_vm *copy = vm_new(vm->name, vm->pool, vm->worker);
 
 		copy->state = vm->state;
+		copy->cpu = vm->cpu;
 		g_ptr_array_add(list, copy);
 	}
 	f->now += STEP_MS;
@@ -1313,6 +1314,24 @@
 	assert_true(flo_is_spare(f->flo, "vm0"));
 }
 
+/*
+ * Guards against a leader that aborts as the VMs of a pool are listed without a
+ * capacity.
+ */
+static void vms_without_capacity_are_divided(void **state)
+{
+	struct fixture *f = *state;
+	guint i;
+
+	add_slow_holder(f, 0);
+	for (i = 0; i < 12; i++)
+		((struct vms_vm *)g_ptr_array_index(f->list, i))->cpu = 0;
+	submit_rival(f, "rival");
+	submit_burst(f);
+	tick(f);
+	assert_true(flo_division(f->flo)->scarce);
+}
+
 /* Guards against a division that changes moves where there are enough VMs. */
 static void enough_vms_move_as_before(void **state)
 {
@@ -1524,6 +1543,7 @@
 		T(late_holder_gives_vms_to_its_rival),
 		T(slow_vms_take_off_the_cores_they_count_with),
 		T(slow_vm_spares_the_cores_it_counts_with),
+		T(vms_without_capacity_are_divided),
 		T(enough_vms_move_as_before),
 		T(vm_that_has_just_come_stays),
 		T(new_leader_divides_anew),
