jtb: a start in the log is unconfirmed for a new leader

Cause: whether a worker took a start is known to the leader alone; a new one took each start in its log for taken.

Change: as a term begins, a job with a start is pending until a worker lists a run of it, answers the repeated start or has reported an end. An end as lost is not a worker's report.

--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -125,6 +125,7 @@
 	h->lead_since_ms = tmr_now(h->tmr);
 	h->counts[HUB_LEADS]++;
 	jtb_drop_proposals(h->jtb);
+	jtb_doubt_starts(h->jtb);
 	est_clear(h->est);
 	hub_forget_speeds(h);
 	crs_clear(h->crs);
@@ -143,7 +144,6 @@
 		if (jtb_job_ended(job))
 			hub_stop_job_runs(h, job);
 		job->first_start_ms = job->started ? HUB_START_UNKNOWN : 0;
-		job->start_unconfirmed = false;
 	}
 	msg(MSG_HUB_LEAD,
 	    "term=%" PRIu64 " config=%" PRIu64 " workers=%u live=%u", term,
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -192,6 +192,7 @@
 	struct quo_use *use; /* account of its organisation; or NULL */
 	GArray *suspects; /* struct jtb_suspect; NULL: there never was one */
 	bool started; /* the start of one of its tasks was committed */
+	bool begun; /* a worker has reported an end of one of its runs */
 	bool start_unconfirmed; /* leader's: and no worker confirmed one */
 	/* leader's, or NULL: of the job, then of each long-running task */
 	struct jtb_pending_reason *pending_reasons;
@@ -374,6 +375,7 @@
 struct jtb_step_state *jtb_step_state(const struct jtb_job *job, uint32_t turn,
 				      uint32_t step);
 void jtb_drop_proposals(struct jtb *t);
+void jtb_doubt_starts(struct jtb *t);
 bool jtb_run_is_stopping(const struct jtb_run *run);
 bool jtb_fits(const struct jtb_worker *w, const struct jtb_step *s);
 struct org_amount jtb_step_amount(const struct jtb_step *s);
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -35,6 +35,7 @@
 static void jtb_apply_late_end(struct jtb *t, const struct jtb_worker *w,
 			       const struct jtb_name *n, uint32_t attempt,
 			       enum jtb_end how, int64_t wall_ms);
+static void jtb_confirm_start(struct jtb_job *job);
 static void jtb_stop_newer_runs(struct jtb *t, struct jtb_job *job,
 				const struct jtb_name *n);
 static bool jtb_apply_worker(struct jtb *t, struct pk_in *in);
@@ -391,8 +392,10 @@
 	struct jtb_task *task = job ? jtb_task_at(job, n, false) : NULL;
 	const struct jtb_step *step = job ? &job->spec.steps[n->step] : NULL;
 
-	if (!task || task->done || !attempt || attempt > task->attempt ||
-	    (task->run && task->run->attempt == attempt))
+	if (!task || !attempt || attempt > task->attempt)
+		return;
+	jtb_confirm_start(job);
+	if (task->done || (task->run && task->run->attempt == attempt))
 		return;
 	if (step->flags & JTB_LONG_RUNNING ||
 	    (how != JTB_DONE && how != JTB_FAILED_RUN))
@@ -407,6 +410,13 @@
 	jtb_stop_newer_runs(t, job, n);
 }
 
+/* A worker has reported the end of a run of a job, so that it had begun. */
+static void jtb_confirm_start(struct jtb_job *job)
+{
+	job->begun = true;
+	job->start_unconfirmed = false;
+}
+
 /* Stops newer runs of a task that is done, and of its gang. */
 static void jtb_stop_newer_runs(struct jtb *t, struct jtb_job *job,
 				const struct jtb_name *n)
@@ -818,7 +828,8 @@
 	if (job->use && step->flags & JTB_BEST_EFFORT)
 		job->use->idle_cpu -= step->cpu;
 	g_free(run);
-	job->start_unconfirmed = job->start_unconfirmed && how == JTB_LOST;
+	if (how != JTB_LOST)
+		jtb_confirm_start(job);
 	jtb_count_failures(w, job, task, how);
 	if (how == JTB_DONE)
 		jtb_remove_suspect(job, n.step, n.index);
--- a/src/jtb_plan.c
+++ b/src/jtb_plan.c
@@ -95,6 +95,22 @@
 		jtb_each_proposal(job, jtb_drop_proposal, NULL);
 }
 
+/*
+ * Begins a term: which starts workers have accepted was known to the leader
+ * before, and is not in the log. A job counts as started again as soon as a
+ * worker lists a run of it or answers the repeated start.
+ */
+void jtb_doubt_starts(struct jtb *t)
+{
+	guint i;
+
+	for (i = 0; i < t->live->len; i++) {
+		struct jtb_job *job = g_ptr_array_index(t->live, i);
+
+		job->start_unconfirmed = job->started && !job->begun;
+	}
+}
+
 /* Clears the worker of all starts that are proposed on a removed worker. */
 void jtb_clear_proposals_on(struct jtb *t, const struct jtb_worker *w)
 {
--- a/src/jtb_snap.c
+++ b/src/jtb_snap.c
@@ -116,7 +116,7 @@
 {
 	uint32_t i;
 
-	pk_arr(o, 8);
+	pk_arr(o, 9);
 	jtb_pack_spec(o, &job->spec);
 	pk_u(o, job->state);
 	pk_u(o, job->seq);
@@ -127,6 +127,7 @@
 	for (i = 0; i < job->n_turns; i++)
 		jtb_pack_turn(o, job, &job->turns[i]);
 	jtb_pack_suspects(o, job->suspects);
+	pk_bool(o, job->begun);
 }
 
 /* Packs the crash records of a job's tasks; list may be NULL. */
@@ -297,6 +298,9 @@
 	/* data folders of versions without crash records end here */
 	if (ok && pk_in_left(&at))
 		ok = jtb_unpack_suspects(job, &at);
+	/* those of versions that kept no reported ends here */
+	if (ok && pk_in_left(&at))
+		job->begun = pk_get_bool(&at);
 	if (!jtb_job_ended(job) || job->n_runs)
 		g_ptr_array_add(t->live, job);
 	return ok && pk_in_ok(&at);
@@ -375,6 +379,7 @@
 	task->done = pk_get_bool(&at);
 	task->attempt = (uint32_t)pk_get_u(&at);
 	task->failures = (uint32_t)pk_get_u(&at);
+	job->begun |= task->done || task->failures;
 	checkpoint = pk_get_str(&at);
 	task->checkpoint = checkpoint.len ? lstr_dup(checkpoint) : NULL;
 	id = lstr_dup(pk_get_str(&at));
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -34,6 +34,65 @@
 	jobs_job(t, id, steps, 2, JOBS_WALL_MS);
 }
 
+/*
+ * Guards against a new leader that reports jobs as started though no worker has
+ * their tasks: of a start in the log it doesn't know whether one took it.
+ */
+static void start_is_unconfirmed_for_a_new_leader(void **state)
+{
+	static const struct {
+		enum jtb_end how;
+		uint32_t pending;
+	} cases[] = {
+		{JTB_LOST, 1},	  {JTB_DONE, 0},	  {JTB_FAILED_RUN, 0},
+		{JTB_STOPPED, 0}, {JTB_LEASE_EXPIRED, 0}, {JTB_GANG_BROKEN, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct jtb *t = jtb_new(NULL, NULL);
+		struct jtb *copy = jtb_new(NULL, NULL);
+		struct pk_out o;
+
+		jobs_config(t, 1, "p", 3);
+		jobs_worker(t, "w1", 16000, false);
+		two_steps(t, "a");
+		jobs_start(t, "a", 0, 0, 1, "w1");
+		jtb_doubt_starts(t);
+		assert_int_equal(jtb_count_pending(t, "q"), 1);
+		jobs_end(t, "a", 0, 0, 1, "w1", cases[i].how);
+		jtb_doubt_starts(t);
+		assert_int_equal(jtb_count_pending(t, "q"), cases[i].pending);
+		pk_out_init(&o);
+		jtb_snapshot(t, &o);
+		assert_true(jtb_restore(copy, pk_out_view(&o)));
+		jtb_doubt_starts(copy);
+		assert_int_equal(jtb_count_pending(copy, "q"),
+				 cases[i].pending);
+		pk_out_done(&o);
+		jtb_free(copy);
+		jtb_free(t);
+	}
+}
+
+/* Guards against a count that leaves out a run whose end is known late. */
+static void late_end_confirms_a_start(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb_name n = {.id = "a"};
+	struct pk_out o;
+
+	two_steps(t, "a");
+	jobs_start(t, "a", 0, 0, 1, "w1");
+	jobs_end(t, "a", 0, 0, 1, "w1", JTB_LOST);
+	jtb_doubt_starts(t);
+	assert_int_equal(jtb_count_pending(t, "q"), 1);
+	pk_out_init(&o);
+	jtb_put_end(&o, "w1", 7, &n, 1, JTB_LEASE_EXPIRED, lstr_n("", 0), 1);
+	jobs_apply(t, &o);
+	assert_int_equal(jtb_count_pending(t, "q"), 0);
+}
+
 static void job_runs_its_steps_in_order(void **state)
 {
 	struct jtb *t = *state;
@@ -1060,6 +1119,8 @@
 	const struct CMUnitTest tests[] = {
 		T(workers_by_pool_are_what_a_recount_gives),
 		T(job_runs_its_steps_in_order),
+		T(start_is_unconfirmed_for_a_new_leader),
+		T(late_end_confirms_a_start),
 		T(second_start_of_a_running_task_is_ignored),
 		T(attempt_numbers_are_not_reused),
 		T(task_of_a_cancelled_job_is_not_started),
