jtb: a gang has one checkpoint

Cause: a checkpoint was kept by the task whose end told it; a member whose worker is lost tells none.

Change: a gang's checkpoint is kept with its first task, and each member's start carries it. The newest one told counts.

Related paths, safe: ends told after their run was ended as lost (store none), a gang that is lost whole (all have none), a new leader (takes it from the table), turns of repeated jobs (each its own).

--- a/src/jtb.c
+++ b/src/jtb.c
@@ -309,6 +309,30 @@
 	return job->turns[turn].steps ? &job->turns[turn].steps[step] : NULL;
 }
 
+/* Returns the checkpoint that a run's start carries, or NULL. */
+const char *jtb_checkpoint(const struct jtb_run *run)
+{
+	struct jtb_name n;
+
+	jtb_name_of(run, &n);
+	return jtb_checkpoint_holder(run->job, &n)->checkpoint;
+}
+
+/*
+ * Returns the task that a task's checkpoint is kept with. The checkpoint of any
+ * member is valid for its gang, and all must start with the same one: kept by
+ * each for itself they would differ after a member was lost without a report.
+ */
+struct jtb_task *jtb_checkpoint_holder(const struct jtb_job *job,
+				       const struct jtb_name *n)
+{
+	struct jtb_name first = *n;
+
+	if (job->spec.steps[n->step].flags & JTB_GANG)
+		first.index = 0;
+	return jtb_task_at(job, &first, false);
+}
+
 /*
  * Whether a job ended more than retention_ms ago, by the leader's monotonic
  * clock. After a jump of the wall clock jobs would be forgotten too early, and
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -134,7 +134,8 @@
 
 struct jtb_task {
 	struct jtb_run *run; /* or NULL */
-	char *checkpoint; /* most recent usable checkpoint; or NULL */
+	/* most recent usable one, or NULL; a gang's is with its first task */
+	char *checkpoint;
 	uint32_t attempt; /* number of its most recent run */
 	uint32_t failures;
 	bool done;
@@ -372,6 +373,7 @@
 		  int64_t wall_ms);
 void jtb_propose_start(struct jtb_job *job, const struct jtb_name *n,
 		       struct jtb_worker *w);
+const char *jtb_checkpoint(const struct jtb_run *run);
 struct jtb_step_state *jtb_step_state(const struct jtb_job *job, uint32_t turn,
 				      uint32_t step);
 void jtb_drop_proposals(struct jtb *t);
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -369,8 +369,8 @@
 				   wall_ms);
 	if (!run)
 		return ok;
-	task = jtb_task_at(run->job, &n, false);
 	if (checkpoint.len) {
+		task = jtb_checkpoint_holder(run->job, &n);
 		g_free(task->checkpoint);
 		task->checkpoint = lstr_dup(checkpoint);
 	}
--- a/src/jtb_int.h
+++ b/src/jtb_int.h
@@ -66,6 +66,8 @@
 void jtb_add_removed(struct jtb *t, const char *id, int64_t started_ms);
 /* jtb */
 void jtb_clear(struct jtb *t);
+struct jtb_task *jtb_checkpoint_holder(const struct jtb_job *job,
+				       const struct jtb_name *n);
 struct jtb_task *jtb_task_at(const struct jtb_job *job,
 			     const struct jtb_name *n, bool make);
 struct jtb_suspect *jtb_add_suspect(struct jtb_job *job, uint32_t step,
--- a/src/jtb_snap.c
+++ b/src/jtb_snap.c
@@ -372,6 +372,7 @@
 {
 	struct pk_in at = pk_get_arr(in);
 	struct lstr checkpoint;
+	struct jtb_task *holder;
 	bool stopping;
 	char *id;
 	struct jtb_worker *w;
@@ -381,7 +382,10 @@
 	task->failures = (uint32_t)pk_get_u(&at);
 	job->begun |= task->done || task->failures;
 	checkpoint = pk_get_str(&at);
-	task->checkpoint = checkpoint.len ? lstr_dup(checkpoint) : NULL;
+	/* versions that kept one for each member of a gang had several */
+	holder = jtb_checkpoint_holder(job, n);
+	if (checkpoint.len && !holder->checkpoint)
+		holder->checkpoint = lstr_dup(checkpoint);
 	id = lstr_dup(pk_get_str(&at));
 	w = *id ? jtb_worker(t, id) : NULL;
 	g_free(id);
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -142,9 +142,6 @@
 	jtb_name_of(run, &n);
 	jtb_name_format(&n, task, sizeof(task));
 	if (kind == WKR_START) {
-		const struct jtb_step_state *part =
-			&run->job->turns[run->turn].steps[run->step];
-
 		/*
 		 * No start is sent to a worker that is draining or has shrunk
 		 * below its runs, nor without a required ticket: a new leader
@@ -166,7 +163,7 @@
 			o.ticket = NULL;
 		}
 		o.text = run->job->spec.text;
-		o.saved = part->tasks[run->index].checkpoint;
+		o.saved = jtb_checkpoint(run);
 		o.until_ms = wkr_lease_end(s);
 	}
 	c = g_new0(struct wkr_call, 1);
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -460,6 +460,44 @@
 	assert_int_equal(jtb_job(t, "g")->state, JTB_COMPLETED);
 }
 
+/*
+ * Guards against a gang whose members differ in their checkpoints after an
+ * upgrade: versions before kept one for each, and a lost member had none.
+ */
+static void gang_of_an_earlier_version_has_one_checkpoint(void **state)
+{
+	static const char *const values[][2] = {{"v", NULL}, {NULL, "v"}};
+	struct jtb_step s = {.count = 2, .cpu = 1, .flags = JTB_GANG};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(values); i++) {
+		struct jtb *t = jtb_new(NULL, NULL);
+		struct jtb *copy = jtb_new(NULL, NULL);
+		struct jtb_step_state *state_of;
+		struct pk_out o;
+		guint k;
+
+		jobs_config(t, 1, "p", 2);
+		jobs_worker(t, "w1", 16000, false);
+		jobs_job(t, "g", &s, 1, JOBS_WALL_MS);
+		jobs_start(t, "g", 0, 0, 1, "w1");
+		jobs_start(t, "g", 0, 1, 1, "w1");
+		state_of = jtb_step_state(jtb_job(t, "g"), 0, 0);
+		for (k = 0; k < 2; k++)
+			state_of->tasks[k].checkpoint = g_strdup(values[i][k]);
+		pk_out_init(&o);
+		jtb_snapshot(t, &o);
+		assert_true(jtb_restore(copy, pk_out_view(&o)));
+		state_of = jtb_step_state(jtb_job(copy, "g"), 0, 0);
+		for (k = 0; k < 2; k++)
+			assert_string_equal(
+				jtb_checkpoint(state_of->tasks[k].run), "v");
+		pk_out_done(&o);
+		jtb_free(copy);
+		jtb_free(t);
+	}
+}
+
 static void long_running_job_never_fails(void **state)
 {
 	struct jtb *t = *state;
@@ -1139,6 +1177,7 @@
 		T(queue_is_found_among_thousands),
 		T(start_in_the_old_pool_is_ignored),
 		T(one_done_task_completes_its_gang),
+		T(gang_of_an_earlier_version_has_one_checkpoint),
 		T(malformed_command_skips_only_itself),
 		T(long_running_job_never_fails),
 		T(only_ended_jobs_are_forgotten),
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -62,6 +62,7 @@
 	bool needs_ticket; /* starts need a ticket */
 	const char *ticket; /* NULL: there is none */
 	char sent_ticket[16]; /* ticket of the last start */
+	char saved[2][16]; /* checkpoint of the last start of each gang task */
 	/* starts still to be answered with an unreadable answer */
 	int unreadable_starts;
 	int refuse_tickets; /* starts still to be refused for their ticket */
@@ -97,6 +98,10 @@
 
 	if (o->kind == WKR_START) {
 		the_fixture->until_ms = o->until_ms;
+		if (g_str_has_prefix(o->task, "g.0.0."))
+			g_strlcpy(the_fixture->saved[o->task[6] - '0'],
+				  o->saved ? o->saved : "",
+				  sizeof(the_fixture->saved[0]));
 		the_fixture->ack_before_start = the_fixture->ack;
 		the_fixture->ack_after_start = 0;
 		g_strlcpy(the_fixture->sent_ticket, o->ticket ? o->ticket : "",
@@ -404,13 +409,11 @@
 	jtb_config_free(c);
 }
 
-/* Adds a job of one task. */
-static void put_job(struct fixture *f, const char *id)
+static void put_job_of(struct fixture *f, const char *id, struct jtb_step step)
 {
 	char queue[] = "q";
 	char text[] = "t";
 	char org[] = "org";
-	struct jtb_step step = {.count = 1, .cpu = 1000, .estimate_ms = 100};
 	struct jtb_spec spec = {.queue = queue,
 				.text = text,
 				.org = org,
@@ -424,6 +427,14 @@
 	apply_command(f, &o);
 }
 
+/* Adds a job of one task. */
+static void put_job(struct fixture *f, const char *id)
+{
+	put_job_of(
+		f, id,
+		(struct jtb_step){.count = 1, .cpu = 1000, .estimate_ms = 100});
+}
+
 static void fill_job_table(struct fixture *f, int port)
 {
 	put_config(f, 1, 0);
@@ -1233,6 +1244,69 @@
 	assert_int_equal(f->ack, 1);
 }
 
+/* Starts both members of the gang "g". */
+static void start_gang(struct fixture *f, uint32_t attempt)
+{
+	struct jtb_name n = {.id = "g"};
+	struct jtb_run *run;
+	struct pk_out o;
+
+	for (n.index = 0; n.index < 2; n.index++) {
+		pk_out_init(&o);
+		jtb_put_start(&o, &n, attempt, "w");
+		apply_command(f, &o);
+	}
+	for (n.index = 0; n.index < 2; n.index++) {
+		run = jtb_find_run(f->jtb, &n, attempt, "w");
+		assert_non_null(run);
+		wkr_add_run(f->wkr, run);
+	}
+}
+
+/* Applies the end of a member of the gang. */
+static void end_member(struct fixture *f, uint32_t index, uint32_t attempt,
+		       enum jtb_end how, const char *saved)
+{
+	struct jtb_name n = {.id = "g", .index = index};
+	struct pk_out o;
+
+	wkr_remove_run(f->wkr, jtb_find_run(f->jtb, &n, attempt, "w"));
+	pk_out_init(&o);
+	jtb_put_end(&o, "w", 0, &n, attempt, how, lstr_from(saved), 1);
+	apply_command(f, &o);
+}
+
+/*
+ * Guards against a gang that never works again: after a crash only the member
+ * that was left has a checkpoint, and members with different ones wait for each
+ * other in vain.
+ */
+static void members_of_a_gang_start_with_one_checkpoint(void **state)
+{
+	struct fixture *f = *state;
+	uint32_t left;
+
+	put_job_of(f, "g",
+		   (struct jtb_step){.count = 2,
+				     .cpu = 1000,
+				     .flags = JTB_GANG | JTB_CHECKPOINTS});
+	for (left = 0; left < 2; left++) {
+		const char *value = left ? "second" : "first";
+		uint32_t attempt = 2 * left + 1;
+
+		start_gang(f, attempt);
+		net_run(f->base, 50);
+		end_member(f, left, attempt, JTB_GANG_BROKEN, value);
+		end_member(f, 1 - left, attempt, JTB_LOST, "");
+		start_gang(f, attempt + 1);
+		net_run(f->base, 50);
+		assert_string_equal(f->saved[0], value);
+		assert_string_equal(f->saved[1], value);
+		end_member(f, 0, attempt + 1, JTB_GANG_INCOMPLETE, "");
+		end_member(f, 1, attempt + 1, JTB_LOST, "");
+	}
+}
+
 /*
  * Begins a lifetime of which four ends are applied and one is still listed, so
  * that the next hold acknowledges the four.
@@ -1747,6 +1821,7 @@
 		T(start_without_answer_is_stopped_in_next_lifetime),
 		T(start_of_ended_run_is_stopped_in_next_lifetime),
 		T(start_is_stopped_as_a_removed_worker_returns),
+		T(members_of_a_gang_start_with_one_checkpoint),
 		T(list_of_another_lifetime_is_not_read),
 		T(start_in_an_unknown_lifetime_stops_acknowledgements),
 		T(late_answer_hides_no_next_lifetime),
