wkr: a start isn't repeated for a gang that another member has left

What callers would see: a member of a gang that starts alone and waits for gang-wait-ms in vain, holding its capacity (GANG): its start got no answer, another member ended meanwhile, and the start was repeated, with the checkpoint told by that end.

Cause: a repeated start didn't ask whether its gang's run was still whole.

Change: such a start is withheld like one to a draining worker: a run that was never sent is over, any other is stopped. A member whose start is proposed and not yet in the table doesn't count as having left.

Test: wkr_test start_of_a_broken_gang_is_stopped, before: no stop is sent ("*count > 0").

--- a/src/jtb.c
+++ b/src/jtb.c
@@ -333,6 +333,27 @@
 	return jtb_task_at(job, &first, false);
 }
 
+/*
+ * Whether a run is of a gang of which another member has no run of the same
+ * attempt, nor will have one: it has ended, or its start was not valid any more.
+ */
+bool jtb_gang_has_left(const struct jtb_run *run)
+{
+	const struct jtb_step *step = &run->job->spec.steps[run->step];
+	const struct jtb_step_state *state =
+		jtb_step_state(run->job, run->turn, run->step);
+	uint32_t i;
+
+	for (i = 0; step->flags & JTB_GANG && i < step->count; i++) {
+		const struct jtb_task *task = &state->tasks[i];
+
+		if (!task->start_proposed &&
+		    (!task->run || task->run->attempt != run->attempt))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Whether a job ended more than retention_ms ago, by the leader's monotonic
  * clock. After a jump of the wall clock jobs would be forgotten too early, and
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -374,6 +374,7 @@
 void jtb_propose_start(struct jtb_job *job, const struct jtb_name *n,
 		       struct jtb_worker *w);
 const char *jtb_checkpoint(const struct jtb_run *run);
+bool jtb_gang_has_left(const struct jtb_run *run);
 struct jtb_step_state *jtb_step_state(const struct jtb_job *job, uint32_t turn,
 				      uint32_t step);
 void jtb_drop_proposals(struct jtb *t);
--- a/src/wkr_order.c
+++ b/src/wkr_order.c
@@ -146,14 +146,15 @@
 		 * No start is sent to a worker that is draining or has shrunk
 		 * below its runs, nor without a required ticket: a new leader
 		 * has no ticket, and one may expire meanwhile. Nor is one sent
-		 * for an organisation whose limit has fallen below its runs. A
-		 * run that was never sent is simply over; otherwise the worker
-		 * must be told to forget it.
+		 * for an organisation whose limit has fallen below its runs, nor
+		 * for a gang that another member has left, where it would wait
+		 * alone. A run that was never sent is simply over; otherwise the
+		 * worker must be told to forget it.
 		 */
-		bool withheld = !s->k->ops->ticket(s->k->arg, run, &o.ticket) ||
-				s->w->info.draining ||
-				jtb_is_overcommitted(s->w) ||
-				quo_is_over(run->job->use);
+		bool withheld =
+			!s->k->ops->ticket(s->k->arg, run, &o.ticket) ||
+			s->w->info.draining || jtb_is_overcommitted(s->w) ||
+			jtb_gang_has_left(run) || quo_is_over(run->job->use);
 
 		if (withheld && wkr_drop_unsent(s, run))
 			return;
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -1307,6 +1307,27 @@
 	}
 }
 
+/*
+ * Guards against a member that waits alone: its start is repeated after another
+ * member has ended, with that one's checkpoint.
+ */
+static void start_of_a_broken_gang_is_stopped(void **state)
+{
+	struct fixture *f = *state;
+
+	put_job_of(f, "g",
+		   (struct jtb_step){.count = 2,
+				     .cpu = 1000,
+				     .flags = JTB_GANG | JTB_CHECKPOINTS});
+	f->unanswered_starts = 1;
+	start_gang(f, 1);
+	while (f->starts < 2)
+		net_run(f->base, 1);
+	end_member(f, 1, 1, JTB_GANG_INCOMPLETE, "");
+	wait_for(f, &f->stops);
+	assert_int_equal(f->starts, 2);
+}
+
 /*
  * Begins a lifetime of which four ends are applied and one is still listed, so
  * that the next hold acknowledges the four.
@@ -1822,6 +1843,7 @@
 		T(start_of_ended_run_is_stopped_in_next_lifetime),
 		T(start_is_stopped_as_a_removed_worker_returns),
 		T(members_of_a_gang_start_with_one_checkpoint),
+		T(start_of_a_broken_gang_is_stopped),
 		T(list_of_another_lifetime_is_not_read),
 		T(start_in_an_unknown_lifetime_stops_acknowledgements),
 		T(late_answer_hides_no_next_lifetime),
