--- a/src/evd.c
+++ b/src/evd.c
@@ -148,10 +148,11 @@
 
 /*
  * Whether a start of a run may have been carried out in a later lifetime of its
- * worker than the one that lists show, so that its end would have a number of
- * that one. The lifetime has carried it out if one of its lists showed the run,
- * or if the start was answered before the last of them was requested, at
- * shown_ms. Only lists of this leader count, which leads since led_since_ms.
+ * worker than the lists show, so that the run's end would be numbered in that
+ * later lifetime. The listed lifetime has carried out the start if one of its
+ * lists showed the run, or if the start was answered before the last list was
+ * requested, at shown_ms. Only lists since led_since_ms count, when this
+ * replica became leader.
  */
 bool evd_may_be_of_successor(const struct jtb_run *run, int64_t led_since_ms,
 			     int64_t shown_ms)
--- a/src/flo_load.c
+++ b/src/flo_load.c
@@ -106,9 +106,8 @@
 
 /*
  * Returns the cores that a VM counts with in its pool: a slow one does as much
- * as fewer cores would. What a pool gains or loses with a VM is this as well.
- * With all cores taken off for slow VMs, a pool that kept fast ones was left
- * with none.
+ * as fewer cores would. A pool gains and loses the same cores with the VM: when
+ * all cores of slow VMs were taken off, a pool that kept fast VMs had none left.
  */
 double flo_vm_cores(const struct flo *f, const struct vms_vm *vm)
 {
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -410,7 +410,7 @@
 	jtb_stop_newer_runs(t, job, n);
 }
 
-/* A worker has reported the end of a run of a job, so that it had begun. */
+/* Records that a worker reported the end of a run: its job has begun. */
 static void jtb_confirm_start(struct jtb_job *job)
 {
 	job->begun = true;
--- a/src/wkr_int.h
+++ b/src/wkr_int.h
@@ -134,8 +134,8 @@
 	int64_t late_until;
 	bool superseded; /* it listed a later lifetime than it reported */
 	int64_t shown_ms; /* when the last list of its lifetime was requested */
-	bool lists_ends; /* that list had ends, which it keeps until told */
-	bool ack_withheld; /* the last hold didn't acknowledge them */
+	bool lists_ends; /* the last list had ends to acknowledge */
+	bool ack_withheld; /* the last hold left these unacknowledged */
 };
 
 struct wkr {
--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -179,7 +179,7 @@
  */
 static int64_t wkr_hold_delay_ms(const struct wkr_session *s, int64_t took_ms)
 {
-	/* starts wait for this acknowledgement */
+	/* first starts wait until the ends are acknowledged */
 	if (s->ack_withheld && wkr_ack_no(s))
 		return 0;
 	if (wkr_conns_scarce(s->k))
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -75,6 +75,52 @@
 	}
 }
 
+/*
+ * Guards against done and failed tasks that don't count as started, in data of
+ * versions that didn't keep which jobs have begun.
+ */
+static void earlier_data_shows_what_has_begun(void **state)
+{
+	static const struct {
+		enum jtb_end how;
+		uint32_t pending;
+	} cases[] = {{JTB_LOST, 1}, {JTB_DONE, 0}, {JTB_FAILED_RUN, 0}};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct jtb *t = jtb_new(NULL, NULL);
+		msgpack_object_array *job;
+		msgpack_unpacked u;
+		msgpack_packer p;
+		struct pk_out o;
+		struct pk_out old;
+
+		jobs_config(t, 1, "p", 3);
+		jobs_worker(t, "w1", 16000, false);
+		two_steps(t, "a");
+		jobs_start(t, "a", 0, 0, 1, "w1");
+		jobs_end(t, "a", 0, 0, 1, "w1", cases[i].how);
+		pk_out_init(&o);
+		pk_out_init(&old);
+		jtb_snapshot(t, &o);
+		msgpack_unpacked_init(&u);
+		assert_true(
+			msgpack_unpack_next(&u, o.buf.data, o.buf.size, NULL));
+		job = &u.data.via.array.ptr[5].via.array.ptr[0].via.array;
+		assert_int_equal(job->size, 9);
+		job->size = 8;
+		msgpack_packer_init(&p, &old.buf, msgpack_sbuffer_write);
+		msgpack_pack_object(&p, u.data);
+		assert_true(jtb_restore(t, pk_out_view(&old)));
+		jtb_doubt_starts(t);
+		assert_int_equal(jtb_count_pending(t, "q"), cases[i].pending);
+		msgpack_unpacked_destroy(&u);
+		pk_out_done(&o);
+		pk_out_done(&old);
+		jtb_free(t);
+	}
+}
+
 /* Guards against a count that leaves out a run whose end is known late. */
 static void late_end_confirms_a_start(void **state)
 {
@@ -1158,6 +1204,7 @@
 		T(workers_by_pool_are_what_a_recount_gives),
 		T(job_runs_its_steps_in_order),
 		T(start_is_unconfirmed_for_a_new_leader),
+		T(earlier_data_shows_what_has_begun),
 		T(late_end_confirms_a_start),
 		T(second_start_of_a_running_task_is_ignored),
 		T(attempt_numbers_are_not_reused),
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -70,9 +70,8 @@
 	int64_t until_ms; /* lease of the last start */
 	int64_t hold_until_ms; /* lease of the last hold */
 	uint64_t ack; /* acknowledged end of the last hold */
-	uint64_t
-		ack_after_start; /* greatest of the holds since the last start */
-	uint64_t ack_before_start; /* that of the last hold before it */
+	uint64_t ack_after_start; /* greatest ack since the last start */
+	uint64_t ack_before_start; /* ack of the last hold before that start */
 	int64_t wait_ms; /* time that the last hold may wait */
 	int lost;
 	enum evd_why why; /* evidence for the last run or worker that is over */
@@ -510,14 +509,20 @@
 	start_run_of(f, "j");
 }
 
-/* Runs the event loop until a counter is above zero. */
-static void wait_for(struct fixture *f, const int *count)
+/* Runs the event loop until a counter has reached a value. */
+static void wait_until(struct fixture *f, const int *count, int value)
 {
 	int i;
 
-	for (i = 0; i < WAIT_MS && !*count; i++)
+	for (i = 0; i < WAIT_MS && *count < value; i++)
 		net_run(f->base, 1);
-	assert_true(*count > 0);
+	assert_true(*count >= value);
+}
+
+/* Runs the event loop until a counter is above zero. */
+static void wait_for(struct fixture *f, const int *count)
+{
+	wait_until(f, count, 1);
 }
 
 /*
@@ -1321,8 +1326,7 @@
 				     .flags = JTB_GANG | JTB_CHECKPOINTS});
 	f->unanswered_starts = 1;
 	start_gang(f, 1);
-	while (f->starts < 2)
-		net_run(f->base, 1);
+	wait_until(f, &f->starts, 2);
 	end_member(f, 1, 1, JTB_GANG_INCOMPLETE, "");
 	wait_for(f, &f->stops);
 	assert_int_equal(f->starts, 2);
@@ -1393,6 +1397,31 @@
 	assert_false(wkr_usable(f->wkr, jtb_worker(f->jtb, "w")));
 }
 
+/*
+ * The same for an idle worker, and where a list of an older lifetime comes
+ * behind that of the next one.
+ */
+static void older_list_hides_no_next_lifetime(void **state)
+{
+	static const int64_t lists[] = {200, 50};
+	struct fixture *f = *state;
+	struct wkr_session *s = g_ptr_array_index(f->wkr->sessions, 0);
+	size_t i;
+
+	begin_lifetime_with_ends(f);
+	for (i = 0; i < G_N_ELEMENTS(lists); i++) {
+		f->started_ms = lists[i];
+		f->holds = 0;
+		wait_for(f, &f->holds);
+		net_run(f->base, 50);
+	}
+	assert_true(wkr_stats(f->wkr)->foreign_lists > 1);
+	wkr_mark_reachable(s, 0);
+	f->ack = 9;
+	wkr_poll(f->wkr, s->w);
+	assert_int_equal(f->ack, 0);
+}
+
 /*
  * Guards against a worker whose ends pile up beyond what a list holds, as there
  * is always a start that no list has shown yet.
@@ -1411,8 +1440,7 @@
 	wait_for(f, &f->holds);
 	assert_int_equal(f->ack_after_start, 0);
 	start_run_of(f, "k");
-	while (f->starts < 3)
-		net_run(f->base, 1);
+	wait_until(f, &f->starts, 3);
 	assert_int_equal(f->ack_before_start, 4);
 }
 
@@ -1847,6 +1875,7 @@
 		T(list_of_another_lifetime_is_not_read),
 		T(start_in_an_unknown_lifetime_stops_acknowledgements),
 		T(late_answer_hides_no_next_lifetime),
+		T(older_list_hides_no_next_lifetime),
 		T(starts_wait_for_an_acknowledgement),
 		T(start_never_sent_to_a_silent_worker_is_given_back),
 		T(idle_worker_of_a_silent_zone_gets_no_work),
