Tests: crowds of clients that don't behave, against real daemons

Callers' crowds ended a process for want of memory. These tests start the daemons, with memory-mb = 64 and 350 descriptors, let a crowd settle and stay open, and check the process, its peak memory with what waits unread, its descriptors, and ordinary requests (a job taken in and done among them) beside the crowd and after it. The bound is the setting memory-mb itself. Crowds: chunks of one byte, with extensions, of 32 KiB; bodies that lack a byte, whole or a byte a packet; heads and trailers that don't end; requests sent ahead, with and without the usual headers; halves of frames on the wire.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 # What a platform runs; see deploy/system.toml.
 daemons: $(B)/bin/endive-gated $(B)/bin/endive-schedd
 
-build-tests: $(TESTS) $(SAN_PROGS) $(PROGS)
+build-tests: $(TESTS) $(SAN_PROGS) $(PROGS) $(B)/tests/crowd
 
 demo: deps
 	$(MAKE) all
@@ -147,6 +147,11 @@
 	@echo "  $(notdir $@)"
 	@$(CC) $(CFLAGS) $(SAN) -o $@ $^ $(LIBS) -lcmocka
 
+$(B)/tests/crowd: $(B)/obj/tests/system/crowd.o $(LIB)
+	@mkdir -p $(@D)
+	@echo "  $(notdir $@)"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 $(FUZZ:%=$(B)/san/tests/%): $(B)/san/tests/%: $(B)/san/obj/tests/fuzz/%.o $(SAN_LIB)
 	@mkdir -p $(@D)
 	@echo "  $(notdir $@)"
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -21,6 +21,7 @@
 export CARRY_PORT="${CARRY_PORT:-$((ports + 500))}"
 export DESCRIPTORS_PORT="${DESCRIPTORS_PORT:-$((ports + 950))}"
 export ORDERS_PORT="${ORDERS_PORT:-$((ports + 450))}"
+export CROWD_PORT="${CROWD_PORT:-$((ports + 700))}"
 out=build/test-out
 rm -rf "$out"
 mkdir -p "$out"
--- a/tests/system/fleet.sh
+++ b/tests/system/fleet.sh
@@ -84,12 +84,13 @@
 
 # Entry daemons 1 and 2 are in the first zone, 3 and 4 in the second, ...
 start_entry() {
+	# shellcheck disable=SC2086
 	start "entry$1" "$BIN/endive-entryd" --node "e$1" \
 		--zone "$(zone_of $((($1 + 1) / 2)))" \
 		--listen "$(entry_addr "$1")" --admin "$(admin_addr "$1")" \
 		--wire "$(wire_addr "$1")" --voters "$(list voter_addr 1 2 3)" \
 		--peers "$(list wire_addr 1 2 3 4 5 6)" --keys "$tmp/keys" \
-		--drain-ms "${DRAIN_MS:-1000}" --log-level "$LOG"
+		--drain-ms "${DRAIN_MS:-1000}" --log-level "$LOG" ${2:-}
 }
 
 # start_target NAME SERVICE ZONE-NUMBER VM N: starts a target that announces
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -73,6 +73,7 @@
 	log-level = info
 	[bounds]
 	carry-from = ${jobs_carry_from:-150}
+	${jobs_control_bounds:-}
 	EOF
 	jobs_run "c$1" "$BIN/endive-schedd" --settings "$tmp/c$1.conf"
 }
@@ -90,6 +91,8 @@
 	seeds = $seeds
 	open-network = true
 	log-level = info
+	[bounds]
+	${jobs_entry_bounds:-}
 	EOF
 	jobs_run "e$1" "$BIN/endive-gated" --settings "$tmp/e$1.conf"
 }
