hfd: fields after the last chunk are dropped

What callers saw: one chunked request with a trailer ended endive-entryd with a segmentation fault, and with it every request that it carried. endless trailers were read on without a limit.

Cause: libevhtp reports a field after the last chunk among the request's headers with a NULL value, and calls the request with it. ups_send passed it to evhttp_add_header (trace under AddressSanitizer: strpbrk of NULL, ups.c).

Change: the filter in front of libevhtp checks and drops these fields, which RFC 9110 (6.5.1) allows, and passes on the empty line that ends the request. More than 8 KiB of them are answered 431 and closed. No caller needs them: nothing here reads a trailer.

It concerns every HTTP listener, as all go through this filter.

--- a/src/hfd.c
+++ b/src/hfd.c
@@ -10,6 +10,8 @@
 #define HFD_HEAD_MAX (24u << 10)
 /* Longest line in a chunked body (chunk size, extension, trailer), bytes. */
 #define HFD_LINE_MAX 256
+/* Bytes of all fields after the last chunk of a body. */
+#define HFD_TRAILERS_MAX (8u << 10)
 /* Most hex digits of a chunk size, enough for any body that is allowed. */
 #define HFD_CHUNK_SIZE_DIGITS 15
 
@@ -137,22 +139,30 @@
 	return HFD_PASS;
 }
 
-/* Passes on a line after the last chunk; an empty one ends the request. */
+/*
+ * Drops the fields after the last chunk and passes on the empty line that ends
+ * the request. libevhtp reports such a field as a header without a value, which
+ * ended a process that read it.
+ */
 static enum hfd_verdict hfd_pass_trailer(struct hfd *h, struct evbuffer *from,
 					 struct evbuffer *to)
 {
 	enum hfd_verdict verdict;
 	size_t len;
-	char *line = hfd_read_line(from, &len, &verdict);
+	char *line;
 
-	if (!line)
-		return verdict;
-	evbuffer_add(to, line, len);
-	evbuffer_add(to, "\r\n", 2);
-	g_free(line);
-	if (len == 0)
+	while ((line = hfd_read_line(from, &len, &verdict))) {
+		g_free(line);
+		h->trailer_bytes += len + 2;
+		if (h->trailer_bytes > HFD_TRAILERS_MAX)
+			return HFD_HEAD_TOO_LARGE;
+		if (len)
+			continue;
+		evbuffer_add(to, "\r\n", 2);
 		h->state = HFD_COMPLETE;
-	return HFD_PASS;
+		return HFD_PASS;
+	}
+	return verdict;
 }
 
 /* Passes nothing on: the request is complete, or the connection is closed. */
@@ -203,6 +213,7 @@
 		is_request_line = false;
 	}
 	h->remaining = f.length;
+	h->trailer_bytes = 0;
 	if (f.bad)
 		h->state = HFD_CLOSED;
 	else if (f.chunked)
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -34,7 +34,14 @@
 {
 	struct srv_req_info info = srv_info(r);
 	struct evbuffer *body = evbuffer_new();
+	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct ups_header));
+	guint i;
 
+	srv_headers(r, headers);
+	for (i = 0; i < headers->len; i++)
+		assert_non_null(
+			g_array_index(headers, struct ups_header, i).value);
+	g_array_free(headers, TRUE);
 	evbuffer_add_printf(body, "<%s %s ", info.method, info.uri);
 	evbuffer_add_buffer(body, srv_body(r));
 	evbuffer_add(body, ">", 1);
@@ -204,6 +211,41 @@
 	g_free(got);
 }
 
+/* Guards against a daemon that ends at a field after the last chunk. */
+static void drops_trailers(void **state)
+{
+	struct fixture *f = *state;
+	bool closed;
+	char *got = send_request(f,
+				 "POST /a HTTP/1.1\r\nHost: x\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n"
+				 "2\r\nab\r\n0\r\nExpires: 0\r\nb:c\r\n\r\n",
+				 ">", &closed);
+
+	assert_non_null(strstr(got, "<POST /a ab>"));
+	g_free(got);
+}
+
+/* Guards against memory taken by trailers that don't end. */
+static void refuses_endless_trailers(void **state)
+{
+	struct fixture *f = *state;
+	GString *bytes = g_string_new("POST /a HTTP/1.1\r\nHost: x\r\n"
+				      "Transfer-Encoding: chunked\r\n\r\n"
+				      "0\r\n");
+	bool closed;
+	char *got;
+	int i;
+
+	for (i = 0; i < 3000; i++)
+		g_string_append(bytes, "a:b\r\n");
+	got = send_request(f, bytes->str, "large", &closed);
+	assert_non_null(strstr(got, "HTTP/1.1 431"));
+	assert_int_equal(f->requests, 0);
+	g_free(got);
+	g_string_free(bytes, TRUE);
+}
+
 /*
  * Guards against request smuggling: two parsers could end such a request at
  * different places and take the bytes after it for another request. It gets a
@@ -567,6 +609,10 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(joins_chunked_body, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(drops_trailers, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(refuses_endless_trailers, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(refuses_ambiguous_framing,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(refuses_oversized_requests,
