srv: bytes that arrive beside an answer wait for their turn

What callers saw: of requests sent ahead in one burst of more than about 4 KiB one or two were answered, then the connection was reset. libevhtp logged "ODDITY, resuming when not paused".

Cause: the bufferevents of libevhtp defer their read callback. Bytes could stand in the input buffer that srv_on_read had not moved away yet when the timer passed the next request on; libevhtp then parsed the later bytes before the earlier ones, unfiltered, and failed. Shown by a trace: the third read of 4,096 bytes was still in the input when srv_feed ran ("in=4096 unparsed=8152", then a parser's error with 4,135 bytes, 39 of them the request passed on).

Change: srv_feed first takes what has arrived, whoever calls it.

The reset also hid how much requests sent ahead can make a process hold.

Evidence: srv_test's answers_every_request_sent_ahead (1,001 requests in one write) fails without the change and passes with it.

--- a/src/srv.c
+++ b/src/srv.c
@@ -91,6 +91,7 @@
 static void srv_conn_unset_idle(struct srv_conn *c);
 static void srv_refuse_over_limit(struct srv_req *r);
 static void srv_on_read(struct bufferevent *bev, void *arg);
+static void srv_take_input(struct srv_conn *c);
 static void srv_feed(struct srv_conn *c);
 static void srv_feed_timer(void *arg, int64_t now);
 static evhtp_res srv_on_headers_start(evhtp_request_t *ev, void *arg);
@@ -475,19 +476,30 @@
 	const evhtp_connection_t *ev = arg;
 	struct srv_conn *c = ev->hooks->on_connection_fini_arg;
 
-	evbuffer_add_buffer(c->unparsed, bufferevent_get_input(bev));
+	srv_take_input(c);
 	if (c->in_idle_queue)
 		srv_conn_set_idle(c);
 	srv_feed(c);
 }
 
-/* Passes received bytes to libevhtp as far as they are complete and valid. */
+/* Moves received bytes out of libevhtp's reach until they are checked. */
+static void srv_take_input(struct srv_conn *c)
+{
+	evbuffer_add_buffer(c->unparsed, bufferevent_get_input(c->ev->bev));
+}
+
+/*
+ * Passes received bytes to libevhtp as far as they are complete and valid. Its
+ * read callbacks are deferred: bytes may have arrived that srv_on_read has not
+ * seen yet, and libevhtp would parse them before those passed on here.
+ */
 static void srv_feed(struct srv_conn *c)
 {
 	struct srv *s = c->s;
 	struct bufferevent *bev = c->ev->bev;
 	enum hfd_verdict v = HFD_PASS;
 
+	srv_take_input(c);
 	while (v == HFD_PASS) {
 		struct evbuffer *in = bufferevent_get_input(bev);
 
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -386,6 +386,33 @@
 	close(fd);
 }
 
+/*
+ * Guards against a connection reset amid requests sent ahead: bytes that arrived
+ * while an answer was written overtook those before them.
+ */
+static void answers_every_request_sent_ahead(void **state)
+{
+	static const char request[] = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct fixture *f = *state;
+	GString *bytes = g_string_new(NULL);
+	int fd = net_dial(f->port);
+	bool closed;
+	GString *got;
+	int i;
+
+	for (i = 0; i < 1000; i++)
+		g_string_append(bytes, request);
+	g_string_append(bytes, "GET /last HTTP/1.1\r\nHost: x\r\n\r\n");
+	net_send(fd, bytes->str, (gssize)bytes->len);
+	got = net_read(f->base, fd, "<GET /last >", READ_MS, &closed);
+	assert_false(closed);
+	assert_non_null(strstr(got->str, "<GET /last >"));
+	assert_int_equal(f->requests, 1001);
+	g_string_free(got, TRUE);
+	g_string_free(bytes, TRUE);
+	close(fd);
+}
+
 static void head_has_no_body(void **state)
 {
 	struct fixture *f = *state;
@@ -619,6 +646,8 @@
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			pipelined_requests_keep_their_order, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			answers_every_request_sent_ahead, setup, teardown),
 		cmocka_unit_test_setup_teardown(head_has_no_body, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(
