srv: a byte that a client sends takes a byte, not a block

What callers saw: an entry daemon ended for want of memory while a crowd sent chunked bodies in chunks of one byte; a byte on the wire cost 150 to 175 bytes of memory. Bodies and heads that came a byte a packet cost a kilobyte a byte.

Cause: evbuffer_add_buffer hands over the source's block of memory, 1,024 bytes at least, whole. libevhtp added each chunk of a body so, and srv each packet that arrived.

Change: bytes are copied to the end of what is there. Bodies are collected in libevhtp's read hook, so that it has nothing left to add.

Evidence: srv_test's joins_chunks_in_one_block fails without the change (200 blocks for 200 chunks) and passes with it. It concerns every HTTP listener of every daemon, as all are a struct srv.

--- a/src/srv.c
+++ b/src/srv.c
@@ -92,6 +92,9 @@
 static void srv_refuse_over_limit(struct srv_req *r);
 static void srv_on_read(struct bufferevent *bev, void *arg);
 static void srv_take_input(struct srv_conn *c);
+static void srv_append(struct evbuffer *to, struct evbuffer *from);
+static evhtp_res srv_on_body(evhtp_request_t *ev, struct evbuffer *part,
+			     void *arg);
 static void srv_feed(struct srv_conn *c);
 static void srv_feed_timer(void *arg, int64_t now);
 static evhtp_res srv_on_headers_start(evhtp_request_t *ev, void *arg);
@@ -393,6 +396,8 @@
 				  (evhtp_hook)srv_on_header, c);
 	evhtp_connection_set_hook(ev, evhtp_hook_on_headers,
 				  (evhtp_hook)srv_on_headers, c);
+	evhtp_connection_set_hook(ev, evhtp_hook_on_read,
+				  (evhtp_hook)srv_on_body, c);
 	evhtp_connection_set_hook(ev, evhtp_hook_on_connection_fini,
 				  (evhtp_hook)srv_on_conn_end, c);
 	evhtp_connection_set_hook(ev, evhtp_hook_on_request_fini,
@@ -485,7 +490,28 @@
 /* Moves received bytes out of libevhtp's reach until they are checked. */
 static void srv_take_input(struct srv_conn *c)
 {
-	evbuffer_add_buffer(c->unparsed, bufferevent_get_input(c->ev->bev));
+	srv_append(c->unparsed, bufferevent_get_input(c->ev->bev));
+}
+
+/*
+ * Moves all bytes of a buffer to the end of another. evbuffer_add_buffer would
+ * hand over whole blocks, and a packet or chunk of one byte would then take a
+ * kilobyte for as long as its request is held.
+ */
+static void srv_append(struct evbuffer *to, struct evbuffer *from)
+{
+	size_t len = evbuffer_get_length(from);
+
+	evbuffer_add(to, evbuffer_pullup(from, -1), len);
+	evbuffer_drain(from, len);
+}
+
+/* Collects a part of a body itself, so that libevhtp has nothing to add. */
+static evhtp_res srv_on_body(evhtp_request_t *ev, struct evbuffer *part,
+			     void *arg)
+{
+	srv_append(ev->buffer_in, part);
+	return EVHTP_RES_OK;
 }
 
 /*
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -26,6 +26,7 @@
 	struct srv_req *held_request;
 	bool hold_requests;
 	int requests;
+	int body_blocks; /* blocks of memory that the last body was in */
 	int disconnects;
 	int port;
 };
@@ -54,6 +55,7 @@
 	struct fixture *f = arg;
 
 	f->requests++;
+	f->body_blocks = evbuffer_peek(srv_body(r), -1, NULL, NULL, 0);
 	if (f->hold_requests)
 		f->held_request = r;
 	else
@@ -211,6 +213,29 @@
 	g_free(got);
 }
 
+/*
+ * Guards against a body that takes a block of memory for each of its chunks, a
+ * kilobyte for a byte.
+ */
+static void joins_chunks_in_one_block(void **state)
+{
+	struct fixture *f = *state;
+	GString *bytes = g_string_new("POST /a HTTP/1.1\r\nHost: x\r\n"
+				      "Transfer-Encoding: chunked\r\n\r\n");
+	bool closed;
+	char *got;
+	int i;
+
+	for (i = 0; i < 200; i++)
+		g_string_append(bytes, "1\r\nx\r\n");
+	g_string_append(bytes, "0\r\n\r\n");
+	got = send_request(f, bytes->str, ">", &closed);
+	assert_int_equal(f->requests, 1);
+	assert_int_equal(f->body_blocks, 1);
+	g_free(got);
+	g_string_free(bytes, TRUE);
+}
+
 /* Guards against a daemon that ends at a field after the last chunk. */
 static void drops_trailers(void **state)
 {
@@ -636,6 +661,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(joins_chunked_body, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(joins_chunks_in_one_block,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(drops_trailers, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(refuses_endless_trailers, setup,
