hfd: chunk extensions are left out

What callers saw: a chunked request with an extension at any chunk had its connection closed without an answer. RFC 9112 (7.1.1) asks that unknown extensions be ignored; the filter let them through, libevhtp takes them for an error.

Change: the filter passes on the size alone.

Evidence: srv_test's joins_chunked_body, with extensions at a chunk and at the last one, fails without the change and passes with it.

--- a/src/hfd.c
+++ b/src/hfd.c
@@ -116,7 +116,10 @@
 	return HFD_PASS;
 }
 
-/* Passes on the line with the size of a chunk. */
+/*
+ * Passes on the size of a chunk without its extensions, which libevhtp takes
+ * for an error (RFC 9112 requires to ignore them).
+ */
 static enum hfd_verdict
 hfd_pass_chunk_size(struct hfd *h, struct evbuffer *from, struct evbuffer *to)
 {
@@ -124,16 +127,15 @@
 	uint64_t size;
 	size_t len;
 	char *line = hfd_read_line(from, &len, &verdict);
+	bool valid;
 
 	if (!line)
 		return verdict;
-	if (!hfd_parse_chunk_size(line, len, &size)) {
-		g_free(line);
-		return HFD_MALFORMED;
-	}
-	evbuffer_add(to, line, len);
-	evbuffer_add(to, "\r\n", 2);
+	valid = hfd_parse_chunk_size(line, len, &size);
 	g_free(line);
+	if (!valid)
+		return HFD_MALFORMED;
+	evbuffer_add_printf(to, "%" G_GINT64_MODIFIER "x\r\n", size);
 	h->state = size ? HFD_CHUNK_DATA : HFD_TRAILER;
 	h->remaining = size + 2;
 	return HFD_PASS;
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -206,7 +206,7 @@
 	char *got = send_request(f,
 				 "POST /a HTTP/1.1\r\nHost: x\r\n"
 				 "Transfer-Encoding: chunked\r\n\r\n"
-				 "2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n",
+				 "2\r\nab\r\n3;a=b\r\ncde\r\n0;c\r\n\r\n",
 				 ">", &closed);
 
 	assert_non_null(strstr(got, "<POST /a abcde>"));
