srv: requests that never end give their connections back

What callers saw: 15 clients that began a request at the readiness or metrics address and sent no end kept everybody else out; each further request got 503 or no answer. A byte every few seconds keeps such a connection for good.

Cause: at the limit of connections only idle ones were closed for others, and at the limit itself a new one was closed before any other was looked at.

The look comes before the limit. Nothing is closed while there is room.

It concerns all HTTP listeners of all daemons.

--- a/src/srv.c
+++ b/src/srv.c
@@ -312,12 +312,12 @@
 	bufferevent_event_cb event;
 	void *cb_arg;
 
+	if ((int)g_hash_table_size(s->conns) >= srv_served_max(s))
+		srv_evict(s);
 	if ((int)g_hash_table_size(s->conns) >= s->config.max_conns) {
 		s->stats.crowded++;
 		return EVHTP_RES_ERROR;
 	}
-	if ((int)g_hash_table_size(s->conns) >= srv_served_max(s))
-		srv_evict(s);
 	c = g_new0(struct srv_conn, 1);
 	c->s = s;
 	c->ev = ev;
--- a/src/srv_room.c
+++ b/src/srv_room.c
@@ -36,6 +36,8 @@
  */
 static const int64_t srv_evict_after_ms[SRV_STATES] = {
 	[SRV_IDLE] = 500,
+	/* a head takes at most as long from clients that behave */
+	[SRV_BUSY] = 3000,
 };
 
 static void srv_room_enter(struct srv_conn *c, enum srv_state state);
@@ -131,8 +133,9 @@
 }
 
 /*
- * Closes the connection that has been idle longest. Callers that keep their
- * connections open between requests would otherwise exclude others permanently.
+ * Closes the connection that has been idle longest, or else the one whose
+ * request has been arriving, or its answer been left unread, for longest.
+ * Clients that keep connections would otherwise exclude others permanently.
  */
 void srv_evict(struct srv *s)
 {
--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -722,6 +722,39 @@
 	assert_int_equal(mbd_stats(f->memory).held, 0);
 }
 
+/*
+ * Guards against a server whose connections are all taken by requests that
+ * never end: the one that has been arriving for longest gives way.
+ */
+static void evicts_unfinished_request(void **state)
+{
+	struct fixture *f = *state;
+	int fds[MAX_CONNS - 1];
+	bool closed;
+	size_t i;
+	char *got;
+
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = net_dial(f->port);
+		net_send(fds[i], "GET /a HTTP/1.1\r\n", -1);
+		net_run(f->base, 2);
+	}
+	/* a byte now and then keeps them from being dropped as slow */
+	for (i = 0; i < 16; i++) {
+		size_t j;
+
+		for (j = 0; j < G_N_ELEMENTS(fds); j++)
+			net_send(fds[j], "X", -1);
+		net_run(f->base, 200);
+	}
+	got = send_request(f, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", ">",
+			   &closed);
+	assert_non_null(strstr(got, "<GET /b >"));
+	g_free(got);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+}
+
 /* Guards against a busy loop of failing accepts without descriptors. */
 static void pauses_accepting_without_descriptors(void **state)
 {
@@ -788,6 +821,8 @@
 		cmocka_unit_test_setup_teardown(
 			stops_reading_requests_sent_ahead,
 			setup_short_of_memory, teardown),
+		cmocka_unit_test_setup_teardown(evicts_unfinished_request,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			pauses_accepting_without_descriptors, setup, teardown),
 	};
