wire: frames that don't end have a share of the memory budget

What was seen: 40 peers that opened a session, announced a frame of 4 MiB and stopped short of its end made a control daemon with memory-mb = 64 take 163 MiB. In an open network whoever reaches the port can do so; elsewhere it takes a key.

Cause: the wire bounds a frame, what is unsent to one connection and the number of connections, not what all of them hold.

Change: connections that peers have dialled count in the process's budget, and may take half of it. Beyond that the largest is closed. Those that we dial, to our own configured processes, are not counted: the leader's batches go there.

The wire by listener: endive-schedd, endive-entryd, endive-controld listen, and are mended; endive-gated only dials.

--- a/src/ctl.c
+++ b/src/ctl.c
@@ -70,6 +70,7 @@
 		.node = config->node,
 		.zone = config->zone,
 		.silence_ms = config->silence_ms,
+		.memory = c->memory,
 		.conns_max = config->descriptors.share[FDB_PEERS],
 		.conns_kept = MIN(CNS_MEMBERS_MAX,
 				  config->descriptors.share[FDB_PEERS] / 2),
--- a/src/ent.c
+++ b/src/ent.c
@@ -52,6 +52,7 @@
 		.node = config->node,
 		.zone = config->zone,
 		.silence_ms = config->silence_ms,
+		.memory = e->memory,
 		.conns_max = config->descriptors.share[FDB_PEERS],
 	});
 	e->admin = srv_new(
--- a/src/hub.c
+++ b/src/hub.c
@@ -112,6 +112,7 @@
 			.voters = config->voters,
 			.voters_min = config->voters_min,
 			.conns_max = config->descriptors->share[FDB_PEERS],
+			.memory = h->memory,
 		},
 		&hub_rep_ops, h, err);
 	if (!h->rep || !hub_open_http(h, err)) {
--- a/src/mbd.c
+++ b/src/mbd.c
@@ -15,6 +15,7 @@
 #define MBD_BLOCK_SPARE (8u << 10)
 
 struct mbd {
+	struct mbd *whole; /* what is held counts there too; or NULL */
 	uint64_t limit;
 	uint64_t held;
 	uint64_t released;
@@ -38,6 +39,18 @@
 	return b;
 }
 
+/*
+ * Returns a budget of a divisor-th part of another. Its holds count in both, but
+ * are only released by mbd_reclaim on the part. It must be freed first.
+ */
+struct mbd *mbd_part_new(struct mbd *whole, uint64_t divisor)
+{
+	struct mbd *b = mbd_new(whole->limit / divisor);
+
+	b->whole = whole;
+	return b;
+}
+
 /* Frees a budget, which no hold may use any more; NULL is allowed. */
 void mbd_free(struct mbd *b)
 {
@@ -74,8 +87,10 @@
 void mbd_hold_set(struct mbd_hold *h, uint64_t bytes, bool releasable)
 {
 	unsigned int class = mbd_class(bytes);
+	struct mbd *b;
 
-	h->budget->held += bytes - h->bytes;
+	for (b = h->budget; b; b = b->whole)
+		b->held += bytes - h->bytes;
 	h->bytes = bytes;
 	if (h->queued && releasable && class == h->class)
 		return;
--- a/src/mbd.h
+++ b/src/mbd.h
@@ -39,6 +39,7 @@
 };
 
 struct mbd *mbd_new(uint64_t limit);
+struct mbd *mbd_part_new(struct mbd *whole, uint64_t divisor);
 void mbd_free(struct mbd *b);
 uint64_t mbd_limit(uint64_t memory);
 void mbd_hold_begin(struct mbd_hold *h, struct mbd *b,
--- a/src/rep.c
+++ b/src/rep.c
@@ -72,6 +72,7 @@
 		.zone = config->zone,
 		.silence_ms = REP_SILENCE_MS,
 		.conns_max = config->conns_max,
+		.memory = config->memory,
 		.conns_kept = MIN(CNS_MEMBERS_MAX, config->conns_max / 2),
 	});
 	if (!rep_open(r, err) ||
--- a/src/rep.h
+++ b/src/rep.h
@@ -64,6 +64,7 @@
 	long long voters_min;
 	/* connections with own processes, both directions; 0: no limit */
 	int conns_max;
+	struct mbd *memory; /* of all connections; NULL: not bounded */
 };
 
 /* The state of the quorum as seen by one replica. */
--- a/src/wire.c
+++ b/src/wire.c
@@ -49,6 +49,14 @@
  */
 #define WIRE_UNPROVED_MAX 64
 
+/*
+ * Part of the memory for clients' connections that those of peers who dial may
+ * take. Each may leave a frame of 4 MiB unfinished.
+ */
+#define WIRE_MEMORY_DIVISOR 2
+/* Memory of a connection without its frames. */
+#define WIRE_CONN_BYTES (2u << 10)
+
 enum wire_state {
 	WIRE_IDLE, /* dialled: waiting to dial again */
 	WIRE_CONNECTING,
@@ -62,6 +70,7 @@
 	GPtrArray *listeners; /* struct wire_listener */
 	GPtrArray *conns; /* struct wire_conn, all */
 	struct wire_stats stats;
+	struct mbd *memory; /* of connections that peers have dialled */
 	unsigned int unproved;
 	uint64_t tick;
 };
@@ -95,6 +104,7 @@
 	int64_t sent; /* when a frame was sent last */
 	int64_t redial_ms;
 	uint64_t redial_timer;
+	struct mbd_hold hold; /* unless dialled */
 };
 
 static struct wire_conn *wire_conn_new(struct wire *w, const char *addr,
@@ -121,6 +131,8 @@
 static bool wire_got_frame(struct wire_conn *c, struct lstr body);
 static void wire_drop(struct wire_conn *c, enum err_code code, const char *why);
 static void wire_refuse(struct wire_conn *c, const char *why);
+static void wire_count(struct wire_conn *c);
+static void wire_release(void *arg);
 static void wire_tick(void *arg, int64_t now);
 static void wire_reap(void *arg, int64_t now);
 
@@ -139,6 +151,9 @@
 	if (sodium_init() < 0)
 		g_error("libsodium can't start");
 	w->config = *config;
+	w->memory = config->memory
+			    ? mbd_part_new(config->memory, WIRE_MEMORY_DIVISOR)
+			    : mbd_new(UINT64_MAX);
 	w->listeners = g_ptr_array_new();
 	w->conns = g_ptr_array_new();
 	w->tick = tmr_every(config->tmr, config->silence_ms / 4, wire_tick, w);
@@ -164,6 +179,7 @@
 	tmr_cancel(w->config.tmr, w->tick);
 	g_ptr_array_free(w->conns, TRUE);
 	g_ptr_array_free(w->listeners, TRUE);
+	mbd_free(w->memory);
 	g_free(w);
 }
 
@@ -351,6 +367,8 @@
 	tmr_cancel(c->w->config.tmr, c->redial_timer);
 	if (c->bev)
 		bufferevent_free(c->bev);
+	if (!c->dialled)
+		mbd_hold_end(&c->hold);
 	sodium_memzero(&c->in, sizeof(c->in));
 	sodium_memzero(&c->out, sizeof(c->out));
 	g_free(c->addr);
@@ -397,7 +415,9 @@
 		return;
 	}
 	c = wire_conn_new(w, text, wl->ops, wl->arg);
+	mbd_hold_begin(&c->hold, w->memory, wire_release, c);
 	wire_attach(c, bev, WIRE_HELLO);
+	wire_count(c);
 }
 
 /* Connections whose peers haven't proved their key, at most. */
@@ -544,6 +564,9 @@
 		if (c->closing || c->bev != bev)
 			return;
 	} while (wire_read_more(bev, &read));
+	wire_count(c);
+	if (!mbd_reclaim(c->w->memory, &c->hold))
+		mbd_release(&c->hold);
 }
 
 /*
@@ -678,6 +701,7 @@
 		bufferevent_free(c->bev);
 		c->bev = NULL;
 	}
+	wire_count(c);
 	wire_enter(c, WIRE_IDLE);
 	if (was_up)
 		c->ops->down(c->arg, c, err);
@@ -707,6 +731,26 @@
 	wire_drop(c, ERR_AUTH, why);
 }
 
+/* Counts what a connection that a peer dialled makes this process hold. */
+static void wire_count(struct wire_conn *c)
+{
+	uint64_t bytes = 0;
+
+	if (c->dialled)
+		return;
+	if (c->bev)
+		bytes = WIRE_CONN_BYTES +
+			mbd_buffer_bytes(bufferevent_get_input(c->bev)) +
+			mbd_buffer_bytes(bufferevent_get_output(c->bev));
+	mbd_hold_set(&c->hold, bytes, c->bev != NULL);
+}
+
+/* Ends a connection for the memory that its frames take. */
+static void wire_release(void *arg)
+{
+	wire_refuse(arg, "its frames take too much memory");
+}
+
 /*
  * Signs of life, and the end of connections without any. Something between
  * the ends may have lost track of a connection: packets vanish and no reset
@@ -722,6 +766,7 @@
 
 		if (c->closing || c->state == WIRE_IDLE)
 			continue;
+		wire_count(c);
 		if (c->state != WIRE_UP) {
 			if (now - c->since > WIRE_PROVE_MS)
 				wire_drop(c, ERR_TIMEOUT, "no proof in time");
@@ -735,6 +780,7 @@
 		else if (now - c->sent >= w->config.silence_ms / 3)
 			wire_frame_out(c, lstr_n("", 0));
 	}
+	mbd_reclaim(w->memory, NULL);
 }
 
 static void wire_reap(void *arg, int64_t now)
--- a/src/wire.h
+++ b/src/wire.h
@@ -8,6 +8,7 @@
 
 #include "key.h"
 #include "lstr.h"
+#include "mbd.h"
 #include "tmr.h"
 
 /*
@@ -47,6 +48,7 @@
 	int64_t silence_ms; /* nothing heard for that long: the peer is gone */
 	int conns_max; /* at once, both ways; 0: not bounded */
 	int conns_kept; /* of these, for those who go first */
+	struct mbd *memory; /* of all connections; NULL: not bounded */
 };
 
 struct wire *wire_new(const struct wire_config *config);
--- a/tests/unit/mbd_test.c
+++ b/tests/unit/mbd_test.c
@@ -115,6 +115,32 @@
 	assert_int_equal(f->holds[1].bytes, 1500);
 }
 
+/* A part's holds count in the whole, and only give way to one another. */
+static void part_counts_in_the_whole(void **state)
+{
+	struct fixture *f = *state;
+	struct mbd *part = mbd_part_new(f->budget, 2);
+	struct mbd_hold a;
+	struct mbd_hold b;
+
+	mbd_hold_begin(&a, part, release, &a);
+	mbd_hold_begin(&b, part, release, &b);
+	mbd_hold_set(&f->holds[0], 4000, true);
+	mbd_hold_set(&a, 4500, true);
+	assert_int_equal(mbd_stats(f->budget).held, 8500);
+	assert_true(mbd_reclaim(part, NULL));
+	mbd_hold_set(&b, 2100, true);
+	assert_true(mbd_reclaim(f->budget, NULL));
+	assert_int_equal(f->holds[0].bytes, 0);
+	assert_int_equal(a.bytes, 4500);
+	assert_true(mbd_reclaim(part, &b));
+	assert_int_equal(a.bytes, 0);
+	assert_int_equal(b.bytes, 2100);
+	assert_int_equal(mbd_stats(f->budget).held, 2100);
+	mbd_hold_end(&b);
+	mbd_free(part);
+}
+
 /* Guards against an estimate below what a buffer's blocks take. */
 static void buffer_counts_with_its_blocks(void **state)
 {
@@ -151,6 +177,8 @@
 			unreleasable_hold_counts_and_stays, setup, teardown),
 		cmocka_unit_test_setup_teardown(own_hold_is_never_released,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(part_counts_in_the_whole, setup,
+						teardown),
 		cmocka_unit_test(buffer_counts_with_its_blocks),
 		cmocka_unit_test(limit_is_a_part_of_the_memory),
 	};
--- a/tests/unit/wire_test.c
+++ b/tests/unit/wire_test.c
@@ -345,6 +345,100 @@
 	pair_done(&p);
 }
 
+/* Opens a session by hand; returns its socket. */
+static int raw_prove(struct pair *p)
+{
+	const struct key *key = keyring_first(p->a.keys);
+	uint32_t proof_be = htonl(WIRE_TAG_BYTES);
+	uint8_t tag[WIRE_TAG_BYTES];
+	int fd = net_dial(p->port);
+	struct wire_hello ours;
+	struct wire_hello theirs;
+	struct wire_dir out;
+	struct wire_dir in;
+	char bytes[1024];
+	GString *hello;
+	uint32_t be;
+	ssize_t n;
+
+	wire_hello_fill(&ours, key->name, "raw", "a");
+	hello = wire_hello_pack(&ours);
+	be = htonl((uint32_t)hello->len);
+	net_send(fd, (const char *)&be, sizeof(be));
+	net_send(fd, hello->str, (gssize)hello->len);
+	g_string_free(hello, TRUE);
+	do {
+		net_run(p->base, 5);
+		n = recv(fd, bytes, sizeof(bytes), 0);
+	} while (n < 0);
+	memcpy(&be, bytes, sizeof(be));
+	assert_true(wire_hello_unpack(lstr_n(bytes + sizeof(be), ntohl(be)),
+				      &theirs));
+	wire_session(key, &ours, &theirs, &out, &in);
+	wire_tag(&out, lstr_n("", 0), tag);
+	net_send(fd, (const char *)&proof_be, sizeof(proof_be));
+	net_send(fd, (const char *)tag, sizeof(tag));
+	return fd;
+}
+
+/* Sends part of the largest frame. */
+static void raw_send_part(struct pair *p, int fd, size_t bytes)
+{
+	uint32_t be = htonl(WIRE_PAYLOAD_MAX);
+	char part[4096] = {0};
+
+	net_send(fd, (const char *)&be, sizeof(be));
+	for (; bytes; bytes -= sizeof(part)) {
+		net_send(fd, part, sizeof(part));
+		net_run(p->base, 1);
+	}
+}
+
+/*
+ * Guards against a daemon killed for the memory of frames that don't end: the
+ * largest goes, others stay.
+ */
+static void unfinished_frames_are_bounded(void **state)
+{
+	struct mbd *memory = mbd_new(1 << 20);
+	struct pair p;
+	int small;
+	int large;
+
+	p.base = event_base_new();
+	p.tmr = tmr_new(p.base);
+	p.port = free_port();
+	g_snprintf(p.addr, sizeof(p.addr), "127.0.0.1:%d", p.port);
+	side_init(&p.a, p.base, p.tmr, "peer peer " HEX_A "\n", "alpha");
+	side_init(&p.b, p.base, p.tmr, "peer peer " HEX_A "\n", "beta");
+	wire_free(p.b.w);
+	p.b.w = wire_new(&(struct wire_config){
+		.base = p.base,
+		.tmr = p.tmr,
+		.keys = p.b.keys,
+		.node = "beta",
+		.zone = "a",
+		.silence_ms = 100 * SILENCE_MS,
+		.memory = memory,
+	});
+	assert_int_equal(wire_listen(p.b.w, p.addr, &side_ops, &p.b, NULL), 0);
+	small = raw_prove(&p);
+	large = raw_prove(&p);
+	assert_true(run_until(p.base, &p.b.ups, 2));
+	raw_send_part(&p, small, 200 << 10);
+	assert_in_range(mbd_stats(memory).held, 200 << 10, 512 << 10);
+	raw_send_part(&p, large, 400 << 10);
+	assert_int_equal(p.b.downs, 1);
+	assert_int_equal(wire_stats(p.b.w).refused, 1);
+	assert_in_range(mbd_stats(memory).held, 200 << 10, 512 << 10);
+	wire_dial(p.a.w, p.addr, &side_ops, &p.a);
+	assert_true(run_until(p.base, &p.b.ups, 3));
+	close(small);
+	close(large);
+	pair_done(&p);
+	mbd_free(memory);
+}
+
 /*
  * The peer is stopped, or the network between forgot the connection: no byte
  * comes and no reset. The owner is told within the silence time, and a new
@@ -466,6 +560,7 @@
 		cmocka_unit_test(garbage_and_oversized_frames_close),
 		cmocka_unit_test(unproved_connections_are_bounded),
 		cmocka_unit_test(the_last_places_are_kept),
+		cmocka_unit_test(unfinished_frames_are_bounded),
 		cmocka_unit_test(a_silent_connection_is_given_up),
 		cmocka_unit_test(a_peer_heard_elsewhere_is_dialled_at_once),
 		cmocka_unit_test(a_replayed_frame_fails_its_tag),
