mbd: a field that C++ can read; a connection counts 7 KiB

mbd.h named a field "class", a word of C++: wkr_prop, the property that includes it by wire.h, no longer compiled.

The cost of a connection without a request was too low: 3,600 connections that sent one byte took 29,008 KiB less the 6,000 of an idle daemon, 6.4 KiB each, and counted 4. Measured once, on x86-64.

--- a/src/mbd.c
+++ b/src/mbd.c
@@ -92,10 +92,10 @@
 	for (b = h->budget; b; b = b->whole)
 		b->held += bytes - h->bytes;
 	h->bytes = bytes;
-	if (h->queued && releasable && class == h->class)
+	if (h->queued && releasable && class == h->size_class)
 		return;
 	mbd_unqueue(h);
-	h->class = class;
+	h->size_class = class;
 	h->queued = releasable;
 	if (releasable)
 		g_queue_push_tail_link(&h->budget->classes[class], &h->link);
@@ -185,7 +185,7 @@
 static void mbd_unqueue(struct mbd_hold *h)
 {
 	if (h->queued)
-		g_queue_unlink(&h->budget->classes[h->class], &h->link);
+		g_queue_unlink(&h->budget->classes[h->size_class], &h->link);
 	h->queued = false;
 }
 
--- a/src/mbd.h
+++ b/src/mbd.h
@@ -27,7 +27,7 @@
 	void (*release)(void *arg);
 	void *arg;
 	uint64_t bytes;
-	unsigned int class;
+	unsigned int size_class;
 	bool queued; /* link is in the queue of the class */
 	GList link;
 };
--- a/src/srv_room.c
+++ b/src/srv_room.c
@@ -7,7 +7,7 @@
 #include "tmr.h"
 
 /* Memory of a connection without a request: libevhtp's, libevent's, ours. */
-#define SRV_CONN_BYTES (4u << 10)
+#define SRV_CONN_BYTES (7u << 10)
 /* Memory of a request without its path, headers and bodies. */
 #define SRV_REQ_BYTES (2u << 10)
 /* Of a header field, beside its bytes: a list entry and two blocks. */
