hub: calls relayed by entry daemons count in the memory budget

What callers saw (real processes): while the leader's followers were paused, 240 whole requests of 1 MB each, through four entry daemons, made a leader with memory-mb = 64 take 146 MiB. Each entry daemon bounds what it holds itself; the leader had no bound over all of them.

Cause: a relayed call keeps its body until the log decides or the leader steps down. Only calls that came to the control address were counted.

Change: a relayed call has a hold on the process's budget. One that doesn't fit is answered 503 with a time to come back, and has not run.

--- a/src/hub.c
+++ b/src/hub.c
@@ -363,6 +363,8 @@
 	else if (!h->leading)
 		/* The entry daemon learns on the same connection who leads. */
 		hub_answer_status(h, c, 421);
+	else if (!hub_call_fits(c))
+		hub_answer_later(h, c);
 	else
 		h->config.protocol->call(h, c);
 	cpu_leave(before);
--- a/src/hub_call.c
+++ b/src/hub_call.c
@@ -2,6 +2,8 @@
 
 #include "proto.h"
 
+/* Memory of a call without its body. */
+#define HUB_CALL_BYTES 1024u
 /* How long until a leader is elected, s, rounded up. */
 #define HUB_ELECTION_S 1
 
@@ -20,6 +22,7 @@
 	c->origin = origin;
 	c->refs = 1;
 	c->arrived_ms = tmr_now(h->tmr);
+	mbd_hold_begin(&c->hold, h->memory, NULL, NULL);
 	g_hash_table_add(h->calls, c);
 	h->counts[HUB_CALLS]++;
 	return c;
@@ -33,6 +36,7 @@
 	g_hash_table_remove(c->h->calls, c);
 	if (c->body)
 		g_bytes_unref(c->body);
+	mbd_hold_end(&c->hold);
 	g_free(c->method);
 	g_free(c->host);
 	g_free(c->path);
@@ -41,6 +45,17 @@
 	g_free(c);
 }
 
+/*
+ * Counts the memory of a call that an entry daemon relayed. Returns false if
+ * there is no room for it: while nothing can be decided, calls of many entry
+ * daemons wait here, and each keeps its body.
+ */
+bool hub_call_fits(struct hub_call *c)
+{
+	mbd_hold_set(&c->hold, HUB_CALL_BYTES + hub_body(c).len, false);
+	return mbd_reclaim(c->h->memory, &c->hold);
+}
+
 /*
  * Detaches a call from its client. A call that is not answered yet ends without
  * an answer.
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -54,6 +54,7 @@
 	char *path;
 	char *credentials; /* caller's header with its key; "": none */
 	GBytes *body;
+	struct mbd_hold hold; /* of a call relayed by an entry daemon */
 	void *user; /* freed with the call */
 	bool answered;
 	int refs; /* one until answered, one per waiting command or read */
@@ -183,6 +184,7 @@
 
 /* hub_call */
 struct hub_call *hub_call_new(struct hub *h, enum hub_origin origin);
+bool hub_call_fits(struct hub_call *c);
 void hub_call_unref(struct hub_call *c);
 void hub_call_disconnect(struct hub_call *c);
 void hub_conn_closed(struct hub *h, const struct wire_conn *conn);
--- a/tests/system/crowd.c
+++ b/tests/system/crowd.c
@@ -31,6 +31,8 @@
 #define CROWD_RECEIVE_BUFFER 4096
 #define CROWD_HANDSHAKE_S 3
 #define CROWD_LARGE_CHUNK (32 << 10)
+/* More than the head of a request takes, bytes. */
+#define CROWD_HEAD_SPARE 200
 /* A frame that a proved peer may send. */
 #define CROWD_FRAME_BYTES (4u << 20)
 
@@ -68,6 +70,7 @@
 static void crowd_extended_chunks(const struct crowd *c, GString *out);
 static void crowd_large_chunks(const struct crowd *c, GString *out);
 static void crowd_length(const struct crowd *c, GString *out);
+static void crowd_whole(const struct crowd *c, GString *out);
 static void crowd_body_bytes(const struct crowd *c, GString *out);
 static void crowd_request_line(const struct crowd *c, GString *out);
 static void crowd_header(const struct crowd *c, GString *out);
@@ -95,6 +98,7 @@
 	{"extended-chunks", crowd_chunked, crowd_extended_chunks, NULL, false},
 	{"large-chunks", crowd_chunked, crowd_large_chunks, NULL, false},
 	{"length", crowd_length, crowd_body_bytes, NULL, false},
+	{"whole", crowd_whole, crowd_body_bytes, NULL, false},
 	{"slow-length", crowd_length, crowd_body_bytes, NULL, true},
 	{"slow-chunks", crowd_chunked, crowd_one_byte_chunks, NULL, true},
 	{"head", crowd_request_line, crowd_header, NULL, false},
@@ -149,6 +153,16 @@
 			       c->path, c->bytes);
 }
 
+/* The head of a request that arrives whole; a part of another follows. */
+static void crowd_whole(const struct crowd *c, GString *out)
+{
+	g_string_append_printf(out,
+			       "POST %s00000000000000ff HTTP/1.1\r\n"
+			       "Host: 127.0.0.4\r\n"
+			       "Content-Length: %zu\r\n\r\n",
+			       c->path, c->bytes - CROWD_HEAD_SPARE);
+}
+
 /* Bytes of a body. */
 static void crowd_body_bytes(const struct crowd *c, GString *out)
 {
--- a/tests/system/crowd.sh
+++ b/tests/system/crowd.sh
@@ -15,6 +15,7 @@
 # An ordinary client comes again so often after a refusal.
 CROWD_TRIES=5
 crowd_failed=0
+crowd=start
 
 # COMMAND...: repeats the command until it succeeds, or fails the test.
 crowd_await() {
@@ -107,8 +108,27 @@
 	rm -f "$tmp/crowd.pid"
 }
 
-# NAME DAEMON URL ADDRESSES CROWD...: plays a crowd against a running daemon
-# that listens at these addresses; URL is asked for as an ordinary request.
+# NAME DAEMON URL ADDRESSES: checks a daemon that listens at these addresses
+# beside a crowd that is settled; URL is asked for as an ordinary request.
+crowd_check() {
+	crowd=$1
+	pid=$(cat "$tmp/$2.pid")
+	crowd_alive "$2" || { crowd_bad "the daemon has ended"; return 1; }
+	crowd_ordinary "$3" || crowd_bad "no ordinary answer beside it"
+	# shellcheck disable=SC2086
+	unread=$(crowd_unread_kib $4)
+	peak=$(crowd_peak_kib "$pid")
+	[ -n "$peak" ] || { crowd_bad "the daemon has ended"; return 1; }
+	echo "$crowd: peak $((peak / 1024)) MiB, unread $((unread / 1024)) MiB," \
+		"files $(crowd_files "$pid"); $(cat "$tmp/crowd.log")"
+	[ $((peak + unread)) -le $((CROWD_MEMORY_MB * 1024)) ] ||
+		crowd_bad "$((peak + unread)) KiB of $CROWD_MEMORY_MB MiB"
+	crowd_files_at_most "$pid" $((CROWD_FILES - CROWD_FILES_KEPT)) ||
+		crowd_bad "$(crowd_files "$pid") open files"
+}
+
+# NAME DAEMON URL ADDRESSES CROWD...: plays a crowd against a running daemon,
+# and checks that it gets back to where it was once the crowd is gone.
 crowd_play() {
 	crowd=$1
 	daemon=$2
@@ -121,18 +141,10 @@
 	"$CROWD" "$@" >"$tmp/crowd.log" 2>&1 &
 	echo $! >"$tmp/crowd.pid"
 	crowd_await crowd_is_settled
-	crowd_alive "$daemon" || { crowd_bad "the daemon has ended"; crowd_end; return; }
-	crowd_ordinary "$url" || crowd_bad "no ordinary answer beside it"
-	# shellcheck disable=SC2086
-	unread=$(crowd_unread_kib $addresses)
-	peak=$(crowd_peak_kib "$pid")
-	[ -n "$peak" ] || { crowd_bad "the daemon has ended"; crowd_end; return; }
-	echo "$crowd: peak $((peak / 1024)) MiB, unread $((unread / 1024)) MiB," \
-		"files $(crowd_files "$pid"); $(cat "$tmp/crowd.log")"
-	[ $((peak + unread)) -le $((CROWD_MEMORY_MB * 1024)) ] ||
-		crowd_bad "$((peak + unread)) KiB of $CROWD_MEMORY_MB MiB"
-	crowd_files_at_most "$pid" $((CROWD_FILES - CROWD_FILES_KEPT)) ||
-		crowd_bad "$(crowd_files "$pid") open files"
+	crowd_check "$crowd" "$daemon" "$url" "$addresses" || {
+		crowd_end
+		return
+	}
 	crowd_end
 	crowd_await crowd_files_at_most "$pid" $((files + 8))
 	crowd_ordinary "$url" || crowd_bad "no ordinary answer after it"
--- a/tests/system/crowd_control_test.sh
+++ b/tests/system/crowd_control_test.sh
@@ -27,7 +27,34 @@
 		"127.0.0.$no:$at" "$3" "$4" "$5" "$6"
 }
 
+# Whole requests of many callers reach the leader through entry daemons with
+# memory enough, while its followers are paused and nothing can be decided.
+relayed() {
+	crowd_await jobs_leader
+	no=$(jobs_leader)
+	for n in 5 6 7; do
+		jobs_entry $n
+		crowd_await crowd_ordinary "http://127.0.0.$n:$((callers + 1))/"
+	done
+	for n in 1 2 3; do
+		[ "$n" = "$no" ] || kill -STOP "$(jobs_pid "c$n")"
+	done
+	"$CROWD" "127.0.0.4:$callers" /p/ whole 60 1000000 \
+		"127.0.0.5:$callers" /p/ whole 60 1000000 \
+		"127.0.0.6:$callers" /p/ whole 60 1000000 \
+		"127.0.0.7:$callers" /p/ whole 60 1000000 >"$tmp/crowd.log" &
+	echo $! >"$tmp/crowd.pid"
+	crowd_await crowd_is_settled
+	for n in 1 2 3; do
+		[ "$n" = "$no" ] || kill -CONT "$(jobs_pid "c$n")"
+	done
+	crowd_check "relayed, whole" "c$no" "http://$entries/p/" \
+		"127.0.0.$no:$control 127.0.0.$no:$wire"
+	crowd_end
+}
+
 jobs_fleet || fail "configuration"
+relayed
 at_leader control "$control" /v1/ one-byte-chunks 30 60000
 at_leader control "$control" /v1/ extended-chunks 30 400000
 at_leader control "$control" /v1/ large-chunks 30 1000000
