gat: a request's copy for the leader counts until its answer

What was seen: 150 whole requests of 1 MB, with all control daemons paused, made an entry daemon with memory-mb = 64 take 53 MiB, 16 of them counted.

Cause: beside the body that is kept for another leader, the message to the paused one stood unsent on the wire, uncounted.

Change: that copy counts with the request. The bound of 64 held before, so this test alone shows no failure; it guards the sum.

--- a/src/gat_call.c
+++ b/src/gat_call.c
@@ -125,6 +125,8 @@
 	if (wire_send(g->leader->conn, pk_out_view(&o))) {
 		c->replica = g->leader;
 		c->sent = true;
+		/* a leader that reads nothing leaves the copy with us */
+		srv_count(c->req, pk_out_view(&o).len);
 	}
 	pk_out_done(&o);
 }
--- a/src/srv.c
+++ b/src/srv.c
@@ -198,11 +198,17 @@
 	char *bytes = g_malloc(len);
 
 	evbuffer_remove(body, bytes, len);
-	r->held_bytes += len;
-	srv_room_update(r->conn);
+	srv_count(r, len);
 	return g_bytes_new_take(bytes, len);
 }
 
+/* Counts bytes that the owner holds for a request until its answer. */
+void srv_count(struct srv_req *r, uint64_t bytes)
+{
+	r->held_bytes += bytes;
+	srv_room_update(r->conn);
+}
+
 /* Returns the owner's data of a request. */
 void *srv_user(const struct srv_req *r)
 {
--- a/src/srv.h
+++ b/src/srv.h
@@ -77,6 +77,7 @@
 void srv_headers(const struct srv_req *r, GArray *out);
 struct evbuffer *srv_body(const struct srv_req *r);
 GBytes *srv_take_body(struct srv_req *r);
+void srv_count(struct srv_req *r, uint64_t bytes);
 void *srv_user(const struct srv_req *r);
 void srv_set_user(struct srv_req *r, void *user);
 
--- a/tests/system/crowd_callers_test.sh
+++ b/tests/system/crowd_callers_test.sh
@@ -31,6 +31,20 @@
 at_callers burst 60 1000000
 at_callers bare 60 1000000
 at_callers old 60 1000000
+at_callers whole 60 1000000
+
+# Whole requests wait while no control daemon answers.
+crowd_stop e4
+jobs_entry 4
+crowd_await crowd_ordinary "http://$entries/p/"
+for n in 1 2 3; do kill -STOP "$(jobs_pid c$n)"; done
+"$CROWD" "$entries" /p/ whole 150 1000000 >"$tmp/crowd.log" &
+echo $! >"$tmp/crowd.pid"
+crowd_await crowd_is_settled
+for n in 1 2 3; do kill -CONT "$(jobs_pid c$n)"; done
+crowd_check "callers, whole without a leader" e4 "http://$entries/p/" \
+	"$entries $entry_ready $entry_metrics"
+crowd_end
 crowd_verdict
 done_once
 echo "callers: within memory and descriptors, ordinary requests answered"
