--- a/tests/deps.sh
+++ b/tests/deps.sh
@@ -4,8 +4,8 @@
 set -eu
 want="gcc g++ make pkg-config libevent-dev libevhtp-dev libmsgpack-dev \
 libglib2.0-dev libjson-glib-dev liblog4c-dev libssl-dev libsodium-dev \
-libcmocka-dev librapidcheck-dev clang-format clang-tidy cppcheck mandoc \
-gnuplot-nox curl"
+libcmocka-dev librapidcheck-dev clang-format clang-tidy libclang-rt-dev \
+cppcheck mandoc gnuplot-nox curl"
 missing=
 for p in $want; do
 	dpkg-query -W -f '${Status}' "$p" 2>/dev/null |
