dmn: a stop frees connections whose callbacks are deferred

What was seen: in 4 of 5 planned stops of a control daemon beside a crowd the leak check reported 12 connections (11,328 bytes), so the daemon ended with 1.

Cause: libevhtp's bufferevents defer their callbacks, and one that is due holds its connection. Those that were closed in the stop were due when the loop had ended, and never ran.

Change: after all of a daemon's parts are freed the loop turns once. The same in endive-entryd and endive-controld, which have a loop of their own.

Test: crowd_sanitized_test plays a crowd of all shapes at all addresses of an entry daemon and of the leader, built with sanitizers, and stops them beside it.

--- a/src/dmn.c
+++ b/src/dmn.c
@@ -155,6 +155,8 @@
 	event_free(hup);
 	event_free(d->look);
 	d->ops->stop(d);
+	/* callbacks that libevent has deferred keep closed connections */
+	event_base_loop(d->base, EVLOOP_NONBLOCK);
 	event_base_free(d->base);
 	return rc;
 }
--- a/src/main_endive-controld.c
+++ b/src/main_endive-controld.c
@@ -64,6 +64,8 @@
 	event_free(term);
 	event_free(intr);
 	ctl_free(c);
+	/* callbacks that libevent has deferred keep closed connections */
+	event_base_loop(cfg->base, EVLOOP_NONBLOCK);
 	event_base_free(cfg->base);
 	return rc;
 }
--- a/src/main_endive-entryd.c
+++ b/src/main_endive-entryd.c
@@ -95,6 +95,8 @@
 	event_free(term);
 	event_free(intr);
 	ent_free(e);
+	/* callbacks that libevent has deferred keep closed connections */
+	event_base_loop(cfg.base, EVLOOP_NONBLOCK);
 	event_base_free(cfg.base);
 	keyring_free(cfg.keys);
 	set_free(defs, G_N_ELEMENTS(defs));
