--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -14,6 +14,11 @@
 #define QUIET_MS 150
 #define BODY_MAX 1000
 #define MAX_CONNS 16
+#define IO_TIMEOUT_MS 300
+/* Longer than any test, so that no connection is dropped as slow. */
+#define PATIENT_MS 60000
+/* Longer than a request may arrive before it can be evicted. */
+#define EVICTABLE_BUSY_MS 3200
 /* More than MAX_CONNS connections with a request each take. */
 #define MEMORY (1 << 20)
 /* Of a server that is short of memory: bodies of two requests fit, not three. */
@@ -28,8 +33,9 @@
 	struct tmr *tmr;
 	struct mbd *memory;
 	struct srv *srv;
-	struct srv_req *held_request;
+	struct srv_req *held_request; /* the last one */
 	bool hold_requests;
+	GBytes *held_body; /* of the last one */
 	int requests;
 	int body_blocks; /* blocks of memory that the last body was in */
 	int disconnects;
@@ -61,10 +67,13 @@
 
 	f->requests++;
 	f->body_blocks = evbuffer_peek(srv_body(r), -1, NULL, NULL, 0);
-	if (f->hold_requests)
-		f->held_request = r;
-	else
+	if (!f->hold_requests) {
 		reply_echo(r);
+		return;
+	}
+	f->held_request = r;
+	g_clear_pointer(&f->held_body, g_bytes_unref);
+	f->held_body = srv_take_body(r);
 }
 
 static void on_disconnect(void *arg, struct srv_req *r)
@@ -80,7 +89,8 @@
 	.disconnected = on_disconnect,
 };
 
-static int setup_with(void **state, uint64_t max_body, uint64_t memory)
+static int setup_with(void **state, uint64_t max_body, uint64_t memory,
+		      int64_t io_timeout_ms)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
 	char addr[32];
@@ -98,7 +108,7 @@
 			.addr = addr,
 			.max_body = max_body,
 			.memory = f->memory,
-			.io_timeout_ms = 300,
+			.io_timeout_ms = io_timeout_ms,
 			.max_conns = MAX_CONNS,
 		},
 		&fixture_ops, f, NULL);
@@ -109,12 +119,17 @@
 
 static int setup(void **state)
 {
-	return setup_with(state, BODY_MAX, MEMORY);
+	return setup_with(state, BODY_MAX, MEMORY, IO_TIMEOUT_MS);
+}
+
+static int setup_patient(void **state)
+{
+	return setup_with(state, BODY_MAX, MEMORY, PATIENT_MS);
 }
 
 static int setup_short_of_memory(void **state)
 {
-	return setup_with(state, 2 * LARGE_BODY, SMALL_MEMORY);
+	return setup_with(state, 2 * LARGE_BODY, SMALL_MEMORY, PATIENT_MS);
 }
 
 static int teardown(void **state)
@@ -123,6 +138,7 @@
 
 	srv_free(f->srv);
 	mbd_free(f->memory);
+	g_clear_pointer(&f->held_body, g_bytes_unref);
 	tmr_free(f->tmr);
 	event_base_free(f->base);
 	g_free(f);
@@ -643,6 +659,7 @@
 
 	for (i = 0; i < G_N_ELEMENTS(fds); i++)
 		fds[i] = send_unfinished(f);
+	net_run(f->base, QUIET_MS);
 	assert_int_equal(mbd_stats(f->memory).released, 1);
 	assert_in_range(mbd_stats(f->memory).held, 2 * LARGE_BODY,
 			SMALL_MEMORY);
@@ -698,6 +715,115 @@
 		close(fds[i]);
 }
 
+/* Sends a whole request with a body of that size; returns its socket. */
+static int send_whole(struct fixture *f, int body)
+{
+	char *bytes = g_strdup_printf("POST /a HTTP/1.1\r\nHost: x\r\n"
+				      "Content-Length: %d\r\n\r\n%0*d",
+				      body, body, 0);
+	int fd = net_dial(f->port);
+	uint64_t refused = srv_stats(f->srv).crowded;
+	int requests = f->requests;
+	int i;
+
+	net_send(fd, bytes, -1);
+	for (i = 0; i < READ_MS && f->requests == requests &&
+		    srv_stats(f->srv).crowded == refused;
+	     i++)
+		net_run(f->base, 1);
+	g_free(bytes);
+	return fd;
+}
+
+/* Guards against heads, and bodies that their owner took, that count nothing. */
+static void served_request_counts(void **state)
+{
+	struct fixture *f = *state;
+	GString *bytes = g_string_new("GET /a HTTP/1.1\r\nHost: x\r\n");
+	int fds[2];
+	int i;
+
+	f->hold_requests = true;
+	fds[0] = send_whole(f, LARGE_BODY);
+	assert_int_equal(g_bytes_get_size(f->held_body), LARGE_BODY);
+	assert_in_range(mbd_stats(f->memory).held, LARGE_BODY,
+			LARGE_BODY + 16000);
+	for (i = 0; i < 90; i++)
+		g_string_append_printf(bytes, "X-%d: %0100d\r\n", i, 0);
+	g_string_append(bytes, "\r\n");
+	fds[1] = net_dial(f->port);
+	net_send(fds[1], bytes->str, -1);
+	net_run(f->base, QUIET_MS);
+	assert_int_equal(f->requests, 2);
+	assert_in_range(mbd_stats(f->memory).held, LARGE_BODY + 16000 + 9000,
+			SMALL_MEMORY);
+	for (i = 0; i < 2; i++)
+		close(fds[i]);
+	g_string_free(bytes, TRUE);
+}
+
+/*
+ * Guards against requests that are cut off for others, and against others taken
+ * in beyond the memory: these come again.
+ */
+static void refuses_requests_while_served_ones_fill_memory(void **state)
+{
+	static const char get[] = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct fixture *f = *state;
+	int fds[8];
+	size_t n = 2;
+	bool closed;
+	char *got;
+
+	f->hold_requests = true;
+	fds[0] = send_whole(f, LARGE_BODY);
+	fds[1] = send_whole(f, LARGE_BODY);
+	while (f->requests == (int)n && n < G_N_ELEMENTS(fds))
+		fds[n++] = send_whole(f, 0);
+	assert_in_range(f->requests, 3, G_N_ELEMENTS(fds) - 1);
+	got = send_request(f, get, "\r\n\r\n", &closed);
+	assert_non_null(strstr(got, "HTTP/1.1 503"));
+	assert_non_null(strstr(got, "Retry-After: 1"));
+	assert_non_null(strstr(got, "Endive-Outcome: not-run"));
+	assert_int_equal(f->disconnects, 0);
+	g_free(got);
+	f->hold_requests = false;
+	reply_echo(f->held_request);
+	got = send_request(f, get, ">", &closed);
+	assert_non_null(strstr(got, "<GET /b >"));
+	g_free(got);
+	while (n--)
+		close(fds[n]);
+}
+
+/*
+ * Guards against a process that is ended for bytes that arrived and weren't
+ * read: who sends them beside a request that is served gives way.
+ */
+static void unread_bytes_count(void **state)
+{
+	static const char bytes[4096] = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct fixture *f = *state;
+	int fds[8];
+	size_t i;
+	int n;
+
+	f->hold_requests = true;
+	for (i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = net_dial(f->port);
+		net_send(fds[i], bytes, -1);
+		net_run(f->base, 5);
+		for (n = 0; n < 100; n++)
+			net_send(fds[i], bytes, sizeof(bytes));
+	}
+	net_run(f->base, 4 * QUIET_MS);
+	assert_in_range(mbd_stats(f->memory).released, 1,
+			G_N_ELEMENTS(fds) - 1);
+	assert_in_range(mbd_stats(f->memory).held, 1, SMALL_MEMORY);
+	for (i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+}
+
 /*
  * Guards against memory taken by requests sent ahead while an answer waits: all
  * but a few kilobytes stay with the sender.
@@ -739,14 +865,7 @@
 		net_send(fds[i], "GET /a HTTP/1.1\r\n", -1);
 		net_run(f->base, 2);
 	}
-	/* a byte now and then keeps them from being dropped as slow */
-	for (i = 0; i < 16; i++) {
-		size_t j;
-
-		for (j = 0; j < G_N_ELEMENTS(fds); j++)
-			net_send(fds[j], "X", -1);
-		net_run(f->base, 200);
-	}
+	net_run(f->base, EVICTABLE_BUSY_MS);
 	got = send_request(f, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", ">",
 			   &closed);
 	assert_non_null(strstr(got, "<GET /b >"));
@@ -818,11 +937,18 @@
 		cmocka_unit_test_setup_teardown(announced_bytes_do_not_count,
 						setup_short_of_memory,
 						teardown),
+		cmocka_unit_test_setup_teardown(
+			served_request_counts, setup_short_of_memory, teardown),
+		cmocka_unit_test_setup_teardown(
+			refuses_requests_while_served_ones_fill_memory,
+			setup_short_of_memory, teardown),
+		cmocka_unit_test_setup_teardown(
+			unread_bytes_count, setup_short_of_memory, teardown),
 		cmocka_unit_test_setup_teardown(
 			stops_reading_requests_sent_ahead,
 			setup_short_of_memory, teardown),
 		cmocka_unit_test_setup_teardown(evicts_unfinished_request,
-						setup, teardown),
+						setup_patient, teardown),
 		cmocka_unit_test_setup_teardown(
 			pauses_accepting_without_descriptors, setup, teardown),
 	};
