srv, mbd: one Retry-After, plainer loops and comments

Read as a newcomer: Retry-After of a refusal stood in two files, a loop was formatted oddly, two comments could not be understood without the code. No change of behaviour; srv_test and mbd_test pass.

--- a/src/mbd.c
+++ b/src/mbd.c
@@ -73,8 +73,8 @@
 }
 
 /*
- * Starts an empty hold on a budget. release(arg) must end the hold; it is only
- * called from mbd_release.
+ * Starts an empty hold on a budget. release(arg) must end the hold; NULL for one
+ * that is never releasable.
  */
 void mbd_hold_begin(struct mbd_hold *h, struct mbd *b,
 		    void (*release)(void *arg), void *arg)
@@ -107,7 +107,7 @@
 	mbd_hold_set(h, 0, false);
 }
 
-/* Releases a hold. */
+/* Has a hold released by its owner. */
 void mbd_release(struct mbd_hold *h)
 {
 	mbd_unqueue(h);
@@ -192,10 +192,10 @@
 /* The hold to be released next, or NULL. */
 static struct mbd_hold *mbd_largest(struct mbd *b)
 {
-	unsigned int class = MBD_CLASSES;
+	unsigned int n;
 
-	while (class -- > 0)
-		if (b->classes[class].head)
-			return b->classes[class].head->data;
+	for (n = MBD_CLASSES; n > 0; n--)
+		if (b->classes[n - 1].head)
+			return b->classes[n - 1].head->data;
 	return NULL;
 }
--- a/src/srv.c
+++ b/src/srv.c
@@ -16,9 +16,6 @@
 
 #define SRV_LISTEN_BACKLOG 1024
 
-/* Retry-After for callers over the limit of connections, s. */
-#define SRV_RETRY_AFTER_S "1"
-
 /* Interval at which connections that aren't read are looked at, ms. */
 #define SRV_WATCH_MS 200
 
--- a/src/srv_int.h
+++ b/src/srv_int.h
@@ -15,6 +15,9 @@
  * and answers).
  */
 
+/* Retry-After of a refusal, s: most connections are free sooner. */
+#define SRV_RETRY_AFTER_S "1"
+
 /* What a connection is at. */
 enum srv_state {
 	SRV_IDLE, /* nothing of a request has arrived */
--- a/src/srv_room.c
+++ b/src/srv_room.c
@@ -27,9 +27,6 @@
  */
 #define SRV_REFUSED_DIVISOR 16
 
-/* Retry-After of a refusal, s: most connections are free sooner. */
-#define SRV_RETRY_AFTER_S "1"
-
 /*
  * A connection that has been in its state for this long may be closed in favour
  * of another, ms; 0: never.
@@ -97,7 +94,7 @@
 	struct srv *s = c->s;
 	bool fits = mbd_reclaim(s->config.memory, &c->hold);
 
-	/* the end of others can't have ended this one but for its owner */
+	/* an owner that is told of a released request may end others */
 	return !g_hash_table_contains(s->conns, c) || fits ||
 	       !srv_is_receiving(c);
 }
