--- a/tests/unit/srv_test.c
+++ b/tests/unit/srv_test.c
@@ -61,6 +61,13 @@
 	evbuffer_free(body);
 }
 
+static void drop_held_body(struct fixture *f)
+{
+	if (f->held_body)
+		g_bytes_unref(f->held_body);
+	f->held_body = NULL;
+}
+
 static void on_request(void *arg, struct srv_req *r)
 {
 	struct fixture *f = arg;
@@ -72,7 +79,7 @@
 		return;
 	}
 	f->held_request = r;
-	g_clear_pointer(&f->held_body, g_bytes_unref);
+	drop_held_body(f);
 	f->held_body = srv_take_body(r);
 }
 
@@ -138,7 +145,7 @@
 
 	srv_free(f->srv);
 	mbd_free(f->memory);
-	g_clear_pointer(&f->held_body, g_bytes_unref);
+	drop_held_body(f);
 	tmr_free(f->tmr);
 	event_base_free(f->base);
 	g_free(f);
