--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,20 +1,30 @@
 #!/bin/sh
 # An accepted job is shown as failed although no run of it has failed: three
 # workers crash, one after the other, each just after it has begun the same
-# work unit. Each is back a second later, as a new lifetime at the same address.
+# work unit. Its queue allows four attempts. Each is back a second later, as a new lifetime at the same address.
 # Of nine workers one is down at a time.
 set -u
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../common-3.sh"
+[ -x "$BIN/review-many-routes" ] || { echo "not built: review-many-routes"; exit 2; }
+command -v curl >/dev/null || { echo "no curl"; exit 2; }
 
 for n in 1 2 3; do start_control $n true; done
 for n in 4 5; do start_entry $n; done
 for n in 11 12 13 14 15 16 17 18 19; do
 	start_worker $n i-$n-1 --task-ms 1500
 done
-"$BIN/endive-job" --to "$controls" --apply 1 --pools p --host 127.0.0.4 \
-	--seconds 20 >>"$record" || exit 2
-note "configuration 1 is acknowledged; its queue allows 3 attempts"
+"$BIN/review-many-routes" 1 0 127.0.0.4 4 >"$tmp/config1"
+try=0
+until [ "$(curl -s -o "$tmp/answer" -w '%{http_code}' -m 2 -L --max-redirs 2 \
+	-H 'Content-Type: application/msgpack' -X PUT \
+	--data-binary "@$tmp/config1" \
+	"http://127.0.0.1:$control/v1/config")" = 200 ]; do
+	sleep 0.2
+	try=$((try + 1))
+	[ $try -lt 50 ] || exit 2
+done
+note "configuration 1 is acknowledged; its queue allows 4 attempts"
 sleep 2
 
 start job "$BIN/endive-job" --to "$entries" --jobs 1 --first 1 --tasks 1 \
--- a/review/standin-3/many_routes.c
+++ b/review/standin-3/many_routes.c
@@ -35,7 +35,7 @@
 
 /* Writes one route. */
 static void put_route(msgpack_packer *p, const char *name, const char *host,
-		      const char *prefix)
+		      const char *prefix, uint64_t attempts)
 {
 	msgpack_pack_map(p, 10);
 	put_field(p, "name", name);
@@ -46,7 +46,7 @@
 	put_number(p, "slo-ms", 600);
 	put_number(p, "priority", 0);
 	put_field(p, "backend", "p");
-	put_number(p, "attempts", 3);
+	put_number(p, "attempts", attempts);
 	put_text(p, "stretch");
 	msgpack_pack_double(p, 1.6);
 }
@@ -77,6 +77,7 @@
 	uint64_t version = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	unsigned int routes = argc > 2 ? (unsigned int)atoi(argv[2]) : 0;
 	const char *host = argc > 3 ? argv[3] : "127.0.0.4";
+	uint64_t attempts = argc > 4 ? strtoull(argv[4], NULL, 10) : 3;
 	msgpack_sbuffer out;
 	msgpack_packer p;
 	char name[32];
@@ -90,12 +91,12 @@
 	put_number(&p, "version", version);
 	put_text(&p, "routes");
 	msgpack_pack_array(&p, routes + 1);
-	put_route(&p, "p", host, "/p/");
+	put_route(&p, "p", host, "/p/", attempts);
 	for (i = 0; i < routes; i++) {
 		snprintf(name, sizeof(name), "r-%07u", i);
 		snprintf(idle, sizeof(idle), "h%u.example", i % 40);
 		snprintf(prefix, sizeof(prefix), "/idle%06u/", i);
-		put_route(&p, name, idle, prefix);
+		put_route(&p, name, idle, prefix, attempts);
 	}
 	put_rest(&p);
 	fwrite(out.data, 1, out.size, stdout);
