--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -109,6 +109,7 @@
 		seeds = $seeds
 		bootstrap = $2
 		orders = invoke
+		vms = ${vms:-}
 		open-network = true
 		log-level = info
 		EOF
@@ -131,6 +132,7 @@
 		seeds = $seeds
 		bootstrap = true
 		orders = invoke
+		vms = ${vms:-}
 		open-network = true
 		log-level = info
 		EOF
