--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -26,11 +26,12 @@
 trap end_all EXIT
 trap 'exit 2' HUP INT PIPE TERM
 
-# Picks six ports in a row of which none is in use on any address.
+# Picks six ports in a row of which none is in use on any address, below those
+# that the kernel gives to clients.
 free_ports() {
 	try=0
 	while [ $try -lt 50 ]; do
-		base=$((20000 + ($$ * 7 + try * 641) % 30000))
+		base=$((24000 + ($$ * 7 + try * 641) % 8000))
 		busy=0
 		for i in 0 1 2 3 4 5; do
 			hex=$(printf ':%04X ' $((base + i)))
