--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,8 +6,6 @@
 set -u
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../common-3.sh"
-[ -x "$BIN/review-platform" ] || { echo "not built: review-platform"; exit 2; }
-command -v curl >/dev/null || { echo "no curl"; exit 2; }
 
 cloud=127.0.0.6:$ready
 vms=$cloud
@@ -16,13 +14,13 @@
 for n in 1 2 3; do start_control $n true; done
 for n in 4 5; do start_entry $n; done
 for n in 11 12 13 14; do start_worker $n i-$n-1 --task-ms 300; done
-"$BIN/endive-job" --to "$controls" --apply 1 --pools p --host 127.0.0.4 \
-	--seconds 20 >>"$record" || exit 2
+"$BIN/review-many_routes" 1 0 127.0.0.4 >"$tmp/config1"
+apply_first "$tmp/config1"
 note "configuration 1 is acknowledged"
 sleep 3
 lead=$(leader) || exit 2
 
-curl -s -o "$tmp/answer" "http://$cloud/test/add" || exit 2
+case $(call GET "$cloud" /test/add 1000) in 200*) ;; *) exit 2 ;; esac
 try=0
 until grep -q ' added m-new' "$tmp/platform.log"; do
 	sleep 0.01
@@ -35,35 +33,46 @@
 # {"wave":1,"machines":["m-new"],"complete-by-s":60,"maximum":1}
 printf '\204\244wave\001\250machines\221\245m-new\255complete-by-s\074\247maximum\001' \
 	>"$tmp/wave"
-code=$(curl -s -o "$tmp/answer" -w '%{http_code}' -m 3 -L --max-redirs 2 \
-	-H 'Content-Type: application/msgpack' -X POST \
-	--data-binary "@$tmp/wave" "http://127.0.0.$lead:$control/v1/wave-start")
+code=$(call POST "127.0.0.$lead:$control" /v1/wave-start 3000 \
+	"127.0.0.$lead" "$tmp/wave" | cut -c1-3)
 note "a wave of upkeep for m-new is asked for: $code"
 [ "$code" = 200 ] || exit 2
 if [ "$TROUBLE" != 0 ]; then
-	curl -s -o "$tmp/answer" "http://$cloud/test/away?$AWAY_MS" || exit 2
+	call GET "$cloud" "/test/away?$AWAY_MS" 1000 >"$tmp/answer"
 	note "the platform answers nothing for $AWAY_MS ms"
 fi
 
+# What the platform does to the minion of m-new: upkeep ends it at once, and
+# another lifetime joins once it is over.
+follow_upkeep() {
+	if [ -e "$tmp/w15.pid" ] &&
+	   grep -q ' upkeep-begins m-new' "$tmp/platform.log"; then
+		kill_hard w15
+	fi
+	if [ ! -e "$tmp/w15.pid" ] &&
+	   grep -q ' upkeep-over m-new' "$tmp/platform.log"; then
+		start_worker 15 i-15-2 --task-ms 300
+	fi
+}
+
 broken=0
 state=
-try=0
-while [ $try -lt 150 ] && [ "$state" != completed ]; do
-	state=$(curl -s -m 1 -L --max-redirs 2 \
-		"http://127.0.0.$lead:$control/v1/wave-get/1" |
+until=$(($(date +%s) + 40))
+while [ "$(date +%s)" -lt $until ] && [ "$state" != completed ]; do
+	state=$(call GET "127.0.0.$lead:$control" /v1/wave-get/1 1000 |
 		grep -aoE 'running|completed')
 	if [ "$state" = completed ] &&
 	   ! grep -q ' upkeep-begins m-new' "$tmp/platform.log"; then
 		broken=1
 	fi
-	sleep 0.1
-	try=$((try + 1))
+	follow_upkeep
+	sleep 0.05
 done
 note "GET /v1/wave-get/1: $state"
 # whether the upkeep comes later
-[ $broken = 0 ] || sleep 20
+[ $broken = 0 ] || sleep 10
 if [ $broken = 1 ]; then
-	note "upkeep of m-new 20 s later: $(grep -c ' upkeep-begins m-new' "$tmp/platform.log") begun"
+	note "upkeep of m-new 10 s later: $(grep -c ' upkeep-begins m-new' "$tmp/platform.log") begun"
 fi
 {
 	echo "what the platform saw (ms since its start; each list with its last machine):"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 make -j8 B=target daemons
 make -j8 B=target
-for s in many_routes platform; do
+for s in call many_routes platform; do
 	${CC:-gcc} -O2 -Wall -o "target/bin/review-$s" "review/standin-3/$s.c" \
 		$(pkg-config --cflags --libs msgpack libevent)
 done
--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -8,12 +8,15 @@
 BIN=target/bin
 TROUBLE=${TROUBLE:-1}
 record=$CASE/record.txt
-for p in endive-schedd endive-gated endive-worker endive-job; do
+for p in endive-schedd endive-gated endive-worker endive-job review-call \
+	review-many_routes review-platform; do
 	[ -x "$BIN/$p" ] || { echo "not built: $p"; exit 2; }
 done
 tmp=$(mktemp -d) || exit 2
 
+# Background functions of a script end by themselves once $tmp/stop is there.
 end_all() {
+	: >"$tmp/stop"
 	for f in "$tmp"/*.pid; do
 		[ -f "$f" ] || continue
 		kill -CONT "$(cat "$f")" 2>/dev/null
@@ -52,7 +55,8 @@
 controls=127.0.0.1:$control,127.0.0.2:$control,127.0.0.3:$control
 # The control daemons' addresses for the fleet's own processes.
 seeds=127.0.0.1:$control,127.0.0.2:$control,127.0.0.3:$control
-entries=127.0.0.4:$callers,127.0.0.5:$callers
+# The callers know the queue by the address of the first entry daemon.
+entries=127.0.0.4:$callers
 
 began=$(date +%s%N)
 # TEXT: writes a line with the time since the start, ms, into the record.
@@ -149,6 +153,7 @@
 	shift 2
 	start "w$no" "$BIN/endive-worker" --id "$id" --pool p \
 		--listen "127.0.0.$no:$worker" --control "$controls" \
+		--zone hall-1 \
 		--seed "$no" "$@"
 }
 
@@ -167,3 +172,24 @@
 	done
 	return 1
 }
+
+# METHOD IP:PORT PATH TIMEOUT_MS [HOST [FILE]]: prints status and body.
+call() {
+	"$BIN/review-call" "$@"
+}
+
+# FILE: applies a configuration; ends the script if that doesn't work in 20 s.
+apply_first() {
+	try=0
+	while :; do
+		for n in 1 2 3; do
+			case $(call PUT "127.0.0.$n:$control" /v1/config 2000 \
+				"127.0.0.$n" "$1") in
+			200*) return 0 ;;
+			esac
+		done
+		sleep 0.2
+		try=$((try + 1))
+		[ $try -lt 40 ] || { note "no configuration was taken"; exit 2; }
+	done
+}
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -9,8 +9,9 @@
 
 /*
  * A stand-in for the platform's calls about machines: lists them, and carries
- * out upkeep, which takes UPKEEP_MS. Moves are answered with "busy". It says on
- * standard output what happens, with the time in ms. The test tells it what to
+ * out upkeep, which takes UPKEEP_MS. There is one pool, so that a move is done
+ * already or names a pool that isn't there. Fences are checked for each machine;
+ * wave 1 is of m-new alone. It says on standard output what happens, with the time in ms. The test tells it what to
  * do by GET on paths of its own:
  *
  *	/test/add	adds a machine right after the next list is answered
@@ -25,7 +26,8 @@
 	char worker[64];
 	int lifetime;
 	bool in_upkeep;
-	long upkeep_done; /* wave of its upkeep; 0: none */
+	bool upkeep_done; /* in its wave */
+	unsigned long long fence; /* highest that was seen */
 };
 
 static struct machine machines[MACHINES_MAX];
@@ -157,17 +159,17 @@
 	say("upkeep-over", m->name);
 }
 
-static void begin_upkeep(struct evhttp_request *req)
+/* Reads an order's text and number; false: it can't be read. */
+static bool read_order(struct evhttp_request *req, const char *key,
+		       char *text, size_t size, uint64_t *number)
 {
-	const struct timeval takes = {.tv_sec = UPKEEP_MS / 1000};
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	size_t len = evbuffer_get_length(in);
+	bool found = false;
 	msgpack_unpacked u;
-	struct machine *m = NULL;
-	uint64_t wave = 0;
 	uint32_t i;
-	int k;
 
+	*number = 0;
 	msgpack_unpacked_init(&u);
 	if (msgpack_unpack_next(&u, (const char *)evbuffer_pullup(in, -1), len,
 				NULL) == MSGPACK_UNPACK_SUCCESS &&
@@ -176,24 +178,54 @@
 			const msgpack_object_kv *kv = &u.data.via.map.ptr[i];
 
 			if (kv->val.type == MSGPACK_OBJECT_POSITIVE_INTEGER)
-				wave = kv->val.via.u64;
-			for (k = 0; kv->val.type == MSGPACK_OBJECT_STR &&
-				    k < n_machines;
-			     k++)
-				if (strlen(machines[k].name) ==
-					    kv->val.via.str.size &&
-				    memcmp(machines[k].name,
-					   kv->val.via.str.ptr,
-					   kv->val.via.str.size) == 0)
-					m = &machines[k];
+				*number = kv->val.via.u64;
+			if (kv->val.type != MSGPACK_OBJECT_STR ||
+			    kv->key.type != MSGPACK_OBJECT_STR ||
+			    kv->key.via.str.size != strlen(key) ||
+			    memcmp(kv->key.via.str.ptr, key, strlen(key)) ||
+			    kv->val.via.str.size >= size)
+				continue;
+			memcpy(text, kv->val.via.str.ptr,
+			       kv->val.via.str.size);
+			text[kv->val.via.str.size] = '\0';
+			found = true;
 		}
 	msgpack_unpacked_destroy(&u);
-	if (!m) {
+	return found;
+}
+
+static void on_order(struct evhttp_request *req, bool move)
+{
+	const struct timeval takes = {.tv_sec = UPKEEP_MS / 1000};
+	const char *token = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "Fencing-Token");
+	unsigned long long fence = token ? strtoull(token, NULL, 10) : 0;
+	struct machine *m = NULL;
+	char name[32] = "";
+	char pool[32] = "";
+	uint64_t wave;
+	int i;
+
+	read_order(req, "pool", pool, sizeof(pool), &wave);
+	if (read_order(req, "machine", name, sizeof(name), &wave))
+		for (i = 0; i < n_machines; i++)
+			if (strcmp(machines[i].name, name) == 0)
+				m = &machines[i];
+	if (!m || (move && strcmp(pool, "p") != 0)) {
 		answer(req, 400, NULL);
 		return;
 	}
-	if (m->upkeep_done != (long)wave) {
-		m->upkeep_done = (long)wave;
+	if (fence < m->fence) {
+		refuse(req, "fence");
+		return;
+	}
+	m->fence = fence;
+	if (!move && (wave != 1 || strcmp(m->name, "m-new") != 0)) {
+		refuse(req, "wave");
+		return;
+	}
+	if (!move && !m->upkeep_done) {
+		m->upkeep_done = true;
 		m->in_upkeep = true;
 		say("upkeep-begins", m->name);
 		event_base_once(base, -1, EV_TIMEOUT, upkeep_over, m, &takes);
@@ -218,9 +250,11 @@
 	} else if (strncmp(uri, "/v1/machines", 12) == 0) {
 		list_machines(req);
 	} else if (strcmp(uri, "/v1/machine-upkeep") == 0) {
-		begin_upkeep(req);
+		on_order(req, false);
+	} else if (strcmp(uri, "/v1/machine-move") == 0) {
+		on_order(req, true);
 	} else {
-		refuse(req, "busy");
+		answer(req, 404, NULL);
 	}
 }
 
