upk: absence counts from list to list, not by the leader's clock

Cause: a VM missing from the newest list for UPK_REMOVED_MS (5 s) counted as removed. The time ran by the leader's clock while the list stayed the same, so one list from before the VM came proved its removal. The count was kept by the VM's name for all waves, so that a later wave with a VM of that name began with the absence that had ended an earlier one.

Change: evd_vm_gone() judges absence. A list counts once, if it was requested after the VM was found missing, and adds the time since the one before, 1 s at most, so that an outage between two lists adds one interval. Beyond 5 s, six lists at least, the VM is gone. The count is kept in the wave's entry and forgotten when a replica begins to lead. Why it holds: what is judged is only what was read since, and each list read adds to it, so a VM that is gone for good still ends its wave; with a list each 0.8 s after some 6 s.

Failed before: upk_test old_list_shows_no_removal, outage_between_two_lists_shows_no_removal, removal_counts_for_one_wave_only. earlier_term_shows_no_removal held before and keeps the reset.

--- a/src/evd.c
+++ b/src/evd.c
@@ -20,6 +20,17 @@
  * just been switched on, or change while it is read page by page.
  */
 #define EVD_MIN_ABSENT_LISTS 2
+/*
+ * A VM that lists have shown as absent for this long is gone for good, ms. A VM
+ * that has just been switched on is listed some 100 ms later.
+ */
+#define EVD_GONE_MS 5000
+/*
+ * Most that one list adds to that time, ms: some more than the interval at which
+ * lists are requested. The time without an answer from the platform shows
+ * nothing.
+ */
+#define EVD_LIST_STEP_MS 1000
 
 static const char *const evd_names[EVD_KINDS] = {
 	[EVD_NONE] = "earlier-leader",
@@ -215,6 +226,31 @@
 	return why != EVD_NONE;
 }
 
+/*
+ * Counts what the newest list of VMs, requested at asked_ms, says about a VM
+ * that may be gone; returns whether it is gone for good. Only lists that were
+ * requested after the VM was found missing count, each of them once: an older
+ * list may be from before the VM was there, and looking at it again shows
+ * nothing.
+ */
+bool evd_vm_gone(struct evd_absence *a, bool listed, int64_t asked_ms,
+		 int64_t now_ms)
+{
+	if (listed) {
+		*a = (struct evd_absence){0};
+		return false;
+	}
+	if (!a->asked_ms) {
+		a->asked_ms = now_ms;
+		return false;
+	}
+	if (asked_ms > a->asked_ms) {
+		a->shown_ms += MIN(asked_ms - a->asked_ms, EVD_LIST_STEP_MS);
+		a->asked_ms = asked_ms;
+	}
+	return a->shown_ms > EVD_GONE_MS;
+}
+
 /*
  * Fills in evidence of a kind that the caller has established, as of as_of_ms.
  */
--- a/src/evd.h
+++ b/src/evd.h
@@ -64,6 +64,16 @@
 	uint32_t without; /* consecutive complete lists without the worker */
 };
 
+/* For how long lists of VMs have shown that a VM is absent. */
+struct evd_absence {
+	/*
+	 * when the newest list that counts was requested; before the first one,
+	 * when the VM was found missing; 0: it isn't missing
+	 */
+	int64_t asked_ms;
+	int64_t shown_ms; /* time that the lists since then account for */
+};
+
 /* The point in time at which evidence is evaluated. */
 struct evd_moment {
 	int64_t now_ms;
@@ -88,6 +98,8 @@
 		    const struct evd_moment *m, struct evd *out);
 bool evd_vm_over(const struct evd_vm *vm, int64_t unreachable_since,
 		 const struct evd_moment *m, struct evd *out);
+bool evd_vm_gone(struct evd_absence *a, bool listed, int64_t asked_ms,
+		 int64_t now_ms);
 void evd_set(enum evd_why why, int64_t as_of_ms, const struct evd_moment *m,
 	     struct evd *out);
 
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -321,6 +321,7 @@
 	char *vm;
 	enum jtb_vm_state state;
 	char *worker_before; /* worker id on it as its upkeep began; or NULL */
+	struct evd_absence absence; /* leader's: lists of VMs that lack it */
 };
 
 /* Callbacks for changes of the table as commands are applied. */
--- a/src/upk.c
+++ b/src/upk.c
@@ -25,13 +25,6 @@
  */
 #define UPK_STOP_AFTER_MS 2500
 
-/*
- * A VM that has been missing from all lists for this long is taken as removed
- * permanently, ms. A VM that has just been switched on may be due before it is
- * listed.
- */
-#define UPK_REMOVED_MS 5000
-
 /* Progress of one VM's upkeep, while it is drained or down. */
 struct upk_drain {
 	char *vm;
@@ -64,8 +57,6 @@
 	void *arg;
 	GPtrArray *drains; /* struct upk_drain */
 	GHashTable *by_vm; /* the same entries, by VM name */
-	/* VM name: when it was first missing from a list, int64_t */
-	GHashTable *missing;
 };
 
 static void upk_free_drain(gpointer p);
@@ -83,8 +74,7 @@
 			     int64_t wall);
 static void upk_remove_finished(struct upk *u);
 static void upk_reconcile(struct upk *u, struct jtb_wave *w, int64_t now);
-static bool upk_is_removed(struct upk *u, const char *vm, bool listed,
-			   int64_t now);
+static void upk_forget_absences(const struct jtb_wave *w);
 static uint32_t upk_count_wanted(const struct jtb_wave *w, uint32_t remaining,
 				 int64_t wall);
 static uint32_t upk_start_drains(struct upk *u, struct jtb_wave *w,
@@ -118,8 +108,6 @@
 	u->arg = arg;
 	u->drains = g_ptr_array_new_with_free_func(upk_free_drain);
 	u->by_vm = g_hash_table_new(g_str_hash, g_str_equal);
-	u->missing =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return u;
 }
 
@@ -130,7 +118,6 @@
 		return;
 	g_hash_table_destroy(u->by_vm);
 	g_ptr_array_free(u->drains, TRUE);
-	g_hash_table_destroy(u->missing);
 	g_free(u);
 }
 
@@ -140,9 +127,25 @@
  */
 void upk_reset(struct upk *u)
 {
+	GPtrArray *waves = jtb_waves(u->jtb);
+	guint i;
+
 	g_hash_table_remove_all(u->by_vm);
 	g_ptr_array_set_size(u->drains, 0);
-	g_hash_table_remove_all(u->missing);
+	for (i = 0; i < waves->len; i++)
+		upk_forget_absences(g_ptr_array_index(waves, i));
+}
+
+/* Forgets the lists that an earlier term of this replica read. */
+static void upk_forget_absences(const struct jtb_wave *w)
+{
+	guint i;
+
+	for (i = 0; i < w->vms->len; i++) {
+		struct jtb_wave_vm *v = g_ptr_array_index(w->vms, i);
+
+		v->absence = (struct evd_absence){0};
+	}
 }
 
 /*
@@ -461,9 +464,9 @@
 
 /*
  * Reconciles the table with the VM list. A VM whose order was accepted is done
- * once a later list has it as up; a VM that stays unlisted is taken as removed.
- * Orders of an earlier leader are sent again: only an answer shows that they
- * arrived, and a repeated order has no further effect.
+ * once a later list has it as up; a VM that later lists keep lacking is taken as
+ * removed. Orders of an earlier leader are sent again: only an answer shows
+ * that they arrived, and a repeated order has no further effect.
  */
 static void upk_reconcile(struct upk *u, struct jtb_wave *w, int64_t now)
 {
@@ -477,7 +480,8 @@
 
 		if (v->state == JTB_VM_DONE)
 			continue;
-		if (upk_is_removed(u, v->vm, vm != NULL, now))
+		if (evd_vm_gone(&v->absence, vm != NULL, vms_listed_ms(u->vms),
+				now))
 			over = true;
 		else if (vm && v->state == JTB_VM_BEGUN && vm->state == VMS_UP)
 			over = d && d->accepted_ms &&
@@ -500,26 +504,6 @@
 	}
 }
 
-/*
- * Whether a VM has been unlisted for so long that it is taken as removed
- * permanently.
- */
-static bool upk_is_removed(struct upk *u, const char *vm, bool listed,
-			   int64_t now)
-{
-	int64_t *since = g_hash_table_lookup(u->missing, vm);
-
-	if (listed) {
-		g_hash_table_remove(u->missing, vm);
-		return false;
-	}
-	if (since)
-		return now - *since > UPK_REMOVED_MS;
-	g_hash_table_insert(u->missing, g_strdup(vm),
-			    g_memdup2(&now, sizeof(now)));
-	return false;
-}
-
 /*
  * Returns how many VMs should be in progress now: as few as complete the wave
  * in time, since each one reduces the capacity of its pool. VMs that can be
--- a/tests/unit/evd_test.c
+++ b/tests/unit/evd_test.c
@@ -118,6 +118,31 @@
 	assert_int_equal(e.why, EVD_VM_OTHER);
 }
 
+/*
+ * Guards against a VM given up by one list that is looked at again: time counts
+ * from list to list, an outage between two lists counts as one interval, and a
+ * list that has the VM again ends the count.
+ */
+static void only_new_lists_show_that_a_vm_is_gone(void **state)
+{
+	struct evd_absence a = {0};
+	int64_t asked = NOW_MS - 1;
+	int lists = 0;
+	int i;
+
+	for (i = 0; i < 1000; i++)
+		assert_false(evd_vm_gone(&a, false, asked, NOW_MS + 100 * i));
+	asked = NOW_MS + 100000;
+	assert_false(evd_vm_gone(&a, false, asked, asked));
+	while (!evd_vm_gone(&a, false, asked, asked)) {
+		asked += 800;
+		lists++;
+	}
+	assert_int_equal(lists, 6);
+	assert_false(evd_vm_gone(&a, true, asked + 800, asked + 800));
+	assert_false(evd_vm_gone(&a, false, asked + 1600, asked + 1600));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -128,6 +153,7 @@
 		cmocka_unit_test(list_from_before_the_failure_is_not_evidence),
 		cmocka_unit_test(listed_vm_that_is_up_is_not_evidence),
 		cmocka_unit_test(another_worker_on_the_vm_is_evidence),
+		cmocka_unit_test(only_new_lists_show_that_a_vm_is_gone),
 	};
 
 	return cmocka_run_group_tests_name("evd", tests, NULL, NULL);
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -11,6 +11,8 @@
 /* Interval of upk_tick(), ms; each VM list is requested just before it. */
 #define STEP_MS 100
 #define WAVE 3
+/* Ticks, with a list each, within which a VM that is gone is given up. */
+#define GONE_TICKS 60
 /* Duration of the wave, ms: enough time to do one VM at a time. */
 #define WITHIN_MS 1000000
 
@@ -121,6 +123,13 @@
 	return NULL;
 }
 
+/* Runs a tick with the VM list that is there. */
+static void tick_without_list(struct fixture *f)
+{
+	f->now += STEP_MS;
+	upk_tick(f->upk, f->now, JOBS_WALL_MS + f->now - NOW_MS);
+}
+
 /* Delivers a new VM list, then runs a tick. */
 static void tick(struct fixture *f)
 {
@@ -136,9 +145,8 @@
 		vm->worker = g_strdup(vm->worker);
 		g_ptr_array_add(list, vm);
 	}
-	f->now += STEP_MS;
-	vms_put_list(f->vms, list, f->now - 1);
-	upk_tick(f->upk, f->now, JOBS_WALL_MS + f->now - NOW_MS);
+	vms_put_list(f->vms, list, f->now + STEP_MS - 1);
+	tick_without_list(f);
 }
 
 static void ticks(struct fixture *f, int n)
@@ -147,6 +155,12 @@
 		tick(f);
 }
 
+static void ticks_without_list(struct fixture *f, int n)
+{
+	while (n-- > 0)
+		tick_without_list(f);
+}
+
 static void add_wave_no(struct fixture *f, uint64_t no, uint32_t at_once,
 			int64_t within_ms)
 {
@@ -425,6 +439,89 @@
 	vms_vm_free(vm);
 }
 
+/*
+ * Guards against a wave that completes although a new VM had no upkeep: no list
+ * could be read for longer than a removal takes, and the last one was from
+ * before the VM came.
+ */
+static void old_list_shows_no_removal(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm;
+
+	add_wave(f, 1, WITHIN_MS);
+	vm = g_ptr_array_steal_index(f->list, 0);
+	tick(f);
+	ticks_without_list(f, 10 * GONE_TICKS);
+	assert_int_equal(f->done, 0);
+	g_ptr_array_add(f->list, vm);
+	ticks(f, 3);
+	assert_string_equal(f->ordered, "vm1");
+	do_upkeep(f, "vm1");
+	ticks(f, 2);
+	assert_true(jtb_wave(f->jtb, WAVE)->completed);
+}
+
+/*
+ * Guards against an outage that counts as absence: a list on each side of it
+ * lacks the VM, as the platform lists a new VM late. A VM that is gone for good
+ * must not block the wave.
+ */
+static void outage_between_two_lists_shows_no_removal(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm;
+
+	add_wave(f, 1, WITHIN_MS);
+	vm = g_ptr_array_steal_index(f->list, 0);
+	ticks(f, 2);
+	ticks_without_list(f, 10 * GONE_TICKS);
+	ticks(f, 3);
+	assert_int_equal(f->done, 0);
+	ticks(f, GONE_TICKS);
+	assert_int_equal(f->done, 1);
+	vms_vm_free(vm);
+}
+
+/*
+ * Guards against absence that an earlier term saw: a replica that leads again
+ * knows nothing of the lists in between.
+ */
+static void earlier_term_shows_no_removal(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm;
+
+	add_wave(f, 1, WITHIN_MS);
+	vm = g_ptr_array_steal_index(f->list, 0);
+	ticks(f, GONE_TICKS - 10);
+	upk_reset(f->upk);
+	ticks(f, 20);
+	assert_int_equal(f->done, 0);
+	vms_vm_free(vm);
+}
+
+/*
+ * Guards against a later wave that completes with the absence that ended an
+ * earlier one: a VM that was removed came again under its name.
+ */
+static void removal_counts_for_one_wave_only(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm;
+
+	add_wave(f, 1, WITHIN_MS);
+	vm = g_ptr_array_steal_index(f->list, 0);
+	ticks(f, GONE_TICKS + 10);
+	assert_int_equal(f->done, 1);
+	g_ptr_array_add(f->list, vm);
+	add_wave_no(f, WAVE + 1, 1, WITHIN_MS);
+	ticks_without_list(f, 5);
+	assert_int_equal(f->done, 1);
+	ticks(f, 3);
+	assert_string_equal(f->ordered, "vm1");
+}
+
 /*
  * Guards against work lost with its VM: the order of a former leader may be
  * carried out seconds later, and the next leader must give the VM no work.
@@ -786,6 +883,10 @@
 		T(spare_vms_are_done_at_once),
 		T(fenced_order_is_not_repeated),
 		T(briefly_unlisted_vm_is_not_removed),
+		T(old_list_shows_no_removal),
+		T(outage_between_two_lists_shows_no_removal),
+		T(earlier_term_shows_no_removal),
+		T(removal_counts_for_one_wave_only),
 		T(vm_ordered_by_former_leader_gets_no_work),
 		T(new_worker_before_the_order_is_drained),
 		T(new_worker_after_the_order_is_drained),
