upk: no upkeep by an old list of a VM whose worker is gone

What callers saw: during an outage of the platform a VM fails and comes back with a new worker, which gets work; a wave's upkeep is ordered and the work is lost with the VM, undrained.

Cause: the newest list was taken for the present. It names the worker from before the failure, which has left the table, so that the VM counted as drained; the new worker is on no list, and nothing closed or drained it. The same holds for an order that was sent before the VM failed and is accepted after it came back.

Evidence: upk_prop with outages, VMs that are listed late and VMs that are removed for good.

Change: an upkeep begins only while it is known which worker the VM has: the listed one answers, or the list is at most 1 s old (a VM that fails is down for longer). While an order is open and the listed worker doesn't answer, workers that no list has get no work, as before while the list named none. Why it holds: either a list read since the failure says who is on the VM, or nothing that could be on it unseen is given work.

Failed before: upk_test vm_is_not_ordered_by_an_old_list, unlisted_worker_waits_for_an_open_order; upk_prop.

--- a/src/upk.c
+++ b/src/upk.c
@@ -25,6 +25,12 @@
  */
 #define UPK_STOP_AFTER_MS 2500
 
+/*
+ * Greatest age of a list that tells which worker a VM has although that worker
+ * doesn't answer, ms: a VM that fails is down for longer.
+ */
+#define UPK_LIST_AGE_MAX_MS 1000
+
 /* Progress of one VM's upkeep, while it is drained or down. */
 struct upk_drain {
 	char *vm;
@@ -67,6 +73,9 @@
 static void upk_add_ordered(const struct jtb_wave *w, GHashTable *ids);
 static bool upk_is_worker_unknown(const struct upk *u,
 				  const struct upk_drain *d);
+static bool upk_knows_worker(const struct upk *u, const struct vms_vm *vm,
+			     int64_t now);
+static bool upk_is_worker_up(const struct upk *u, const struct vms_vm *vm);
 static void upk_add_unlisted(const struct upk *u, GHashTable *ids);
 static bool upk_note_new_worker(const struct upk *u, struct upk_drain *d,
 				int64_t now);
@@ -304,7 +313,9 @@
 
 /*
  * Whether a VM's order may still be carried out while the worker on that VM is
- * unknown: the VM went down by itself before its order was accepted.
+ * unknown: the VM went down by itself before its order was accepted. The newest
+ * list names no worker then, or still the one from before, which doesn't answer
+ * any more.
  */
 static bool upk_is_worker_unknown(const struct upk *u,
 				  const struct upk_drain *d)
@@ -316,7 +327,27 @@
 	if (!d->recorded || d->accepted_ms || d->done_recorded ||
 	    (p && p->standby))
 		return false;
-	return !vm || !*vm->worker;
+	return !vm || !upk_is_worker_up(u, vm);
+}
+
+/*
+ * Whether it is certain which worker is on a VM: the listed one answers, or the
+ * list is too young for another one to have come up and got work since. During
+ * an outage of the platform a VM may fail and come back unseen.
+ */
+static bool upk_knows_worker(const struct upk *u, const struct vms_vm *vm,
+			     int64_t now)
+{
+	return upk_is_worker_up(u, vm) ||
+	       now - vms_listed_ms(u->vms) <= UPK_LIST_AGE_MAX_MS;
+}
+
+/* Whether the worker that the newest list names for a VM answers. */
+static bool upk_is_worker_up(const struct upk *u, const struct vms_vm *vm)
+{
+	const struct jtb_worker *w = jtb_worker(u->jtb, vm->worker);
+
+	return w && u->ops->is_reachable(u->arg, w);
 }
 
 /*
@@ -626,7 +657,7 @@
 		return;
 	}
 	if (!d->recorded) {
-		if (!vm || vm->state != VMS_UP)
+		if (!vm || vm->state != VMS_UP || !upk_knows_worker(u, vm, now))
 			return;
 		d->recorded = true;
 		u->ops->note(u->arg, w, v, JTB_VM_BEGUN, d->worker);
--- a/tests/prop/upk_prop.cc
+++ b/tests/prop/upk_prop.cc
@@ -21,6 +21,10 @@
 /* Greatest age of the VM list; a VM that fails is down for longer. */
 const int64_t LIST_MS = 700;
 const int DOWN_STEPS = 10;
+/* Most ticks from a VM's arrival until lists have it. */
+const int UNLISTED_STEPS = 5;
+/* Most ticks of an outage in which no list can be read. */
+const int OUTAGE_STEPS = 120;
 /* Ticks within which all waves complete once faults have stopped. */
 const int SETTLE_TICKS = 6000;
 
@@ -42,6 +46,8 @@
 	uint64_t upkeepWave = 0; /* wave whose upkeep is under way; 0: none */
 	bool moving = false;
 	bool partitioned = false;
+	int64_t listedFrom = 0; /* a VM that has just come is listed later */
+	bool gone = false; /* removed for good */
 	std::set<uint64_t> upkeepsHad; /* waves in which it had its upkeep */
 };
 
@@ -88,6 +94,7 @@
 	struct upk_ops ops = {};
 	int64_t now = START_MS;
 	int64_t listed = 0;
+	int64_t outageUntil = 0; /* no list can be read until then */
 	std::vector<Machine> machines;
 	std::vector<Order> orders;
 	std::vector<Record> records;
@@ -120,6 +127,8 @@
 			machines[i].name = "vm" + std::to_string(i);
 			workerUp(machines[i]);
 		}
+		list();
+		addNewVms();
 		for (int i = randomInt(0, 3); i > 0; i--)
 			submit(true);
 		for (int i = 0; i < WAVES; i++)
@@ -134,6 +143,20 @@
 		event_base_free(base);
 	}
 
+	/* Adds VMs that the newest list lacks, which the waves may name. */
+	void addNewVms()
+	{
+		for (int i = randomInt(0, 3); i > 0; i--) {
+			Machine m;
+
+			m.name = "vm" + std::to_string(machines.size());
+			m.listedFrom =
+				now + randomInt(0, UNLISTED_STEPS) * STEP_MS;
+			workerUp(m);
+			machines.push_back(m);
+		}
+	}
+
 	/*
 	 * Adds one of two waves with overlapping VMs. One VM is in no wave:
 	 * otherwise long-running work might have no other VM to run on, and its
@@ -260,12 +283,16 @@
 			 randomInt(0, 100) >= lossPercent, false, false});
 	}
 
-	/* A VM is recorded as done only if it had its upkeep in that wave. */
+	/*
+	 * A VM is recorded as done only if it had its upkeep in that wave, or
+	 * is gone.
+	 */
 	void note(uint64_t no, const char *vm, enum jtb_vm_state state,
 		  const char *worker)
 	{
 		if (state == JTB_VM_DONE)
-			RC_ASSERT(machine(vm).upkeepsHad.count(no) == 1u);
+			RC_ASSERT(machine(vm).gone ||
+				  machine(vm).upkeepsHad.count(no) == 1u);
 		records.push_back(
 			{no, vm, state, worker,
 			 now + randomInt(0, maxLogDelay + 1) * STEP_MS});
@@ -277,6 +304,8 @@
 		Machine &m = machine(o.vm.c_str());
 		uint32_t ongoing = 0;
 
+		if (m.gone)
+			return VMS_NO_SUCH;
 		if (m.upkeepsHad.count(o.wave))
 			return VMS_ACCEPTED;
 		if (m.state != VMS_UP)
@@ -312,6 +341,17 @@
 		m.upAt = now + steps * STEP_MS;
 	}
 
+	/* Removes a VM for good, but the one that is in no wave. */
+	void remove(Machine &m)
+	{
+		if (&m == &machines[0] || m.gone)
+			return;
+		if (m.state == VMS_UP)
+			down(m, VMS_DOWN, 0);
+		m.gone = true;
+		m.upkeepWave = 0;
+	}
+
 	void submit(bool longRunning)
 	{
 		struct jtb_step s = {};
@@ -418,7 +458,7 @@
 				i++;
 		}
 		for (auto &m : machines)
-			if (m.state != VMS_UP && now >= m.upAt)
+			if (m.state != VMS_UP && !m.gone && now >= m.upAt)
 				workerUp(m);
 	}
 
@@ -454,8 +494,11 @@
 		GPtrArray *all = g_ptr_array_new_with_free_func(vms_vm_free);
 
 		for (auto &m : machines) {
-			struct vms_vm *vm = g_new0(struct vms_vm, 1);
+			struct vms_vm *vm;
 
+			if (m.gone || now < m.listedFrom)
+				continue;
+			vm = g_new0(struct vms_vm, 1);
 			vm->name = g_strdup(m.name.c_str());
 			vm->pool = g_strdup("p");
 			vm->worker = g_strdup(m.worker.c_str());
@@ -491,7 +534,8 @@
 		now += STEP_MS;
 		progressRuns();
 		deliverAll();
-		if (now - listed >= LIST_MS || randomInt(0, 2))
+		if (now >= outageUntil &&
+		    (now - listed >= LIST_MS || randomInt(0, 2)))
 			list();
 		upk_tick(upk, now, JOBS_WALL_MS + now - START_MS);
 		schedule();
@@ -521,6 +565,14 @@
 		case 5:
 			submit(false);
 			break;
+		case 6:
+			outageUntil =
+				now + randomInt(0, OUTAGE_STEPS) * STEP_MS;
+			break;
+		case 7:
+			if (randomInt(0, 4) == 0)
+				remove(m);
+			break;
 		default:
 			break;
 		}
@@ -529,13 +581,14 @@
 	void stopFaults()
 	{
 		lossPercent = 0;
+		outageUntil = 0;
 		for (auto &m : machines) {
 			m.partitioned = false;
 			m.moving = false;
 		}
 	}
 
-	/* In a completed wave every VM had its upkeep. */
+	/* In a completed wave every VM had its upkeep, or is gone. */
 	void checkCompleted(uint64_t no)
 	{
 		const struct jtb_wave *w = jtb_wave(jtb, no);
@@ -544,7 +597,8 @@
 			auto *v = static_cast<struct jtb_wave_vm *>(
 				g_ptr_array_index(w->vms, i));
 
-			RC_ASSERT(machine(v->vm).upkeepsHad.count(no) == 1u);
+			RC_ASSERT(machine(v->vm).gone ||
+				  machine(v->vm).upkeepsHad.count(no) == 1u);
 		}
 	}
 };
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -562,6 +562,49 @@
 	assert_true(is_closed(f, "w1b"));
 }
 
+/*
+ * Guards against work lost with its VM: during an outage of the platform the VM
+ * failed and came back, and its new worker, which no list has yet, has work.
+ */
+static void vm_is_not_ordered_by_an_old_list(void **state)
+{
+	struct fixture *f = *state;
+
+	tick(f);
+	ticks_without_list(f, GONE_TICKS);
+	jobs_worker_lost(f->jtb, "w1", true);
+	jobs_worker(f->jtb, "w1b", 16000, false);
+	add_wave(f, 1, WITHIN_MS);
+	ticks_without_list(f, 10 * GONE_TICKS);
+	assert_int_equal(f->orders, 0);
+	assert_false(is_closed(f, "w1b"));
+	g_free(find_vm(f, "vm1")->worker);
+	find_vm(f, "vm1")->worker = g_strdup("w1b");
+	ticks(f, 4);
+	assert_int_equal(f->orders, 1);
+	assert_true(is_closed(f, "w1b"));
+}
+
+/*
+ * Guards against work lost with its VM: it fails beside its order, which is
+ * sent again after it has come back, and no list can be read meanwhile.
+ */
+static void unlisted_worker_waits_for_an_open_order(void **state)
+{
+	struct fixture *f = *state;
+
+	add_wave(f, 1, WITHIN_MS);
+	ticks(f, 3);
+	assert_int_equal(f->orders, 1);
+	jobs_worker(f->jtb, "w1b", 16000, false);
+	assert_false(is_closed(f, "w1b"));
+	jobs_worker_lost(f->jtb, "w1", true);
+	ticks_without_list(f, GONE_TICKS);
+	assert_true(is_closed(f, "w1b"));
+	upk_answered(f->upk, "vm1", VMS_ACCEPTED, f->now);
+	assert_false(is_closed(f, "w1b"));
+}
+
 /*
  * Guards against work lost with its VM after the order: the VM failed by itself
  * before the order was carried out and came back with another worker.
@@ -890,6 +933,8 @@
 		T(vm_ordered_by_former_leader_gets_no_work),
 		T(new_worker_before_the_order_is_drained),
 		T(new_worker_after_the_order_is_drained),
+		T(vm_is_not_ordered_by_an_old_list),
+		T(unlisted_worker_waits_for_an_open_order),
 		T(two_waves_with_the_same_vms),
 		T(bad_image_costs_no_more_than_at_once),
 		T(partition_pauses_the_wave),
