hub: a repeated report waits until its first copy is stored

What callers saw: a worker reports that it is to leave, the report comes again because the answer is slow, and the copy is answered 200 before the first one is stored. If the lead changes then, the next leader doesn't know that the worker leaves, gives it work, and the work ends with it.

Cause: hub_report_outdated() remembers the number of a report as it arrives, and an equal or lower one was acknowledged at once. That a report was received before doesn't show that it is stored.

Evidence: by reading, and by the test, which leaves the first copy in the batch: two of three copies were acknowledged with nothing stored.

Change: a report that the table doesn't have waits for the log; a copy adds no command. Why it holds: hub_commit() resumes a call once all that was packed before is committed, the first copy among it, and ends it unanswered if the lead is lost. Reports that the table has are answered at once, as before.

Failed before: hub_take_test repeated_report_waits_for_the_first; repeat_of_what_is_stored_is_answered_at_once held before.

--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -134,9 +134,11 @@
 		       hub_resume_fn resume)
 {
 	struct jtb_worker *w = jtb_worker(h->jtb, info->id);
+	bool current;
 
 	if (info->draining && leaves_in_ms)
 		info->leaves_at_ms = hub_wall_ms() + leaves_in_ms;
+	current = w && jtb_worker_info_is_current(&w->info, info);
 	if (!hub_judge_lifetime(h, c, w, info, resume))
 		return;
 	if (jtb_lifetime_is_over(h->jtb, info->id, info->started_ms)) {
@@ -153,21 +155,21 @@
 		hub_commit(h, c, resume);
 		return;
 	}
-	if (hub_report_outdated(h, info->id, sequence)) {
-		resume(h, c);
-		return;
+	if (!hub_report_outdated(h, info->id, sequence)) {
+		if (w)
+			wkr_set_clock(h->wkr, w, clock_ms);
+		else
+			hub_probe_addr(h, info);
+		if (!current)
+			jtb_put_worker(hub_append_command(h), info);
 	}
-	if (w)
-		wkr_set_clock(h->wkr, w, clock_ms);
-	else
-		hub_probe_addr(h, info);
-	if (w && jtb_worker_info_is_current(&w->info, info)) {
-		h->counts[HUB_REPORTS]++;
-		resume(h, c);
+	if (!current) {
+		/* a repeated one: its first copy may not be stored yet */
+		hub_commit(h, c, resume);
 		return;
 	}
-	jtb_put_worker(hub_append_command(h), info);
-	hub_commit(h, c, resume);
+	h->counts[HUB_REPORTS]++;
+	resume(h, c);
 }
 
 /*
