evd: a run stands still only while lists show it

What callers saw: a job's task is stopped and begins anew although it made progress, just after a replica leads again or after its worker was silent.

Cause: hub_run_hung() compared the leader's clock with the last change of the run's progress. Neither a worker's silence nor a term of another replica shows anything of the progress. A replica that leads again still had the time of its earlier term: wkr_lead() resets the percentage and not that time, and the first tick comes before the first list.

Evidence: by reading, and by the test; with the rule from before in evd_stands_still(), two lists that are 60 s apart stop the run.

Change: evd_record_running() counts from list to list, 1 s at most each, what shows a run without progress; a change of the percentage, a new term and a new lifetime of the worker begin anew. Why it holds: each list that shows the same progress adds to the count, so a run that hangs beside a worker that answers is stopped after the same time; nothing else adds.

Failed with the rule from before: evd_test unseen_run_does_not_stand_still. run_without_progress_stands_still held before.

--- a/src/evd.c
+++ b/src/evd.c
@@ -31,6 +31,12 @@
  * nothing.
  */
 #define EVD_LIST_STEP_MS 1000
+/*
+ * Most that one list of a worker's runs adds to the time that a run stands
+ * still, ms: a list is requested, at the latest, when the one before has been
+ * held for 0.5 s.
+ */
+#define EVD_STILL_STEP_MS 1000
 
 static const char *const evd_names[EVD_KINDS] = {
 	[EVD_NONE] = "earlier-leader",
@@ -251,6 +257,35 @@
 	return a->shown_ms > EVD_GONE_MS;
 }
 
+/*
+ * Records that a list of its worker's runs, read now, shows a run with that
+ * progress, in percent.
+ */
+void evd_record_running(struct jtb_run *run, int32_t percent, int64_t now_ms)
+{
+	if (run->percent != percent) {
+		run->percent = percent;
+		run->progress_ms = now_ms;
+		run->still_ms = 0;
+	} else if (run->last_running_ms) {
+		run->still_ms +=
+			MIN(now_ms - run->last_running_ms, EVD_STILL_STEP_MS);
+	}
+	if (!run->first_running_ms)
+		run->first_running_ms = now_ms;
+	run->last_running_ms = now_ms;
+}
+
+/*
+ * Whether lists have shown a run without progress for longer than timeout_ms.
+ * The time in which its worker was silent, or this replica didn't lead, shows
+ * nothing: the run may have gone on, or its VM stood still.
+ */
+bool evd_stands_still(const struct jtb_run *run, int64_t timeout_ms)
+{
+	return run->still_ms > timeout_ms;
+}
+
 /*
  * Fills in evidence of a kind that the caller has established, as of as_of_ms.
  */
--- a/src/evd.h
+++ b/src/evd.h
@@ -100,6 +100,8 @@
 		 const struct evd_moment *m, struct evd *out);
 bool evd_vm_gone(struct evd_absence *a, bool listed, int64_t asked_ms,
 		 int64_t now_ms);
+void evd_record_running(struct jtb_run *run, int32_t percent, int64_t now_ms);
+bool evd_stands_still(const struct jtb_run *run, int64_t timeout_ms);
 void evd_set(enum evd_why why, int64_t as_of_ms, const struct evd_moment *m,
 	     struct evd *out);
 
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -70,7 +70,7 @@
 static void hub_record_run_time(struct hub *h, const struct jtb_run *run,
 				enum jtb_end how);
 static void hub_scale_estimates(struct hub *h);
-static bool hub_run_hung(const struct jtb_run *run, int64_t now);
+static bool hub_run_hung(const struct jtb_run *run);
 static int64_t hub_objective_ms(const struct hub *h, const struct jtb_job *job);
 static void hub_forget_jobs(struct hub *h, int64_t now);
 
@@ -795,7 +795,7 @@
 	for (i = 0; i < w->runs->len; i++) {
 		struct jtb_run *run = g_ptr_array_index(w->runs, i);
 
-		if (!run->stop_wanted && hub_run_hung(run, now))
+		if (!run->stop_wanted && hub_run_hung(run))
 			hub_stop_run(h, run, "it stands still");
 	}
 }
@@ -881,7 +881,7 @@
 }
 
 /* Whether a run has made no progress for far longer than its estimate. */
-static bool hub_run_hung(const struct jtb_run *run, int64_t now)
+static bool hub_run_hung(const struct jtb_run *run)
 {
 	const struct jtb_step *s = &run->job->spec.steps[run->step];
 	int64_t timeout_ms =
@@ -890,7 +890,7 @@
 	if (s->flags & (JTB_LONG_RUNNING | JTB_GANG | JTB_BEST_EFFORT) ||
 	    !run->first_running_ms || run->percent >= 100 || run->pace < 100)
 		return false;
-	return now - run->progress_ms > timeout_ms;
+	return evd_stands_still(run, timeout_ms);
 }
 
 /*
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -278,6 +278,7 @@
 	int64_t first_running_ms; /* first reported as running */
 	int64_t last_running_ms; /* last reported as running */
 	int64_t progress_ms; /* last change of its progress */
+	int64_t still_ms; /* how long lists have shown that progress */
 	int32_t percent; /* progress; -1: not reported */
 	int32_t metric_value; /* tail latency in ms, or processor in use */
 	int32_t pace; /* limit of its work rate, percent */
--- a/src/wkr.c
+++ b/src/wkr.c
@@ -93,6 +93,7 @@
 			 */
 			run->stop_wanted = run->stopping;
 			run->percent = -1;
+			run->still_ms = 0;
 			run->ordered_ms = k->led_since;
 			/* The pace that the last leader set isn't known. */
 			if (run->job->spec.steps[run->step].flags &
--- a/src/wkr_list.c
+++ b/src/wkr_list.c
@@ -202,14 +202,8 @@
 		wkr_stop_unknown(s, row);
 		return;
 	}
-	if (!run->first_running_ms)
-		run->first_running_ms = now;
 	run->job->start_unconfirmed = false;
-	run->last_running_ms = now;
-	if (run->percent != row->percent) {
-		run->percent = row->percent;
-		run->progress_ms = now;
-	}
+	evd_record_running(run, row->percent, now);
 	run->metric_value = row->figure;
 	if (run->phase == WKR_NEW)
 		run->phase = WKR_ACCEPTED;
--- a/tests/unit/evd_test.c
+++ b/tests/unit/evd_test.c
@@ -29,6 +29,41 @@
 	}
 }
 
+/* Shows a run at 10 percent in n lists, one each step_ms. */
+static void show_run(struct jtb_run *run, int n, int64_t step_ms)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		evd_record_running(run, 10, run->last_running_ms + step_ms);
+}
+
+/* Guards against a run that never ends: lists show it without progress. */
+static void run_without_progress_stands_still(void **state)
+{
+	struct jtb_run run = {.percent = -1};
+
+	show_run(&run, 9, 500);
+	assert_false(evd_stands_still(&run, 4000));
+	show_run(&run, 1, 500);
+	assert_true(evd_stands_still(&run, 4000));
+	evd_record_running(&run, 11, run.last_running_ms + 500);
+	assert_false(evd_stands_still(&run, 4000));
+}
+
+/*
+ * Guards against the stop of a run that goes on: its worker answered nothing
+ * for a while, or another replica led.
+ */
+static void unseen_run_does_not_stand_still(void **state)
+{
+	struct jtb_run run = {.percent = -1};
+
+	show_run(&run, 2, 500);
+	show_run(&run, 1, 60000);
+	assert_false(evd_stands_still(&run, 4000));
+}
+
 /*
  * A worker that was unreachable for long may return: only its leases have
  * expired, and the evidence is not permanent.
@@ -146,6 +181,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(run_without_progress_stands_still),
+		cmocka_unit_test(unseen_run_does_not_stand_still),
 		cmocka_unit_test(every_kind_has_a_distinct_name),
 		cmocka_unit_test(expired_lease_is_not_permanent_evidence),
 		cmocka_unit_test(absence_from_one_list_is_not_evidence),
