flo: a move is over by a list, not by the clock

What callers saw: work is given to a VM that moves to another pool just after, and ends with it, when the platform can't be reached or is slow.

Cause: the autoscaler took the passing time, and the newest list whatever its age, for the platform's word, in five places: an accepted move was dropped 8 s later without any list since; a move was given up at 5 s with its last order still under way; one list without the VM's row ended an ordered move; a listed worker that had left the table counted as drained, though another one could have come up; a VM whose move was given up or refused was taken for another pool by the list from before that move.

Change: a move that was accepted ends with a list that shows it or was requested 8 s later; an ordered one isn't given up within 2.5 s of its last order (a call ends after 1.5 s, the platform is up to 1 s slow) nor by fewer lists than end a wave; an order is sent only while the listed worker answers or the list is at most 1 s old; a VM whose move was given up or refused is no candidate until a list is requested after its last order can have been carried out. flo_ops has is_reachable for that.

Failed before: flo_test accepted_move_outlasts_an_outage, order_under_way_keeps_its_worker_closed, refused_vm_waits_for_a_list, list_without_the_vm_ends_no_ordered_move, vm_is_not_moved_by_an_old_list, vm_that_may_have_moved_waits_for_a_list, order_is_not_repeated_by_an_old_list.

--- a/bench/flo_bench.c
+++ b/bench/flo_bench.c
@@ -160,6 +160,7 @@
 	static const struct flo_ops ops = {.order = order,
 					   .stop = stop,
 					   .may_stop = may_stop,
+					   .is_reachable = reached,
 					   .is_pinned = held};
 	struct event_base *base = event_base_new();
 	struct tmr *tmr = tmr_new_manual(WALL_MS);
--- a/src/flo.c
+++ b/src/flo.c
@@ -5,6 +5,13 @@
 static void flo_switch_off_idle(struct flo *f, int64_t now);
 static void flo_advance_moves(struct flo *f, int64_t now);
 static void flo_advance_move(struct flo *f, struct flo_move *m, int64_t now);
+static bool flo_is_move_done(const struct flo *f, const struct flo_move *m,
+			     const struct vms_vm *vm);
+static void flo_give_up(struct flo *f, struct flo_move *m, int64_t now);
+static void flo_order_move(struct flo *f, struct flo_move *m,
+			   const struct vms_vm *vm, int64_t now);
+static bool flo_knows_worker(const struct flo *f, const struct vms_vm *vm,
+			     int64_t now);
 static void flo_handle_worker_change(struct flo_move *m,
 				     const struct vms_vm *vm, int64_t now);
 static bool flo_drain(struct flo *f, struct flo_move *m, int64_t now);
@@ -119,7 +126,10 @@
 	flo_get_pool(f, pool)->unschedulable_ms = now_ms;
 }
 
-/* Processes the platform's answer to the move order for a VM. */
+/*
+ * Processes the platform's answer to the move order for a VM. A refusal may
+ * mean that an earlier order without an answer is being carried out.
+ */
 void flo_answered(struct flo *f, const char *vm, enum vms_answer answer,
 		  int64_t now_ms)
 {
@@ -127,10 +137,12 @@
 
 	if (!m || m->accepted_ms)
 		return;
-	if (answer == VMS_ACCEPTED)
+	if (answer == VMS_ACCEPTED) {
 		m->accepted_ms = now_ms;
-	else if (answer != VMS_UNANSWERED && answer != VMS_RATE_LIMITED)
+	} else if (answer != VMS_UNANSWERED && answer != VMS_RATE_LIMITED) {
 		m->finished = true;
+		flo_came_give_up(f, vm, m->ordered_ms);
+	}
 }
 
 /*
@@ -308,31 +320,74 @@
 {
 	const struct vms_vm *vm = vms_find(f->vms, m->vm);
 
-	if (!vm) {
-		m->finished = true;
-		return;
-	}
-	if (!m->accepted_ms && strcmp(vm->worker, m->worker) != 0)
+	/* an order may be carried out although one list lacks the VM */
+	m->finished |= evd_vm_gone(&m->absence, vm != NULL,
+				   vms_listed_ms(f->vms), now);
+	m->finished |= !vm && !m->ordered_ms;
+	if (vm && !m->accepted_ms && strcmp(vm->worker, m->worker) != 0)
 		flo_handle_worker_change(m, vm, now);
 	if (m->finished)
 		return;
-	if (m->accepted_ms) {
-		if (vm->state == VMS_UP && strcmp(vm->pool, m->to) == 0)
-			m->finished = true;
-		if (now - m->accepted_ms > FLO_LIST_TIMEOUT_MS)
-			m->finished = true;
+	if (m->accepted_ms)
+		m->finished = flo_is_move_done(f, m, vm);
+	else if (m->ordered_ms && now - m->from_ms > FLO_GIVE_UP_MS)
+		flo_give_up(f, m, now);
+	else if (vm)
+		flo_order_move(f, m, vm, now);
+}
+
+/*
+ * Whether the newest list, requested after a move was accepted, shows it as
+ * done, or still doesn't FLO_LIST_TIMEOUT_MS later; vm may be NULL.
+ */
+static bool flo_is_move_done(const struct flo *f, const struct flo_move *m,
+			     const struct vms_vm *vm)
+{
+	if (vm && vm->state == VMS_UP && strcmp(vm->pool, m->to) == 0)
+		return true;
+	return vms_listed_ms(f->vms) - m->accepted_ms > FLO_LIST_TIMEOUT_MS;
+}
+
+/*
+ * Gives up a move without an answer once its last order can't be carried out
+ * any more. Its VM would otherwise stay without work for as long as the
+ * platform can't be reached.
+ */
+static void flo_give_up(struct flo *f, struct flo_move *m, int64_t now)
+{
+	if (now - m->ordered_ms <= FLO_ORDER_OPEN_MS)
 		return;
-	}
+	m->finished = true;
+	flo_came_give_up(f, m->vm, m->ordered_ms);
+}
+
+/* Orders a move once its VM is empty, and again until it is answered. */
+static void flo_order_move(struct flo *f, struct flo_move *m,
+			   const struct vms_vm *vm, int64_t now)
+{
 	if (!m->ordered_ms && !flo_drain(f, m, now))
 		return;
-	if (m->ordered_ms && now - m->from_ms > FLO_GIVE_UP_MS) {
-		m->finished = true;
+	if (m->ordered_ms && now - m->ordered_ms <= FLO_RETRY_MS)
 		return;
-	}
-	if (!m->ordered_ms || now - m->ordered_ms > FLO_RETRY_MS) {
-		m->ordered_ms = now;
-		f->ops->order(f->arg, m->vm, m->to);
-	}
+	if (!flo_knows_worker(f, vm, now))
+		return;
+	m->ordered_ms = now;
+	f->ops->order(f->arg, m->vm, m->to);
+}
+
+/*
+ * Whether it is certain which worker is on a VM: it is switched off, the listed
+ * one answers, or the list is too young for another one to have come up and got
+ * work since. During an outage of the platform a VM may fail and come back
+ * unseen.
+ */
+static bool flo_knows_worker(const struct flo *f, const struct vms_vm *vm,
+			     int64_t now)
+{
+	const struct jtb_worker *w = jtb_worker(f->jtb, vm->worker);
+
+	return !*vm->worker || (w && f->ops->is_reachable(f->arg, w)) ||
+	       now - vms_listed_ms(f->vms) <= FLO_LIST_AGE_MAX_MS;
 }
 
 /*
--- a/src/flo.h
+++ b/src/flo.h
@@ -27,6 +27,8 @@
 	void (*stop)(void *arg, struct jtb_run *run, const char *why);
 	/* Whether a run may be stopped within the budget of its step. */
 	bool (*may_stop)(void *arg, const struct jtb_run *run);
+	/* Whether a worker answers. */
+	bool (*is_reachable)(void *arg, const struct jtb_worker *w);
 	/* Whether a VM must not be moved. */
 	bool (*is_pinned)(void *arg, const char *vm);
 	/*
--- a/src/flo_came.c
+++ b/src/flo_came.c
@@ -4,12 +4,17 @@
  * Remembers which VMs have just come to their pool, as the VM list shows it.
  * Load: pools that are all short by turns. Harm prevented: a VM that is moved
  * back and forth works for nobody.
+ *
+ * Also remembers VMs whose move was given up after orders without an answer: it
+ * may have been made, and what the list from before says of them is outdated.
  */
 
 struct flo_came {
 	char *pool; /* as last listed */
 	bool moving; /* as last listed */
 	int64_t held_ms; /* when it came or could not be emptied; 0: unknown */
+	/* last order of a move that was given up; 0: none */
+	int64_t ordered_ms;
 };
 
 static void flo_came_free(gpointer p);
@@ -67,6 +72,27 @@
 	return c && c->held_ms && now - c->held_ms < FLO_STAY_MS;
 }
 
+/* Records that a VM's move, last ordered at ordered_ms, is given up. */
+void flo_came_give_up(struct flo *f, const char *vm, int64_t ordered_ms)
+{
+	struct flo_came *c = g_hash_table_lookup(f->came, vm);
+
+	if (c)
+		c->ordered_ms = ordered_ms;
+}
+
+/*
+ * Whether a VM may have been moved unseen: no list was requested since the last
+ * order of a move that was given up can have been carried out.
+ */
+bool flo_came_unseen(const struct flo *f, const char *vm)
+{
+	const struct flo_came *c = g_hash_table_lookup(f->came, vm);
+
+	return c && c->ordered_ms &&
+	       vms_listed_ms(f->vms) - c->ordered_ms <= FLO_ORDER_OPEN_MS;
+}
+
 static void flo_came_free(gpointer p)
 {
 	struct flo_came *c = p;
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -82,7 +82,7 @@
 #define FLO_MIN_PROGRESS_PERCENT 10
 /* An order that was not accepted is sent again after this time, ms. */
 #define FLO_RETRY_MS 700
-/* A move is abandoned after this time unless its order was accepted, ms. */
+/* The order of a move isn't sent any more after this time, ms. */
 #define FLO_GIVE_UP_MS 5000
 /* Memory for each core in a pool that has no VM to measure it by, MB. */
 #define FLO_DEFAULT_CORE_MB 4096.0
@@ -94,8 +94,21 @@
 #define FLO_UNSCHEDULABLE_MS 500
 /* A worker reserved for long-running work is not moved for this long, ms. */
 #define FLO_RESERVED_MS 1000
-/* An accepted move that no list shows as done by then is dropped, ms. */
+/*
+ * An accepted move is dropped if a list that was requested this much later
+ * doesn't show it as done, ms.
+ */
 #define FLO_LIST_TIMEOUT_MS 8000
+/*
+ * Longest for which an order may be under way after it was last sent, ms: its
+ * call ends after 1.5 s, and the platform is up to a second slow.
+ */
+#define FLO_ORDER_OPEN_MS 2500
+/*
+ * Greatest age of a list that tells which worker a VM has although that worker
+ * doesn't answer, ms: a VM that fails is down for longer.
+ */
+#define FLO_LIST_AGE_MAX_MS 1000
 
 /*
  * A VM that came to its pool is not divided again for this long, ms: the move
@@ -113,6 +126,7 @@
 	int64_t from_ms; /* when draining began */
 	int64_t ordered_ms; /* when the order was last sent; 0: not yet */
 	int64_t accepted_ms; /* when the order was accepted; 0: not yet */
+	struct evd_absence absence; /* of its VM from the lists */
 	enum flo_cause cause;
 	bool finished; /* done or abandoned; removed by the next advance */
 };
@@ -160,6 +174,8 @@
 void flo_came_update(struct flo *f, int64_t now);
 void flo_came_hold(struct flo *f, const char *vm, int64_t now);
 bool flo_came_lately(const struct flo *f, const char *vm, int64_t now);
+void flo_came_give_up(struct flo *f, const char *vm, int64_t ordered_ms);
+bool flo_came_unseen(const struct flo *f, const char *vm);
 GArray *flo_divide(struct flo *f, bool short_of_vms, int64_t now);
 struct flo_pool *flo_divided_pool(const struct flo *f, guint index);
 
--- a/src/flo_pick.c
+++ b/src/flo_pick.c
@@ -97,10 +97,13 @@
 	}
 }
 
-/* Whether a VM is up, not in upkeep and not being moved. */
+/*
+ * Whether a VM is up where it is listed, not in upkeep and not being moved.
+ */
 static bool flo_may_move(const struct flo *f, const struct vms_vm *vm)
 {
 	return vm->state == VMS_UP && !flo_find_move(f, vm->name) &&
+	       !flo_came_unseen(f, vm->name) &&
 	       !f->ops->is_pinned(f->arg, vm->name);
 }
 
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -60,6 +60,7 @@
 	.order = hub_vm_order_move,
 	.stop = hub_stop_run,
 	.may_stop = hub_vm_may_stop_run,
+	.is_reachable = hub_vm_is_reachable,
 	.is_pinned = hub_vm_is_pinned,
 	.floor = hub_vm_floor,
 };
--- a/src/sim.c
+++ b/src/sim.c
@@ -38,6 +38,7 @@
 	.order = sim_move,
 	.stop = sim_stop,
 	.may_stop = sim_may_stop,
+	.is_reachable = sim_reached,
 	.is_pinned = sim_held,
 };
 
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -23,6 +23,7 @@
 	int orders;
 	int stops;
 	const char *pinned_vm;
+	bool unreachable; /* no worker answers */
 	guint floor; /* of pool "other" */
 };
 
@@ -52,6 +53,13 @@
 	return f->pinned_vm && strcmp(f->pinned_vm, vm) == 0;
 }
 
+static bool fixture_is_reachable(void *arg, const struct jtb_worker *w)
+{
+	const struct fixture *f = arg;
+
+	return !f->unreachable;
+}
+
 static guint fixture_floor(void *arg, const char *pool)
 {
 	const struct fixture *f = arg;
@@ -64,6 +72,7 @@
 	.order = fixture_order,
 	.stop = fixture_stop,
 	.may_stop = fixture_may_stop,
+	.is_reachable = fixture_is_reachable,
 	.is_pinned = fixture_is_pinned,
 };
 
@@ -1027,6 +1036,183 @@
 	assert_false(flo_is_moving(f->flo, "vm1"));
 }
 
+/* Ticks without a new list. */
+static void ticks_without_list(struct fixture *f, int n)
+{
+	while (n-- > 0) {
+		f->now += STEP_MS;
+		flo_tick(f->flo, f->now, JOBS_WALL_MS + f->now - NOW_MS);
+	}
+}
+
+/* Whether a worker gets no new work because its VM is to be moved. */
+static bool is_closed(struct fixture *f, const char *worker)
+{
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	bool closed;
+
+	flo_add_closed(f->flo, ids);
+	closed = g_hash_table_contains(ids, worker);
+	g_hash_table_destroy(ids);
+	return closed;
+}
+
+/* Returns when the move of a VM began; 0: it isn't moving. */
+static int64_t moving_since(struct fixture *f, const char *vm)
+{
+	const struct flo_move *m = flo_find_move(f->flo, vm);
+
+	return m ? m->from_ms : 0;
+}
+
+/* Starts the move of an empty VM of "other", whose order has no answer. */
+static struct vms_vm *order_move(struct fixture *f)
+{
+	add_other_vms(f, 4, NULL);
+	submit_burst(f);
+	tick(f);
+	assert_true(f->orders > 0);
+	return find_moving_vm(f);
+}
+
+/*
+ * Guards against work on a VM that is about to move: the platform accepts the
+ * order, and no list can be read for longer than a move takes.
+ */
+static void accepted_move_outlasts_an_outage(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm = order_move(f);
+	int64_t since = moving_since(f, vm->name);
+
+	flo_answered(f->flo, vm->name, VMS_ACCEPTED, f->now);
+	ticks_without_list(f, 300);
+	assert_int_equal(moving_since(f, vm->name), since);
+	assert_true(is_closed(f, vm->worker));
+	tick(f);
+	assert_int_not_equal(moving_since(f, vm->name), since);
+}
+
+/*
+ * Guards against work on a VM that is moved just after: its order is given up
+ * while it is still under way.
+ */
+static void order_under_way_keeps_its_worker_closed(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm = order_move(f);
+	int64_t since = moving_since(f, vm->name);
+	int64_t ordered_ms = f->now;
+	int before = f->orders;
+	int i;
+
+	for (i = 0; i < 100 && moving_since(f, vm->name) == since; i++) {
+		if (f->orders != before)
+			ordered_ms = f->now;
+		before = f->orders;
+		tick(f);
+	}
+	assert_int_not_equal(moving_since(f, vm->name), since);
+	assert_true(f->now - ordered_ms > FLO_ORDER_OPEN_MS);
+}
+
+/*
+ * Guards against work lost with its VM: an order without an answer was carried
+ * out, the move is given up, and the VM is ordered again by the list from
+ * before.
+ */
+static void vm_that_may_have_moved_waits_for_a_list(void **state)
+{
+	struct fixture *f = *state;
+
+	vm_add(f, "vm0", "p", "w0");
+	vm_add(f, "vm1", "off", "");
+	submit_burst(f);
+	tick(f);
+	assert_true(flo_is_moving(f->flo, "vm1"));
+	ticks_without_list(f, 100);
+	assert_false(flo_is_moving(f->flo, "vm1"));
+	tick(f);
+	assert_true(flo_is_moving(f->flo, "vm1"));
+}
+
+/* The same, where the order is sent again and refused for the move itself. */
+static void refused_vm_waits_for_a_list(void **state)
+{
+	struct fixture *f = *state;
+
+	vm_add(f, "vm0", "p", "w0");
+	vm_add(f, "vm1", "off", "");
+	submit_burst(f);
+	tick(f);
+	assert_true(flo_is_moving(f->flo, "vm1"));
+	ticks_without_list(f, 10);
+	flo_answered(f->flo, "vm1", VMS_BUSY, f->now);
+	ticks_without_list(f, 100);
+	assert_false(flo_is_moving(f->flo, "vm1"));
+	tick(f);
+	assert_true(flo_is_moving(f->flo, "vm1"));
+}
+
+/* Guards against work on a VM that is moved: one list lacks its row. */
+static void list_without_the_vm_ends_no_ordered_move(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm = order_move(f);
+	guint i;
+
+	g_ptr_array_find(f->list, vm, &i);
+	g_ptr_array_steal_index(f->list, i);
+	ticks(f, 2);
+	assert_true(is_closed(f, vm->worker));
+	ticks(f, 100);
+	assert_false(flo_is_moving(f->flo, vm->name));
+	g_ptr_array_add(f->list, vm);
+}
+
+/*
+ * Guards against work lost with its VM: during an outage of the platform the VM
+ * failed and came back, and its new worker, which no list has yet, has work.
+ */
+static void vm_is_not_moved_by_an_old_list(void **state)
+{
+	struct fixture *f = *state;
+	struct jtb_step s = {.count = 1, .cpu = 1000, .estimate_ms = 500};
+	int i;
+
+	add_other_vms(f, 4, &s);
+	submit_burst(f);
+	tick(f);
+	assert_int_equal(f->orders, 0);
+	assert_non_null(find_moving_vm(f));
+	ticks_without_list(f, 12);
+	for (i = 1; i <= 4; i++) {
+		char w[8];
+
+		g_snprintf(w, sizeof(w), "w%d", i);
+		jobs_worker_lost(f->jtb, w, true);
+	}
+	ticks_without_list(f, 3);
+	assert_int_equal(f->orders, 0);
+}
+
+/*
+ * Guards against work lost with its VM: the VM fails beside its order, which is
+ * sent again after it has come back, and no list can be read meanwhile.
+ */
+static void order_is_not_repeated_by_an_old_list(void **state)
+{
+	struct fixture *f = *state;
+	int orders;
+
+	order_move(f);
+	f->unreachable = true;
+	ticks_without_list(f, FLO_LIST_AGE_MAX_MS / STEP_MS);
+	orders = f->orders;
+	ticks_without_list(f, 100);
+	assert_int_equal(f->orders, orders);
+}
+
 /*
  * Guards against work that never runs: its pool lost its last VM, and no VM is
  * fetched for work that is so late that its weight is 0, or for work that fills
@@ -1534,6 +1720,13 @@
 		T(pending_start_without_memory_is_waited_for),
 		T(vm_with_long_running_work_stays),
 		T(unanswered_move_is_abandoned),
+		T(accepted_move_outlasts_an_outage),
+		T(order_under_way_keeps_its_worker_closed),
+		T(vm_that_may_have_moved_waits_for_a_list),
+		T(refused_vm_waits_for_a_list),
+		T(list_without_the_vm_ends_no_ordered_move),
+		T(vm_is_not_moved_by_an_old_list),
+		T(order_is_not_repeated_by_an_old_list),
 		T(move_of_a_failed_vm_is_abandoned),
 		T(move_with_a_lost_answer_keeps_its_worker_closed),
 		T(lost_rack_costs_one_move_for_each_vm),
