vms: a VM in a row that can't be read isn't gone

What callers saw: a wave is shown as completed, and a VM whose row in the platform's list can't be read never had its upkeep.

Cause: rows that can't be read are left out, and evd_vm_gone() was asked with whether the name is among the others. That a name isn't read doesn't show that the VM isn't there.

Evidence: by reading; with vms_is_listed() looking at the readable rows only, vm_in_an_unreadable_row_is_listed fails.

Change: the codec gives the name of the VM in each row that can't be read, "" if it has none. vms_is_listed() counts those VMs as listed, and any VM while a row has no name. upk and flo ask it for absence. msg=pool has unreadable=, as nothing else told an operator why such a wave goes on.

A VM that is gone for good still ends its wave: its name is on no row. Only a row without a name that stays holds up such a wave, and nothing tells then whose row it is.

Failed without the change: vms_test vm_in_an_unreadable_row_is_listed; plt_test an_unreadable_vm_hides_no_other checks the names now, too.

--- a/src/flo.c
+++ b/src/flo.c
@@ -321,7 +321,7 @@
 	const struct vms_vm *vm = vms_find(f->vms, m->vm);
 
 	/* an order may be carried out although one list lacks the VM */
-	m->finished |= evd_vm_gone(&m->absence, vm != NULL,
+	m->finished |= evd_vm_gone(&m->absence, vms_is_listed(f->vms, m->vm),
 				   vms_listed_ms(f->vms), now);
 	m->finished |= !vm && !m->ordered_ms;
 	if (vm && !m->accepted_ms && strcmp(vm->worker, m->worker) != 0)
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -179,10 +179,11 @@
 		msg(MSG_HUB_POOL,
 		    "pool=%s jobs=%u load=%.0f used=%.0f cores=%.0f vms=%u "
 		    "coming=%u "
-		    "going=%u list_age_ms=%" PRId64 " entitled=%u",
+		    "going=%u list_age_ms=%" PRId64
+		    " unreadable=%u entitled=%u",
 		    p->name, p->jobs, p->load, p->used, p->cores, p->vms,
 		    p->coming, p->going, now - vms_listed_ms(h->vms),
-		    p->entitled_vms);
+		    vms_unreadable(h->vms), p->entitled_vms);
 	}
 }
 
--- a/src/upk.c
+++ b/src/upk.c
@@ -511,8 +511,8 @@
 
 		if (v->state == JTB_VM_DONE)
 			continue;
-		if (evd_vm_gone(&v->absence, vm != NULL, vms_listed_ms(u->vms),
-				now))
+		if (evd_vm_gone(&v->absence, vms_is_listed(u->vms, v->vm),
+				vms_listed_ms(u->vms), now))
 			over = true;
 		else if (vm && v->state == JTB_VM_BEGUN && vm->state == VMS_UP)
 			over = d && d->accepted_ms &&
--- a/src/vms.c
+++ b/src/vms.c
@@ -51,8 +51,9 @@
 	GHashTable *last_vm;
 	/* a VM in the list is up, but its worker is not known */
 	bool worker_unknown;
-	uint32_t unreadable; /* rows of the list that can't be read */
-	uint32_t incoming_unreadable; /* those of the list being read */
+	/* names of the VMs in rows of the list that can't be read; "": none */
+	GPtrArray *unreadable;
+	GPtrArray *incoming_unreadable; /* those of the list being read */
 	GPtrArray *incoming; /* pages of the list being read */
 	bool listing;
 	int64_t list_requested_ms; /* when the list being read was requested */
@@ -104,6 +105,8 @@
 	ups_set_conns_max(v->ups, VMS_CONNS_MAX);
 	v->calls = g_ptr_array_new();
 	v->vms = g_ptr_array_new_with_free_func(vms_vm_free);
+	v->unreadable = g_ptr_array_new_with_free_func(g_free);
+	v->incoming_unreadable = g_ptr_array_new_with_free_func(g_free);
 	v->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	v->by_worker = g_hash_table_new(g_str_hash, g_str_equal);
 	v->last_vm =
@@ -123,6 +126,8 @@
 	g_hash_table_destroy(v->by_worker);
 	g_hash_table_destroy(v->last_vm);
 	g_ptr_array_free(v->vms, TRUE);
+	g_ptr_array_free(v->unreadable, TRUE);
+	g_ptr_array_free(v->incoming_unreadable, TRUE);
 	g_free(v);
 }
 
@@ -166,7 +171,7 @@
 	v->listing = true;
 	v->list_requested_ms = tmr_now(v->config.tmr);
 	v->incoming = g_ptr_array_new_with_free_func(vms_vm_free);
-	v->incoming_unreadable = 0;
+	g_ptr_array_set_size(v->incoming_unreadable, 0);
 	vms_request_page(v, NULL);
 }
 
@@ -190,7 +195,7 @@
 	g_hash_table_remove_all(v->by_name);
 	g_hash_table_remove_all(v->by_worker);
 	/* any VM may be one whose row can't be read */
-	v->worker_unknown = v->unreadable > 0;
+	v->worker_unknown = v->unreadable->len > 0;
 	for (i = 0; i < v->vms->len; i++) {
 		struct vms_vm *vm = g_ptr_array_index(v->vms, i);
 
@@ -301,9 +306,28 @@
 }
 
 /* Returns how many rows of the latest complete list couldn't be read. */
-uint32_t vms_unreadable(const struct vms *v)
+guint vms_unreadable(const struct vms *v)
 {
-	return v->unreadable;
+	return v->unreadable->len;
+}
+
+/*
+ * Whether the latest complete list has a VM, or may have it: a row that can't
+ * be read and names it, or names no VM at all.
+ */
+bool vms_is_listed(const struct vms *v, const char *name)
+{
+	guint i;
+
+	if (vms_find(v, name))
+		return true;
+	for (i = 0; i < v->unreadable->len; i++) {
+		const char *row = g_ptr_array_index(v->unreadable, i);
+
+		if (!*row || strcmp(row, name) == 0)
+			return true;
+	}
+	return false;
 }
 
 /* Returns the number of calls since the session was created. */
@@ -496,11 +520,12 @@
 static void vms_handle_page(struct vms *v, enum ups_end end, int status,
 			    struct lstr body)
 {
+	GPtrArray *unreadable;
 	char *next = NULL;
 
 	if (end != UPS_WHOLE || status != 200 ||
 	    !v->config.codec->list(body, v->incoming, &next,
-				   &v->incoming_unreadable)) {
+				   v->incoming_unreadable)) {
 		g_ptr_array_free(v->incoming, TRUE);
 		v->incoming = NULL;
 		v->listing = false;
@@ -511,7 +536,9 @@
 		g_free(next);
 		return;
 	}
+	unreadable = v->unreadable;
 	v->unreadable = v->incoming_unreadable;
+	v->incoming_unreadable = unreadable;
 	vms_put_list(v, g_steal_pointer(&v->incoming), v->list_requested_ms);
 	v->listing = false;
 	v->ops->listed(v->arg);
--- a/src/vms.h
+++ b/src/vms.h
@@ -79,11 +79,12 @@
 	enum vms_answer (*answer)(int status, struct lstr body);
 	/*
 	 * Adds the page's struct vms_vm; *next is the next page, to be freed,
-	 * or NULL. Counts the rows that can't be read in *unreadable. Returns
-	 * false if the page is malformed.
+	 * or NULL. Of each row that can't be read, the VM's name is added to
+	 * unreadable, "" if that can't be read either. Returns false if the
+	 * page is malformed.
 	 */
 	bool (*list)(struct lstr body, GPtrArray *vms, char **next,
-		     uint32_t *unreadable);
+		     GPtrArray *unreadable);
 };
 
 struct vms_ops {
@@ -123,7 +124,8 @@
 void vms_forget_worker(struct vms *v, const char *worker);
 bool vms_has_unknown_worker(const struct vms *v);
 int64_t vms_listed_ms(const struct vms *v);
-uint32_t vms_unreadable(const struct vms *v);
+guint vms_unreadable(const struct vms *v);
+bool vms_is_listed(const struct vms *v, const char *name);
 uint64_t vms_calls(const struct vms *v);
 void vms_vm_free(gpointer p);
 
--- a/tests/fuzz/worker_fuzz.c
+++ b/tests/fuzz/worker_fuzz.c
@@ -38,11 +38,11 @@
 static void check_vms(struct lstr input)
 {
 	GPtrArray *vms = g_ptr_array_new_with_free_func(vms_vm_free);
-	uint32_t unreadable = 0;
+	GPtrArray *unreadable = g_ptr_array_new_with_free_func(g_free);
 	char *next = NULL;
 	guint i;
 
-	if (!plt_vm_codec.list(input, vms, &next, &unreadable))
+	if (!plt_vm_codec.list(input, vms, &next, unreadable))
 		g_assert_true(vms->len == 0 && !next);
 	for (i = 0; i < vms->len; i++) {
 		const struct vms_vm *vm = g_ptr_array_index(vms, i);
@@ -51,6 +51,7 @@
 		g_assert_true(vm->state <= VMS_DOWN);
 	}
 	g_free(next);
+	g_ptr_array_free(unreadable, TRUE);
 	g_ptr_array_free(vms, TRUE);
 }
 
--- a/tests/unit/plt_test.c
+++ b/tests/unit/plt_test.c
@@ -558,11 +558,11 @@
 			"state=upkeep,id=nil}],next-token=t2}");
 	GPtrArray *vms = g_ptr_array_new_with_free_func(vms_vm_free);
 	const struct vms_vm *vm;
-	uint32_t unreadable = 0;
+	GPtrArray *unreadable = g_ptr_array_new_with_free_func(g_free);
 	char *next = NULL;
 
-	assert_true(plt_vm_codec.list(view(b), vms, &next, &unreadable));
-	assert_int_equal(unreadable, 0);
+	assert_true(plt_vm_codec.list(view(b), vms, &next, unreadable));
+	assert_int_equal(unreadable->len, 0);
 	assert_string_equal(next, "t2");
 	assert_int_equal(vms->len, 2);
 	vm = g_ptr_array_index(vms, 0);
@@ -572,6 +572,7 @@
 	assert_string_equal(vm->worker, "");
 	assert_int_equal(vm->state, VMS_UPKEEP);
 	g_free(next);
+	g_ptr_array_free(unreadable, TRUE);
 	g_ptr_array_free(vms, TRUE);
 	g_bytes_unref(b);
 }
@@ -582,33 +583,39 @@
  */
 static void an_unreadable_vm_hides_no_other(void **state)
 {
-	static const char *const bad[] = {
-		"{machine=7,pool=p,state=up,id=i2}",
-		"{machine=m2,state=up,id=i2}",
-		"{machine=m2,pool=p,state=asleep,id=i2}",
-		"{machine=m2,pool=p,state=up,id=[i2]}",
-		"{machine=m2,pool=p,state=up,id=i2,capacity={cpu=many}}",
-		"m2",
-		"[m2]",
+	static const struct {
+		const char *row;
+		const char *name;
+	} bad[] = {
+		{"{machine=7,pool=p,state=up,id=i2}", ""},
+		{"{machine=m2,state=up,id=i2}", "m2"},
+		{"{machine=m2,pool=p,state=asleep,id=i2}", "m2"},
+		{"{machine=m2,pool=p,state=up,id=[i2]}", "m2"},
+		{"{machine=m2,pool=p,state=up,id=i2,capacity={cpu=many}}",
+		 "m2"},
+		{"m2", ""},
+		{"[m2]", ""},
 	};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
 		char *text = g_strdup_printf(
 			"{machines=[%s,{machine=m1,pool=p,state=up,id=i1}]}",
-			bad[i]);
+			bad[i].row);
 		GPtrArray *vms = g_ptr_array_new_with_free_func(vms_vm_free);
 		GBytes *b = doc(text);
-		uint32_t unreadable = 0;
+		GPtrArray *unreadable = g_ptr_array_new_with_free_func(g_free);
 		char *next = NULL;
 
-		assert_true(
-			plt_vm_codec.list(view(b), vms, &next, &unreadable));
-		assert_int_equal(unreadable, 1);
+		assert_true(plt_vm_codec.list(view(b), vms, &next, unreadable));
+		assert_int_equal(unreadable->len, 1);
+		assert_string_equal(g_ptr_array_index(unreadable, 0),
+				    bad[i].name);
 		assert_int_equal(vms->len, 1);
 		assert_string_equal(
 			((struct vms_vm *)g_ptr_array_index(vms, 0))->name,
 			"m1");
+		g_ptr_array_free(unreadable, TRUE);
 		g_ptr_array_free(vms, TRUE);
 		g_bytes_unref(b);
 		g_free(text);
--- a/tests/unit/vms_test.c
+++ b/tests/unit/vms_test.c
@@ -38,6 +38,7 @@
 	int unanswered;
 	int lists;
 	size_t padding; /* bytes of an order's body */
+	const char *unreadable; /* VM in a row of its list; NULL: none */
 	/* age of the last confirmation of leadership */
 	int64_t confirmed_age_ms;
 };
@@ -64,8 +65,11 @@
 }
 
 static bool fixture_list(struct lstr body, GPtrArray *vms, char **next,
-			 uint32_t *unreadable)
+			 GPtrArray *unreadable)
 {
+	if (current_fixture->unreadable)
+		g_ptr_array_add(unreadable,
+				g_strdup(current_fixture->unreadable));
 	return true;
 }
 
@@ -186,6 +190,31 @@
 	assert_int_equal(f->orders, 1);
 }
 
+/* Reads a list with one row that can't be read, and the VM in it; NULL: none. */
+static void read_list_with(struct fixture *f, const char *unreadable)
+{
+	f->unreadable = unreadable;
+	vms_refresh(f->vms);
+	net_run(f->base, SETTLE_MS);
+}
+
+/*
+ * Guards against a VM that counts as gone, and whose wave ends without its
+ * upkeep, as its row can't be read.
+ */
+static void vm_in_an_unreadable_row_is_listed(void **state)
+{
+	struct fixture *f = *state;
+
+	read_list_with(f, "vm1");
+	assert_true(vms_is_listed(f->vms, "vm1"));
+	assert_false(vms_is_listed(f->vms, "vm2"));
+	read_list_with(f, "");
+	assert_true(vms_is_listed(f->vms, "vm2"));
+	read_list_with(f, NULL);
+	assert_false(vms_is_listed(f->vms, "vm1"));
+}
+
 static void stopped_session_sends_no_call(void **state)
 {
 	struct fixture *f = *state;
@@ -355,6 +384,7 @@
 	const struct CMUnitTest tests[] = {
 		T(vm_has_one_order_at_a_time),
 		T(paused_leader_sends_no_order),
+		T(vm_in_an_unreadable_row_is_listed),
 		T(stopped_session_sends_no_call),
 		T(leadership_is_checked_when_an_order_is_written),
 		T(orders_are_aborted_when_leadership_ends),
