hub: the end of an earlier lifetime doesn't end the next one

What callers saw: a worker that has begun again under its id gets no work, though it is ready and its reports are acknowledged.

Cause: the announcement of a worker's end names its id and no lifetime. One that a cut holds up arrives after the next lifetime has registered, and was applied to that one: removed for good without runs, draining for good with.

Evidence: by reading, and by the test: the leader packs the command for a worker that never reported that it drains.

Change: an announcement is recorded only for a worker that the table has as draining; any other is confirmed, logged as odd and changes nothing. Why it holds: a lifetime reports draining, and waits for the acknowledgement, before it announces its end, and draining is acknowledged only once it is stored. An announcement without that is of an earlier lifetime, or of one whose reports nobody took; the latter is found gone as any worker that stops.

Failed before: hub_take_test late_end_of_an_earlier_lifetime_changes_nothing.

--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -4,6 +4,7 @@
 
 #include "msg.h"
 
+static void hub_take_leave(struct hub *h, struct jtb_worker *w);
 static bool hub_report_outdated(struct hub *h, const char *id,
 				uint64_t sequence);
 static void hub_probe_addr(struct hub *h, const struct jtb_worker_info *info);
@@ -192,21 +193,33 @@
 
 /*
  * Accepts a worker's announcement of its end; the worker may still run tasks
- * for a moment.
+ * for a moment. It names no lifetime: one that comes late may be of a lifetime
+ * before, and would take a worker that has just begun out of use. A lifetime
+ * reports that it is draining before it announces its end.
  */
 void hub_accept_leave(struct hub *h, struct hub_call *c, const char *id,
 		      hub_resume_fn resume)
 {
 	struct jtb_worker *w = jtb_worker(h->jtb, id);
 
-	if (w && !w->restart_proposed) {
-		hub_record_leave(h, w);
-		if (w->runs->len)
-			wkr_poll(h->wkr, w);
-	}
+	if (w && !w->info.draining)
+		msg(MSG_HUB_ODD,
+		    "what=\"end of a worker that isn't draining\" worker=%s "
+		    "addr=%s",
+		    w->info.id, w->info.addr);
+	else if (w && !w->restart_proposed)
+		hub_take_leave(h, w);
 	hub_commit(h, c, resume);
 }
 
+/* Records that a worker has announced its end, and asks for its last runs. */
+static void hub_take_leave(struct hub *h, struct jtb_worker *w)
+{
+	hub_record_leave(h, w);
+	if (w->runs->len)
+		wkr_poll(h->wkr, w);
+}
+
 /* Whether a newer report of that worker was received before. */
 static bool hub_report_outdated(struct hub *h, const char *id,
 				uint64_t sequence)
--- a/tests/unit/hub_take_test.c
+++ b/tests/unit/hub_take_test.c
@@ -114,6 +114,22 @@
 	assert_int_equal(r->h.batch_waiters->len, 0);
 }
 
+/*
+ * Guards against a worker that is never used: an earlier lifetime of the same id
+ * announced its end, and the announcement comes after the next one has begun.
+ */
+static void late_end_of_an_earlier_lifetime_changes_nothing(void **state)
+{
+	struct rig *r = *state;
+	struct hub *h = &r->h;
+
+	hub_accept_leave(h, hub_call_new(h, HUB_FROM_ENTRY), "w", resume);
+	assert_int_equal(h->batch_n, 0);
+	jobs_worker(h->jtb, "w", 16000, true);
+	hub_accept_leave(h, hub_call_new(h, HUB_FROM_ENTRY), "w", resume);
+	assert_int_equal(h->batch_n, 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -122,6 +138,9 @@
 		cmocka_unit_test_setup_teardown(
 			repeat_of_what_is_stored_is_answered_at_once, setup,
 			teardown),
+		cmocka_unit_test_setup_teardown(
+			late_end_of_an_earlier_lifetime_changes_nothing, setup,
+			teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
