jtb: lists of an earlier term don't show that a VM is gone

What callers saw: a task may run twice, if its worker is cut off while single lists of VMs lack its VM, one in each of two terms of a replica.

Cause: unlisted_count, the lists in a row without a worker's VM, outlived a change of leader, so that the first list of a new term could be the second. What another leader read between the two isn't known.

Evidence: by reading: jtb_drop_proposals() resets all other fields that are marked as the leader's conclusions, and hub_vm_worker_evidence() sets the count to 0 only by a list that has the VM or is older than the silence.

Change: jtb_drop_proposals() resets it. Looked at and left: leaving, a fact of one lifetime that no term changes; failed_jobs and speed, samples that steer where work is placed and prove nothing.

Failed before: jtb_test lists_of_an_earlier_term_count_for_nothing.

--- a/src/jtb_plan.c
+++ b/src/jtb_plan.c
@@ -62,8 +62,8 @@
 }
 
 /*
- * Drops everything that is proposed: starts, stops and removals of workers.
- * Called as leadership is lost or begins.
+ * Drops everything that is proposed: starts, stops and removals of workers, and
+ * what lists of an earlier term showed. Called as leadership is lost or begins.
  */
 void jtb_drop_proposals(struct jtb *t)
 {
@@ -80,6 +80,7 @@
 		w->removal_proposed = false;
 		w->restart_proposed = false;
 		w->restarted_ms = 0;
+		w->unlisted_count = 0;
 		w->removal_evidence = (struct evd){0};
 		for (i = 0; i < w->runs->len; i++) {
 			struct jtb_run *run = g_ptr_array_index(w->runs, i);
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -607,6 +607,21 @@
 	assert_int_equal(w->proposed_cpu, 0);
 }
 
+/*
+ * Guards against a task that runs twice: one list of an earlier term and one of
+ * this term lack the VM of a worker that is cut off, and lists in between, read
+ * by another leader, had it.
+ */
+static void lists_of_an_earlier_term_count_for_nothing(void **state)
+{
+	struct jtb *t = *state;
+	struct jtb_worker *w = jtb_worker(t, "w1");
+
+	w->unlisted_count = 1;
+	jtb_drop_proposals(t);
+	assert_int_equal(w->unlisted_count, 0);
+}
+
 /*
  * Guards against answers that a job was never accepted: the leader's wall clock
  * jumped ahead, and a job that had just ended was forgotten.
@@ -1229,6 +1244,7 @@
 		T(long_running_job_never_fails),
 		T(only_ended_jobs_are_forgotten),
 		T(change_of_leader_releases_capacity_once),
+		T(lists_of_an_earlier_term_count_for_nothing),
 		T(job_is_kept_across_a_jump_of_the_wall_clock),
 		T(vm_state_of_a_wave_never_goes_back),
 		T(wave_without_vms_is_completed),
