upk, flo: a VM without a named worker isn't empty

What callers saw: a worker that has just come up gets work, and its VM is moved, or has its upkeep, at once; the work is lost without a drain.

Cause: that the list names no worker on a VM that is up was taken for an empty VM. The list is up to a second old, and a worker gets work as soon as it has registered.

Change: flo moves such a VM only from a pool whose VMs are switched off. upk sends the order only after a list that was requested since the upkeep was recorded; from then on workers that no list has get no work. Why it holds: a worker that got work before that moment is named by the later list, and is drained; a VM without any worker has its upkeep one list later.

Failed before: upk_test vm_without_a_named_worker_waits_for_a_list, flo_test vm_without_a_named_worker_stays; vm_without_a_worker_has_its_upkeep held before.

--- a/src/flo_pick.c
+++ b/src/flo_pick.c
@@ -5,6 +5,7 @@
 static int flo_compare_candidates(gconstpointer a, gconstpointer b);
 static void flo_clear_candidates(struct flo *f);
 static void flo_sort_candidates(struct flo *f);
+static bool flo_is_switched_off(const struct flo *f, const struct vms_vm *vm);
 static bool flo_may_move(const struct flo *f, const struct vms_vm *vm);
 static double flo_move_cost(const struct flo *f, const struct vms_vm *vm);
 static bool flo_has_work_in_time(const struct flo *f, const struct vms_vm *vm);
@@ -107,6 +108,14 @@
 	       !f->ops->is_pinned(f->arg, vm->name);
 }
 
+/* Whether a VM is in a pool whose VMs are switched off. */
+static bool flo_is_switched_off(const struct flo *f, const struct vms_vm *vm)
+{
+	const struct flo_pool *p = flo_pool(f, vm->pool);
+
+	return p && p->standby && !*vm->worker;
+}
+
 /* Whether a run on a VM belongs to a job that can still be in time. */
 static bool flo_has_work_in_time(const struct flo *f, const struct vms_vm *vm)
 {
@@ -148,8 +157,12 @@
 	double empty_ms = 0;
 	guint i;
 
+	/*
+	 * Where a worker should be, none in the list may be one that has just
+	 * come up.
+	 */
 	if (!w)
-		return *vm->worker ? -1 : 0;
+		return flo_is_switched_off(f, vm) ? 0 : -1;
 	if (w->reserved_ms && f->ticked_ms - w->reserved_ms < FLO_RESERVED_MS)
 		return -1;
 	for (i = 0; i < w->runs->len; i++) {
--- a/src/upk.c
+++ b/src/upk.c
@@ -44,6 +44,7 @@
 	int64_t ordered_ms; /* when it was ordered; 0: not yet */
 	int64_t accepted_ms; /* when the order was accepted; 0: not yet */
 	bool recorded; /* JTB_VM_BEGUN is in the table or on its way there */
+	int64_t recorded_ms; /* since then; of an earlier leader: noticed */
 	bool fenced; /* a later leader gives the orders for it now */
 	bool done_recorded; /* JTB_VM_DONE is on its way to the table */
 	bool returning; /* it cannot be drained now and returns to service */
@@ -73,10 +74,13 @@
 static void upk_add_ordered(const struct jtb_wave *w, GHashTable *ids);
 static bool upk_is_worker_unknown(const struct upk *u,
 				  const struct upk_drain *d);
+static bool upk_is_standby(const struct upk *u, const struct vms_vm *vm);
 static bool upk_knows_worker(const struct upk *u, const struct vms_vm *vm,
 			     int64_t now);
 static bool upk_is_worker_up(const struct upk *u, const struct vms_vm *vm);
 static void upk_add_unlisted(const struct upk *u, GHashTable *ids);
+static bool upk_awaits_worker(const struct upk *u, const struct upk_drain *d,
+			      const struct vms_vm *vm);
 static bool upk_note_new_worker(const struct upk *u, struct upk_drain *d,
 				int64_t now);
 static void upk_advance_wave(struct upk *u, struct jtb_wave *w, int64_t now,
@@ -321,15 +325,22 @@
 				  const struct upk_drain *d)
 {
 	const struct vms_vm *vm = vms_find(u->vms, d->vm);
-	const struct jtb_pool *p =
-		vm ? jtb_pool(jtb_config(u->jtb), vm->pool) : NULL;
 
 	if (!d->recorded || d->accepted_ms || d->done_recorded ||
-	    (p && p->standby))
+	    upk_is_standby(u, vm))
 		return false;
 	return !vm || !upk_is_worker_up(u, vm);
 }
 
+/* Whether a VM, or NULL, is in a pool whose VMs are switched off. */
+static bool upk_is_standby(const struct upk *u, const struct vms_vm *vm)
+{
+	const struct jtb_pool *p =
+		vm ? jtb_pool(jtb_config(u->jtb), vm->pool) : NULL;
+
+	return p && p->standby;
+}
+
 /*
  * Whether it is certain which worker is on a VM: the listed one answers, or the
  * list is too young for another one to have come up and got work since. During
@@ -531,6 +542,7 @@
 				u, w, v->vm,
 				v->worker_before ? v->worker_before : "", now);
 			d->recorded = true;
+			d->recorded_ms = now;
 		}
 	}
 }
@@ -660,16 +672,31 @@
 		if (!vm || vm->state != VMS_UP || !upk_knows_worker(u, vm, now))
 			return;
 		d->recorded = true;
+		d->recorded_ms = now;
 		u->ops->note(u->arg, w, v, JTB_VM_BEGUN, d->worker);
 		return;
 	}
 	if (v->state == JTB_VM_BEGUN && !d->accepted_ms &&
+	    !upk_awaits_worker(u, d, vm) &&
 	    (!d->ordered_ms || now - d->ordered_ms > UPK_RETRY_MS)) {
 		d->ordered_ms = now;
 		u->ops->order(u->arg, w, v);
 	}
 }
 
+/*
+ * Whether a worker may have come up on a VM and got work since the newest list,
+ * which names none. Workers that no list has get no work once the upkeep is
+ * recorded, so a list that is requested later names any that got some before.
+ */
+static bool upk_awaits_worker(const struct upk *u, const struct upk_drain *d,
+			      const struct vms_vm *vm)
+{
+	if (*d->worker || d->new_worker || upk_is_standby(u, vm))
+		return false;
+	return vms_listed_ms(u->vms) <= d->recorded_ms;
+}
+
 /*
  * Whether another worker came up by itself on a VM that is being drained; if
  * so, records it, and the drain starts again. This is possible also after the
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -1116,6 +1116,24 @@
 	assert_true(f->now - ordered_ms > FLO_ORDER_OPEN_MS);
 }
 
+/*
+ * Guards against work lost with its VM: the list names no worker on it, as one
+ * has just come up there, and that one has work.
+ */
+static void vm_without_a_named_worker_stays(void **state)
+{
+	struct fixture *f = *state;
+
+	struct jtb_step s = {.count = 1, .cpu = 1000, .estimate_ms = 500};
+
+	add_other_vms(f, 4, &s);
+	vm_add(f, "vm5", "other", "");
+	submit_burst(f);
+	ticks(f, 2);
+	assert_true(flo_count_moves(f->flo) > 0);
+	assert_false(flo_is_moving(f->flo, "vm5"));
+}
+
 /*
  * Guards against work lost with its VM: an order without an answer was carried
  * out, the move is given up, and the VM is ordered again by the list from
@@ -1722,6 +1740,7 @@
 		T(unanswered_move_is_abandoned),
 		T(accepted_move_outlasts_an_outage),
 		T(order_under_way_keeps_its_worker_closed),
+		T(vm_without_a_named_worker_stays),
 		T(vm_that_may_have_moved_waits_for_a_list),
 		T(refused_vm_waits_for_a_list),
 		T(list_without_the_vm_ends_no_ordered_move),
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -605,6 +605,45 @@
 	assert_false(is_closed(f, "w1b"));
 }
 
+/*
+ * Guards against work lost with its VM: the list names no worker on it, as one
+ * has just come up there, and that one has work.
+ */
+static void vm_without_a_named_worker_waits_for_a_list(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm = find_vm(f, "vm1");
+
+	g_free(vm->worker);
+	vm->worker = g_strdup("");
+	tick(f);
+	add_short_job(f, "a");
+	add_wave(f, 1, WITHIN_MS);
+	ticks_without_list(f, 2 * GONE_TICKS);
+	assert_int_equal(f->orders, 0);
+	assert_true(is_closed(f, "w1"));
+	g_free(vm->worker);
+	vm->worker = g_strdup("w1");
+	ticks(f, 3);
+	assert_int_equal(f->orders, 0);
+	jobs_end(f->jtb, "a", 0, 0, 1, "w1", JTB_DONE);
+	ticks(f, 2);
+	assert_int_equal(f->orders, 1);
+}
+
+/* Guards against a wave that never ends: no worker comes up on its VM. */
+static void vm_without_a_worker_has_its_upkeep(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm = find_vm(f, "vm1");
+
+	g_free(vm->worker);
+	vm->worker = g_strdup("");
+	add_wave(f, 1, WITHIN_MS);
+	ticks(f, 5);
+	assert_int_equal(f->orders, 1);
+}
+
 /*
  * Guards against work lost with its VM after the order: the VM failed by itself
  * before the order was carried out and came back with another worker.
@@ -935,6 +974,8 @@
 		T(new_worker_after_the_order_is_drained),
 		T(vm_is_not_ordered_by_an_old_list),
 		T(unlisted_worker_waits_for_an_open_order),
+		T(vm_without_a_named_worker_waits_for_a_list),
+		T(vm_without_a_worker_has_its_upkeep),
 		T(two_waves_with_the_same_vms),
 		T(bad_image_costs_no_more_than_at_once),
 		T(partition_pauses_the_wave),
