hub: entries of the log fit into a message

Cause: all commands that gather until the flush became one entry. Over 4 MiB rep_send() drops it without a word, and no later entry can be stored before it; over 8 MiB cns_check_propose() refuses the batch, which only grows, and it was proposed again in each turn of the loop. Heartbeats go on, so that no other replica is elected.

Change: bat keeps where each command begins; an entry takes as many as fit into 1 MiB. What the log takes no more of now is proposed 10 ms later, and a call waits for the commands before it, whichever entry they are in. A single command is a body, 1 MiB at most by default, with what it holds decoded beside it.

--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -4,6 +4,7 @@
 /* Declarations shared by the files of the control daemon. */
 
 #include "adv.h"
+#include "bat.h"
 #include "cnt.h"
 #include "cpu.h"
 #include "crs.h"
@@ -65,6 +66,7 @@
 struct hub_waiter {
 	struct hub_call *c;
 	hub_resume_fn resume;
+	guint after; /* first commands of the batch that it waits for */
 };
 
 /* A batch or a read in progress in the log. */
@@ -106,6 +108,7 @@
 	HUB_REPORTS_NO_START,
 	HUB_REPORTS_BAD_START,
 	HUB_PREEMPTED,
+	HUB_BEHIND,
 	HUB_COUNTS
 };
 
@@ -151,9 +154,9 @@
 	int64_t lead_lost_ms; /* when leadership was last lost; 0: never */
 	GHashTable *calls; /* all open calls, struct hub_call */
 	/* The log. */
-	struct pk_out batch; /* packed commands that are not proposed yet */
-	uint32_t batch_n;
-	GArray *batch_waiters; /* struct hub_waiter */
+	struct bat batch; /* commands that are not proposed yet */
+	GArray *batch_waiters; /* struct hub_waiter, in order */
+	bool log_refused; /* the log took no more of the batch last time */
 	GHashTable *proposals; /* log index: struct hub_inflight */
 	GArray *read_waiters; /* struct hub_waiter, for the next read */
 	GHashTable *reads; /* tag: struct hub_inflight */
--- a/src/hub_log.c
+++ b/src/hub_log.c
@@ -4,10 +4,25 @@
 
 /* Size at which a batch is proposed without delay, bytes. */
 #define HUB_BATCH_FLUSH_BYTES (256u << 10)
+/*
+ * Most bytes of several commands in one entry: a quarter of the longest message
+ * between replicas. A single command is longer than that only if a caller's
+ * body is.
+ */
+#define HUB_ENTRY_MAX_BYTES (1u << 20)
+/*
+ * Bytes of commands that wait for the log, beyond which callers are told to come
+ * back: twice what the log takes before it is stored.
+ */
+#define HUB_BEHIND_BYTES (16u << 20)
+/* Delay until a proposal that the log refused is repeated, ms. */
+#define HUB_REFUSED_RETRY_MS 10
 
 static void hub_schedule_flush(struct hub *h);
 static void hub_on_flush_timer(void *arg, int64_t now);
 static void hub_propose_batch(struct hub *h);
+static bool hub_propose_entry(struct hub *h);
+static GArray *hub_take_waiters(struct hub *h, guint n);
 static void hub_start_read(struct hub *h);
 static void hub_resume_waiters(struct hub *h, GArray *waiters, bool ok);
 static GArray *hub_waiters_new(void);
@@ -18,7 +33,7 @@
 /* Initialises the batch and the reads, with no commands. */
 void hub_log_init(struct hub *h)
 {
-	pk_out_init(&h->batch);
+	bat_init(&h->batch);
 	h->batch_waiters = hub_waiters_new();
 	h->read_waiters = hub_waiters_new();
 	h->proposals = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -31,7 +46,7 @@
 void hub_log_free(struct hub *h)
 {
 	hub_log_abort(h);
-	pk_out_done(&h->batch);
+	bat_done(&h->batch);
 	g_array_free(h->batch_waiters, TRUE);
 	g_array_free(h->read_waiters, TRUE);
 	g_hash_table_destroy(h->proposals);
@@ -53,9 +68,8 @@
  */
 struct pk_out *hub_append_command(struct hub *h)
 {
-	h->batch_n++;
 	hub_schedule_flush(h);
-	return &h->batch;
+	return bat_add(&h->batch);
 }
 
 /*
@@ -65,13 +79,30 @@
  */
 void hub_commit(struct hub *h, struct hub_call *c, hub_resume_fn resume)
 {
-	struct hub_waiter w = {.c = c, .resume = resume};
+	struct hub_waiter w = {
+		.c = c,
+		.resume = resume,
+		.after = bat_count(&h->batch),
+	};
 
 	c->refs++;
 	g_array_append_val(h->batch_waiters, w);
 	hub_schedule_flush(h);
 }
 
+/*
+ * Refuses a call whose command would wait behind more than the log can take for
+ * a while; returns false if there is room.
+ */
+bool hub_refuse_behind(struct hub *h, struct hub_call *c)
+{
+	if (bat_bytes(&h->batch) <= HUB_BEHIND_BYTES)
+		return false;
+	h->counts[HUB_BEHIND]++;
+	hub_answer_later(h, c);
+	return true;
+}
+
 /*
  * Resumes a call once a majority has confirmed that this replica leads: the
  * state it then reads is no older than the call, even after a network partition
@@ -138,8 +169,8 @@
 	g_array_set_size(h->batch_waiters, 0);
 	hub_resume_waiters(h, h->read_waiters, false);
 	g_array_set_size(h->read_waiters, 0);
-	msgpack_sbuffer_clear(&h->batch.buf);
-	h->batch_n = 0;
+	bat_drop(&h->batch, bat_count(&h->batch));
+	h->log_refused = false;
 }
 
 /* Schedules the proposal of the collected commands. */
@@ -149,8 +180,10 @@
 
 	if (h->flush_timer)
 		return;
-	if (h->batch.buf.size > HUB_BATCH_FLUSH_BYTES)
+	if (bat_bytes(&h->batch) > HUB_BATCH_FLUSH_BYTES)
 		wait = 0;
+	if (h->log_refused)
+		wait = MAX(wait, HUB_REFUSED_RETRY_MS);
 	h->flush_timer = tmr_once(h->tmr, wait, hub_on_flush_timer, h);
 }
 
@@ -169,31 +202,64 @@
 	hub_start_read(h);
 }
 
-/* Proposes all collected commands as one entry. */
+/*
+ * Proposes the collected commands, in entries that fit into a message. What the
+ * log takes no more of now, while leadership is handed over or too much is not
+ * stored yet, is proposed later.
+ */
 static void hub_propose_batch(struct hub *h)
 {
+	h->log_refused = false;
+	while (!h->log_refused &&
+	       (bat_count(&h->batch) || h->batch_waiters->len))
+		h->log_refused = !hub_propose_entry(h);
+	if (h->log_refused)
+		hub_schedule_flush(h);
+}
+
+/* Proposes the next entry; returns false if the log refuses it. */
+static bool hub_propose_entry(struct hub *h)
+{
+	guint n = bat_fitting(&h->batch, HUB_ENTRY_MAX_BYTES);
 	struct pk_out o;
 	uint64_t index;
 	bool ok;
 
-	if (!h->batch_n && !h->batch_waiters->len)
-		return;
 	pk_out_init(&o);
-	pk_arr(&o, h->batch_n);
-	msgpack_sbuffer_write(&o.buf, h->batch.buf.data, h->batch.buf.size);
+	bat_pack(&h->batch, n, &o);
 	ok = rep_propose(h->rep, pk_out_view(&o), &index);
 	pk_out_done(&o);
-	if (!ok) {
-		/* Leadership is being handed over, or the log is full. */
-		hub_schedule_flush(h);
-		return;
-	}
+	if (!ok)
+		return false;
 	h->counts[HUB_BATCHES]++;
 	g_hash_table_insert(h->proposals, g_memdup2(&index, sizeof(index)),
-			    hub_inflight_new(h, h->batch_waiters));
-	h->batch_waiters = hub_waiters_new();
-	msgpack_sbuffer_clear(&h->batch.buf);
-	h->batch_n = 0;
+			    hub_inflight_new(h, hub_take_waiters(h, n)));
+	bat_drop(&h->batch, n);
+	return true;
+}
+
+/*
+ * Returns the calls that wait for the first n commands, and removes them from
+ * those that wait for the batch; the others wait for n commands less.
+ */
+static GArray *hub_take_waiters(struct hub *h, guint n)
+{
+	GArray *all = h->batch_waiters;
+	GArray *taken = hub_waiters_new();
+	guint i;
+
+	for (i = 0; i < all->len; i++) {
+		struct hub_waiter *w =
+			&g_array_index(all, struct hub_waiter, i);
+
+		if (w->after > n)
+			break;
+		g_array_append_val(taken, *w);
+	}
+	g_array_remove_range(all, 0, i);
+	for (i = 0; i < all->len; i++)
+		g_array_index(all, struct hub_waiter, i).after -= n;
+	return taken;
 }
 
 /*
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -47,7 +47,7 @@
 							HUB_NO_ADVICE_RETRY_S});
 		return;
 	}
-	if (hub_intake_refuse(h, c, spec))
+	if (hub_refuse_behind(h, c) || hub_intake_refuse(h, c, spec))
 		return;
 	h->counts[HUB_JOBS]++;
 	msg_job(MSG_HUB_JOB, spec->id,
--- a/src/hub_tell.c
+++ b/src/hub_tell.c
@@ -55,6 +55,8 @@
 			   "Jobs refused, as a limit would never let them run"},
 	[HUB_PREEMPTED] = {"endive_preempted_total", "counter",
 			   "Runs stopped for work of a queue that goes first"},
+	[HUB_BEHIND] = {"endive_calls_refused_log_behind_total", "counter",
+			"Calls refused, as the log had too much to store"},
 	[HUB_DIRECT_STARTS] =
 		{"endive_starts_direct_total", "counter",
 		 "Runs first ordered without a relay, where relays are used"},
--- a/tests/unit/hub_intake_test.c
+++ b/tests/unit/hub_intake_test.c
@@ -117,15 +117,15 @@
 				.steps = &step,
 				.n_steps = 1,
 				.repeats = repeats};
-	uint32_t before = r->h.batch_n;
+	uint32_t before = bat_count(&r->h.batch);
 	guint open = g_hash_table_size(r->h.calls);
 
 	g_strlcpy(spec.id, id, sizeof(spec.id));
 	hub_submit(&r->h, hub_call_new(&r->h, HUB_FROM_ENTRY), &spec, resume);
 	/* an answered call is freed: nothing of it may be in the log */
-	assert_int_equal(r->h.batch_n - before,
+	assert_int_equal(bat_count(&r->h.batch) - before,
 			 g_hash_table_size(r->h.calls) - open);
-	return r->h.batch_n > before;
+	return bat_count(&r->h.batch) > before;
 }
 
 static bool submit_next(struct rig *r)
@@ -196,6 +196,22 @@
 	assert_true(submit_next(r));
 }
 
+/* Guards against a line of commands that grows while the log takes none. */
+static void job_is_refused_while_the_log_is_behind(void **state)
+{
+	struct rig *r = *state;
+	char *text = g_malloc0(1 << 20);
+	int i;
+
+	assert_true(submit_next(r));
+	for (i = 0; i < 20; i++)
+		pk_str(hub_append_command(&r->h), lstr_n(text, 1 << 20));
+	assert_false(submit_next(r));
+	hub_log_abort(&r->h);
+	assert_true(submit_next(r));
+	g_free(text);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -207,6 +223,9 @@
 			lasting_and_timed_work_is_accepted, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 			leader_that_does_not_know_accepts, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			job_is_refused_while_the_log_is_behind, setup,
+			teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/hub_take_test.c
+++ b/tests/unit/hub_take_test.c
@@ -124,10 +124,10 @@
 	struct hub *h = &r->h;
 
 	hub_accept_leave(h, hub_call_new(h, HUB_FROM_ENTRY), "w", resume);
-	assert_int_equal(h->batch_n, 0);
+	assert_int_equal(bat_count(&h->batch), 0);
 	jobs_worker(h->jtb, "w", 16000, true);
 	hub_accept_leave(h, hub_call_new(h, HUB_FROM_ENTRY), "w", resume);
-	assert_int_equal(h->batch_n, 1);
+	assert_int_equal(bat_count(&h->batch), 1);
 }
 
 int main(void)
