rep: a lost lead is reported before anything is applied

What callers saw: 200 for a job that no leader knows of afterwards.

Cause: hub_log_applied() takes the entry at an index for the proposal that waits for that index. rep_pump() applied committed entries before it reported that the lead is lost, so that entries of the next leader, which came in one message with the news that they are stored, were applied while the owner still believed that it led.

Evidence: rep_test replaced_leader_is_told_before_others_commands passes a leader with two proposals the first message of the next term; on the code before, 3 of 3, the other command is applied while the owner leads.

Change: rep_pump() reports before it applies, and again after. Why it holds: the role changes with a message or a tick, both before the pump, or with this member's own removal, after which no entry of another leader comes before the next pump.

Failed before: rep_test replaced_leader_is_told_before_others_commands. With the change rep_test passes, 3 of 3.

--- a/src/rep.c
+++ b/src/rep.c
@@ -388,12 +388,15 @@
 
 /*
  * Does all pending consensus work, at the end of an iteration of the event
- * loop.
+ * loop. The owner learns of a lost lead before anything is applied: entries of
+ * the next leader may have the indexes of commands that the owner still waits
+ * for.
  */
 static void rep_pump(struct rep *r)
 {
 	enum cpu_kind before = cpu_enter(CPU_LOG);
 
+	rep_report_leadership(r);
 	vot_pump(r->vot);
 	rep_report_leadership(r);
 	rep_transfer_if_slow(r);
--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -40,6 +40,8 @@
 	char name[8];
 	char addr[32];
 	int leads;
+	bool leading; /* as its owner was told last */
+	bool applied_as_leader; /* the last command, by that */
 	bool restarted; /* true after the fleet's first start */
 	GString *log; /* applied commands */
 };
@@ -58,6 +60,7 @@
 {
 	struct node *n = arg;
 
+	n->applied_as_leader = n->leading;
 	g_string_append_len(n->log, cmd.p, (gssize)cmd.len);
 }
 
@@ -82,6 +85,7 @@
 	struct node *n = arg;
 
 	n->leads += leading;
+	n->leading = leading;
 }
 
 static void node_read_done(void *arg, uint64_t tag, bool ok)
@@ -276,6 +280,75 @@
 	commit(b, "two ");
 }
 
+/* Returns an entry of the log with a command or without. */
+static struct cns_entry make_entry(uint64_t term, uint64_t index,
+				   const char *cmd)
+{
+	return (struct cns_entry){
+		.index = index,
+		.term = term,
+		.kind = cmd ? CNS_COMMAND : CNS_NOOP,
+		.data = g_bytes_new(cmd, cmd ? strlen(cmd) : 0),
+	};
+}
+
+/*
+ * Passes a leader the first message of the next one: other entries where it has
+ * entries of its own, and stored already.
+ */
+static void replace_leader(struct fixture *b, struct node *old)
+{
+	struct cns *c = old->rep->cns;
+	uint64_t from = cns_commit(c);
+	uint64_t term = cns_term(c) + 1;
+	struct cns_entry e[] = {make_entry(term, from + 1, NULL),
+				make_entry(term, from + 2, "other ")};
+	struct cns_msg m = {
+		.kind = CNS_APPEND,
+		.from = old == &b->nodes[0] ? b->nodes[1].rep->id
+					    : b->nodes[0].rep->id,
+		.to = old->rep->id,
+		.term = term,
+		.index = from,
+		.log_term = term - 1,
+		.commit = from + 2,
+		.entries = cns_entries_new(),
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(e); i++) {
+		cns_entries_add(m.entries, &e[i]);
+		g_bytes_unref(e[i].data);
+	}
+	cns_step(c, &m);
+	g_array_free(m.entries, TRUE);
+}
+
+/*
+ * Guards against an acknowledgement of what was never stored: a leader that
+ * stood still, or is cut off in one direction, is sent other commands for the
+ * indexes of its own ones, and takes them for those.
+ */
+static void replaced_leader_is_told_before_others_commands(void **state)
+{
+	struct fixture *b = *state;
+	struct node *old = leader(b);
+	uint64_t mine;
+	uint64_t index;
+	int ms;
+
+	commit(b, "one ");
+	old = leader(b);
+	assert_true(rep_propose(old->rep, LSTR("mine "), &mine));
+	assert_true(rep_propose(old->rep, LSTR("mine too "), &index));
+	assert_int_equal(mine, cns_commit(old->rep->cns) + 1);
+	replace_leader(b, old);
+	for (ms = 0; ms < WAIT_MS && !strstr(old->log->str, "other "); ms++)
+		net_run(b->base, 1);
+	assert_string_equal(old->log->str, "one other ");
+	assert_false(old->applied_as_leader);
+}
+
 /* Has every write of this process to a file fail, or succeed again. */
 static void set_disks_full(bool full)
 {
@@ -792,6 +865,7 @@
 		T(a_leadership_transfer_keeps_commands),
 		T(full_disks_are_waited_out),
 		T(leader_whose_disk_was_full_is_elected_anew),
+		T(replaced_leader_is_told_before_others_commands),
 		T(no_member_is_removed_after_a_pause_of_all),
 		T(a_restored_leader_removes_its_old_member),
 		T(dead_members_leave_a_full_membership),
