dmn: SIGHUP doesn't end a daemon that still starts

Cause: the handler was installed once the service ran; until then the signal has its default effect.

Change: the signal is blocked first and unblocked after the handler is there; one that came meanwhile is handled then. The time before main() is left.

Failed before: disk_test, which tells a daemon so that waits for room: "was ended by SIGHUP". It passes with the change.

--- a/src/dmn.c
+++ b/src/dmn.c
@@ -13,6 +13,7 @@
 /* Interval between attempts to start on a full disk, us. */
 #define DMN_FULL_RETRY_US (500 * G_TIME_SPAN_MILLISECOND)
 
+static void dmn_block_hup(int how);
 static bool dmn_keys(struct dmn *d, GError **err);
 static struct event_base *dmn_base_new(void);
 static int dmn_run(struct dmn *d);
@@ -41,6 +42,7 @@
 	GError *err = NULL;
 	int rc;
 
+	dmn_block_hup(SIG_BLOCK);
 	rc = set_parse(ops->name, ops->summary, defs, G_N_ELEMENTS(defs), &argc,
 		       &argv);
 	if (rc >= 0)
@@ -72,6 +74,20 @@
 	return rc;
 }
 
+/*
+ * Holds up the signal to read the settings again, or lets it come. It ends a
+ * process that doesn't handle it yet, and a daemon may be told so while it still
+ * starts, or waits for room on its disk.
+ */
+static void dmn_block_hup(int how)
+{
+	sigset_t hup;
+
+	sigemptyset(&hup);
+	sigaddset(&hup, SIGHUP);
+	sigprocmask(how, &hup, NULL);
+}
+
 /* Whether a setting that this daemon needs is there. */
 bool dmn_needs(const struct dmn *d, const char *key, const char *value,
 	       GError **err)
@@ -147,6 +163,7 @@
 	evsignal_add(term, NULL);
 	evsignal_add(intr, NULL);
 	evsignal_add(hup, NULL);
+	dmn_block_hup(SIG_UNBLOCK);
 	event_add(d->look, &every);
 	event_base_dispatch(d->base);
 	rc = d->ops->result(d);
--- a/tests/system/disk_test.sh
+++ b/tests/system/disk_test.sh
@@ -79,7 +79,8 @@
 wait_full "$full" 0
 first=$((first + 1000))
 
-# Started on a full disk a daemon waits, and joins once there is space.
+# Started on a full disk a daemon waits, and joins once there is space. The word
+# to read its settings again doesn't end it meanwhile.
 full=$(leading)
 kill -9 "$(jobs_pid "c$full")"
 rm -f "$tmp/c$full.pid"
@@ -91,6 +92,9 @@
 echo $! >"$tmp/c$full.pid"
 sleep 2
 kill -0 "$(jobs_pid "c$full")" || fail "c$full did not wait for space"
+kill -HUP "$(jobs_pid "c$full")"
+sleep 0.5
+kill -0 "$(jobs_pid "c$full")" || fail "c$full was ended by SIGHUP"
 wait $load || { cat "$tmp/out"; fail "jobs beside a start on a full disk"; }
 done_once
 file_limit "c$full" unlimited
