ups: an answer over its limit ends the call, not the process

Cause: ups_on_part() calls start for an answer longer than max_answer, and start is NULL where answers are taken as a whole (wkr, vms, adv_line).

Change: without start such a call ends with UPS_MALFORMED, from the event loop since this is within evhttp, and answer-too-long names peer, bytes and limit. What was buffered is let go, and the connection is closed.

Failed before: ups_test too_long_an_answer_ends_its_call_only: segmentation fault. It covers a whole long answer, half of one, and a call after them.

--- a/src/msg.c
+++ b/src/msg.c
@@ -86,6 +86,7 @@
 	[MSG_HUB_VM] = {MSG_NOTICE, "vm-order"},
 	[MSG_VMS_SENT] = {MSG_INFO, "vm-order-sent"},
 	[MSG_VMS_DROPPED] = {MSG_NOTICE, "vm-order-dropped"},
+	[MSG_UPS_TOO_LONG] = {MSG_NOTICE, "answer-too-long"},
 	[MSG_HUB_ODD] = {MSG_WARN, "not-understood"},
 	[MSG_HUB_POOL] = {MSG_INFO, "pool"},
 	[MSG_HUB_SHARES] = {MSG_INFO, "shares"},
--- a/src/ups.c
+++ b/src/ups.c
@@ -3,6 +3,7 @@
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <errno.h>
+#include <inttypes.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -147,6 +148,8 @@
 static int ups_on_headers(struct evhttp_request *req, void *arg);
 static bool ups_framing_ok(struct ups_call *call, struct evhttp_request *req);
 static void ups_on_part(struct evhttp_request *req, void *arg);
+static void ups_refuse_answer(struct ups_call *call);
+static void ups_on_refused(void *arg, int64_t now);
 static void ups_on_done(struct evhttp_request *req, void *arg);
 static void ups_on_connect_timeout(void *arg, int64_t now);
 static void ups_on_deadline(void *arg, int64_t now);
@@ -835,6 +838,10 @@
 	if (!call->streaming &&
 	    (int64_t)evbuffer_get_length(call->buffered) <= call->max_answer)
 		return;
+	if (!call->ops->start) {
+		ups_refuse_answer(call);
+		return;
+	}
 	call->answer.headers = (void *)call->headers->data;
 	call->answer.n_headers = call->headers->len;
 	call->answer.body = call->buffered;
@@ -849,6 +856,37 @@
 			EV_READ);
 }
 
+/*
+ * Stops reading an answer that is longer than its caller takes, and ends the
+ * call from the event loop, as this runs within evhttp.
+ */
+static void ups_refuse_answer(struct ups_call *call)
+{
+	struct ups_conn *c = call->conn;
+
+	if (call->malformed) {
+		evbuffer_drain(call->buffered,
+			       evbuffer_get_length(call->buffered));
+		return;
+	}
+	call->malformed = true;
+	msg(MSG_UPS_TOO_LONG, "addr=%s bytes=%zu limit=%" PRId64, c->addr,
+	    evbuffer_get_length(call->buffered), call->max_answer);
+	evbuffer_drain(call->buffered, evbuffer_get_length(call->buffered));
+	bufferevent_disable(evhttp_connection_get_bufferevent(c->ev), EV_READ);
+	tmr_cancel(call->u->tmr, call->deadline_timer);
+	call->deadline_timer = tmr_once(call->u->tmr, 0, ups_on_refused, call);
+}
+
+/* Ends a call whose answer is too long. */
+static void ups_on_refused(void *arg, int64_t now)
+{
+	struct ups_call *call = arg;
+
+	call->deadline_timer = 0;
+	ups_finish(call, UPS_MALFORMED);
+}
+
 /*
  * Handles the end of a request in evhttp: with an answer, without one (req is
  * NULL), or not connected.
--- a/src/ups.h
+++ b/src/ups.h
@@ -24,7 +24,8 @@
 	UPS_WHOLE, /* the whole answer has arrived */
 	UPS_NOT_SENT, /* no byte of the request has left this process */
 	UPS_TRUNCATED, /* sent; connection closed before the answer was whole */
-	UPS_MALFORMED, /* sent; the answer's framing is not reliable */
+	/* sent; the answer's framing isn't reliable, or it is too long */
+	UPS_MALFORMED,
 	UPS_TIMEOUT, /* sent; no whole answer in time */
 	UPS_NO_CONNECTION, /* no connection available here; not tried */
 	UPS_LOST, /* the relay that was to send it reported no end; see rly */
@@ -64,7 +65,10 @@
 	 * no byte is sent. NULL: always.
 	 */
 	bool (*may_write)(void *arg);
-	/* The answer is larger than max_answer; its body follows in parts. */
+	/*
+	 * The answer is larger than max_answer; its body follows in parts.
+	 * NULL: such an answer ends the call.
+	 */
 	void (*start)(void *arg, const struct ups_answer *a);
 	/* The next part. Returns false to stop reading until ups_resume. */
 	bool (*part)(void *arg, const struct ups_answer *a);
--- a/tests/unit/ups_test.c
+++ b/tests/unit/ups_test.c
@@ -100,9 +100,10 @@
 	return 0;
 }
 
-static struct ups_call *start_request(struct fixture *f,
-				      enum evhttp_cmd_type method,
-				      int64_t timeout_ms)
+static struct ups_call *start_request_with(struct fixture *f,
+					   enum evhttp_cmd_type method,
+					   int64_t timeout_ms,
+					   const struct ups_ops *ops)
 {
 	f->ended = false;
 	f->starts = 0;
@@ -117,7 +118,14 @@
 				 .connect_ms = 200,
 				 .max_answer = MAX_ANSWER,
 			 },
-			 &fixture_ops, f);
+			 ops, f);
+}
+
+static struct ups_call *start_request(struct fixture *f,
+				      enum evhttp_cmd_type method,
+				      int64_t timeout_ms)
+{
+	return start_request_with(f, method, timeout_ms, &fixture_ops);
 }
 
 static void wait_end(struct fixture *f)
@@ -391,6 +399,42 @@
 	g_string_free(answer, TRUE);
 }
 
+/*
+ * Guards against a leader that a worker's long list ends, and each next leader
+ * after it: nobody takes the answer in parts.
+ */
+static void too_long_an_answer_ends_its_call_only(void **state)
+{
+	static const struct ups_ops whole_only = {.end = on_end};
+	struct fixture *f = *state;
+	char *body = g_strnfill(50 * MAX_ANSWER, 'x');
+	char *answer = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
+		50 * MAX_ANSWER, body);
+	int fd;
+
+	start_request_with(f, EVHTTP_REQ_GET, WAIT_MS, &whole_only);
+	fd = accept_and_answer(f, answer);
+	wait_end(f);
+	assert_int_equal(f->end, UPS_MALFORMED);
+	assert_int_equal(f->body->len, 0);
+	close(fd);
+	/* the same, of which the rest never comes */
+	answer[strlen(answer) / 2] = '\0';
+	start_request_with(f, EVHTTP_REQ_GET, WAIT_MS, &whole_only);
+	fd = accept_and_answer(f, answer);
+	wait_end(f);
+	assert_int_equal(f->end, UPS_MALFORMED);
+	close(fd);
+	start_request_with(f, EVHTTP_REQ_GET, WAIT_MS, &whole_only);
+	fd = accept_and_answer(f, OK_ANSWER);
+	wait_end(f);
+	assert_int_equal(f->end, UPS_WHOLE);
+	close(fd);
+	g_free(answer);
+	g_free(body);
+}
+
 /*
  * Guards against a control daemon of a large fleet that crashes, and again
  * after each start, with its descriptors used up by connections to workers:
@@ -690,6 +734,7 @@
 		T(reuses_only_recent_connections),
 		T(connection_failure_is_not_sent),
 		T(streams_large_answers),
+		T(too_long_an_answer_ends_its_call_only),
 		T(call_without_descriptor_ends),
 		T(calls_beyond_connection_limit_wait),
 		T(evicts_idle_connection),
