--- a/tests/unit/rep_test.c
+++ b/tests/unit/rep_test.c
@@ -332,7 +332,7 @@
 static void replaced_leader_is_told_before_others_commands(void **state)
 {
 	struct fixture *b = *state;
-	struct node *old = leader(b);
+	struct node *old;
 	uint64_t mine;
 	uint64_t index;
 	int ms;
