evd: two lists right behind each other don't show an absence

What callers saw: a task may run twice, if its worker is cut off while its VM has just come and two lists are requested some ms apart.

Cause: two lists in a row without the VM counted, whatever their distance. A list is also requested when an order is accepted, so that the second one may lack the row for the same reason as the first: a VM that has just been switched on is listed some 100 ms later.

Change: evd_absent_ms() counts from list to list for how long something was absent; an unreachable worker is over once that is 600 ms, which two lists of the usual distance (700 ms) show. unlisted_count goes; a worker's absence is kept as that of a wave's VM is, and forgotten with a term and a lifetime.

evd_test absence_from_one_list_is_not_evidence asks for 599 and 600 ms in place of one list and two: several lists within less time are no evidence any more. With the comparison by lists, 599 ms would pass.

--- a/src/evd.c
+++ b/src/evd.c
@@ -16,10 +16,11 @@
  */
 #define EVD_OLD_LEADER_MS 1000
 /*
- * Consecutive lists that must lack a worker: one list may lack a VM that has
- * just been switched on, or change while it is read page by page.
+ * For how long lists must lack an unreachable worker, ms: one list may lack a
+ * VM that has just been switched on, or change while it is read page by page,
+ * and so may another one right behind it.
  */
-#define EVD_MIN_ABSENT_LISTS 2
+#define EVD_ABSENT_MS 600
 /*
  * A VM that lists have shown as absent for this long is gone for good, ms. A VM
  * that has just been switched on is listed some 100 ms later.
@@ -225,7 +226,7 @@
 	else if (vm->other)
 		why = EVD_VM_OTHER;
 	else if (!vm->listed && !vm->worker_unknown &&
-		 vm->without >= EVD_MIN_ABSENT_LISTS)
+		 vm->absent_ms >= EVD_ABSENT_MS)
 		why = EVD_VM_NONE;
 	if (why)
 		evd_set(why, vm->asked_ms, m, out);
@@ -233,28 +234,33 @@
 }
 
 /*
- * Counts what the newest list of VMs, requested at asked_ms, says about a VM
- * that may be gone; returns whether it is gone for good. Only lists that were
- * requested after the VM was found missing count, each of them once: an older
- * list may be from before the VM was there, and looking at it again shows
- * nothing.
+ * Counts what the newest list of VMs, requested at asked_ms, says about
+ * something that may be absent from the lists; returns for how long, in ms,
+ * lists have shown that. Only lists that were requested after since_ms count,
+ * each of them once: an older one may be from before the thing was there, and
+ * looking at a list again shows nothing.
  */
-bool evd_vm_gone(struct evd_absence *a, bool listed, int64_t asked_ms,
-		 int64_t now_ms)
+int64_t evd_absent_ms(struct evd_absence *a, bool listed, int64_t asked_ms,
+		      int64_t since_ms)
 {
 	if (listed) {
 		*a = (struct evd_absence){0};
-		return false;
-	}
-	if (!a->asked_ms) {
-		a->asked_ms = now_ms;
-		return false;
+		return 0;
 	}
+	if (!a->asked_ms)
+		a->asked_ms = since_ms;
 	if (asked_ms > a->asked_ms) {
 		a->shown_ms += MIN(asked_ms - a->asked_ms, EVD_LIST_STEP_MS);
 		a->asked_ms = asked_ms;
 	}
-	return a->shown_ms > EVD_GONE_MS;
+	return a->shown_ms;
+}
+
+/* Whether lists show that a VM, found missing by now, is gone for good. */
+bool evd_vm_gone(struct evd_absence *a, bool listed, int64_t asked_ms,
+		 int64_t now_ms)
+{
+	return evd_absent_ms(a, listed, asked_ms, now_ms) > EVD_GONE_MS;
 }
 
 /*
--- a/src/evd.h
+++ b/src/evd.h
@@ -61,14 +61,15 @@
 	bool up; /* the worker's last known VM is up */
 	bool other; /* the last known VM is listed with another worker */
 	bool worker_unknown; /* the list names no worker for a VM that is up */
-	uint32_t without; /* consecutive complete lists without the worker */
+	/* for how long lists in a row have lacked the worker and its VM */
+	int64_t absent_ms;
 };
 
-/* For how long lists of VMs have shown that a VM is absent. */
+/* For how long lists of VMs have lacked something. */
 struct evd_absence {
 	/*
 	 * when the newest list that counts was requested; before the first one,
-	 * when the VM was found missing; 0: it isn't missing
+	 * since when lists count; 0: nothing is missing
 	 */
 	int64_t asked_ms;
 	int64_t shown_ms; /* time that the lists since then account for */
@@ -98,6 +99,8 @@
 		    const struct evd_moment *m, struct evd *out);
 bool evd_vm_over(const struct evd_vm *vm, int64_t unreachable_since,
 		 const struct evd_moment *m, struct evd *out);
+int64_t evd_absent_ms(struct evd_absence *a, bool listed, int64_t asked_ms,
+		      int64_t since_ms);
 bool evd_vm_gone(struct evd_absence *a, bool listed, int64_t asked_ms,
 		 int64_t now_ms);
 void evd_record_running(struct jtb_run *run, int32_t percent, int64_t now_ms);
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -273,16 +273,16 @@
 	const struct vms_vm *vm =
 		current ? current : vms_last_of_worker(h->vms, w->info.id);
 	int64_t asked = vms_listed_ms(h->vms);
+	bool counts = !vm && since && since < asked;
 
-	w->unlisted_count =
-		vm || !since || since >= asked ? 0 : w->unlisted_count + 1;
 	*out = (struct evd_vm){
 		.asked_ms = asked,
 		.listed = vm != NULL,
 		.up = vm && vm->state == VMS_UP,
 		.other = vm && !current && *vm->worker,
 		.worker_unknown = vms_has_unknown_worker(h->vms),
-		.without = w->unlisted_count,
+		/* the first list without it is the one that later ones confirm */
+		.absent_ms = evd_absent_ms(&w->absence, !counts, asked, asked),
 	};
 }
 
--- a/src/jtb.h
+++ b/src/jtb.h
@@ -228,7 +228,7 @@
 	int64_t restarted_ms; /* leader's: that was applied; 0: never */
 	bool leaving; /* leader's: it announced its shutdown */
 	guint index_in_pool; /* position in the index of its pool */
-	uint32_t unlisted_count; /* leader's: VM lists in a row that lack it */
+	struct evd_absence absence; /* leader's: lists of VMs that lack it */
 	uint32_t runs_lost_count; /* times all its runs were ended as lost */
 	uint32_t used_cpu;
 	uint32_t used_mem;
--- a/src/jtb_do.c
+++ b/src/jtb_do.c
@@ -534,7 +534,7 @@
 	w->failed_jobs = 0;
 	w->last_failed_job = 0;
 	w->speed = (struct slw){0};
-	w->unlisted_count = 0;
+	w->absence = (struct evd_absence){0};
 	w->leaving = false;
 	w->removal_proposed = false;
 	w->restart_proposed = false;
--- a/src/jtb_plan.c
+++ b/src/jtb_plan.c
@@ -80,7 +80,7 @@
 		w->removal_proposed = false;
 		w->restart_proposed = false;
 		w->restarted_ms = 0;
-		w->unlisted_count = 0;
+		w->absence = (struct evd_absence){0};
 		w->removal_evidence = (struct evd){0};
 		for (i = 0; i < w->runs->len; i++) {
 			struct jtb_run *run = g_ptr_array_index(w->runs, i);
--- a/tests/unit/evd_test.c
+++ b/tests/unit/evd_test.c
@@ -86,11 +86,14 @@
  */
 static void absence_from_one_list_is_not_evidence(void **state)
 {
-	struct evd_vm vm = {.asked_ms = NOW_MS - 10, .without = 1};
+	struct evd_vm vm = {.asked_ms = NOW_MS - 10, .absent_ms = 0};
 	struct evd e;
 
 	assert_false(evd_vm_over(&vm, NOW_MS - 500, &now, &e));
-	vm.without = 2;
+	/* several right behind it */
+	vm.absent_ms = 599;
+	assert_false(evd_vm_over(&vm, NOW_MS - 500, &now, &e));
+	vm.absent_ms = 600;
 	assert_true(evd_vm_over(&vm, NOW_MS - 500, &now, &e));
 	assert_int_equal(e.why, EVD_VM_NONE);
 	assert_true(evd_is_permanent(&e));
@@ -102,8 +105,9 @@
  */
 static void list_without_worker_names_is_not_evidence(void **state)
 {
-	struct evd_vm vm = {
-		.asked_ms = NOW_MS - 10, .without = 9, .worker_unknown = true};
+	struct evd_vm vm = {.asked_ms = NOW_MS - 10,
+			    .absent_ms = 9000,
+			    .worker_unknown = true};
 	struct evd e;
 
 	assert_false(evd_vm_over(&vm, NOW_MS - 500, &now, &e));
@@ -136,7 +140,7 @@
 		.asked_ms = NOW_MS - 10, .listed = true, .up = true};
 	struct evd e;
 
-	vm.without = 9;
+	vm.absent_ms = 9000;
 	assert_false(evd_vm_over(&vm, NOW_MS - 500, &now, &e));
 }
 
--- a/tests/unit/jtb_test.c
+++ b/tests/unit/jtb_test.c
@@ -617,9 +617,10 @@
 	struct jtb *t = *state;
 	struct jtb_worker *w = jtb_worker(t, "w1");
 
-	w->unlisted_count = 1;
+	w->absence = (struct evd_absence){.asked_ms = 1, .shown_ms = 600};
 	jtb_drop_proposals(t);
-	assert_int_equal(w->unlisted_count, 0);
+	assert_int_equal(w->absence.shown_ms, 0);
+	assert_int_equal(w->absence.asked_ms, 0);
 }
 
 /*
