upk, flo: which worker a VM has is shown by lists, not by a list's age

What callers saw: work is lost with a VM that failed during an outage of the platform and was back within a second, or on which lists name a worker late.

"The list is at most 1 s old" took for granted that a VM which fails is down for longer, which nobody promises; with lists that take longer than that to read, as of a fleet twice as large or a slow platform, it also never came true, and a wave with a VM whose worker is dead never ended. A list requested right after an upkeep was recorded may lack a worker that has just come up. A move of a VM whose worker had left was never ended nor ordered while the list was old, and kept the VM from its upkeep.

Change: both constants go. upk begins if the listed worker answers, or by a list requested since the drain began; while the worker isn't known, an order waits until lists account for 500 ms since workers that no list has get no work, and counts anew with each silence. flo orders only while the listed worker answers, and leaves a VM of which it doesn't. flo_prop needs no least time for which VMs are down any more; upk_prop has 2 ticks, and names workers late.

flo_test lost_answer_of_a_divided_vm_counts_it_once emptied its VM by the loss of its worker, which is what mustn't be ordered now. Its run ends instead, and the test checks that the order was sent, as it didn't before.

Failed before: upk_test vm_without_a_named_worker_waits_for_a_list, silence_of_a_worker_counts_anew; flo_test order_is_not_repeated_by_an_old_list. vm_of_a_dead_worker_has_its_upkeep and vm_without_a_worker_has_its_upkeep keep the way out.

--- a/bench/div_bench.c
+++ b/bench/div_bench.c
@@ -26,6 +26,11 @@
 	return false;
 }
 
+static bool any(void *arg, const struct jtb_worker *w)
+{
+	return true;
+}
+
 static bool no_vm(void *arg, const char *vm)
 {
 	return false;
@@ -141,6 +146,7 @@
 	static const struct flo_ops ops = {.order = order,
 					   .stop = stop,
 					   .may_stop = no_run,
+					   .is_reachable = any,
 					   .is_pinned = no_vm};
 	struct event_base *base = event_base_new();
 	struct tmr *tmr = tmr_new_manual(WALL_MS);
--- a/bench/itk_bench.c
+++ b/bench/itk_bench.c
@@ -86,6 +86,11 @@
 	jtb_config_free(c);
 }
 
+static bool is_reachable(void *arg, const struct jtb_worker *w)
+{
+	return true;
+}
+
 static bool is_pinned(void *arg, const char *vm)
 {
 	return false;
@@ -124,7 +129,8 @@
 		{.count = 8, .cpu = 3000, .estimate_ms = 1000},
 		{.count = 8, .cpu = 3000, .estimate_ms = 1000, .after = 1},
 	};
-	static const struct flo_ops ops = {.is_pinned = is_pinned};
+	static const struct flo_ops ops = {.is_reachable = is_reachable,
+					   .is_pinned = is_pinned};
 	struct event_base *base = event_base_new();
 	struct hub h = {.tmr = tmr_new_manual(100000),
 			.jtb = jtb_new(NULL, NULL),
--- a/src/evd.c
+++ b/src/evd.c
@@ -21,6 +21,11 @@
  * and so may another one right behind it.
  */
 #define EVD_ABSENT_MS 600
+/*
+ * For how long lists must name no worker on a VM until there is none that had
+ * got work before the first of them, ms.
+ */
+#define EVD_NAMED_MS 500
 /*
  * A VM that lists have shown as absent for this long is gone for good, ms. A VM
  * that has just been switched on is listed some 100 ms later.
@@ -263,6 +268,19 @@
 	return evd_absent_ms(a, listed, asked_ms, now_ms) > EVD_GONE_MS;
 }
 
+/*
+ * Whether lists show that nothing runs on a VM whose worker isn't known. From
+ * since_ms on, workers that no list has have got no work, so that one on the VM
+ * which had some before is named in the meantime.
+ */
+bool evd_vm_empty(struct evd_absence *a, bool known, int64_t asked_ms,
+		  int64_t since_ms)
+{
+	int64_t shown_ms = evd_absent_ms(a, known, asked_ms, since_ms);
+
+	return known || shown_ms >= EVD_NAMED_MS;
+}
+
 /*
  * Records that a list of its worker's runs, read now, shows a run with that
  * progress, in percent.
--- a/src/evd.h
+++ b/src/evd.h
@@ -101,6 +101,8 @@
 		 const struct evd_moment *m, struct evd *out);
 int64_t evd_absent_ms(struct evd_absence *a, bool listed, int64_t asked_ms,
 		      int64_t since_ms);
+bool evd_vm_empty(struct evd_absence *a, bool known, int64_t asked_ms,
+		  int64_t since_ms);
 bool evd_vm_gone(struct evd_absence *a, bool listed, int64_t asked_ms,
 		 int64_t now_ms);
 void evd_record_running(struct jtb_run *run, int32_t percent, int64_t now_ms);
--- a/src/flo.c
+++ b/src/flo.c
@@ -10,8 +10,6 @@
 static void flo_give_up(struct flo *f, struct flo_move *m, int64_t now);
 static void flo_order_move(struct flo *f, struct flo_move *m,
 			   const struct vms_vm *vm, int64_t now);
-static bool flo_knows_worker(const struct flo *f, const struct vms_vm *vm,
-			     int64_t now);
 static void flo_handle_worker_change(struct flo_move *m,
 				     const struct vms_vm *vm, int64_t now);
 static bool flo_drain(struct flo *f, struct flo_move *m, int64_t now);
@@ -361,35 +359,26 @@
 	flo_came_give_up(f, m->vm, m->ordered_ms);
 }
 
-/* Orders a move once its VM is empty, and again until it is answered. */
+/*
+ * Orders a move once its VM is empty, and again until it is answered. A VM whose
+ * worker doesn't answer may have another one by now: it isn't ordered, and stays
+ * if it wasn't before.
+ */
 static void flo_order_move(struct flo *f, struct flo_move *m,
 			   const struct vms_vm *vm, int64_t now)
 {
+	if (!flo_knows_worker(f, vm)) {
+		m->finished = !m->ordered_ms;
+		return;
+	}
 	if (!m->ordered_ms && !flo_drain(f, m, now))
 		return;
 	if (m->ordered_ms && now - m->ordered_ms <= FLO_RETRY_MS)
 		return;
-	if (!flo_knows_worker(f, vm, now))
-		return;
 	m->ordered_ms = now;
 	f->ops->order(f->arg, m->vm, m->to);
 }
 
-/*
- * Whether it is certain which worker is on a VM: it is switched off, the listed
- * one answers, or the list is too young for another one to have come up and got
- * work since. During an outage of the platform a VM may fail and come back
- * unseen.
- */
-static bool flo_knows_worker(const struct flo *f, const struct vms_vm *vm,
-			     int64_t now)
-{
-	const struct jtb_worker *w = jtb_worker(f->jtb, vm->worker);
-
-	return !*vm->worker || (w && f->ops->is_reachable(f->arg, w)) ||
-	       now - vms_listed_ms(f->vms) <= FLO_LIST_AGE_MAX_MS;
-}
-
 /*
  * Handles a change of the worker on a VM before its order was accepted. If the
  * list has the VM as moving or in its new pool, the move was carried out and
--- a/src/flo_int.h
+++ b/src/flo_int.h
@@ -100,16 +100,11 @@
  */
 #define FLO_LIST_TIMEOUT_MS 8000
 /*
- * Longest for which an order may be under way after it was last sent, ms: its
- * call ends after 1.5 s, and the platform is up to a second slow.
+ * How long a move isn't given up after its order was last sent, ms: the call
+ * ends after 1.5 s, and a platform that is slow takes up to a second more. Work
+ * that an order ends which is carried out still later begins anew.
  */
 #define FLO_ORDER_OPEN_MS 2500
-/*
- * Greatest age of a list that tells which worker a VM has although that worker
- * doesn't answer, ms: a VM that fails is down for longer.
- */
-#define FLO_LIST_AGE_MAX_MS 1000
-
 /*
  * A VM that came to its pool is not divided again for this long, ms: the move
  * made it unavailable for about this time, and work has to have had as much of
@@ -164,6 +159,7 @@
 double flo_vm_cores(const struct flo *f, const struct vms_vm *vm);
 guint flo_min_vms(const struct flo_pool *p);
 double flo_min_cores(const struct flo_pool *p);
+bool flo_knows_worker(const struct flo *f, const struct vms_vm *vm);
 void flo_rank_candidates(struct flo *f);
 void flo_rank_for_division(struct flo *f, int64_t now);
 const struct vms_vm *flo_best_candidate(const struct flo_pool *from);
--- a/src/flo_pick.c
+++ b/src/flo_pick.c
@@ -5,7 +5,6 @@
 static int flo_compare_candidates(gconstpointer a, gconstpointer b);
 static void flo_clear_candidates(struct flo *f);
 static void flo_sort_candidates(struct flo *f);
-static bool flo_is_switched_off(const struct flo *f, const struct vms_vm *vm);
 static bool flo_may_move(const struct flo *f, const struct vms_vm *vm);
 static double flo_move_cost(const struct flo *f, const struct vms_vm *vm);
 static bool flo_has_work_in_time(const struct flo *f, const struct vms_vm *vm);
@@ -108,12 +107,19 @@
 	       !f->ops->is_pinned(f->arg, vm->name);
 }
 
-/* Whether a VM is in a pool whose VMs are switched off. */
-static bool flo_is_switched_off(const struct flo *f, const struct vms_vm *vm)
+/*
+ * Whether it is known which worker is on a VM: the listed one answers, or the VM
+ * is in a pool whose VMs are switched off. Where a worker should be and the list
+ * names none, or one that is gone, another may have come up since.
+ */
+bool flo_knows_worker(const struct flo *f, const struct vms_vm *vm)
 {
+	const struct jtb_worker *w = jtb_worker(f->jtb, vm->worker);
 	const struct flo_pool *p = flo_pool(f, vm->pool);
 
-	return p && p->standby && !*vm->worker;
+	if (!*vm->worker)
+		return p && p->standby;
+	return w && f->ops->is_reachable(f->arg, w);
 }
 
 /* Whether a run on a VM belongs to a job that can still be in time. */
@@ -157,12 +163,10 @@
 	double empty_ms = 0;
 	guint i;
 
-	/*
-	 * Where a worker should be, none in the list may be one that has just
-	 * come up.
-	 */
+	if (!flo_knows_worker(f, vm))
+		return -1;
 	if (!w)
-		return flo_is_switched_off(f, vm) ? 0 : -1;
+		return 0;
 	if (w->reserved_ms && f->ticked_ms - w->reserved_ms < FLO_RESERVED_MS)
 		return -1;
 	for (i = 0; i < w->runs->len; i++) {
--- a/src/upk.c
+++ b/src/upk.c
@@ -25,12 +25,6 @@
  */
 #define UPK_STOP_AFTER_MS 2500
 
-/*
- * Greatest age of a list that tells which worker a VM has although that worker
- * doesn't answer, ms: a VM that fails is down for longer.
- */
-#define UPK_LIST_AGE_MAX_MS 1000
-
 /* Progress of one VM's upkeep, while it is drained or down. */
 struct upk_drain {
 	char *vm;
@@ -44,7 +38,8 @@
 	int64_t ordered_ms; /* when it was ordered; 0: not yet */
 	int64_t accepted_ms; /* when the order was accepted; 0: not yet */
 	bool recorded; /* JTB_VM_BEGUN is in the table or on its way there */
-	int64_t recorded_ms; /* since then; of an earlier leader: noticed */
+	/* lists since then that name no worker on the VM that answers */
+	struct evd_absence nobody;
 	bool fenced; /* a later leader gives the orders for it now */
 	bool done_recorded; /* JTB_VM_DONE is on its way to the table */
 	bool returning; /* it cannot be drained now and returns to service */
@@ -75,12 +70,10 @@
 static bool upk_is_worker_unknown(const struct upk *u,
 				  const struct upk_drain *d);
 static bool upk_is_standby(const struct upk *u, const struct vms_vm *vm);
-static bool upk_knows_worker(const struct upk *u, const struct vms_vm *vm,
-			     int64_t now);
+static bool upk_may_begin(const struct upk *u, const struct upk_drain *d,
+			  const struct vms_vm *vm);
 static bool upk_is_worker_up(const struct upk *u, const struct vms_vm *vm);
 static void upk_add_unlisted(const struct upk *u, GHashTable *ids);
-static bool upk_awaits_worker(const struct upk *u, const struct upk_drain *d,
-			      const struct vms_vm *vm);
 static bool upk_note_new_worker(const struct upk *u, struct upk_drain *d,
 				int64_t now);
 static void upk_advance_wave(struct upk *u, struct jtb_wave *w, int64_t now,
@@ -342,15 +335,15 @@
 }
 
 /*
- * Whether it is certain which worker is on a VM: the listed one answers, or the
- * list is too young for another one to have come up and got work since. During
- * an outage of the platform a VM may fail and come back unseen.
+ * Whether the newest list tells enough of a VM to begin its upkeep: its worker
+ * answers, or the list was requested since the drain began. During an outage of
+ * the platform a VM may fail and come back unseen.
  */
-static bool upk_knows_worker(const struct upk *u, const struct vms_vm *vm,
-			     int64_t now)
+static bool upk_may_begin(const struct upk *u, const struct upk_drain *d,
+			  const struct vms_vm *vm)
 {
-	return upk_is_worker_up(u, vm) ||
-	       now - vms_listed_ms(u->vms) <= UPK_LIST_AGE_MAX_MS;
+	return vm && vm->state == VMS_UP &&
+	       (upk_is_worker_up(u, vm) || vms_listed_ms(u->vms) > d->from_ms);
 }
 
 /* Whether the worker that the newest list names for a VM answers. */
@@ -542,7 +535,6 @@
 				u, w, v->vm,
 				v->worker_before ? v->worker_before : "", now);
 			d->recorded = true;
-			d->recorded_ms = now;
 		}
 	}
 }
@@ -649,16 +641,22 @@
 	return cost + (double)w->used_cpu / MAX(1, w->info.cpu);
 }
 
-/* Drains a VM; orders its upkeep when no run is left on it. */
+/*
+ * Drains a VM; orders its upkeep when no run is left on it. While its worker
+ * isn't known, lists have to show first that no other one has come up there.
+ */
 static void upk_advance_drain(struct upk *u, struct jtb_wave *w,
 			      struct upk_drain *d, struct jtb_wave_vm *v,
 			      int64_t now)
 {
 	const struct vms_vm *vm = vms_find(u->vms, d->vm);
 	struct jtb_worker *worker;
+	bool empty;
 
 	if (d->fenced || d->done_recorded || upk_note_new_worker(u, d, now))
 		return;
+	empty = evd_vm_empty(&d->nobody, !upk_is_worker_unknown(u, d),
+			     vms_listed_ms(u->vms), now);
 	worker = jtb_worker(u->jtb, d->new_worker ? d->new_worker : d->worker);
 	/* Also runs that were being started when the worker was closed. */
 	if (worker && worker->runs->len && !d->accepted_ms) {
@@ -669,34 +667,19 @@
 		return;
 	}
 	if (!d->recorded) {
-		if (!vm || vm->state != VMS_UP || !upk_knows_worker(u, vm, now))
+		if (!upk_may_begin(u, d, vm))
 			return;
 		d->recorded = true;
-		d->recorded_ms = now;
 		u->ops->note(u->arg, w, v, JTB_VM_BEGUN, d->worker);
 		return;
 	}
-	if (v->state == JTB_VM_BEGUN && !d->accepted_ms &&
-	    !upk_awaits_worker(u, d, vm) &&
+	if (v->state == JTB_VM_BEGUN && !d->accepted_ms && empty &&
 	    (!d->ordered_ms || now - d->ordered_ms > UPK_RETRY_MS)) {
 		d->ordered_ms = now;
 		u->ops->order(u->arg, w, v);
 	}
 }
 
-/*
- * Whether a worker may have come up on a VM and got work since the newest list,
- * which names none. Workers that no list has get no work once the upkeep is
- * recorded, so a list that is requested later names any that got some before.
- */
-static bool upk_awaits_worker(const struct upk *u, const struct upk_drain *d,
-			      const struct vms_vm *vm)
-{
-	if (*d->worker || d->new_worker || upk_is_standby(u, vm))
-		return false;
-	return vms_listed_ms(u->vms) <= d->recorded_ms;
-}
-
 /*
  * Whether another worker came up by itself on a VM that is being drained; if
  * so, records it, and the drain starts again. This is possible also after the
--- a/tests/prop/flo_prop.cc
+++ b/tests/prop/flo_prop.cc
@@ -67,7 +67,6 @@
 	std::vector<Run> runs;
 	int lossPercent =
 		randomInt(0, 40); /* percentage of orders and of answers */
-	int leastDown = 1; /* steps that a VM that fails is down for */
 	bool checksMoves = true; /* when they begin */
 	int64_t outageUntil = 0; /* no list can be read until then */
 	int moves = 0;
@@ -481,7 +480,7 @@
 		case 1:
 		case 2:
 			if (m.state == VMS_UP)
-				down(m, VMS_DOWN, randomInt(leastDown, 40));
+				down(m, VMS_DOWN, randomInt(1, 40));
 			break;
 		case 3:
 			m.inUpkeep = randomInt(0, 2) &&
@@ -508,7 +507,6 @@
 	void stepWithOutages()
 	{
 		checksMoves = false;
-		leastDown = FLO_LIST_AGE_MAX_MS / STEP_MS + 1;
 		if (randomInt(0, 20) == 0)
 			outageUntil =
 				now + randomInt(0, OUTAGE_STEPS) * STEP_MS;
--- a/tests/prop/upk_prop.cc
+++ b/tests/prop/upk_prop.cc
@@ -18,11 +18,13 @@
 const int WAVES = 2;
 /* Time for which a call waits for its answer. */
 const int64_t CALL_MS = 800;
-/* Greatest age of the VM list; a VM that fails is down for longer. */
+/* Greatest age of the VM list, and least ticks that a VM that fails is down. */
 const int64_t LIST_MS = 700;
-const int DOWN_STEPS = 10;
+const int DOWN_STEPS = 2;
 /* Most ticks from a VM's arrival until lists have it. */
 const int UNLISTED_STEPS = 5;
+/* Most ticks from a worker's arrival until lists name it. */
+const int UNNAMED_STEPS = 4;
 /* Most ticks of an outage in which no list can be read. */
 const int OUTAGE_STEPS = 120;
 /* Ticks within which all waves complete once faults have stopped. */
@@ -48,6 +50,7 @@
 	bool partitioned = false;
 	int64_t listedFrom = 0; /* a VM that has just come is listed later */
 	bool gone = false; /* removed for good */
+	int64_t namedFrom = 0; /* its worker is named later */
 	std::set<uint64_t> upkeepsHad; /* waves in which it had its upkeep */
 };
 
@@ -326,6 +329,7 @@
 		m.state = VMS_UP;
 		m.upkeepWave = 0;
 		m.worker = "w" + std::to_string(nextId++);
+		m.namedFrom = now + randomInt(0, UNNAMED_STEPS) * STEP_MS;
 		jobs_worker(jtb, m.worker.c_str(), 16000, false);
 	}
 
@@ -501,7 +505,8 @@
 			vm = g_new0(struct vms_vm, 1);
 			vm->name = g_strdup(m.name.c_str());
 			vm->pool = g_strdup("p");
-			vm->worker = g_strdup(m.worker.c_str());
+			vm->worker = g_strdup(
+				now < m.namedFrom ? "" : m.worker.c_str());
 			vm->state = m.state;
 			vm->cpu = 16000;
 			vm->mem_mb = 64000;
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -4,6 +4,8 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <stdlib.h>
+
 #include "flo_int.h"
 #include "jobs_make.h"
 
@@ -1154,7 +1156,10 @@
 	assert_true(flo_is_moving(f->flo, "vm1"));
 }
 
-/* The same, where the order is sent again and refused for the move itself. */
+/*
+ * Guards against work lost with its VM in the same way, where the order is sent
+ * again and refused because the VM is moving.
+ */
 static void refused_vm_waits_for_a_list(void **state)
 {
 	struct fixture *f = *state;
@@ -1225,7 +1230,6 @@
 
 	order_move(f);
 	f->unreachable = true;
-	ticks_without_list(f, FLO_LIST_AGE_MAX_MS / STEP_MS);
 	orders = f->orders;
 	ticks_without_list(f, 100);
 	assert_int_equal(f->orders, orders);
@@ -1675,8 +1679,10 @@
 	tick(f);
 	vm = emptied_vm(f);
 	held = flo_pool(f->flo, "other")->vms;
-	jobs_worker_lost(f->jtb, vm->worker, true);
+	jobs_end(f->jtb, "late", 0, (uint32_t)atoi(vm->name + strlen("vm")), 1,
+		 vm->worker, JTB_DONE);
 	tick(f);
+	assert_string_equal(flo_worker(f->flo, vm->name), vm->worker);
 	flo_answered(f->flo, vm->name, VMS_UNANSWERED, f->now);
 	g_free(vm->pool);
 	vm->pool = g_strdup("other");
--- a/tests/unit/hub_intake_test.c
+++ b/tests/unit/hub_intake_test.c
@@ -29,6 +29,11 @@
 	int next;
 };
 
+static bool is_reachable(void *arg, const struct jtb_worker *w)
+{
+	return true;
+}
+
 static bool is_pinned(void *arg, const char *vm)
 {
 	return false;
@@ -51,7 +56,8 @@
 
 static int setup(void **state)
 {
-	static const struct flo_ops flo_ops = {.is_pinned = is_pinned};
+	static const struct flo_ops flo_ops = {.is_reachable = is_reachable,
+					       .is_pinned = is_pinned};
 	struct rig *r = g_new0(struct rig, 1);
 	struct hub *h = &r->h;
 	int i;
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -619,6 +619,8 @@
 	tick(f);
 	add_short_job(f, "a");
 	add_wave(f, 1, WITHIN_MS);
+	/* lists right behind each other may still lack it */
+	ticks(f, 4);
 	ticks_without_list(f, 2 * GONE_TICKS);
 	assert_int_equal(f->orders, 0);
 	assert_true(is_closed(f, "w1"));
@@ -640,8 +642,40 @@
 	g_free(vm->worker);
 	vm->worker = g_strdup("");
 	add_wave(f, 1, WITHIN_MS);
-	ticks(f, 5);
-	assert_int_equal(f->orders, 1);
+	ticks(f, 10);
+	assert_true(f->orders > 0);
+}
+
+/* Guards against a wave that never ends: the worker on its VM is gone for good. */
+static void vm_of_a_dead_worker_has_its_upkeep(void **state)
+{
+	struct fixture *f = *state;
+
+	add_wave(f, 1, WITHIN_MS);
+	jobs_worker_lost(f->jtb, "w1", true);
+	ticks(f, 10);
+	assert_true(f->orders > 0);
+}
+
+/*
+ * Guards against work lost with its VM: its worker is silent again, after lists
+ * had shown an earlier time that no other one was there.
+ */
+static void silence_of_a_worker_counts_anew(void **state)
+{
+	struct fixture *f = *state;
+	int orders;
+
+	add_wave(f, 1, WITHIN_MS);
+	f->unreached = true;
+	ticks(f, 10);
+	assert_true(f->orders > 0);
+	f->unreached = false;
+	tick(f);
+	f->unreached = true;
+	orders = f->orders;
+	ticks_without_list(f, GONE_TICKS);
+	assert_int_equal(f->orders, orders);
 }
 
 /*
@@ -976,6 +1010,8 @@
 		T(unlisted_worker_waits_for_an_open_order),
 		T(vm_without_a_named_worker_waits_for_a_list),
 		T(vm_without_a_worker_has_its_upkeep),
+		T(vm_of_a_dead_worker_has_its_upkeep),
+		T(silence_of_a_worker_counts_anew),
 		T(two_waves_with_the_same_vms),
 		T(bad_image_costs_no_more_than_at_once),
 		T(partition_pauses_the_wave),
