bat, hub: a long line of commands is proposed in linear time

Read as a newcomer: bat_drop() moved all that was left at each entry, and each entry walked all calls that wait.

Change: dropped commands are let go once they are more than what is left; a call remembers the number of its last command since the start, so that nothing is counted down. bat_test dropped_commands_are_let_go fails without the compaction (memory grows).

--- a/src/bat.c
+++ b/src/bat.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+static void bat_compact(struct bat *b);
 static size_t bat_end(const struct bat *b, guint n);
 
 /* Initialises a batch without commands. */
@@ -9,6 +10,7 @@
 {
 	pk_out_init(&b->out);
 	b->starts = g_array_new(FALSE, FALSE, sizeof(size_t));
+	b->first = 0;
 }
 
 /* Frees the batch with its commands. */
@@ -30,13 +32,13 @@
 /* Returns the number of commands. */
 guint bat_count(const struct bat *b)
 {
-	return b->starts->len;
+	return b->starts->len - b->first;
 }
 
 /* Returns the size of all commands, bytes. */
 size_t bat_bytes(const struct bat *b)
 {
-	return b->out.buf.size;
+	return b->out.buf.size - bat_end(b, 0);
 }
 
 /*
@@ -48,7 +50,7 @@
 {
 	guint n = MIN(bat_count(b), 1);
 
-	while (n < bat_count(b) && bat_end(b, n + 1) <= max)
+	while (n < bat_count(b) && bat_end(b, n + 1) - bat_end(b, 0) <= max)
 		n++;
 	return n;
 }
@@ -56,28 +58,41 @@
 /* Packs the first n commands as one entry. */
 void bat_pack(const struct bat *b, guint n, struct pk_out *out)
 {
+	size_t from = bat_end(b, 0);
+
 	pk_arr(out, n);
-	msgpack_sbuffer_write(&out->buf, b->out.buf.data, bat_end(b, n));
+	msgpack_sbuffer_write(&out->buf, b->out.buf.data + from,
+			      bat_end(b, n) - from);
 }
 
 /* Removes the first n commands. */
 void bat_drop(struct bat *b, guint n)
 {
-	size_t end = bat_end(b, n);
+	b->first += n;
+	if (b->first > bat_count(b))
+		bat_compact(b);
+}
+
+/*
+ * Lets go what is dropped. Done when it is more than what is left: to move the
+ * rest at each entry would take a leader seconds with what gathers in an outage.
+ */
+static void bat_compact(struct bat *b)
+{
+	size_t end = bat_end(b, 0);
 	guint i;
 
-	if (!n)
-		return;
 	memmove(b->out.buf.data, b->out.buf.data + end, b->out.buf.size - end);
 	b->out.buf.size -= end;
-	g_array_remove_range(b->starts, 0, n);
+	g_array_remove_range(b->starts, 0, b->first);
+	b->first = 0;
 	for (i = 0; i < b->starts->len; i++)
 		g_array_index(b->starts, size_t, i) -= end;
 }
 
-/* Returns where the first n commands end, bytes. */
+/* Returns where the first n commands that aren't dropped end, bytes. */
 static size_t bat_end(const struct bat *b, guint n)
 {
-	return n < bat_count(b) ? g_array_index(b->starts, size_t, n)
+	return n < bat_count(b) ? g_array_index(b->starts, size_t, b->first + n)
 				: b->out.buf.size;
 }
--- a/src/bat.h
+++ b/src/bat.h
@@ -11,6 +11,7 @@
 struct bat {
 	struct pk_out out; /* the packed commands, one after another */
 	GArray *starts; /* size_t: where each of them begins */
+	guint first; /* those before it are dropped and still held */
 };
 
 void bat_init(struct bat *b);
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -66,7 +66,7 @@
 struct hub_waiter {
 	struct hub_call *c;
 	hub_resume_fn resume;
-	guint after; /* first commands of the batch that it waits for */
+	uint64_t after; /* number of the last command that it waits for */
 };
 
 /* A batch or a read in progress in the log. */
@@ -155,6 +155,7 @@
 	GHashTable *calls; /* all open calls, struct hub_call */
 	/* The log. */
 	struct bat batch; /* commands that are not proposed yet */
+	uint64_t batch_proposed; /* number of the commands proposed so far */
 	GArray *batch_waiters; /* struct hub_waiter, in order */
 	bool log_refused; /* the log took no more of the batch last time */
 	GHashTable *proposals; /* log index: struct hub_inflight */
--- a/src/hub_log.c
+++ b/src/hub_log.c
@@ -82,7 +82,7 @@
 	struct hub_waiter w = {
 		.c = c,
 		.resume = resume,
-		.after = bat_count(&h->batch),
+		.after = h->batch_proposed + bat_count(&h->batch),
 	};
 
 	c->refs++;
@@ -239,8 +239,8 @@
 }
 
 /*
- * Returns the calls that wait for the first n commands, and removes them from
- * those that wait for the batch; the others wait for n commands less.
+ * Returns the calls that wait for the first n commands of the batch, and removes
+ * them from those that wait for it.
  */
 static GArray *hub_take_waiters(struct hub *h, guint n)
 {
@@ -248,17 +248,16 @@
 	GArray *taken = hub_waiters_new();
 	guint i;
 
+	h->batch_proposed += n;
 	for (i = 0; i < all->len; i++) {
 		struct hub_waiter *w =
 			&g_array_index(all, struct hub_waiter, i);
 
-		if (w->after > n)
+		if (w->after > h->batch_proposed)
 			break;
 		g_array_append_val(taken, *w);
 	}
 	g_array_remove_range(all, 0, i);
-	for (i = 0; i < all->len; i++)
-		g_array_index(all, struct hub_waiter, i).after -= n;
 	return taken;
 }
 
--- a/tests/unit/bat_test.c
+++ b/tests/unit/bat_test.c
@@ -96,6 +96,24 @@
 	assert_int_equal(bat_fitting(b, 2 * COMMAND - 1), 1);
 }
 
+/* Guards against memory that grows while there is always a command left. */
+static void dropped_commands_are_let_go(void **state)
+{
+	struct bat *b = *state;
+	int i;
+
+	add(b, COMMANDS);
+	for (i = 0; i < 1000; i++) {
+		add(b, 1);
+		bat_drop(b, 1);
+		assert_int_equal(bat_count(b), COMMANDS);
+		assert_int_equal(bat_bytes(b), COMMANDS * COMMAND);
+		assert_true(b->out.buf.size <= 3 * COMMANDS * COMMAND);
+	}
+	bat_drop(b, COMMANDS);
+	assert_int_equal(b->out.buf.size, 0);
+}
+
 int main(void)
 {
 #define T(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
@@ -103,6 +121,7 @@
 		T(entries_fit_into_their_limit),
 		T(long_command_is_an_entry_of_its_own),
 		T(command_follows_those_that_are_left),
+		T(dropped_commands_are_let_go),
 	};
 
 	return cmocka_run_group_tests_name("bat", tests, NULL, NULL);
