vms: rows that can't be read are looked up, not walked

vms_is_listed() compared each row that can't be read with the name, for each VM of each wave in each tick; with a platform whose rows all can't be read that is the square of the fleet. The names are a set now, and the empty name is one of them. vms_put_unreadable() takes them as vms_put_list() takes a list.

--- a/src/vms.c
+++ b/src/vms.c
@@ -54,6 +54,7 @@
 	/* names of the VMs in rows of the list that can't be read; "": none */
 	GPtrArray *unreadable;
 	GPtrArray *incoming_unreadable; /* those of the list being read */
+	GHashTable *by_unreadable; /* the same names as a set */
 	GPtrArray *incoming; /* pages of the list being read */
 	bool listing;
 	int64_t list_requested_ms; /* when the list being read was requested */
@@ -106,7 +107,7 @@
 	v->calls = g_ptr_array_new();
 	v->vms = g_ptr_array_new_with_free_func(vms_vm_free);
 	v->unreadable = g_ptr_array_new_with_free_func(g_free);
-	v->incoming_unreadable = g_ptr_array_new_with_free_func(g_free);
+	v->by_unreadable = g_hash_table_new(g_str_hash, g_str_equal);
 	v->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	v->by_worker = g_hash_table_new(g_str_hash, g_str_equal);
 	v->last_vm =
@@ -122,12 +123,14 @@
 	vms_stop(v);
 	ups_free(v->ups);
 	g_ptr_array_free(v->calls, TRUE);
+	g_hash_table_destroy(v->by_unreadable);
 	g_hash_table_destroy(v->by_name);
 	g_hash_table_destroy(v->by_worker);
 	g_hash_table_destroy(v->last_vm);
 	g_ptr_array_free(v->vms, TRUE);
 	g_ptr_array_free(v->unreadable, TRUE);
-	g_ptr_array_free(v->incoming_unreadable, TRUE);
+	if (v->incoming_unreadable)
+		g_ptr_array_free(v->incoming_unreadable, TRUE);
 	g_free(v);
 }
 
@@ -171,7 +174,9 @@
 	v->listing = true;
 	v->list_requested_ms = tmr_now(v->config.tmr);
 	v->incoming = g_ptr_array_new_with_free_func(vms_vm_free);
-	g_ptr_array_set_size(v->incoming_unreadable, 0);
+	if (v->incoming_unreadable)
+		g_ptr_array_free(v->incoming_unreadable, TRUE);
+	v->incoming_unreadable = g_ptr_array_new_with_free_func(g_free);
 	vms_request_page(v, NULL);
 }
 
@@ -312,22 +317,29 @@
 }
 
 /*
- * Whether the latest complete list has a VM, or may have it: a row that can't
+ * Whether the latest complete list has a VM, or may have it: in a row that can't
  * be read and names it, or names no VM at all.
  */
 bool vms_is_listed(const struct vms *v, const char *name)
 {
-	guint i;
+	return vms_find(v, name) ||
+	       g_hash_table_contains(v->by_unreadable, name) ||
+	       g_hash_table_contains(v->by_unreadable, "");
+}
 
-	if (vms_find(v, name))
-		return true;
-	for (i = 0; i < v->unreadable->len; i++) {
-		const char *row = g_ptr_array_index(v->unreadable, i);
+/*
+ * Replaces the names of the VMs in rows that can't be read, as if the next list
+ * had had those rows. Takes ownership of the array.
+ */
+void vms_put_unreadable(struct vms *v, GPtrArray *names)
+{
+	guint i;
 
-		if (!*row || strcmp(row, name) == 0)
-			return true;
-	}
-	return false;
+	g_ptr_array_free(v->unreadable, TRUE);
+	v->unreadable = names;
+	g_hash_table_remove_all(v->by_unreadable);
+	for (i = 0; i < names->len; i++)
+		g_hash_table_add(v->by_unreadable, g_ptr_array_index(names, i));
 }
 
 /* Returns the number of calls since the session was created. */
@@ -520,7 +532,6 @@
 static void vms_handle_page(struct vms *v, enum ups_end end, int status,
 			    struct lstr body)
 {
-	GPtrArray *unreadable;
 	char *next = NULL;
 
 	if (end != UPS_WHOLE || status != 200 ||
@@ -536,9 +547,7 @@
 		g_free(next);
 		return;
 	}
-	unreadable = v->unreadable;
-	v->unreadable = v->incoming_unreadable;
-	v->incoming_unreadable = unreadable;
+	vms_put_unreadable(v, g_steal_pointer(&v->incoming_unreadable));
 	vms_put_list(v, g_steal_pointer(&v->incoming), v->list_requested_ms);
 	v->listing = false;
 	v->ops->listed(v->arg);
--- a/src/vms.h
+++ b/src/vms.h
@@ -112,6 +112,7 @@
 void vms_start(struct vms *v, uint64_t fence);
 void vms_stop(struct vms *v);
 void vms_refresh(struct vms *v);
+void vms_put_unreadable(struct vms *v, GPtrArray *names);
 void vms_put_list(struct vms *v, GPtrArray *list, int64_t asked_ms);
 void vms_upkeep(struct vms *v, const char *vm, uint64_t wave);
 void vms_move(struct vms *v, const char *vm, const char *pool);
