--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -165,7 +165,7 @@
 			jtb_put_worker(hub_append_command(h), info);
 	}
 	if (!current) {
-		/* a repeated one: its first copy may not be stored yet */
+		/* the first copy of a repeated report may not be stored yet */
 		hub_commit(h, c, resume);
 		return;
 	}
--- a/src/jtb_snap.c
+++ b/src/jtb_snap.c
@@ -394,7 +394,7 @@
 	g_free(id);
 	/* data folders of versions without committed stops end here */
 	stopping = pk_in_left(&at) && pk_get_bool(&at);
-	/* and those of versions that took all runs for the present lifetime's */
+	/* data folders of versions that didn't know whose run it is end here */
 	earlier = pk_in_left(&at) && pk_get_bool(&at);
 	if (w) {
 		run = jtb_run_new(t, job, n, task->attempt, w);
--- a/tests/unit/ups_test.c
+++ b/tests/unit/ups_test.c
@@ -419,7 +419,7 @@
 	assert_int_equal(f->end, UPS_MALFORMED);
 	assert_int_equal(f->body->len, 0);
 	close(fd);
-	/* the same, of which the rest never comes */
+	/* an answer whose second half never comes */
 	answer[strlen(answer) / 2] = '\0';
 	start_request_with(f, EVHTTP_REQ_GET, WAIT_MS, &whole_only);
 	fd = accept_and_answer(f, answer);
