--- a/src/hub.h
+++ b/src/hub.h
@@ -136,8 +136,9 @@
 int64_t hub_wall_ms(void);
 struct pk_out *hub_append_command(struct hub *h);
 void hub_commit(struct hub *h, struct hub_call *c, hub_resume_fn resume);
-bool hub_refuse_behind(struct hub *h, struct hub_call *c);
 void hub_read(struct hub *h, struct hub_call *c, hub_resume_fn resume);
+void hub_accept_config(struct hub *h, struct hub_call *c,
+		       const struct jtb_config *config, hub_resume_fn resume);
 void hub_submit(struct hub *h, struct hub_call *c, const struct jtb_spec *spec,
 		hub_resume_fn resume);
 void hub_cancel(struct hub *h, struct hub_call *c, const char *id,
--- a/src/hub_int.h
+++ b/src/hub_int.h
@@ -198,6 +198,7 @@
 void hub_log_applied(struct hub *h, uint64_t index);
 void hub_log_read_done(struct hub *h, uint64_t tag, bool ok);
 void hub_log_abort(struct hub *h);
+bool hub_refuse_behind(struct hub *h, struct hub_call *c);
 /* hub_carry */
 void hub_relay_init(struct hub *h);
 void hub_relay_free(struct hub *h);
@@ -216,6 +217,7 @@
 void hub_plan_tick(struct hub *h, int64_t now);
 void hub_mark_all_pools(struct hub *h);
 double hub_estimate_ratio(const struct hub *h, const struct jtb_spec *spec);
+bool hub_run_hung(const struct jtb_run *run);
 bool hub_worker_usable(void *arg, const struct jtb_worker *w);
 void hub_init_sch_view(struct hub *h, GHashTable *closed, struct sch_view *v);
 void hub_stop_run(void *arg, struct jtb_run *run, const char *why);
@@ -249,6 +251,8 @@
 void hub_vm_lead(struct hub *h, uint64_t term);
 void hub_vm_step_down(struct hub *h);
 void hub_vm_tick(struct hub *h, int64_t now);
+void hub_vm_worker_evidence(const struct hub *h, struct jtb_worker *w,
+			    int64_t since, struct evd_vm *out);
 /* hub_operator */
 bool hub_operator_message(struct hub *h, struct wire_conn *conn, uint64_t kind,
 			  struct pk_in *in);
--- a/src/hub_plan.c
+++ b/src/hub_plan.c
@@ -70,7 +70,6 @@
 static void hub_record_run_time(struct hub *h, const struct jtb_run *run,
 				enum jtb_end how);
 static void hub_scale_estimates(struct hub *h);
-static bool hub_run_hung(const struct jtb_run *run);
 static int64_t hub_objective_ms(const struct hub *h, const struct jtb_job *job);
 static void hub_forget_jobs(struct hub *h, int64_t now);
 
@@ -881,7 +880,7 @@
 }
 
 /* Whether a run has made no progress for far longer than its estimate. */
-static bool hub_run_hung(const struct jtb_run *run)
+bool hub_run_hung(const struct jtb_run *run)
 {
 	const struct jtb_step *s = &run->job->spec.steps[run->step];
 	int64_t timeout_ms =
--- a/src/hub_take.c
+++ b/src/hub_take.c
@@ -58,6 +58,24 @@
 	hub_commit(h, c, resume);
 }
 
+/*
+ * Accepts a configuration. The highest version counts: one that isn't higher
+ * than what is in force is acknowledged and changes nothing, so that it may come
+ * any number of times.
+ */
+void hub_accept_config(struct hub *h, struct hub_call *c,
+		       const struct jtb_config *config, hub_resume_fn resume)
+{
+	if (config->version <= jtb_config(h->jtb)->version) {
+		hub_commit(h, c, resume);
+		return;
+	}
+	if (hub_refuse_behind(h, c))
+		return;
+	jtb_put_config(hub_append_command(h), config);
+	hub_commit(h, c, resume);
+}
+
 /*
  * Refuses a job of which a step could never run within its organisation's
  * limit: it would be pending for ever. Returns false if there is none.
--- a/src/hub_vm.c
+++ b/src/hub_vm.c
@@ -36,8 +36,6 @@
 static void hub_vm_on_grace_over(void *arg, int64_t now);
 static void hub_vm_plan(struct hub *h, int64_t now);
 static void hub_vm_check_workers(struct hub *h);
-static void hub_vm_worker_evidence(const struct hub *h, struct jtb_worker *w,
-				   int64_t since, struct evd_vm *out);
 static void hub_vm_log_pools(struct hub *h, int64_t now);
 static void hub_vm_log_division(struct hub *h, int64_t now);
 
@@ -266,8 +264,8 @@
  * Sets out to what the newest list says of a worker that has been unreachable
  * since then; 0: the worker is reachable.
  */
-static void hub_vm_worker_evidence(const struct hub *h, struct jtb_worker *w,
-				   int64_t since, struct evd_vm *out)
+void hub_vm_worker_evidence(const struct hub *h, struct jtb_worker *w,
+			    int64_t since, struct evd_vm *out)
 {
 	const struct vms_vm *current = vms_of_worker(h->vms, w->info.id);
 	const struct vms_vm *vm =
--- a/tests/unit/hub_intake_test.c
+++ b/tests/unit/hub_intake_test.c
@@ -202,8 +202,22 @@
 	assert_true(submit_next(r));
 }
 
+/* Whether a configuration of that version is put into the log. */
+static bool configure(struct rig *r, uint64_t version)
+{
+	struct jtb_config *c = jtb_config_new();
+	guint before = bat_count(&r->h.batch);
+
+	c->version = version;
+	c->document = g_bytes_new("doc", 3);
+	hub_accept_config(&r->h, hub_call_new(&r->h, HUB_FROM_CONTROL), c,
+			  resume);
+	jtb_config_free(c);
+	return bat_count(&r->h.batch) > before;
+}
+
 /* Guards against a line of commands that grows while the log takes none. */
-static void job_is_refused_while_the_log_is_behind(void **state)
+static void nothing_is_added_while_the_log_is_behind(void **state)
 {
 	struct rig *r = *state;
 	char *text = g_malloc0(1 << 20);
@@ -213,8 +227,11 @@
 	for (i = 0; i < 20; i++)
 		pk_str(hub_append_command(&r->h), lstr_n(text, 1 << 20));
 	assert_false(submit_next(r));
+	assert_false(configure(r, 2));
 	hub_log_abort(&r->h);
 	assert_true(submit_next(r));
+	assert_false(configure(r, 1));
+	assert_true(configure(r, 2));
 	g_free(text);
 }
 
@@ -230,7 +247,7 @@
 		cmocka_unit_test_setup_teardown(
 			leader_that_does_not_know_accepts, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-			job_is_refused_while_the_log_is_behind, setup,
+			nothing_is_added_while_the_log_is_behind, setup,
 			teardown),
 	};
 
