Tests that fail when a mend is taken out where it is used

Some mends were tested in the module that decides and not where the decision is asked for. A reset of still_ms as a worker begins a lifetime goes: its runs are stopped anyway, and no test could tell.

--- a/src/wkr_life.c
+++ b/src/wkr_life.c
@@ -160,7 +160,6 @@
 		run->first_running_ms = 0;
 		run->last_running_ms = 0;
 		run->percent = -1;
-		run->still_ms = 0;
 		run->ordered_ms = now;
 		run->stop_wanted = true;
 	}
--- a/tests/unit/ent_test.c
+++ b/tests/unit/ent_test.c
@@ -17,6 +17,8 @@
 
 #define HEX "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 #define WAIT_MS 4000
+/* Longer than a target's lease, and than a store without replicas is kept. */
+#define PAUSE_US 5500000
 #define TARGETS 2
 
 /*
@@ -43,6 +45,7 @@
 	uint64_t message_version; /* sent in the message; 0: the view's */
 	/* as proposed; sent with the next view */
 	struct fvw_key_replicas *replicas;
+	int proposals; /* of replicas */
 };
 
 static void voter_up(void *arg, struct wire_conn *c)
@@ -58,6 +61,7 @@
 
 	assert_true(fcm_decode(&cmd, &in, bytes));
 	assert_int_equal(cmd.kind, FCM_KEY_REPLICAS);
+	f->proposals++;
 	if (!f->replicas && cmd.key_replicas.number == 1) {
 		f->replicas = fvw_key_replicas_new(cmd.key_replicas.zone,
 						   cmd.key_replicas.epoch, 1);
@@ -803,6 +807,31 @@
 	expect_answer(f, fd, "200", "ran");
 }
 
+/*
+ * Guards against a daemon that takes its own pause for the silence of others: it
+ * would stop its targets, and give up a store whose replicas it lost sight of
+ * just before.
+ */
+static void own_pause_shows_nothing_of_others(void **state)
+{
+	struct fixture *f = *state;
+	int proposals;
+	int fd;
+
+	f->replicas = fvw_key_replicas_new(LSTR("a"), 1, 1);
+	g_ptr_array_add(f->replicas->names, g_strdup("x/9"));
+	apply_view(f, 1, 0);
+	announce(f, 0, "serving");
+	net_run(f->base, 300);
+	proposals = f->proposals;
+	usleep(PAUSE_US);
+	net_run(f->base, 300);
+	assert_int_equal(f->proposals, proposals);
+	fd = send_request(f, "POST");
+	send_answer(f, accept_request(f, 0, WAIT_MS), "draft");
+	expect_answer(f, fd, "200", "ran");
+}
+
 int main(void)
 {
 #define T(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
@@ -823,6 +852,7 @@
 		T(request_with_key_runs_once),
 		T(key_of_refused_request_may_run_later),
 		T(key_with_unknown_outcome_never_runs_again),
+		T(own_pause_shows_nothing_of_others),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/flo_test.c
+++ b/tests/unit/flo_test.c
@@ -1181,6 +1181,7 @@
 static void list_without_the_vm_ends_no_ordered_move(void **state)
 {
 	struct fixture *f = *state;
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
 	struct vms_vm *vm = order_move(f);
 	guint i;
 
@@ -1188,6 +1189,13 @@
 	g_ptr_array_steal_index(f->list, i);
 	ticks(f, 2);
 	assert_true(is_closed(f, vm->worker));
+	/* a row that can't be read and may be the VM's */
+	flo_answered(f->flo, vm->name, VMS_ACCEPTED, f->now);
+	g_ptr_array_add(names, g_strdup(""));
+	vms_put_unreadable(f->vms, names);
+	ticks(f, 70);
+	assert_true(is_closed(f, vm->worker));
+	vms_put_unreadable(f->vms, g_ptr_array_new_with_free_func(g_free));
 	ticks(f, 100);
 	assert_false(flo_is_moving(f->flo, vm->name));
 	g_ptr_array_add(f->list, vm);
@@ -1217,6 +1225,7 @@
 	}
 	ticks_without_list(f, 3);
 	assert_int_equal(f->orders, 0);
+	assert_int_equal(flo_count_moves(f->flo), 0);
 }
 
 /*
--- a/tests/unit/upk_test.c
+++ b/tests/unit/upk_test.c
@@ -605,6 +605,28 @@
 	assert_false(is_closed(f, "w1b"));
 }
 
+/*
+ * Guards against a wave that ends without the upkeep of a VM whose row can't be
+ * read.
+ */
+static void vm_in_an_unreadable_row_keeps_its_wave(void **state)
+{
+	struct fixture *f = *state;
+	struct vms_vm *vm = find_vm(f, "vm1");
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+
+	add_wave(f, 1, WITHIN_MS);
+	g_ptr_array_add(names, g_strdup("vm1"));
+	vms_put_unreadable(f->vms, names);
+	g_ptr_array_steal_index(f->list, 0);
+	ticks(f, 10 * GONE_TICKS);
+	assert_int_equal(f->done, 0);
+	vms_put_unreadable(f->vms, g_ptr_array_new_with_free_func(g_free));
+	ticks(f, 2 * GONE_TICKS);
+	assert_int_equal(f->done, 1);
+	g_ptr_array_add(f->list, vm);
+}
+
 /*
  * Guards against work lost with its VM: the list names no worker on it, as one
  * has just come up there, and that one has work.
@@ -1008,6 +1030,7 @@
 		T(new_worker_after_the_order_is_drained),
 		T(vm_is_not_ordered_by_an_old_list),
 		T(unlisted_worker_waits_for_an_open_order),
+		T(vm_in_an_unreadable_row_keeps_its_wave),
 		T(vm_without_a_named_worker_waits_for_a_list),
 		T(vm_without_a_worker_has_its_upkeep),
 		T(vm_of_a_dead_worker_has_its_upkeep),
--- a/tests/unit/wkr_test.c
+++ b/tests/unit/wkr_test.c
@@ -669,6 +669,24 @@
 	assert_true(f->holds > before);
 }
 
+/*
+ * Guards against a run that hangs for ever, as lists that show it without
+ * progress don't count, and against one that is stopped by what lists of an
+ * earlier term showed.
+ */
+static void lists_tell_how_long_a_run_stands_still(void **state)
+{
+	struct fixture *f = *state;
+
+	f->lists_run = true;
+	start_run(f);
+	net_run(f->base, SETTLE_MS);
+	assert_int_equal(f->run->percent, 10);
+	assert_true(f->run->still_ms > 0);
+	wkr_lead(f->wkr, FENCE + 1);
+	assert_int_equal(f->run->still_ms, 0);
+}
+
 /*
  * Guards against a task that never runs again: its worker accepted the run, and
  * lists it neither as running nor as ended.
@@ -1832,6 +1850,7 @@
 		T(relay_is_used_again_after_a_while),
 		T(job_is_pending_until_start_is_accepted),
 		T(accepted_start_is_followed_by_holds),
+		T(lists_tell_how_long_a_run_stands_still),
 		T(run_missing_from_list_is_lost),
 		T(incomplete_list_is_not_evidence),
 		T(paused_leader_grants_no_valid_lease),
